Control: rebuild routes and the key index only where they changed

Cause: every control message rebuilt the routing table with a rendezvous choice per target, and every grant or withdrawal rebuilt the key index. Conclusion: a key change no longer stalls the control goroutine.

--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -85,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, a := range s.active {
-		if _, granted := snapshot.Keys[a.key.Digest]; !granted {
+		if _, granted := snapshot.Keys.Get(a.key.Digest); !granted {
 			a.cancel(errKeyWithdrawn)
 		} else if !fresh {
 			a.cancel(errStale)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -63,7 +63,9 @@
 	own         []TargetLoad
 	waiters     map[record.ID]chan fold.Result
 	freshAt     time.Duration
-	keys        map[[32]byte]fold.Key
+	routing     *routing
+	keys        *KeyIndex
+	keyDigests  map[string][32]byte // by key id
 	keysVersion uint64
 	digest      [32]byte
 	leaving     bool
@@ -80,8 +82,9 @@
 		targets: map[string][]platform.Target{},
 		loads:   map[string]TargetLoad{},
 		waiters: map[record.ID]chan fold.Result{},
-		keys:    map[[32]byte]fold.Key{},
+		routing: newRouting(),
 	}
+	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
 	l.appender = newAppender(o.Log, o.Clock)
 	l.guards.Store(&map[string]Guard{})
@@ -172,8 +175,10 @@
 		l.leaseEvent(res, b)
 	case record.Config:
 		l.configured(res)
-	case record.KeyGrant, record.KeyWithdraw:
-		l.indexKeys()
+	case record.KeyGrant:
+		l.keyGranted(b.KeyID)
+	case record.KeyWithdraw:
+		l.keyWithdrawn(b.KeyID)
 	}
 	if w, ok := l.waiters[res.Envelope.ID]; ok {
 		delete(l.waiters, res.Envelope.ID)
@@ -204,14 +209,6 @@
 	return lease.Timing{Term: cfg.Control.LeaseTerm, DriftMargin: cfg.Control.DriftMargin}
 }
 
-func (l *Loop) indexKeys() {
-	l.keys = make(map[[32]byte]fold.Key, len(l.state.Keys))
-	for _, k := range l.state.Keys {
-		l.keys[k.Digest] = k
-	}
-	l.keysVersion++
-}
-
 func (m listRead) handle(l *Loop) {
 	peers := make([]member.Peer, 0, len(m.instances))
 	for _, i := range m.instances {
@@ -223,19 +220,19 @@
 	l.members.List(l.Clock.Now(), peers)
 }
 
-func (m targetsRead) handle(l *Loop) { l.targets[m.dataCentre] = m.targets }
+func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
 
 func (m heard) handle(l *Loop) {
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
 	for _, load := range m.beat.Loads {
-		l.loads[load.Target] = load
+		l.setLoad(load)
 	}
 }
 
 func (m ownLoads) handle(l *Loop) {
 	l.own = m.loads
 	for _, load := range m.loads {
-		l.loads[load.Target] = load
+		l.setLoad(load)
 	}
 }
 
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -6,8 +6,6 @@
 
 	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
-	"github.com/amaranthfold/amaranthfold/core/route"
-	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
 // Guard is a held lease as senders check it right before they act.
@@ -41,6 +39,7 @@
 	for _, p := range peers {
 		byID[p.ID] = p
 	}
+	table := l.routes(now, owners)
 	l.snapshot.Store(&Snapshot{
 		Self:         l.members.Self(),
 		Offset:       l.state.Applied,
@@ -48,7 +47,7 @@
 		ConfigOffset: l.state.ConfigOffset,
 		Keys:         l.keys,
 		KeysVersion:  l.keysVersion,
-		Targets:      l.routes(owners),
+		Targets:      table,
 		Owners:       owners,
 		Peers:        peers,
 		PeerByID:     byID,
@@ -56,43 +55,8 @@
 		Ledgers:      maps.Clone(l.state.Ledgers),
 		Windows:      maps.Clone(l.state.Windows),
 		Orders:       maps.Clone(l.state.Orders),
-		Platform:     l.platformTargets(),
+		Platform:     l.routing.platform,
 		Digest:       l.digest,
 		FreshAt:      l.freshAt,
 	})
 }
-
-// routes joins the platform's targets with their owners and reported loads.
-func (l *Loop) routes(owners []string) *route.Table {
-	cfg := l.state.Config()
-	if cfg == nil {
-		return route.NewTable(nil)
-	}
-	var targets []route.Target
-	for _, list := range l.targets {
-		for _, t := range list {
-			s := cfg.Service(t.Service)
-			if s == nil || t.URL == "" {
-				continue
-			}
-			load := l.loads[t.ID]
-			targets = append(targets, route.Target{
-				ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, URL: t.URL, Cheap: t.Cheap,
-				Leaving:  load.Leaving || t.State != platform.TargetRunning,
-				Owner:    member.Owner(t.ID, owners),
-				Version:  load.Version,
-				Load:     load.Load,
-				Capacity: s.Concurrency,
-			})
-		}
-	}
-	return route.NewTable(targets)
-}
-
-func (l *Loop) platformTargets() []platform.Target {
-	var out []platform.Target
-	for _, list := range l.targets {
-		out = append(out, list...)
-	}
-	return out
-}
--- /dev/null
+++ b/internal/control/routes_test.go
@@ -0,0 +1,173 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/fold"
+	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/platform"
+)
+
+type fixedClock struct{ now time.Duration }
+
+func (c *fixedClock) Now() time.Duration { return c.now }
+func (c *fixedClock) Wall() time.Time    { return time.UnixMilli(0).Add(c.now) }
+
+func configured(t testing.TB, c *fixedClock) *Loop {
+	l := New(Options{Self: member.Peer{ID: "a"}, Clock: c, Events: events.New("a", nil)})
+	yaml, err := config.Marshal(&config.Config{
+		Deployment: "d", Region: "r", DataCentres: []config.DataCentre{{Name: "dc"}},
+		Services: []config.Service{{Name: "s", Kind: config.KindEngine, Model: "m", MinTargets: 1, MaxTargets: 20000, Concurrency: 8, QueueLimit: 8}},
+		Accounts: []config.Account{{Name: "acc", Weight: 1, Services: []string{"s"}}},
+		Cost:     config.Cost{LimitPerHour: 1},
+		Usage:    config.Usage{Window: time.Second},
+		Control:  config.Control{LeaseTerm: 6 * time.Second, DriftMargin: time.Second, Heartbeat: time.Second, FreshFor: time.Second, OrderFlight: time.Second},
+	})
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	fold1(t, l, record.Config{YAML: yaml}, "c")
+	return l
+}
+
+func fold1(t testing.TB, l *Loop, body record.Body, id string) {
+	g := NewWithT(t)
+	var rid record.ID
+	copy(rid[:], id)
+	data, err := record.Encode(rid, "a", 0, body)
+	g.Expect(err).NotTo(HaveOccurred())
+	res, err := l.state.Apply(l.state.Applied+1, data)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(res.Err).NotTo(HaveOccurred())
+	l.folded(l.Clock.Now(), res)
+}
+
+func running(n int) []platform.Target {
+	out := make([]platform.Target, n)
+	for i := range out {
+		out[i] = platform.Target{ID: fmt.Sprintf("t%05d", n-i), Service: "s", DataCentre: "dc", URL: "http://x", State: platform.TargetRunning}
+	}
+	return out
+}
+
+func TestRoutesAreRebuiltOnlyOnChange(t *testing.T) {
+	g := NewWithT(t)
+	c := &fixedClock{now: time.Second}
+	l := configured(t, c)
+	targetsRead{"dc", running(3)}.handle(l)
+	l.publish()
+	first := l.Snapshot().Targets
+	g.Expect(first.Targets("s")).To(HaveLen(3))
+
+	targetsRead{"dc", running(3)}.handle(l)
+	l.publish()
+	g.Expect(l.Snapshot().Targets).To(BeIdenticalTo(first), "the same list again")
+
+	ownLoads{[]TargetLoad{{Target: "t00001", Load: 5}}}.handle(l)
+	l.publish()
+	g.Expect(l.Snapshot().Targets).To(BeIdenticalTo(first), "a load within the interval")
+	c.now += loadInterval
+	l.publish()
+	g.Expect(l.Snapshot().Target("s", "t00001").Load).To(Equal(5))
+
+	ownLoads{[]TargetLoad{{Target: "t00001", Load: 5, Leaving: true}}}.handle(l)
+	l.publish()
+	g.Expect(l.Snapshot().Target("s", "t00001").Leaving).To(BeTrue(), "leaving is published at once")
+
+	listRead{[]platform.ListedInstance{{ID: "b", State: platform.Live}}}.handle(l)
+	l.publish()
+	for _, target := range l.Snapshot().Targets.Targets("s") {
+		g.Expect(target.Owner).To(Equal(member.Owner(target.ID, []string{"a", "b"})))
+	}
+
+	targetsRead{"dc", running(2)}.handle(l)
+	l.publish()
+	g.Expect(l.Snapshot().Targets.Targets("s")).To(HaveLen(2))
+}
+
+func TestKeyIndexFollowsTheLog(t *testing.T) {
+	g := NewWithT(t)
+	l := configured(t, &fixedClock{})
+	for i := range 50 {
+		fold1(t, l, record.KeyGrant{KeyID: fmt.Sprint(i), Account: "acc", Digest: digest(i)}, fmt.Sprintf("g%d", i))
+	}
+	before := l.keys
+	fold1(t, l, record.KeyWithdraw{KeyID: "7", Account: "acc"}, "w")
+	_, held := l.keys.Get(digest(7))
+	g.Expect(held).To(BeFalse())
+	_, held = before.Get(digest(7))
+	g.Expect(held).To(BeTrue(), "a published index does not change")
+	g.Expect(l.keys.Len()).To(Equal(49))
+	rebuilt := NewKeyIndex(l.state.Keys)
+	for i := range 50 {
+		want, wantHeld := rebuilt.Get(digest(i))
+		got, gotHeld := l.keys.Get(digest(i))
+		g.Expect(gotHeld).To(Equal(wantHeld))
+		g.Expect(got).To(Equal(want))
+	}
+}
+
+func digest(i int) (d [32]byte) {
+	d[0], d[1], d[2] = byte(i), byte(i>>8), byte(i>>16)
+	d[31] = 1
+	return d
+}
+
+const manyKeys = 100_000
+
+func keysOf(n int) map[string]fold.Key {
+	keys := make(map[string]fold.Key, n)
+	for i := range n {
+		keys[fmt.Sprint(i)] = fold.Key{ID: fmt.Sprint(i), Account: "acc", Digest: digest(i)}
+	}
+	return keys
+}
+
+func BenchmarkKeyChange(b *testing.B) {
+	x := NewKeyIndex(keysOf(manyKeys))
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		d := digest(i % manyKeys)
+		x = x.Without(d).With(fold.Key{Digest: d})
+	}
+}
+
+func BenchmarkKeyIndexRebuild(b *testing.B) {
+	keys := keysOf(manyKeys)
+	for b.Loop() {
+		NewKeyIndex(keys)
+	}
+}
+
+func BenchmarkPublish(b *testing.B) {
+	c := &fixedClock{now: time.Second}
+	l := configured(b, c)
+	targetsRead{"dc", running(12_000)}.handle(l)
+	l.publish()
+	b.Run("unchanged", func(b *testing.B) {
+		for b.Loop() {
+			l.publish()
+		}
+	})
+	b.Run("loads", func(b *testing.B) {
+		for i := 0; b.Loop(); i++ {
+			c.now += time.Second
+			ownLoads{[]TargetLoad{{Target: "t00001", Load: i + 1}}}.handle(l)
+			l.publish()
+		}
+	})
+	b.Run("owners", func(b *testing.B) {
+		var owners []string
+		for i := range 1700 {
+			owners = append(owners, fmt.Sprintf("i%04d", i))
+		}
+		for i := 0; b.Loop(); i++ {
+			l.routes(c.now, owners[i%2:])
+		}
+	})
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -22,8 +22,8 @@
 	Offset       record.Offset
 	Config       *config.Config // nil before the first configuration
 	ConfigOffset record.Offset
-	Keys         map[[32]byte]fold.Key // by digest
-	KeysVersion  uint64                // changes with every grant and withdrawal
+	Keys         *KeyIndex
+	KeysVersion  uint64 // changes with every grant and withdrawal
 	Targets      *route.Table
 	Owners       []string
 	Peers        []member.Status
@@ -40,8 +40,7 @@
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
 // so its timing tells nothing about the keys.
 func (s *Snapshot) Key(secret string) (fold.Key, bool) {
-	key, ok := s.Keys[sha256.Sum256([]byte(secret))]
-	return key, ok
+	return s.Keys.Get(sha256.Sum256([]byte(secret)))
 }
 
 // Fresh reports whether the snapshot was proved current within bound of now.
