Admission: guaranteed sample share, per-flow queues, fair shedding

Cause: callers could starve samples for ever; with a saturated target samples never passed the reserve. One flow could fill the bounded queue and have all others refused. A correction of an estimate reached only later requests. Change: start-time fair queueing on two levels (core/admit/class.go); a full queue drops the latest request of the longest flow by weight; requests whose wait is likely to outlast their deadline are refused at once, with the estimated wait in the verdict.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -2,9 +2,11 @@
 // whatever arrives and know no priorities, so each target has one bounded queue
 // at its owner, weighted fair across client accounts and trainers.
 //
-// The queue uses start-time fair queueing: a request's virtual start is the
-// larger of the queue's virtual time and its flow's last virtual finish; the
-// request with the least virtual start goes first.
+// The queue uses start-time fair queueing on two levels. Between the classes,
+// samples have a guaranteed share of the cost and callers have the rest. Within
+// a class every flow has a first-in first-out list; the flow with the least
+// virtual start goes next. A request is charged its estimated cost when it is
+// granted and the difference to its true cost when it ends.
 package admit
 
 import (
@@ -16,7 +18,7 @@
 // Class orders kinds of traffic.
 type Class uint8
 
-// The classes. Callers go before samples while both stay within their limits.
+// The classes. A caller's request goes before a sample with the same start.
 const (
 	ClassCaller Class = iota
 	ClassSample
@@ -42,6 +44,7 @@
 	DeadlinePassed
 	TargetLeaving
 	NotOwner
+	DeadlineTooClose // the wait is likely to outlast the deadline
 )
 
 // String returns the reason's name in errors and events.
@@ -55,6 +58,8 @@
 		return "target leaving"
 	case NotOwner:
 		return "not the owner"
+	case DeadlineTooClose:
+		return "deadline too close"
 	default:
 		return fmt.Sprintf("reason %d", uint8(r))
 	}
@@ -62,79 +67,106 @@
 
 // Verdict is a decision on one request: granted when Reason is zero.
 type Verdict struct {
-	ID     uint64
-	Reason Reason
+	ID         uint64
+	Reason     Reason
+	RetryAfter time.Duration // of a refusal: likely time until a slot; zero: unknown
 }
 
 // Limits bound one target.
 type Limits struct {
-	Concurrency   int // requests in flight
-	Queue         int // requests waiting
-	CallerReserve int // slots that samples leave free for callers
+	Concurrency   int     // requests in flight
+	Queue         int     // requests waiting
+	CallerReserve int     // slots that samples never hold
+	SampleShare   float64 // part of the cost that samples get while callers wait, between 0 and 1
 }
 
 // Queue is one target's admission queue. The zero value is not usable; see New.
 type Queue struct {
 	limits   Limits
-	virtual  float64
-	flows    map[string]*flow
-	waiting  [classes]requestHeap
+	virtual  float64 // virtual time between the classes
+	classes  [classes]*class
 	waitByID map[uint64]*item
 	granted  map[uint64]*grant
 	leaving  bool
 	seq      uint64
-}
-
-type flow struct {
-	finish float64 // virtual finish of its last request
-	open   int     // requests waiting or granted
+	hold     float64 // mean seconds that a slot is held
 }
 
 type item struct {
 	Request
-	start float64
-	seq   uint64
-	index int
+	seq uint64
 }
 
 type grant struct {
-	flow   string
-	weight float64
-	cost   float64
-	class  Class
+	flow       *flow
+	class      Class
+	cost       float64
+	at         time.Duration
+	flowEpoch  int
+	classEpoch int
 }
 
 // New returns an empty queue.
 func New(limits Limits) *Queue {
-	return &Queue{limits: limits, flows: map[string]*flow{}, waitByID: map[uint64]*item{}, granted: map[uint64]*grant{}}
+	q := &Queue{waitByID: map[uint64]*item{}, granted: map[uint64]*grant{}}
+	for c := range q.classes {
+		q.classes[c] = newClass()
+	}
+	q.SetLimits(limits)
+	return q
 }
 
 // SetLimits changes the limits for decisions from now on.
-func (q *Queue) SetLimits(l Limits) { q.limits = l }
+func (q *Queue) SetLimits(l Limits) {
+	q.limits = l
+	share := l.SampleShare
+	if share <= 0 || share >= 1 {
+		share = defaultSampleShare
+	}
+	q.classes[ClassCaller].share = 1 - share
+	q.classes[ClassSample].share = share
+}
+
+// defaultSampleShare applies where the limits name none.
+const defaultSampleShare = 0.2
 
-// Submit adds a request and returns the decisions that follow.
+// Submit adds a request and returns the decisions that follow. A full queue
+// drops the latest request of the flow that waits with the most for its weight.
 func (q *Queue) Submit(now time.Duration, r Request) []Verdict {
+	wait := q.Wait(r.Flow, r.Weight, r.Class)
 	switch {
 	case q.leaving:
-		return []Verdict{{r.ID, TargetLeaving}}
+		return []Verdict{{ID: r.ID, Reason: TargetLeaving}}
 	case r.Deadline > 0 && now >= r.Deadline:
-		return []Verdict{{r.ID, DeadlinePassed}}
-	case len(q.waitByID) >= q.limits.Queue:
-		return []Verdict{{r.ID, QueueFull}}
+		return []Verdict{{ID: r.ID, Reason: DeadlinePassed, RetryAfter: wait}}
+	case r.Deadline > 0 && now+wait > r.Deadline:
+		return []Verdict{{ID: r.ID, Reason: DeadlineTooClose, RetryAfter: wait}}
+	}
+	var out []Verdict
+	if len(q.waitByID) >= q.limits.Queue && !q.hasSlot(r.Class) {
+		victim := q.longest(r)
+		if victim == nil {
+			return []Verdict{{ID: r.ID, Reason: QueueFull, RetryAfter: wait}}
+		}
+		q.remove(victim)
+		out = append(out, Verdict{victim.ID, QueueFull, q.Wait(victim.Flow, victim.Weight, victim.Class)})
 	}
 	q.push(r)
-	return q.dispatch(now)
+	return append(out, q.dispatch(now)...)
+}
+
+// hasSlot reports whether a request of the class would be granted at once.
+func (q *Queue) hasSlot(c Class) bool {
+	return len(q.granted) < q.limits.Concurrency && q.classes[c].waiting == 0 && q.mayGrant(c)
 }
 
 // Cancel removes a waiting request and reports whether it was waiting.
 func (q *Queue) Cancel(id uint64) bool {
 	it, ok := q.waitByID[id]
-	if !ok {
-		return false
+	if ok {
+		q.remove(it)
 	}
-	heap.Remove(&q.waiting[it.Class], it.index)
-	q.forget(it)
-	return true
+	return ok
 }
 
 // Finish ends a granted request and corrects its flow by the true cost.
@@ -144,21 +176,31 @@
 		return nil
 	}
 	delete(q.granted, id)
-	f := q.flows[g.flow]
-	f.finish += (cost - g.cost) / g.weight
-	q.close(g.flow)
+	q.observe(now - g.at)
+	c := q.classes[g.class]
+	c.inFlight--
+	c.correct(g, cost-g.cost)
+	c.close(g.flow)
+	q.rest()
 	return q.dispatch(now)
 }
 
-// Leave refuses everything that waits and all that comes later. Granted
+// Leave refuses everything that waits and all that comes until Resume. Granted
 // requests run to their end.
 func (q *Queue) Leave() []Verdict {
 	q.leaving = true
+	return q.Drain(TargetLeaving)
+}
+
+// Resume ends Leave.
+func (q *Queue) Resume() { q.leaving = false }
+
+// Drain refuses everything that waits.
+func (q *Queue) Drain(reason Reason) []Verdict {
 	var out []Verdict
 	for id, it := range q.waitByID {
-		heap.Remove(&q.waiting[it.Class], it.index)
-		q.forget(it)
-		out = append(out, Verdict{id, TargetLeaving})
+		q.remove(it)
+		out = append(out, Verdict{ID: id, Reason: reason})
 	}
 	return out
 }
@@ -170,9 +212,11 @@
 		if it.Deadline == 0 || now < it.Deadline {
 			continue
 		}
-		heap.Remove(&q.waiting[it.Class], it.index)
-		q.forget(it)
-		out = append(out, Verdict{id, DeadlinePassed})
+		q.remove(it)
+		out = append(out, Verdict{ID: id, Reason: DeadlinePassed})
+	}
+	for _, c := range q.classes {
+		c.forgetIdle()
 	}
 	return out
 }
@@ -180,87 +224,148 @@
 // Load returns the numbers of granted and waiting requests.
 func (q *Queue) Load() (granted, waiting int) { return len(q.granted), len(q.waitByID) }
 
-func (q *Queue) push(r Request) {
-	f := q.flows[r.Flow]
-	if f == nil {
-		f = &flow{}
-		q.flows[r.Flow] = f
+// Wait estimates how long one more request of the flow would wait: its place in
+// fair order, times the mean time that a slot is held, over the slots.
+func (q *Queue) Wait(name string, weight float64, class Class) time.Duration {
+	if len(q.waitByID) == 0 && len(q.granted) < q.limits.Concurrency || q.limits.Concurrency == 0 {
+		return 0
+	}
+	c := q.classes[class]
+	place := min(c.place(name, weight), float64(c.waiting+1))
+	if q.classes[1-class].waiting > 0 {
+		place /= c.share
 	}
-	f.open++
-	it := &item{Request: r, start: max(q.virtual, f.finish), seq: q.seq}
+	place = min(place, float64(len(q.waitByID)+1))
+	return time.Duration(place * q.hold / float64(q.limits.Concurrency) * float64(time.Second))
+}
+
+// holdSmoothing is the weight of the latest request in the mean hold time.
+const holdSmoothing = 1.0 / 16
+
+func (q *Queue) observe(held time.Duration) {
+	if q.hold == 0 {
+		q.hold = held.Seconds()
+		return
+	}
+	q.hold += (held.Seconds() - q.hold) * holdSmoothing
+}
+
+func (q *Queue) push(r Request) {
+	it := &item{Request: r, seq: q.seq}
 	q.seq++
-	f.finish = it.start + r.Cost/r.Weight
 	q.waitByID[r.ID] = it
-	heap.Push(&q.waiting[r.Class], it)
+	q.classes[r.Class].push(it, q.virtual)
+}
+
+func (q *Queue) remove(it *item) {
+	delete(q.waitByID, it.ID)
+	q.classes[it.Class].remove(it)
+}
+
+// longest returns the request to drop in favour of r, or nil if r's own flow
+// waits with the most for its weight.
+func (q *Queue) longest(r Request) *item {
+	var most *flow
+	var own float64
+	for i, c := range q.classes {
+		for _, f := range c.backlog {
+			if Class(i) == r.Class && f.name == r.Flow {
+				own = float64(len(f.queue))
+			}
+			if most == nil || f.length() > most.length() {
+				most = f
+			}
+		}
+	}
+	if most == nil || (own+1)/r.Weight >= most.length() {
+		return nil
+	}
+	return most.queue[len(most.queue)-1]
 }
 
-// dispatch grants slots in class order, then by virtual start.
-func (q *Queue) dispatch(time.Duration) []Verdict {
+// dispatch grants slots while there are some.
+func (q *Queue) dispatch(now time.Duration) []Verdict {
 	var out []Verdict
-	for {
-		it := q.next()
-		if it == nil {
-			return out
+	for len(q.granted) < q.limits.Concurrency {
+		class, ok := q.nextClass()
+		if !ok {
+			break
 		}
-		q.virtual = max(q.virtual, it.start)
+		c := q.classes[class]
+		q.virtual = max(q.virtual, c.start)
+		it, f := c.pop()
 		delete(q.waitByID, it.ID)
-		q.granted[it.ID] = &grant{flow: it.Flow, weight: it.Weight, cost: it.Cost, class: it.Class}
+		q.granted[it.ID] = &grant{flow: f, class: class, cost: it.Cost, at: now, flowEpoch: f.epoch, classEpoch: c.epoch}
 		out = append(out, Verdict{ID: it.ID})
 	}
+	return out
 }
 
-func (q *Queue) next() *item {
-	free := q.limits.Concurrency - len(q.granted)
-	if free > 0 && q.waiting[ClassCaller].Len() > 0 {
-		return heap.Pop(&q.waiting[ClassCaller]).(*item)
+// nextClass returns the class with the least start among those that may go. A
+// class that the reserve holds back earns no credit for it.
+func (q *Queue) nextClass() (Class, bool) {
+	callers, samples := q.classes[ClassCaller], q.classes[ClassSample]
+	mayCaller := callers.waiting > 0
+	maySample := samples.waiting > 0 && q.mayGrant(ClassSample)
+	if mayCaller && !maySample {
+		samples.advance(callers.start)
 	}
-	if free > q.limits.CallerReserve && q.waiting[ClassSample].Len() > 0 {
-		return heap.Pop(&q.waiting[ClassSample]).(*item)
+	switch {
+	case mayCaller && (!maySample || callers.start <= samples.start):
+		return ClassCaller, true
+	case maySample:
+		return ClassSample, true
+	default:
+		return 0, false
 	}
-	return nil
 }
 
-func (q *Queue) forget(it *item) {
-	delete(q.waitByID, it.ID)
-	q.close(it.Flow)
+// mayGrant reports whether the class may hold one more slot.
+func (q *Queue) mayGrant(c Class) bool {
+	return c == ClassCaller || q.classes[ClassSample].inFlight < q.limits.Concurrency-q.limits.CallerReserve
 }
 
-// close drops a flow's state once it has nothing open and its virtual finish
-// lies in the past, so that idle flows cost no memory.
-func (q *Queue) close(name string) {
-	f := q.flows[name]
-	f.open--
-	if f.open == 0 && f.finish <= q.virtual {
-		delete(q.flows, name)
+// rest resets virtual time when nothing waits or runs.
+func (q *Queue) rest() {
+	if len(q.granted) > 0 || len(q.waitByID) > 0 {
+		return
+	}
+	q.virtual = 0
+	for _, c := range q.classes {
+		c.reset()
 	}
 }
 
-type requestHeap []*item
+// flowHeap orders backlogged flows by virtual start, then by arrival.
+type flowHeap []*flow
 
-func (h requestHeap) Len() int { return len(h) }
+func (h flowHeap) Len() int { return len(h) }
 
-func (h requestHeap) Less(i, j int) bool {
+func (h flowHeap) Less(i, j int) bool {
 	if h[i].start != h[j].start {
 		return h[i].start < h[j].start
 	}
-	return h[i].seq < h[j].seq
+	return h[i].queue[0].seq < h[j].queue[0].seq
 }
 
-func (h requestHeap) Swap(i, j int) {
+func (h flowHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
 	h[i].index, h[j].index = i, j
 }
 
-func (h *requestHeap) Push(x any) {
-	it := x.(*item)
-	it.index = len(*h)
-	*h = append(*h, it)
+func (h *flowHeap) Push(x any) {
+	f := x.(*flow)
+	f.index = len(*h)
+	*h = append(*h, f)
 }
 
-func (h *requestHeap) Pop() any {
+func (h *flowHeap) Pop() any {
 	old := *h
-	it := old[len(old)-1]
+	f := old[len(old)-1]
 	old[len(old)-1] = nil
 	*h = old[:len(old)-1]
-	return it
+	f.index = -1
+	return f
 }
+
+var _ heap.Interface = (*flowHeap)(nil)
