Fold: format levels, bounded memory, chain digest, checkpoints

Cause: the state grew with every reported window; a repeat of an append older than the memory of ids could revive a withdrawn key; a build that did not know a record folded on differently from one that did; nothing could be restored once the log had trimmed its first record.

Change: envelopes name the offset that their author had folded, and one that is 16,384 records behind is void (Expired). Sent windows beyond 64 are forgotten under a floor. Records above the configured format level are void on every build; an allowed level that this build cannot read stops its fold. Checkpoint records (kind 50) carry the encoded state. Keys of a removed account are dropped.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -98,8 +98,23 @@
 	Heartbeat   time.Duration `yaml:"heartbeat" cbor:"3,keyasint"`
 	FreshFor    time.Duration `yaml:"freshFor" cbor:"4,keyasint"` // keyed routes fail closed after this long without proof of freshness
 	OrderFlight time.Duration `yaml:"orderFlight" cbor:"5,keyasint"`
+
+	LogKeep    int           `yaml:"logKeep" cbor:"50,keyasint"`    // records that the platform's log keeps at least
+	LogKeepFor time.Duration `yaml:"logKeepFor" cbor:"51,keyasint"` // how long it keeps them at least
+	LogReaders int           `yaml:"logReaders" cbor:"52,keyasint"` // instances per data centre that read the log themselves
+	ShardBy    ShardBy       `yaml:"shardBy" cbor:"53,keyasint"`    // who is in charge of orders: one instance, or one per data centre
+	Format     int           `yaml:"format" cbor:"54,keyasint"`     // newest format level of records; raised once every instance reads it
 }
 
+// ShardBy tells what one lease for orders covers.
+type ShardBy string
+
+// The spans of a lease for orders.
+const (
+	ShardDeployment ShardBy = "deployment"
+	ShardDataCentre ShardBy = "data-centre"
+)
+
 // Service returns the service called name, or nil.
 func (c *Config) Service(name string) *Service {
 	for i := range c.Services {
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -18,6 +18,12 @@
 	defaultHeartbeat   = time.Second
 	defaultFreshFor    = 4 * time.Second
 	defaultOrderFlight = time.Second
+	defaultLogKeep     = 100_000
+	defaultLogKeepFor  = time.Hour
+	defaultLogReaders  = 3
+	defaultFormat      = 1
+	minLogKeep         = 1000 // records
+	maxFormat          = 1    // newest format level that this build reads; record.Version
 )
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9-]{0,62}$`)
@@ -41,6 +47,11 @@
 	setDefault(&c.Control.Heartbeat, defaultHeartbeat)
 	setDefault(&c.Control.FreshFor, defaultFreshFor)
 	setDefault(&c.Control.OrderFlight, defaultOrderFlight)
+	setDefault(&c.Control.LogKeep, defaultLogKeep)
+	setDefault(&c.Control.LogKeepFor, defaultLogKeepFor)
+	setDefault(&c.Control.LogReaders, defaultLogReaders)
+	setDefault(&c.Control.ShardBy, ShardDeployment)
+	setDefault(&c.Control.Format, defaultFormat)
 }
 
 func setDefault[T comparable](field *T, value T) {
@@ -187,7 +198,22 @@
 	v.positive("control.heartbeat", t.Heartbeat.Seconds())
 	v.positive("control.freshFor", t.FreshFor.Seconds())
 	v.positive("control.orderFlight", t.OrderFlight.Seconds())
+	v.log(t)
 	if t.LeaseTerm <= 2*t.OrderFlight {
 		v.fault("control.leaseTerm", "is %s, want more than twice orderFlight %s", t.LeaseTerm, t.OrderFlight)
 	}
 }
+
+func (v *validator) log(t Control) {
+	if t.LogKeep < minLogKeep {
+		v.fault("control.logKeep", "is %d, want at least %d records", t.LogKeep, minLogKeep)
+	}
+	v.positive("control.logKeepFor", t.LogKeepFor.Seconds())
+	v.positive("control.logReaders", float64(t.LogReaders))
+	if t.ShardBy != ShardDeployment && t.ShardBy != ShardDataCentre {
+		v.fault("control.shardBy", "is %q, want %q or %q", t.ShardBy, ShardDeployment, ShardDataCentre)
+	}
+	if t.Format < 1 || t.Format > maxFormat {
+		v.fault("control.format", "is %d, want 1 to %d", t.Format, maxFormat)
+	}
+}
--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/record"
@@ -17,6 +18,7 @@
 	Duplicate                    // its id was folded before
 	Conflict                     // its predecessor is no longer current
 	Malformed                    // it does not decode or does not validate
+	Expired                      // its author had seen too little of the log
 )
 
 // String returns the verdict's name in events and logs.
@@ -30,6 +32,8 @@
 		return "conflict"
 	case Malformed:
 		return "malformed"
+	case Expired:
+		return "expired"
 	default:
 		return "unknown"
 	}
@@ -44,29 +48,64 @@
 	Err      error // the reason unless accepted
 }
 
-// ErrGap is returned when a record does not follow the last one folded.
-var ErrGap = errors.New("log offset does not follow the state")
+// Errors of Apply. The state is unchanged after either.
+var (
+	// ErrGap: the record does not follow the last one folded.
+	ErrGap = errors.New("log offset does not follow the state")
+	// ErrFormat: this build is too old to fold the record as others do. The
+	// state stays a true prefix; nothing more can be folded.
+	ErrFormat = errors.New("record needs a newer build")
+)
 
 // Apply folds the record at offset. Every record, valid or void, advances
-// Applied. The error is ErrGap, after which the state is unchanged.
+// Applied, except that the error is ErrGap or ErrFormat.
+//
+// What does not decode is void on every build. A record of a format level above
+// the one that the configuration allows is void too, also on builds that know
+// it. Only a level that is allowed and unknown here stops the fold.
 func (s *State) Apply(offset record.Offset, data []byte) (Result, error) {
 	if offset != s.Applied+1 {
 		return Result{}, fmt.Errorf("record at %d after %d: %w", offset, s.Applied, ErrGap)
 	}
-	s.Applied = offset
 	res := Result{Offset: offset}
 	res.Envelope, res.Body, res.Err = record.Decode(data)
+	if err := s.readable(offset, res); err != nil {
+		return Result{}, err
+	}
+	s.Applied = offset
 	switch {
 	case res.Err != nil:
 		res.Verdict = Malformed
+	case offset-res.Envelope.Seen > idMemory:
+		res.Verdict = Expired
+		res.Err = fmt.Errorf("author had folded offset %d, more than %d records ago", res.Envelope.Seen, idMemory)
 	case !s.remember(res.Envelope.ID):
 		res.Verdict = Duplicate
+		res.Err = fmt.Errorf("record %s was folded before", res.Envelope.ID)
 	default:
 		res.Verdict, res.Err = s.fold(offset, res.Envelope, res.Body)
 	}
+	s.extendChain(offset, res.Verdict, data)
 	return res, nil
 }
 
+// readable returns ErrFormat for a record that this build must not fold.
+func (s *State) readable(offset record.Offset, res Result) error {
+	if errors.Is(res.Err, record.ErrUnknownVersion) && res.Envelope.Version <= s.Format {
+		return fmt.Errorf("record at %d has format level %d: %w", offset, res.Envelope.Version, ErrFormat)
+	}
+	b, ok := res.Body.(record.Config)
+	if !ok || res.Envelope.Supersedes != s.ConfigOffset {
+		return nil
+	}
+	// The instance that appended the configuration has validated it. A build
+	// that cannot read it would not act as the others do.
+	if _, err := config.Load(config.File{Name: "log", Content: b.YAML}); err != nil {
+		return fmt.Errorf("configuration at offset %d: %w: %w", offset, ErrFormat, err)
+	}
+	return nil
+}
+
 func (s *State) fold(at record.Offset, env record.Envelope, body record.Body) (Verdict, error) {
 	switch b := body.(type) {
 	case record.Config:
@@ -89,6 +128,8 @@
 		return s.foldBatch(at, env, b)
 	case record.BatchAck:
 		return s.foldBatchAck(at, b)
+	case record.Checkpoint:
+		return s.foldCheckpoint(at, env, b)
 	default:
 		return Malformed, fmt.Errorf("record %s has body %T: %w", env.ID, body, record.ErrUnknownKind)
 	}
@@ -103,9 +144,21 @@
 		return Malformed, fmt.Errorf("configuration at offset %d: %w", at, err)
 	}
 	s.ConfigYAML, s.ConfigOffset, s.config = b.YAML, at, cfg
+	s.Format = max(s.Format, uint8(cfg.Control.Format))
+	s.dropKeys(cfg)
 	return Accepted, nil
 }
 
+// dropKeys removes for good the keys of accounts that the configuration no
+// longer holds: an account that comes back later gets new keys.
+func (s *State) dropKeys(cfg *config.Config) {
+	for id, k := range s.Keys {
+		if cfg.Account(k.Account) == nil {
+			delete(s.Keys, id)
+		}
+	}
+}
+
 func (s *State) foldGrant(at record.Offset, b record.KeyGrant) (Verdict, error) {
 	if _, taken := s.Keys[b.KeyID]; taken {
 		return Conflict, fmt.Errorf("key id %q is taken", b.KeyID)
@@ -170,6 +223,9 @@
 	if err := s.inCharge(b.Lease, env.Author, env.Supersedes); err != nil {
 		return Conflict, err
 	}
+	if b.Window <= s.WindowFloor {
+		return Conflict, fmt.Errorf("window %d is settled: windows up to %d are forgotten", b.Window, s.WindowFloor)
+	}
 	if w, sealed := s.Windows[b.Window]; sealed {
 		return Conflict, fmt.Errorf("window %d was sealed at offset %d", b.Window, w.Sealed)
 	}
@@ -184,9 +240,29 @@
 	}
 	w.Sent = true
 	s.Windows[b.Window] = w
+	s.forgetWindows()
 	return Accepted, nil
 }
 
+// forgetWindows drops the oldest reported windows beyond sentWindows. The floor
+// keeps a late seal of a forgotten window void.
+func (s *State) forgetWindows() {
+	var sent []int64
+	for start, w := range s.Windows {
+		if w.Sent {
+			sent = append(sent, start)
+		}
+	}
+	if len(sent) <= sentWindows {
+		return
+	}
+	slices.Sort(sent)
+	for _, start := range sent[:len(sent)-sentWindows] {
+		delete(s.Windows, start)
+		s.WindowFloor = max(s.WindowFloor, start)
+	}
+}
+
 func (s *State) foldBatch(at record.Offset, env record.Envelope, b record.Batch) (Verdict, error) {
 	cur := s.Ledgers[b.Trainer]
 	if env.Supersedes != cur.Current {
--- /dev/null
+++ b/core/fold/bench_test.go
@@ -0,0 +1,119 @@
+package fold_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"testing"
+
+	"github.com/google/uuid"
+
+	"github.com/amaranthfold/amaranthfold/core/fold"
+	"github.com/amaranthfold/amaranthfold/core/record"
+)
+
+func numbered(n int) record.ID {
+	var id uuid.UUID
+	binary.BigEndian.PutUint64(id[:], uint64(n)+1)
+	return id
+}
+
+func mustApply(b *testing.B, s *fold.State, id int, supersedes record.Offset, body record.Body) fold.Result {
+	data, err := record.EncodeSeen(numbered(id), "a", s.Applied, supersedes, body)
+	if err != nil {
+		b.Fatal(err)
+	}
+	res, err := s.Apply(s.Applied+1, data)
+	if err != nil || res.Verdict != fold.Accepted {
+		b.Fatal(res.Verdict, res.Err, err)
+	}
+	return res
+}
+
+// BenchmarkFold measures records of a renewed lease, the commonest kind.
+func BenchmarkFold(b *testing.B) {
+	s := fold.New()
+	at := record.Offset(0)
+	for i := range b.N {
+		at = mustApply(b, s, i, at, record.Lease{Name: "deployment", Holder: "a"}).Offset
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "records/s")
+}
+
+// BenchmarkStateBytes measures the encoded state against what it holds.
+func BenchmarkStateBytes(b *testing.B) {
+	kinds := map[string]func(s *fold.State, i int){
+		"key": func(s *fold.State, i int) {
+			id := fmt.Sprintf("%08x", i)
+			s.Keys[id] = fold.Key{ID: id, Account: "pull-list-shop", Digest: [32]byte{1}, Granted: 1 << 20}
+		},
+		"order": func(s *fold.State, i int) {
+			id := numbered(i).String()
+			s.Orders[id] = fold.Order{Offset: 1 << 20, Fencing: 1 << 19, Intent: record.OrderIntent{
+				OrderID: id, Lease: "deployment", DataCentre: "kingston", Service: "sorter-models", Action: record.ActionStart,
+			}}
+		},
+		"lease": func(s *fold.State, i int) {
+			name := fmt.Sprint("trainer/", i)
+			s.Leases[name] = fold.Lease{Name: name, Holder: "entry-1@1700000000000000000", Term: 1 << 20, Current: 1 << 20, Duration: 6e9}
+		},
+		"ledger": func(s *fold.State, i int) {
+			name := fmt.Sprint("trainer-", i)
+			ids := make([]string, 2048)
+			for n := range ids {
+				ids[n] = fmt.Sprintf("group-%d/%d", n/8, n%8)
+			}
+			s.Ledgers[name] = fold.Ledger{Trainer: name, Current: 1 << 20, Number: 9, Samples: ids}
+		},
+	}
+	for name, add := range kinds {
+		b.Run(name, func(b *testing.B) {
+			s := fold.New()
+			for i := range 100 {
+				add(s, i)
+			}
+			one, two := 0, 0
+			for range b.N {
+				data, err := s.Encode()
+				if err != nil {
+					b.Fatal(err)
+				}
+				one = len(data)
+			}
+			for i := range 100 {
+				add(s, 100+i)
+			}
+			data, err := s.Encode()
+			if err != nil {
+				b.Fatal(err)
+			}
+			two = len(data)
+			b.ReportMetric(float64(two-one)/100, "bytes/"+name)
+		})
+	}
+}
+
+// BenchmarkCheckpoint measures encoding and restoring a state whose memory of
+// record ids is full.
+func BenchmarkCheckpoint(b *testing.B) {
+	s := fold.New()
+	at := record.Offset(0)
+	for i := range 1 << 14 {
+		at = mustApply(b, s, i, at, record.Lease{Name: "deployment", Holder: "a"}).Offset
+	}
+	b.ResetTimer()
+	size := 0
+	for range b.N {
+		parts, err := s.CheckpointParts()
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = 0
+		for _, p := range parts {
+			size += len(p.Data)
+		}
+		if _, err := fold.Restore(parts); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(size), "bytes")
+}
--- /dev/null
+++ b/core/fold/checkpoint.go
@@ -0,0 +1,123 @@
+package fold
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/record"
+)
+
+// ErrCheckpoint is returned for a checkpoint that is not what its digest says.
+var ErrCheckpoint = errors.New("checkpoint does not match its digest")
+
+// Encode returns the deterministic encoding of the state: equal prefixes of the
+// log give equal bytes on every instance.
+func (s *State) Encode() ([]byte, error) {
+	data, err := record.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode state at offset %d: %w", s.Applied, err)
+	}
+	return data, nil
+}
+
+// Digest returns the SHA-256 of the encoded state.
+func (s *State) Digest() ([32]byte, error) {
+	data, err := s.Encode()
+	if err != nil {
+		return [32]byte{}, err
+	}
+	return sha256.Sum256(data), nil
+}
+
+// DecodeState restores a state from Encode's bytes.
+func DecodeState(data []byte) (*State, error) {
+	s := New()
+	if err := cbor.Unmarshal(data, s); err != nil {
+		return nil, fmt.Errorf("decode state: %w", err)
+	}
+	if s.Format > record.Version {
+		return nil, fmt.Errorf("state at offset %d needs format level %d: %w", s.Applied, s.Format, ErrFormat)
+	}
+	for _, id := range s.SeenIDs {
+		s.seen[id] = struct{}{}
+	}
+	if s.ConfigOffset == 0 {
+		return s, nil
+	}
+	cfg, err := config.Load(config.File{Name: "log", Content: s.ConfigYAML})
+	if err != nil {
+		return nil, fmt.Errorf("configuration of state at offset %d: %w: %w", s.Applied, ErrFormat, err)
+	}
+	s.config = cfg
+	return s, nil
+}
+
+// CheckpointParts splits the encoded state into the records that carry it.
+func (s *State) CheckpointParts() ([]record.Checkpoint, error) {
+	data, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	digest := sha256.Sum256(data)
+	n := (len(data) + record.MaxCheckpointPart - 1) / record.MaxCheckpointPart
+	parts := make([]record.Checkpoint, n)
+	for i := range parts {
+		end := min(len(data), (i+1)*record.MaxCheckpointPart)
+		parts[i] = record.Checkpoint{Offset: s.Applied, Digest: digest, Part: i, Parts: n, Data: data[i*record.MaxCheckpointPart : end]}
+	}
+	return parts, nil
+}
+
+// Restore joins the parts of one checkpoint and restores its state. It returns
+// ErrCheckpoint when they do not match the digest.
+func Restore(parts []record.Checkpoint) (*State, error) {
+	var data []byte
+	for _, p := range parts {
+		data = append(data, p.Data...)
+	}
+	if len(parts) == 0 || sha256.Sum256(data) != parts[0].Digest {
+		return nil, fmt.Errorf("checkpoint of %d parts: %w", len(parts), ErrCheckpoint)
+	}
+	s, err := DecodeState(data)
+	if err != nil {
+		return nil, err
+	}
+	if s.Applied != parts[0].Offset {
+		return nil, fmt.Errorf("checkpoint names offset %d and carries %d: %w", parts[0].Offset, s.Applied, ErrCheckpoint)
+	}
+	return s, nil
+}
+
+// foldCheckpoint counts the parts of a checkpoint, which stand together.
+func (s *State) foldCheckpoint(at record.Offset, env record.Envelope, b record.Checkpoint) (Verdict, error) {
+	mark := &s.Checkpoint
+	if b.Offset >= at || b.Offset <= mark.Offset {
+		return Conflict, fmt.Errorf("checkpoint of offset %d, the newest is of %d", b.Offset, mark.Offset)
+	}
+	follows := b.Part == mark.Next && b.Offset == mark.Partial && env.Author == mark.Author && at == mark.At
+	if b.Part != 0 && !follows {
+		return Conflict, fmt.Errorf("checkpoint part %d of offset %d does not follow its predecessor", b.Part, b.Offset)
+	}
+	mark.Partial, mark.Author, mark.Next, mark.At = b.Offset, env.Author, b.Part+1, at+1
+	if b.Part+1 == b.Parts {
+		s.Checkpoint = CheckpointMark{Offset: b.Offset, Written: at}
+	}
+	return Accepted, nil
+}
+
+// extendChain adds a record and its verdict to the running digest.
+func (s *State) extendChain(at record.Offset, v Verdict, data []byte) {
+	h := sha256.New()
+	h.Write(s.Chain[:])
+	var head [9]byte
+	binary.BigEndian.PutUint64(head[:], uint64(at))
+	head[8] = byte(v)
+	h.Write(head[:])
+	h.Write(data)
+	h.Sum(s.Chain[:0])
+}
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -4,15 +4,19 @@
 package fold
 
 import (
-	"crypto/sha256"
-	"fmt"
-
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/record"
 )
 
-// idMemory is how many of the latest record ids are remembered to void repeats.
-const idMemory = 1 << 16
+const (
+	// idMemory is how many of the latest record ids are remembered to void
+	// repeats. A record whose author had folded less than this many records
+	// before its place in the log is void, so that no repeat outlives the memory.
+	idMemory = 1 << 14
+	// sentWindows is how many reported usage windows are remembered. Older ones
+	// are forgotten and cannot be sealed again.
+	sentWindows = 64
+)
 
 // Key is a granted key. Only its digest is known.
 type Key struct {
@@ -55,6 +59,16 @@
 	Acked   bool          `cbor:"5,keyasint"`
 }
 
+// CheckpointMark tells how far checkpoints have come.
+type CheckpointMark struct {
+	Offset  record.Offset `cbor:"1,keyasint"` // state that the newest complete checkpoint carries
+	Written record.Offset `cbor:"2,keyasint"` // offset of its last part
+	Partial record.Offset `cbor:"3,keyasint"` // state that an incomplete checkpoint carries
+	Author  string        `cbor:"4,keyasint"` // of the incomplete checkpoint
+	Next    int           `cbor:"5,keyasint"` // part that must follow
+	At      record.Offset `cbor:"6,keyasint"` // where it must stand
+}
+
 // State is the control state at Applied. The zero value is not usable; see New.
 type State struct {
 	Applied      record.Offset          `cbor:"1,keyasint"` // last offset folded
@@ -67,6 +81,10 @@
 	Ledgers      map[string]Ledger      `cbor:"8,keyasint"` // by trainer
 	SeenIDs      []record.ID            `cbor:"9,keyasint"` // ring of the latest ids
 	SeenNext     int                    `cbor:"10,keyasint"`
+	Chain        [32]byte               `cbor:"11,keyasint"` // digest of all records and verdicts up to Applied
+	Format       uint8                  `cbor:"12,keyasint"` // newest format level that records may use
+	WindowFloor  int64                  `cbor:"13,keyasint"` // windows up to here are settled and forgotten
+	Checkpoint   CheckpointMark         `cbor:"14,keyasint"`
 	seen         map[record.ID]struct{} // index of SeenIDs
 	config       *config.Config         // parsed ConfigYAML
 }
@@ -79,22 +97,17 @@
 		Orders:  map[string]Order{},
 		Windows: map[int64]Window{},
 		Ledgers: map[string]Ledger{},
+		Format:  firstFormat,
 		seen:    map[record.ID]struct{}{},
 	}
 }
 
+// firstFormat is the format level before a configuration names one.
+const firstFormat = 1
+
 // Config returns the configuration in force, or nil before the first.
 func (s *State) Config() *config.Config { return s.config }
 
-// Digest returns the SHA-256 of the deterministic encoding of the state.
-func (s *State) Digest() ([32]byte, error) {
-	data, err := record.Marshal(s)
-	if err != nil {
-		return [32]byte{}, fmt.Errorf("digest state at offset %d: %w", s.Applied, err)
-	}
-	return sha256.Sum256(data), nil
-}
-
 // remember notes the id and reports whether it is new.
 func (s *State) remember(id record.ID) bool {
 	if _, ok := s.seen[id]; ok {
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -16,7 +16,9 @@
 	"github.com/google/uuid"
 )
 
-// Version is the current version of the envelope and of every body.
+// Version is the newest format level that this build reads. An envelope's
+// Version is the level that introduced the form of its body. A change of a
+// body's form, a new kind, or a stricter check raises the level.
 const Version = 1
 
 // MaxSize is the largest encoded record, in bytes, that Decode accepts.
@@ -43,6 +45,7 @@
 	KindUsageSent   Kind = 8 // UsageSent
 	KindBatch       Kind = 9 // Batch
 	KindBatchAck    Kind = 10
+	KindCheckpoint  Kind = 50 // Checkpoint
 )
 
 // Errors of Decode.
@@ -60,6 +63,7 @@
 	Supersedes Offset          `cbor:"4,keyasint"` // meaning per kind; see the bodies
 	Author     string          `cbor:"5,keyasint"` // instance that appended the record
 	Body       cbor.RawMessage `cbor:"6,keyasint"`
+	Seen       Offset          `cbor:"7,keyasint"` // last offset that the author had folded
 }
 
 // Body is implemented by every record body.
@@ -71,6 +75,20 @@
 	Actor string `cbor:"2,keyasint"` // operator who applied it
 }
 
+// MaxCheckpointPart is how much of an encoded state, in bytes, one Checkpoint
+// record carries.
+const MaxCheckpointPart = MaxSize / 2
+
+// Checkpoint carries one part of the encoded state as of Offset. All parts
+// stand together in the log, in order.
+type Checkpoint struct {
+	Offset Offset   `cbor:"1,keyasint"`
+	Digest [32]byte `cbor:"2,keyasint"` // SHA-256 of the whole encoded state
+	Part   int      `cbor:"3,keyasint"` // from 0
+	Parts  int      `cbor:"4,keyasint"`
+	Data   []byte   `cbor:"5,keyasint"`
+}
+
 // KeyGrant adds a key to a client account.
 type KeyGrant struct {
 	KeyID   string   `cbor:"1,keyasint"`
@@ -186,6 +204,9 @@
 // Kind implements Body.
 func (BatchAck) Kind() Kind { return KindBatchAck }
 
+// Kind implements Body.
+func (Checkpoint) Kind() Kind { return KindCheckpoint }
+
 var encMode = mustEncMode()
 
 func mustEncMode() cbor.EncMode {
@@ -199,13 +220,18 @@
 // Marshal encodes v with deterministic CBOR: equal values give equal bytes.
 func Marshal(v any) ([]byte, error) { return encMode.Marshal(v) }
 
-// Encode builds the log's bytes for a body.
+// Encode builds the log's bytes for a body whose author has folded nothing.
 func Encode(id ID, author string, supersedes Offset, body Body) ([]byte, error) {
+	return EncodeSeen(id, author, 0, supersedes, body)
+}
+
+// EncodeSeen builds the log's bytes for a body whose author has folded seen.
+func EncodeSeen(id ID, author string, seen, supersedes Offset, body Body) ([]byte, error) {
 	raw, err := Marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", body, err)
 	}
-	env := Envelope{ID: id, Kind: body.Kind(), Version: Version, Supersedes: supersedes, Author: author, Body: raw}
+	env := Envelope{ID: id, Kind: body.Kind(), Version: Version, Supersedes: supersedes, Author: author, Body: raw, Seen: seen}
 	out, err := Marshal(env)
 	if err != nil {
 		return nil, fmt.Errorf("encode envelope of %T: %w", body, err)
@@ -254,6 +280,8 @@
 		return bodyOf[Batch](env)
 	case KindBatchAck:
 		return bodyOf[BatchAck](env)
+	case KindCheckpoint:
+		return bodyOf[Checkpoint](env)
 	default:
 		return nil, fmt.Errorf("record %s kind %d: %w", env.ID, env.Kind, ErrUnknownKind)
 	}
