Appender: repeat until read back, two lanes, adaptive rate

Cause: an append was dropped in silence after five tries or when the queue was full; a failing batch held lease renewals behind it for up to 2 s a try; a refusal by rate (429) was treated as an outage.

Change: an entry is repeated until it is read back, withdrawn by its caller, out of its lease's term, or refused for good (told to the caller). Configuration, keys and leases have a lane of calls of their own; the rest goes by class under a rate that halves at each 429 and grows back, so that the instances that append share the log's budget. Append returns ErrNotAppended when the record never left. github.com/cenkalti/backoff/v5 for the jittered back-off.

Throughput not measured.

Conclusion: renewals no longer wait behind other calls.

--- a/internal/control/append.go
+++ b/internal/control/append.go
@@ -10,125 +10,92 @@
 
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/record"
-	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
-const (
-	appendQueue   = 1024
-	appendBatch   = 256
-	appendGather  = 2 * time.Millisecond
-	appendTimeout = 2 * time.Second
-	appendRetries = 5
-	appendBackoff = 100 * time.Millisecond
-)
-
 // Errors of Append.
 var (
-	ErrConflict  = errors.New("the state changed meanwhile")
+	// ErrConflict: the record was read back as void.
+	ErrConflict = errors.New("the state changed meanwhile")
+	// ErrMalformed: the record was read back as invalid.
 	ErrMalformed = errors.New("the record is not valid")
+	// ErrNotAppended: the record has no effect and never will have one.
+	ErrNotAppended = errors.New("the record was not appended")
+	// ErrOverloaded: too many records wait to be appended.
+	ErrOverloaded = errors.New("too many records wait for the log")
 )
 
+// LogClient is the platform's log.
+type LogClient interface {
+	Append(ctx context.Context, records [][]byte) ([]int64, error)
+	Read(ctx context.Context, from int64, limit int, wait time.Duration) (platform.ReadReply, error)
+}
+
 func newID() record.ID { return uuid.New() }
 
 // Append appends a record and waits until it has been read back. A record that
-// lost a race returns ErrConflict. When ctx ends first the outcome is unknown.
+// lost a race returns ErrConflict; one that was never sent ErrNotAppended. When
+// ctx ends after the record was sent, the outcome is unknown: it may take effect
+// later.
 func (l *Loop) Append(ctx context.Context, supersedes record.Offset, body record.Body) (fold.Result, error) {
 	id := newID()
+	data, err := record.EncodeSeen(id, l.holder, l.Snapshot().Offset, supersedes, body)
+	if err != nil {
+		return fold.Result{}, fmt.Errorf("append %T: %w: %w", body, ErrNotAppended, err)
+	}
 	result := make(chan fold.Result, 1)
+	failed := make(chan error, 1)
 	l.post(ctx, await{id, result})
 	defer l.post(context.WithoutCancel(ctx), forget{id})
-	l.appender.submit(id, l.holder, supersedes, body)
+	e := &entry{id: id, class: classOf(body.Kind()), data: [][]byte{data}, fail: func(err error) { failed <- err }}
+	if err := l.appender.submit(e); err != nil {
+		return fold.Result{}, fmt.Errorf("append %T: %w: %w", body, ErrNotAppended, err)
+	}
 	select {
 	case <-ctx.Done():
+		if neverSent := l.appender.settle(id); neverSent {
+			return fold.Result{}, fmt.Errorf("append %T: %w: %w", body, ErrNotAppended, ctx.Err())
+		}
 		return fold.Result{}, fmt.Errorf("append %T: outcome unknown: %w", body, ctx.Err())
+	case err := <-failed:
+		return fold.Result{}, fmt.Errorf("append %T: %w: %w", body, ErrNotAppended, err)
 	case res := <-result:
-		switch res.Verdict {
-		case fold.Accepted:
-			return res, nil
-		case fold.Malformed:
-			return res, fmt.Errorf("%w: %w", ErrMalformed, res.Err)
-		default:
-			return res, fmt.Errorf("%w: %w", ErrConflict, res.Err)
-		}
+		return res, verdictError(res)
 	}
 }
 
-// appender gathers records into few append calls and repeats failed ones.
-// Record ids make a repeated append harmless.
-type appender struct {
-	log   *platform.Log
-	clock clock.Clock
-	queue chan []byte
-}
-
-func newAppender(log *platform.Log, c clock.Clock) *appender {
-	return &appender{log: log, clock: c, queue: make(chan []byte, appendQueue)}
-}
-
-// submit queues a record. When the queue is full the record is dropped, as if
-// the log had lost it.
-func (a *appender) submit(id record.ID, author string, supersedes record.Offset, body record.Body) {
-	data, err := record.Encode(id, author, supersedes, body)
-	if err != nil {
-		return
-	}
-	select {
-	case a.queue <- data:
+func verdictError(res fold.Result) error {
+	switch res.Verdict {
+	case fold.Accepted:
+		return nil
+	case fold.Malformed:
+		return fmt.Errorf("%w: %w", ErrMalformed, res.Err)
 	default:
+		return fmt.Errorf("%w: %w", ErrConflict, res.Err)
 	}
 }
 
-func (a *appender) run(ctx context.Context) error {
-	for {
-		batch, ok := a.gather(ctx)
-		if !ok {
-			return nil
-		}
-		a.send(ctx, batch)
-	}
-}
-
-func (a *appender) gather(ctx context.Context) ([][]byte, bool) {
-	var batch [][]byte
-	select {
-	case <-ctx.Done():
-		return nil, false
-	case data := <-a.queue:
-		batch = append(batch, data)
-	}
-	timer := time.NewTimer(appendGather)
-	defer timer.Stop()
-	for len(batch) < appendBatch {
-		select {
-		case data := <-a.queue:
-			batch = append(batch, data)
-		case <-timer.C:
-			return batch, true
-		}
-	}
-	return batch, true
-}
+// class orders records that wait for the log. A lower class goes first.
+type class int
 
-func (a *appender) send(ctx context.Context, batch [][]byte) {
-	backoff := appendBackoff
-	for range appendRetries {
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := a.log.Append(callCtx, batch)
-		cancel()
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		sleep(ctx, backoff)
-		backoff *= 2
-	}
-}
+// The classes.
+const (
+	classUrgent class = iota // configuration, keys, leases
+	classOrders
+	classUsage
+	classLedger
+	classes
+)
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
+func classOf(k record.Kind) class {
+	switch k {
+	case record.KindConfig, record.KindKeyGrant, record.KindKeyWithdraw, record.KindLease:
+		return classUrgent
+	case record.KindOrderIntent, record.KindOrderDone:
+		return classOrders
+	case record.KindUsageSeal, record.KindUsageSent, record.KindCheckpoint:
+		return classUsage
+	default:
+		return classLedger
 	}
 }
--- /dev/null
+++ b/internal/control/appender.go
@@ -0,0 +1,311 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/time/rate"
+
+	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/platform"
+)
+
+const (
+	appendQueue      = 1024    // entries that wait per class
+	appendBatch      = 256     // records per call
+	appendBatchBytes = 1 << 20 // per call, unless one entry is larger
+	appendGather     = 2 * time.Millisecond
+	appendTimeout    = 2 * time.Second
+	appendBackoff    = 50 * time.Millisecond
+	appendMaxBackoff = 2 * time.Second
+	laneWorkers      = 2 // calls in flight per lane
+
+	// The rate of calls below the urgent class follows the log's refusals: it
+	// halves at each and grows slowly otherwise, so that the instances that
+	// append share the log's budget.
+	maxAppendRate  = 100.0 // calls a second
+	minAppendRate  = 0.5
+	rateGrowth     = 1.0 // calls a second, per accepted call
+	rateBurst      = 4
+	rateStepPeriod = 200 * time.Millisecond
+)
+
+// entry is one or several records that must stand together in the log.
+type entry struct {
+	id    record.ID // of the first record
+	class class
+	data  [][]byte
+	until time.Duration // not sent at or after this reading of the clock; zero: no limit
+	sent  bool          // a call that carries it has been started
+	maybe bool          // the outcome of such a call is unknown
+	fail  func(error)   // told when the log refuses the entry; may be nil
+}
+
+func (e *entry) size() int {
+	n := 0
+	for _, d := range e.data {
+		n += len(d)
+	}
+	return n
+}
+
+// appender gathers records into few append calls and repeats a call until its
+// records have been read back, are withdrawn, or are refused for good. Record
+// ids make a repeat harmless.
+//
+// Two lanes with calls of their own keep the urgent class from waiting behind a
+// slow call of the others.
+type appender struct {
+	log    LogClient
+	clock  clock.Clock
+	events *events.Recorder
+	pace   *pace
+	wake   [lanes]chan struct{}
+
+	mu      sync.Mutex
+	open    map[record.ID]*entry // submitted and not settled
+	queues  [classes][]*entry
+	failing bool
+}
+
+// lane is a group of workers.
+type lane int
+
+const (
+	laneUrgent lane = iota
+	laneOthers
+	lanes
+)
+
+func laneOf(c class) lane {
+	if c == classUrgent {
+		return laneUrgent
+	}
+	return laneOthers
+}
+
+func newAppender(log LogClient, c clock.Clock, e *events.Recorder) *appender {
+	a := &appender{log: log, clock: c, events: e, pace: newPace(), open: map[record.ID]*entry{}}
+	for i := range a.wake {
+		a.wake[i] = make(chan struct{}, 1)
+	}
+	return a
+}
+
+// submit queues an entry. It returns ErrOverloaded when its class is full.
+func (a *appender) submit(e *entry) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(a.queues[e.class]) >= appendQueue {
+		return ErrOverloaded
+	}
+	a.open[e.id] = e
+	a.queues[e.class] = append(a.queues[e.class], e)
+	a.signal(laneOf(e.class))
+	return nil
+}
+
+func (a *appender) signal(l lane) {
+	select {
+	case a.wake[l] <- struct{}{}:
+	default:
+	}
+}
+
+// settle ends the repeats of an entry and reports whether it was never sent.
+func (a *appender) settle(id record.ID) (neverSent bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	e := a.open[id]
+	delete(a.open, id)
+	return e != nil && !e.sent
+}
+
+func (a *appender) run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for l := range lanes {
+		for range laneWorkers {
+			g.Go(func() error {
+				a.work(ctx, l)
+				return nil
+			})
+		}
+	}
+	return g.Wait()
+}
+
+func (a *appender) work(ctx context.Context, l lane) {
+	retry := backoff.NewExponentialBackOff()
+	retry.InitialInterval, retry.MaxInterval = appendBackoff, appendMaxBackoff
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.wake[l]:
+		}
+		sleep(ctx, appendGather)
+		if l == laneOthers && a.pace.wait(ctx) != nil {
+			return
+		}
+		batch := a.take(l)
+		if len(batch) == 0 {
+			continue
+		}
+		if err := a.call(ctx, batch); err != nil {
+			a.refused(batch, err)
+			sleep(ctx, retry.NextBackOff())
+			a.signal(l)
+			continue
+		}
+		retry.Reset()
+	}
+}
+
+// take removes the next batch of a lane, by class and age, and marks it sent.
+func (a *appender) take(l lane) []*entry {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.Now()
+	var batch []*entry
+	records, size := 0, 0
+	for c := range classes {
+		if laneOf(c) != l {
+			continue
+		}
+		for len(a.queues[c]) > 0 {
+			e := a.queues[c][0]
+			if a.open[e.id] != e || e.until != 0 && now >= e.until {
+				a.drop(c, e)
+				continue
+			}
+			if records > 0 && (records+len(e.data) > appendBatch || size+e.size() > appendBatchBytes) {
+				a.signal(l)
+				return batch
+			}
+			a.queues[c] = a.queues[c][1:]
+			e.sent = true
+			batch = append(batch, e)
+			records += len(e.data)
+			size += e.size()
+		}
+	}
+	return batch
+}
+
+// drop removes the head of a queue, which is settled or out of time.
+func (a *appender) drop(c class, e *entry) {
+	a.queues[c] = a.queues[c][1:]
+	if a.open[e.id] == e {
+		delete(a.open, e.id)
+	}
+}
+
+func (a *appender) call(ctx context.Context, batch []*entry) error {
+	var records [][]byte
+	for _, e := range batch {
+		records = append(records, e.data...)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	_, err := a.log.Append(callCtx, records)
+	a.note(err)
+	a.pace.answered(a.clock.Now(), err)
+	return err
+}
+
+// note records when appends begin to fail and when they work again.
+func (a *appender) note(err error) {
+	a.mu.Lock()
+	changed := a.failing != (err != nil)
+	a.failing = err != nil
+	a.mu.Unlock()
+	switch {
+	case changed && err != nil:
+		a.events.Record("log append failed", events.F("error", err.Error()))
+	case changed:
+		a.events.Record("log append works again")
+	}
+}
+
+// refused puts a failed batch back, in order, or gives up an entry that the log
+// refuses by itself. What the log refused in company is tried alone.
+func (a *appender) refused(batch []*entry, err error) {
+	if errors.Is(err, platform.ErrRejected) {
+		a.rejected(batch, err)
+		return
+	}
+	noEffect := errors.Is(err, platform.ErrBusy)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, e := range slices.Backward(batch) {
+		e.maybe = e.maybe || !noEffect
+		e.sent = e.maybe
+		a.queues[e.class] = append([]*entry{e}, a.queues[e.class]...)
+	}
+}
+
+func (a *appender) rejected(batch []*entry, err error) {
+	if len(batch) > 1 {
+		a.alone(batch)
+		return
+	}
+	e := batch[0]
+	a.settle(e.id)
+	a.events.Record("record refused by the log", events.F("id", e.id.String()), events.F("error", err.Error()))
+	if e.fail != nil && !e.maybe {
+		e.fail(err)
+	}
+}
+
+func (a *appender) alone(batch []*entry) {
+	for _, e := range batch {
+		err := a.call(context.Background(), []*entry{e})
+		if err != nil {
+			a.refused([]*entry{e}, err)
+		}
+	}
+}
+
+// pace bounds the rate of calls below the urgent class.
+type pace struct {
+	limiter *rate.Limiter
+
+	mu       sync.Mutex
+	lowered  time.Duration // when the rate was last halved
+	lowerYet bool
+}
+
+func newPace() *pace { return &pace{limiter: rate.NewLimiter(maxAppendRate, rateBurst)} }
+
+func (p *pace) wait(ctx context.Context) error { return p.limiter.Wait(ctx) }
+
+// answered adapts the rate to the outcome of a call at now.
+func (p *pace) answered(now time.Duration, err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	limit := float64(p.limiter.Limit())
+	switch {
+	case err == nil:
+		limit = min(maxAppendRate, limit+rateGrowth)
+	case errors.Is(err, platform.ErrBusy) && (!p.lowerYet || now-p.lowered >= rateStepPeriod):
+		limit = max(minAppendRate, limit/2)
+		p.lowered, p.lowerYet = now, true
+	}
+	p.limiter.SetLimit(rate.Limit(limit))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -35,7 +35,7 @@
 	Self       member.Peer
 	Deployment string
 	Clock      clock.Clock
-	Log        *platform.Log
+	Log        LogClient
 	List       *platform.List
 	Orders     func(dataCentre string) *platform.Orders
 	Peers      *peer.Pool
@@ -48,6 +48,7 @@
 	holder string // name in leases: instance and incarnation
 
 	inbox    chan message
+	ended    chan struct{} // closed when the control goroutine has ended
 	snapshot atomic.Pointer[Snapshot]
 	guards   atomic.Pointer[map[string]Guard]
 	appender *appender
@@ -75,6 +76,7 @@
 		Options: o,
 		holder:  HolderName(o.Self),
 		inbox:   make(chan message, inboxSize),
+		ended:   make(chan struct{}),
 		state:   fold.New(),
 		leases:  map[string]*lease.Machine{},
 		targets: map[string][]platform.Target{},
@@ -83,7 +85,7 @@
 		keys:    map[[32]byte]fold.Key{},
 	}
 	l.members = member.NewTable(o.Self, time.Second)
-	l.appender = newAppender(o.Log, o.Clock)
+	l.appender = newAppender(o.Log, o.Clock, o.Events)
 	l.guards.Store(&map[string]Guard{})
 	l.publish()
 	return l
@@ -111,6 +113,7 @@
 }
 
 func (l *Loop) loop(ctx context.Context) error {
+	defer close(l.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -130,6 +133,7 @@
 func (l *Loop) post(ctx context.Context, m message) {
 	select {
 	case l.inbox <- m:
+	case <-l.ended:
 	case <-ctx.Done():
 	}
 }
@@ -175,6 +179,9 @@
 	case record.KeyGrant, record.KeyWithdraw:
 		l.indexKeys()
 	}
+	if res.Envelope.Author == l.holder {
+		l.appender.settle(res.Envelope.ID)
+	}
 	if w, ok := l.waiters[res.Envelope.ID]; ok {
 		delete(l.waiters, res.Envelope.ID)
 		w <- res
@@ -263,11 +270,23 @@
 	now := l.Clock.Now()
 	for _, m := range l.leases {
 		if a := m.Tick(now, newID); a != nil {
-			l.appender.submit(a.ID, l.holder, a.Supersedes, a.Body)
+			l.appendLease(now, a)
 		}
 	}
 }
 
+// appendLease queues a lease record until its term has passed; by then it could
+// only void a newer one. A record that cannot be queued counts as lost.
+func (l *Loop) appendLease(now time.Duration, a *lease.Append) {
+	data, err := record.EncodeSeen(a.ID, l.holder, l.state.Applied, a.Supersedes, a.Body)
+	if err == nil {
+		err = l.appender.submit(&entry{id: a.ID, class: classUrgent, data: [][]byte{data}, until: now + a.Body.Duration})
+	}
+	if err != nil {
+		l.Events.Record("lease record lost", events.F("lease", a.Body.Name), events.F("error", err.Error()))
+	}
+}
+
 func (l *Loop) machine(name string) *lease.Machine {
 	m := l.leases[name]
 	if m == nil {
