--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -46,6 +46,8 @@
 	Body     record.Body
 	Verdict  Verdict
 	Err      error // the reason unless accepted
+	// LeaseTaken tells that an accepted lease record began a new term.
+	LeaseTaken bool
 }
 
 // Errors of Apply. The state is unchanged after either.
@@ -84,6 +86,7 @@
 		res.Err = fmt.Errorf("record %s was folded before", res.Envelope.ID)
 	default:
 		res.Verdict, res.Err = s.fold(offset, res.Envelope, res.Body)
+		res.LeaseTaken = s.leaseTaken(res)
 	}
 	s.extendChain(offset, res.Verdict, data)
 	return res, nil
@@ -194,6 +197,11 @@
 	return Accepted, nil
 }
 
+func (s *State) leaseTaken(res Result) bool {
+	b, ok := res.Body.(record.Lease)
+	return ok && res.Verdict == Accepted && b.Holder != "" && s.Leases[b.Name].Term == res.Offset
+}
+
 // inCharge reports whether fencing is the current term of the author's lease.
 func (s *State) inCharge(lease, author string, fencing record.Offset) error {
 	cur := s.Leases[lease]
--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -18,7 +18,7 @@
 }
 
 func mustApply(b *testing.B, s *fold.State, id int, supersedes record.Offset, body record.Body) fold.Result {
-	data, err := record.EncodeSeen(numbered(id), "a", s.Applied, supersedes, body)
+	data, err := record.EncodeAs(record.Envelope{ID: numbered(id), Author: "a", Seen: s.Applied, Supersedes: supersedes}, body)
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -14,6 +14,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
+
+	"github.com/amaranthfold/amaranthfold/core/hlc"
 )
 
 // Version is the newest format level that this build reads. An envelope's
@@ -63,7 +65,8 @@
 	Supersedes Offset          `cbor:"4,keyasint"` // meaning per kind; see the bodies
 	Author     string          `cbor:"5,keyasint"` // instance that appended the record
 	Body       cbor.RawMessage `cbor:"6,keyasint"`
-	Seen       Offset          `cbor:"7,keyasint"` // last offset that the author had folded
+	Stamp      hlc.Stamp       `cbor:"7,keyasint,omitempty"` // when the author appended it; orders the time line only
+	Seen       Offset          `cbor:"8,keyasint,omitempty"` // last offset that the author had folded
 }
 
 // Body is implemented by every record body.
@@ -222,16 +225,17 @@
 
 // Encode builds the log's bytes for a body whose author has folded nothing.
 func Encode(id ID, author string, supersedes Offset, body Body) ([]byte, error) {
-	return EncodeSeen(id, author, 0, supersedes, body)
+	return EncodeAs(Envelope{ID: id, Author: author, Supersedes: supersedes}, body)
 }
 
-// EncodeSeen builds the log's bytes for a body whose author has folded seen.
-func EncodeSeen(id ID, author string, seen, supersedes Offset, body Body) ([]byte, error) {
+// EncodeAs builds the log's bytes for a body under the envelope, whose kind,
+// version and body it sets.
+func EncodeAs(env Envelope, body Body) ([]byte, error) {
 	raw, err := Marshal(body)
 	if err != nil {
 		return nil, fmt.Errorf("encode %T: %w", body, err)
 	}
-	env := Envelope{ID: id, Kind: body.Kind(), Version: Version, Supersedes: supersedes, Author: author, Body: raw, Seen: seen}
+	env.Kind, env.Version, env.Body = body.Kind(), Version, raw
 	out, err := Marshal(env)
 	if err != nil {
 		return nil, fmt.Errorf("encode envelope of %T: %w", body, err)
--- a/internal/control/append.go
+++ b/internal/control/append.go
@@ -39,7 +39,7 @@
 // later.
 func (l *Loop) Append(ctx context.Context, supersedes record.Offset, body record.Body) (fold.Result, error) {
 	id := newID()
-	data, err := record.EncodeSeen(id, l.holder, l.Snapshot().Offset, supersedes, body)
+	data, err := l.encode(id, l.Snapshot().Offset, supersedes, body)
 	if err != nil {
 		return fold.Result{}, fmt.Errorf("append %T: %w: %w", body, ErrNotAppended, err)
 	}
@@ -64,6 +64,12 @@
 	}
 }
 
+// encode builds a record of this instance, which has folded the log up to seen.
+func (l *Loop) encode(id record.ID, seen, supersedes record.Offset, body record.Body) ([]byte, error) {
+	env := record.Envelope{ID: id, Author: l.holder, Seen: seen, Supersedes: supersedes, Stamp: l.Events.Stamp()}
+	return record.EncodeAs(env, body)
+}
+
 func verdictError(res fold.Result) error {
 	switch res.Verdict {
 	case fold.Accepted:
--- a/internal/control/appender_test.go
+++ b/internal/control/appender_test.go
@@ -84,7 +84,7 @@
 		var ctx context.Context
 		ctx, cancel = context.WithCancel(context.Background())
 		log, clock = &fakeLog{}, &manualClock{}
-		a = newAppender(log, clock, events.New("a", nil))
+		a = newAppender(log, clock, events.New("a", nil, clock.Wall))
 		done := make(chan struct{})
 		start = func() { go func() { defer close(done); _ = a.run(ctx) }() }
 		DeferCleanup(func() { cancel(); Eventually(done, "30s").Should(BeClosed()) })
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -170,10 +170,11 @@
 
 // folded follows up on one record.
 func (l *Loop) folded(now time.Duration, res fold.Result) {
+	l.Events.Observe(res.Envelope.Stamp)
+	l.noteRecord(res)
 	switch b := res.Body.(type) {
 	case record.Lease:
 		l.machine(b.Name).Observe(now, res.Envelope.ID, res.Verdict, l.state.Leases[b.Name])
-		l.leaseEvent(res, b)
 	case record.Config:
 		l.configured(res)
 	case record.KeyGrant, record.KeyWithdraw:
@@ -188,15 +189,7 @@
 	}
 }
 
-func (l *Loop) leaseEvent(res fold.Result, b record.Lease) {
-	cur := l.state.Leases[b.Name]
-	if res.Verdict == fold.Accepted && cur.Term == res.Offset {
-		l.Events.Record("lease taken", events.F("lease", b.Name), events.F("holder", b.Holder), events.F("term", fmt.Sprint(res.Offset)))
-	}
-}
-
 func (l *Loop) configured(res fold.Result) {
-	l.Events.Record("configuration read", events.F("offset", fmt.Sprint(res.Offset)), events.F("verdict", res.Verdict.String()))
 	cfg := l.state.Config()
 	if res.Verdict != fold.Accepted || cfg == nil {
 		return
@@ -278,7 +271,7 @@
 // appendLease queues a lease record until its term has passed; by then it could
 // only void a newer one. A record that cannot be queued counts as lost.
 func (l *Loop) appendLease(now time.Duration, a *lease.Append) {
-	data, err := record.EncodeSeen(a.ID, l.holder, l.state.Applied, a.Supersedes, a.Body)
+	data, err := l.encode(a.ID, l.state.Applied, a.Supersedes, a.Body)
 	if err == nil {
 		err = l.appender.submit(&entry{id: a.ID, class: classUrgent, data: [][]byte{data}, until: now + a.Body.Duration})
 	}
