--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -71,7 +71,7 @@
 			for i := range 100 {
 				add(s, i)
 			}
-			one, two := 0, 0
+			var one, two int
 			for range b.N {
 				data, err := s.Encode()
 				if err != nil {
