Samples: deliver exactly once over owner, peer and engine losses

Change: the ledger records groups with digests, the term that opened the batch and the groups of the latest 32 acknowledged batches; the fold voids a former owner's batch; the owner follows the folded ledger; contents and groups are mirrored to a peer in another data centre and fetched by a new owner; lost groups are asked for by a typed answer; generation is bounded and stops with the trainer; scoring backs off; trainers show a key of their client account.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -50,6 +50,7 @@
 	CostPerHour   float64       `yaml:"costPerHour" cbor:"10,keyasint"`  // currency units per running target
 	CheapPerHour  float64       `yaml:"cheapPerHour" cbor:"11,keyasint"` // the same on reclaimable targets
 	Routes        []Route       `yaml:"routes" cbor:"12,keyasint"`       // plain services only
+	SwapParallel  int           `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
 }
 
 // Route describes the calls below one path of a plain service.
@@ -78,6 +79,9 @@
 	StepDeadline  time.Duration `yaml:"stepDeadline" cbor:"6,keyasint"`
 	Weight        float64       `yaml:"weight" cbor:"7,keyasint"` // share under contention
 	Scorer        string        `yaml:"scorer" cbor:"8,keyasint"` // URL of the scoring service; empty: no scores
+	// Account is the client account whose keys the trainer shows and whose usage
+	// its samples are. Empty: the trainer shows no key.
+	Account string `yaml:"account" cbor:"9,keyasint"`
 }
 
 // Cost bounds what the deployment may spend on targets.
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -117,6 +117,7 @@
 		v.notNegative(path+".costPerHour", s.CostPerHour)
 		v.notNegative(path+".cheapPerHour", s.CheapPerHour)
 		v.notNegative(path+".startUp", float64(s.StartUp))
+		v.notNegative(path+".swapParallel", float64(s.SwapParallel))
 		if other, taken := models[s.Model]; taken && s.Model != "" {
 			v.fault(path+".model", "is %q, which service %q already serves", s.Model, other)
 		}
@@ -170,6 +171,7 @@
 		if s == nil || s.Kind != KindEngine {
 			v.fault(path+".service", "is %q, want an engine service", t.Service)
 		}
+		v.trainerAccount(path, &t)
 		v.positive(path+".weight", t.Weight)
 		v.positive(path+".groupSize", float64(t.GroupSize))
 		v.positive(path+".groupsPerStep", float64(t.GroupsPerStep))
@@ -178,6 +180,20 @@
 	}
 }
 
+func (v *validator) trainerAccount(path string, t *Trainer) {
+	if t.Account == "" {
+		return
+	}
+	a := v.cfg.Account(t.Account)
+	if a == nil {
+		v.fault(path+".account", "names client account %q, which does not exist", t.Account)
+		return
+	}
+	if !a.MayUse(t.Service) {
+		v.fault(path+".account", "names client account %q, which may not use service %q", t.Account, t.Service)
+	}
+}
+
 func (v *validator) timing() {
 	t := v.cfg.Control
 	v.positive("usage.window", v.cfg.Usage.Window.Seconds())
--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -186,26 +186,3 @@
 	s.Windows[b.Window] = w
 	return Accepted, nil
 }
-
-func (s *State) foldBatch(at record.Offset, env record.Envelope, b record.Batch) (Verdict, error) {
-	cur := s.Ledgers[b.Trainer]
-	if env.Supersedes != cur.Current {
-		return Conflict, fmt.Errorf("batch of trainer %q supersedes offset %d, current is %d", b.Trainer, env.Supersedes, cur.Current)
-	}
-	open := cur.Number > 0 && !cur.Acked
-	if open || b.Number != cur.Number+1 {
-		return Conflict, fmt.Errorf("batch %d of trainer %q after batch %d (acknowledged: %t)", b.Number, b.Trainer, cur.Number, cur.Acked)
-	}
-	s.Ledgers[b.Trainer] = Ledger{Trainer: b.Trainer, Current: at, Number: b.Number, Samples: b.Samples}
-	return Accepted, nil
-}
-
-func (s *State) foldBatchAck(at record.Offset, b record.BatchAck) (Verdict, error) {
-	cur := s.Ledgers[b.Trainer]
-	if cur.Number != b.Number || cur.Acked {
-		return Conflict, fmt.Errorf("batch %d of trainer %q is not open", b.Number, b.Trainer)
-	}
-	cur.Acked, cur.Current = true, at
-	s.Ledgers[b.Trainer] = cur
-	return Accepted, nil
-}
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -46,15 +46,6 @@
 	Sent    bool                 `cbor:"4,keyasint"`
 }
 
-// Ledger is a trainer's delivery state.
-type Ledger struct {
-	Trainer string        `cbor:"1,keyasint"`
-	Current record.Offset `cbor:"2,keyasint"` // latest Batch or BatchAck
-	Number  int64         `cbor:"3,keyasint"` // latest batch
-	Samples []string      `cbor:"4,keyasint"` // ids of the latest batch
-	Acked   bool          `cbor:"5,keyasint"`
-}
-
 // State is the control state at Applied. The zero value is not usable; see New.
 type State struct {
 	Applied      record.Offset          `cbor:"1,keyasint"` // last offset folded
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -142,14 +142,26 @@
 	Window int64 `cbor:"1,keyasint"`
 }
 
-// Batch numbers the samples that a trainer is offered. Supersedes names the
+// Batch numbers the groups that a trainer is offered. Supersedes names the
 // trainer's previous Batch or BatchAck record, zero for the first.
 type Batch struct {
-	Trainer string   `cbor:"1,keyasint"`
-	Number  int64    `cbor:"2,keyasint"` // from 1, without gaps
-	Samples []string `cbor:"3,keyasint"` // sample ids
+	Trainer string       `cbor:"1,keyasint"`
+	Number  int64        `cbor:"2,keyasint"` // from 1, without gaps
+	Groups  []BatchGroup `cbor:"4,keyasint"`
+	Term    Offset       `cbor:"5,keyasint"` // acquisition of the trainer's lease
 }
 
+// BatchGroup names a group of a batch. The ids of its samples follow from it.
+type BatchGroup struct {
+	ID     string `cbor:"1,keyasint"`
+	Size   int    `cbor:"2,keyasint"` // samples
+	Step   int64  `cbor:"3,keyasint"` // trainer's step; zero: none
+	Digest uint64 `cbor:"4,keyasint"` // of the group's definition
+}
+
+// TrainerLease names the lease of a trainer's owner.
+func TrainerLease(trainer string) string { return "trainer/" + trainer }
+
 // BatchAck notes that the trainer has the batch.
 type BatchAck struct {
 	Trainer string `cbor:"1,keyasint"`
--- /dev/null
+++ b/core/sample/owner_test.go
@@ -0,0 +1,132 @@
+package sample_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/fold"
+	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/core/sample"
+)
+
+func TestSample(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core/sample")
+}
+
+func made(j sample.Job, versions ...int64) sample.Sample {
+	s := sample.Sample{ID: j.Sample, Group: j.Group.ID}
+	for _, v := range versions {
+		s.Segments = append(s.Segments, sample.Segment{Version: v, Tokens: 10})
+	}
+	return s
+}
+
+var _ = Describe("Owner", func() {
+	var o *sample.Owner
+	group := sample.Group{ID: "g", Prompt: "p", MaxTokens: 10, Size: 2}
+	BeforeEach(func() {
+		o = sample.NewOwner(sample.Limits{MaxStaleness: 2, Running: 8, Buffered: 4, Groups: 4}, fold.Ledger{Trainer: "coach"})
+	})
+	finishAll := func(versions ...int64) {
+		GinkgoHelper()
+		for _, j := range o.Take() {
+			Expect(o.Finish(j.Index, made(j, versions...))).To(Succeed())
+		}
+	}
+	open := func() {
+		GinkgoHelper()
+		b, ok := o.Propose(sample.Request{Version: 1, Groups: 9})
+		Expect(ok).To(BeTrue())
+		o.Follow(fold.Ledger{Trainer: "coach", Current: 1, Number: b.Number, Groups: b.Groups})
+	}
+
+	DescribeTable("hands over by the version that the request names",
+		func(trainer int64, fresh bool, segments ...int64) {
+			Expect(o.Submit(group)).To(Succeed())
+			finishAll(segments...)
+			_, ok := o.Propose(sample.Request{Version: trainer, Groups: 1})
+			Expect(ok).To(Equal(fresh))
+			Expect(len(o.Take()) == group.Size).To(Equal(!fresh), "stale samples are to be generated again")
+		},
+		Entry("same version", int64(5), true, int64(5)),
+		Entry("at the bound", int64(5), true, int64(3)),
+		Entry("past the bound", int64(6), false, int64(3)),
+		Entry("oldest segment counts", int64(6), false, int64(3), int64(6)),
+		Entry("oldest segment counts in any order", int64(6), false, int64(6), int64(3)),
+		Entry("trainer behind the engines", int64(1), true, int64(9)),
+		Entry("trainer ahead of every engine", int64(99), false, int64(9)),
+	)
+
+	It("offers an open batch again with the stale part generated anew, under the same ids", func() {
+		Expect(o.Submit(group)).To(Succeed())
+		finishAll(1)
+		open()
+		first, err := o.Offer(2)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Offer(4)).To(BeNil())
+		finishAll(4)
+		again, err := o.Offer(4)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(again.Number).To(Equal(first.Number))
+		for i := range again.Samples {
+			Expect(again.Samples[i].ID).To(Equal(first.Samples[i].ID))
+			Expect(again.Samples[i].Oldest()).To(Equal(int64(4)))
+		}
+	})
+
+	It("names the groups of an open batch that it has lost, and takes only the same ones back", func() {
+		o.Follow(fold.Ledger{Current: 1, Number: 1, Groups: []record.BatchGroup{{ID: "g", Size: 2, Digest: group.Digest()}}})
+		_, err := o.Offer(1)
+		Expect(err).To(MatchError(sample.ErrGroupsUnknown))
+		other := group
+		other.Prompt = "another"
+		Expect(o.Submit(other)).To(MatchError(sample.ErrGroupExists))
+		Expect(o.Submit(group)).To(Succeed())
+		finishAll(1)
+		Expect(o.Offer(1)).NotTo(BeNil())
+	})
+
+	It("refuses an unlabelled segment", func() {
+		Expect(o.Submit(group)).To(Succeed())
+		j := o.Take()[0]
+		Expect(o.Finish(j.Index, made(j))).To(MatchError(sample.ErrUnlabelled))
+		Expect(o.Finish(j.Index, made(j, 1, 0, 1))).To(MatchError(sample.ErrUnlabelled))
+	})
+
+	It("stops generating for a trainer that has stopped asking, and forgets nothing", func() {
+		for _, id := range []string{"a", "b", "c", "d"} {
+			g := group
+			g.ID = id
+			Expect(o.Submit(g)).To(Succeed())
+		}
+		Expect(o.Submit(sample.Group{ID: "e", Size: 1})).To(MatchError(sample.ErrTooManyGroups))
+		finishAll(1)
+		Expect(o.Take()).To(BeEmpty())
+		open()
+		ledger := o.Ledger()
+		state := fold.New()
+		lease := record.TrainerLease("coach")
+		for i, body := range []record.Body{
+			record.Lease{Name: lease, Holder: "x"},
+			record.Batch{Trainer: "coach", Number: 1, Term: 1, Groups: ledger.Groups},
+			record.BatchAck{Trainer: "coach", Number: 1},
+		} {
+			data, err := record.Encode(record.ID{byte(i + 1)}, "x", 0, body)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = state.Apply(record.Offset(i+1), data)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		o.Follow(state.Ledgers["coach"])
+		Expect(o.Take()).To(HaveLen(4))
+	})
+
+	It("starts the group that is predicted to run longest first", func() {
+		long := sample.Group{ID: "long", MaxTokens: 200, Size: 1}
+		Expect(o.Submit(group)).To(Succeed())
+		Expect(o.Submit(long)).To(Succeed())
+		Expect(o.Take()[0].Group.ID).To(Equal("long"))
+	})
+})
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -28,7 +28,7 @@
 const DeploymentLease = "deployment"
 
 // TrainerLease names the lease of a trainer's owner.
-func TrainerLease(trainer string) string { return "trainer/" + trainer }
+func TrainerLease(trainer string) string { return record.TrainerLease(trainer) }
 
 // Options are what a Loop works with.
 type Options struct {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -162,7 +162,7 @@
 // trainer fetches one batch of sample groups and checks their labels.
 func (s *site) trainer(ctx context.Context) error {
 	trainer := s.cfg.Trainers[0]
-	client := NewTrainer(s.announce.Trainer[len(s.announce.Trainer)-1], trainer.Name)
+	client := NewTrainer(s.announce.Trainer[len(s.announce.Trainer)-1], trainer.Name, s.keyOf(trainer.Account))
 	var groups []sample.Group
 	for i := range demoGroups {
 		groups = append(groups, sample.Group{ID: fmt.Sprintf("g%d", i), Prompt: fmt.Sprintf("series %d", i), MaxTokens: answerTokens, Size: demoGroupSize})
@@ -189,6 +189,16 @@
 	return err
 }
 
+// keyOf returns the announced key of a client account.
+func (s *site) keyOf(account string) string {
+	for _, a := range s.announce.Accounts {
+		if a.Name == account {
+			return a.Key
+		}
+	}
+	return ""
+}
+
 func (s *site) checkSample(trainer config.Trainer, got *sample.Sample, seen map[string]bool) {
 	labelled := len(got.Segments) > 0
 	for _, seg := range got.Segments {
--- a/internal/demo/trainer.go
+++ b/internal/demo/trainer.go
@@ -17,11 +17,12 @@
 // Trainer is a trainer's client.
 type Trainer struct {
 	base string
+	key  string
 }
 
-// NewTrainer returns a client of the trainer listener at base.
-func NewTrainer(base, name string) *Trainer {
-	return &Trainer{base: base + "/v1/trainers/" + name}
+// NewTrainer returns a client of the trainer listener at base that shows key.
+func NewTrainer(base, name, key string) *Trainer {
+	return &Trainer{base: base + "/v1/trainers/" + name, key: key}
 }
 
 // Submit adds groups.
@@ -52,6 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
+	req.Header.Set("Authorization", "Bearer "+t.key)
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return nil, err
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -158,7 +158,7 @@
 		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	trainers := samples.New(ctx, samples.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	operators := operator.New(operator.Options{
 		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
@@ -172,6 +172,7 @@
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
+	g.Go(func() error { return trainers.Run(ctx) })
 	serve(ctx, g, i.callers, callers.Handler())
 	serve(ctx, g, i.operators, operators.Handler())
 	serve(ctx, g, i.trainers, trainers.Handler())
@@ -217,6 +218,12 @@
 		return nil, h.instance.Dispatch.HandleFinish(body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
+	case peer.KindMirrorPut:
+		return h.trainers.HandleMirrorPut(body)
+	case peer.KindMirrorFetch:
+		return h.trainers.HandleMirrorFetch(body)
+	case peer.KindBatchPage:
+		return h.trainers.HandleBatchPage(body)
 	default:
 		return nil, fmt.Errorf("unknown message kind %d from %s", kind, from.ID)
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -26,6 +26,11 @@
 	KindFinish    Kind = 4
 	KindCancel    Kind = 5 // cancels the call with the frame's Seq
 	KindTrainer   Kind = 6
+
+	KindMirrorPut   Kind = 40 // contents of a trainer's owner, kept until acknowledged
+	KindMirrorFetch Kind = 41
+	KindBatchPage   Kind = 42 // the rest of a batch that a forwarded call began
+	KindUnfit       Kind = 43 // targets taken out of service by a weight roll-out
 )
 
 // Hello opens a session.
--- a/internal/samples/generate.go
+++ b/internal/samples/generate.go
@@ -9,31 +9,31 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"net/http"
+	"strings"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/admit"
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/route"
 	"github.com/amaranthfold/amaranthfold/core/sample"
+	"github.com/amaranthfold/amaranthfold/core/usage"
+	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
-	"github.com/amaranthfold/amaranthfold/internal/events"
 )
 
 const (
-	generatePause = 50 * time.Millisecond // before another attempt
-	scoreTimeout  = 10 * time.Second
+	attemptFirstPause = 50 * time.Millisecond
+	attemptMaxPause   = 2 * time.Second
+	stallTimeout      = 30 * time.Second // without a token, before going on elsewhere
 )
 
-var errUnlabelled = errors.New("the engine does not know its weight version")
-
-// generateAll starts the generation of every job.
-func (m *Manager) generateAll(o *owner, t *config.Trainer, jobs []sample.Job) {
-	for _, job := range jobs {
-		go m.generate(o, t, job)
-	}
-}
+// Errors that end an attempt.
+var (
+	errUnlabelled = errors.New("the engine does not know its weight version")
+	errTooOld     = errors.New("the trainer has moved past the sample's oldest version")
+	errStalled    = errors.New("the engine sent no token for a while")
+)
 
 // progress is what a sample has so far. It survives the engine that made it.
 type progress struct {
@@ -53,58 +53,120 @@
 	p.segments[last].Tokens++
 }
 
-// generate produces one sample, resuming on another engine after a failure.
-func (m *Manager) generate(o *owner, t *config.Trainer, job sample.Job) {
+// tooOld reports whether the trainer would refuse the sample already.
+func (p *progress) tooOld(floor int64) bool {
+	s := sample.Sample{Segments: p.segments}
+	return len(p.segments) > 0 && s.Oldest() < floor
+}
+
+// produce generates and scores one sample and hands it to the owner.
+func (o *owner) produce(t *config.Trainer, job sample.Job) {
+	p, err := o.generate(t, job)
+	if err != nil {
+		o.abandon(job)
+		return
+	}
+	s := sample.Sample{ID: job.Sample, Group: job.Group.ID, Prompt: job.Group.Prompt, Text: p.text.String(), Segments: p.segments}
+	if s.Reward, err = o.score(t, &s); err != nil {
+		o.abandon(job)
+		return
+	}
+	o.finish(job, s)
+}
+
+// generate goes on from engine to engine until the sample is whole. The tokens
+// so far go along, unless the trainer has moved past their versions.
+func (o *owner) generate(t *config.Trainer, job sample.Job) (*progress, error) {
 	p := &progress{}
-	for m.ctx.Err() == nil {
-		err := m.attempt(m.ctx, t, job, p)
+	pause := newPause(attemptFirstPause, attemptMaxPause)
+	avoid := map[string]bool{}
+	for {
+		before := p.tokens
+		target, err := o.attempt(t, job, p, avoid)
 		if err == nil {
-			break
+			return p, nil
+		}
+		if p.tokens > before {
+			pause.Reset()
 		}
-		if errors.Is(err, errUnlabelled) {
+		if errors.Is(err, errTooOld) {
 			p = &progress{}
 		}
-		time.Sleep(generatePause)
+		if target == "" {
+			clear(avoid) // every engine has failed once
+		} else {
+			avoid[target] = true
+		}
+		if err := o.sleep(pause.NextBackOff()); err != nil {
+			return nil, err
+		}
 	}
-	if m.ctx.Err() != nil {
-		return
+}
+
+// choose picks an engine that the trainer's bound allows. An engine whose
+// version is not known yet is tried only where no other is left.
+func (o *owner) choose(s *control.Snapshot, t *config.Trainer, avoid map[string]bool) (*route.Target, error) {
+	exclude := map[string]bool{}
+	known := 0
+	for _, target := range s.Targets.Targets(t.Service) {
+		if avoid[target.ID] || target.Version > 0 && target.Version < o.floor.Load() {
+			exclude[target.ID] = true
+		} else if target.Version > 0 && !target.Leaving {
+			known++
+		}
 	}
-	s := sample.Sample{ID: job.Sample, Group: job.Group.ID, Prompt: job.Group.Prompt, Text: p.text.String(), Segments: p.segments}
-	s.Reward = m.score(t, &s)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if err := o.state.Finish(s); err != nil {
-		m.Events.Record("sample dropped", events.F("sample", s.ID), events.F("error", err.Error()))
+	for _, target := range s.Targets.Targets(t.Service) {
+		if known > 0 && target.Version == 0 {
+			exclude[target.ID] = true
+		}
 	}
+	return s.Targets.Choose(route.Query{Service: t.Service, DataCentre: s.Self.DataCentre, Exclude: exclude, Random: rand.Uint64()})
 }
 
-// attempt generates on one engine from where the sample stands.
-func (m *Manager) attempt(ctx context.Context, t *config.Trainer, job sample.Job, p *progress) error {
-	snapshot := m.Loop.Snapshot()
-	target, err := snapshot.Targets.Choose(route.Query{Service: t.Service, DataCentre: snapshot.Self.DataCentre, Random: rand.Uint64()})
+// attempt generates on one engine from where the sample stands. The target is
+// empty if none could be chosen.
+func (o *owner) attempt(t *config.Trainer, job sample.Job, p *progress, avoid map[string]bool) (string, error) {
+	s := o.m.Loop.Snapshot()
+	target, err := o.choose(s, t, avoid)
 	if err != nil {
-		return err
+		return "", err
 	}
 	cost := float64(job.Group.MaxTokens - p.tokens)
-	grant, err := m.Dispatch.Admit(ctx, target, dispatch.Request{Flow: "trainer/" + t.Name, Weight: t.Weight, Cost: cost, Class: admit.ClassSample})
+	grant, err := o.m.Dispatch.Admit(o.ctx, target, dispatch.Request{Flow: "trainer/" + t.Name, Weight: t.Weight, Cost: cost, Class: admit.ClassSample})
 	if err != nil {
-		return err
+		return target.ID, err
 	}
 	before := p.tokens
-	defer func() { grant.Finish(float64(p.tokens - before)) }()
-	body, err := json.Marshal(m.request(snapshot.Config.Service(t.Service).Model, job, p))
+	defer func() {
+		grant.Finish(float64(p.tokens - before))
+		o.count(t, job, p.tokens-before)
+	}()
+	body, err := json.Marshal(request(s.Config.Service(t.Service).Model, job, p))
 	if err != nil {
-		return fmt.Errorf("sample %q: %w", job.Sample, err)
+		return target.ID, fmt.Errorf("sample %q: %w", job.Sample, err)
 	}
-	stream, err := m.Engines.Open(ctx, target.URL, "/v1/completions", body)
+	ctx, cancel := context.WithCancelCause(o.ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(stallTimeout, func() { cancel(errStalled) })
+	defer stall.Stop()
+	stream, err := o.m.Engines.Open(ctx, target.URL, "/v1/completions", body)
 	if err != nil {
-		return err
+		return target.ID, err
 	}
 	defer stream.Close()
-	return collect(stream, p)
+	return target.ID, o.collect(stream, p, stall)
 }
 
-func (m *Manager) request(model string, job sample.Job, p *progress) engine.Request {
+// count bills the attempt to the trainer's client account.
+func (o *owner) count(t *config.Trainer, job sample.Job, tokens int) {
+	if t.Account == "" || tokens == 0 {
+		return
+	}
+	used := usage.Count{Requests: 1, PromptTokens: int64(len(strings.Fields(job.Group.Prompt))), GeneratedTokens: int64(tokens)}
+	o.m.Meter.Count(o.m.Clock.Wall(), usage.Subject{Account: t.Account, Service: t.Service}, used)
+}
+
+func request(model string, job sample.Job, p *progress) engine.Request {
 	req := engine.Request{Model: model, Prompt: job.Group.Prompt, MaxTokens: job.Group.MaxTokens, Stream: true, Seed: seed(job.Sample)}
 	if p.tokens > 0 {
 		req.Continue = &engine.Continuation{Text: p.text.String(), Tokens: p.tokens}
@@ -120,7 +182,7 @@
 }
 
 // collect adds the stream's tokens, each with the version that the engine named.
-func collect(stream *engine.Stream, p *progress) error {
+func (o *owner) collect(stream *engine.Stream, p *progress, stall *time.Timer) error {
 	for {
 		payload, err := stream.Next()
 		if errors.Is(err, io.EOF) {
@@ -129,6 +191,7 @@
 		if err != nil {
 			return err
 		}
+		stall.Reset(stallTimeout)
 		var chunk engine.Chunk
 		if err := json.Unmarshal(payload, &chunk); err != nil {
 			return fmt.Errorf("engine event: %w", err)
@@ -140,59 +203,8 @@
 			return errUnlabelled
 		}
 		p.add(chunk.Choices[0].Content(), chunk.Version)
-	}
-}
-
-// scorerClient calls the trainers' scoring services.
-type scorerClient struct{ http *http.Client }
-
-func newScorerClient() *scorerClient {
-	return &scorerClient{&http.Client{Timeout: scoreTimeout}}
-}
-
-type scoreRequest struct {
-	Sample string `json:"sample"`
-	Prompt string `json:"prompt"`
-	Text   string `json:"text"`
-}
-
-type scoreReply struct {
-	Reward float64 `json:"reward"`
-}
-
-func (c *scorerClient) score(ctx context.Context, url string, s *sample.Sample) (float64, error) {
-	data, err := json.Marshal(scoreRequest{s.ID, s.Prompt, s.Text})
-	if err != nil {
-		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/score", bytes.NewReader(data))
-	if err != nil {
-		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
-	}
-	req.Header.Set("Content-Type", "application/json")
-	res, err := c.http.Do(req)
-	if err != nil {
-		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
-	}
-	defer res.Body.Close()
-	var reply scoreReply
-	if res.StatusCode != http.StatusOK {
-		return 0, fmt.Errorf("score sample %q: status %d", s.ID, res.StatusCode)
-	}
-	if err := json.NewDecoder(res.Body).Decode(&reply); err != nil {
-		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
-	}
-	return reply.Reward, nil
-}
-
-// score asks until the scorer has answered; without a scorer rewards are zero.
-func (m *Manager) score(t *config.Trainer, s *sample.Sample) float64 {
-	for t.Scorer != "" && m.ctx.Err() == nil {
-		reward, err := m.scorer.score(m.ctx, t.Scorer, s)
-		if err == nil {
-			return reward
+		if p.tooOld(o.floor.Load()) {
+			return errTooOld
 		}
-		time.Sleep(generatePause)
 	}
-	return 0
 }
--- a/internal/samples/http.go
+++ b/internal/samples/http.go
@@ -22,8 +22,77 @@
 	Next    *NextRequest   `cbor:"3,keyasint"`
 }
 
+// forwardReply is the holder's answer: a refusal, or a batch, or neither.
 type forwardReply struct {
-	Batch *sample.Batch `cbor:"1,keyasint"`
+	Batch   *sample.Batch `cbor:"1,keyasint"`
+	More    bool          `cbor:"2,keyasint"` // the batch goes on in further pages
+	Refusal *Refusal      `cbor:"3,keyasint"`
+}
+
+// batchPage asks for the samples of the offered batch from index From on.
+type batchPage struct {
+	Trainer string `cbor:"1,keyasint"`
+	Number  int64  `cbor:"2,keyasint"`
+	From    int    `cbor:"3,keyasint"`
+}
+
+// Refusal is why a trainer's call was not carried out.
+type Refusal struct {
+	Status  int      `json:"-" cbor:"1,keyasint"` // of HTTP
+	Code    string   `json:"code" cbor:"2,keyasint"`
+	Message string   `json:"message" cbor:"3,keyasint"`
+	Batch   int64    `json:"batch,omitempty" cbor:"4,keyasint"`
+	Groups  []string `json:"groups,omitempty" cbor:"5,keyasint"` // to submit again
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return r.Message }
+
+// refusals type the errors that a trainer can act on; the first match counts.
+var refusals = []struct {
+	err    error
+	status int
+	code   string
+}{
+	{ErrUnknownTrainer, http.StatusNotFound, "unknown_trainer"},
+	{errNoKey, http.StatusUnauthorized, "invalid_key"},
+	{errOtherAccount, http.StatusForbidden, "not_allowed"},
+	{sample.ErrGroupInvalid, http.StatusBadRequest, "invalid_group"},
+	{sample.ErrBadBatch, http.StatusConflict, "batch_mismatch"},
+	{sample.ErrGroupExists, http.StatusConflict, "group_exists"},
+	{sample.ErrGroupsUnknown, http.StatusConflict, "groups_unknown"},
+	{sample.ErrStepClosed, http.StatusGone, "step_closed"},
+	{sample.ErrTooManyGroups, http.StatusTooManyRequests, "too_many_groups"},
+}
+
+func refusalOf(err error) *Refusal {
+	var already *Refusal
+	if errors.As(err, &already) {
+		return already
+	}
+	out := &Refusal{Status: http.StatusServiceUnavailable, Code: "unavailable", Message: err.Error()}
+	for _, r := range refusals {
+		if errors.Is(err, r.err) {
+			out.Status, out.Code = r.status, r.code
+			break
+		}
+	}
+	var unknown *sample.GroupsUnknownError
+	if errors.As(err, &unknown) {
+		out.Batch, out.Groups = unknown.Batch, unknown.Groups
+	}
+	return out
+}
+
+func (r *Refusal) write(w http.ResponseWriter) {
+	if r.Status == http.StatusServiceUnavailable || r.Status == http.StatusTooManyRequests {
+		w.Header().Set("Retry-After", "1")
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(r.Status)
+	_ = json.NewEncoder(w).Encode(struct { // the trainer may be gone and asks again
+		Error *Refusal `json:"error"`
+	}{r})
 }
 
 // Handler serves trainers.
@@ -31,39 +100,38 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/trainers/{trainer}/groups", func(w http.ResponseWriter, r *http.Request) {
 		var req SubmitRequest
-		if readJSON(w, r, &req) {
-			m.respond(w, r, forwardCall{Trainer: r.PathValue("trainer"), Submit: &req})
-		}
+		m.serve(w, r, &req, forwardCall{Submit: &req})
 	})
 	mux.HandleFunc("POST /v1/trainers/{trainer}/next", func(w http.ResponseWriter, r *http.Request) {
 		var req NextRequest
-		if readJSON(w, r, &req) {
-			m.respond(w, r, forwardCall{Trainer: r.PathValue("trainer"), Next: &req})
-		}
+		m.serve(w, r, &req, forwardCall{Next: &req})
 	})
 	return mux
 }
 
-func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+// serve checks the key, reads the body into in, and answers the call.
+func (m *Manager) serve(w http.ResponseWriter, r *http.Request, in any, call forwardCall) {
+	call.Trainer = r.PathValue("trainer")
+	ctx, end, err := m.authorize(r, call.Trainer)
+	if err != nil {
+		refusalOf(err).write(w)
+		return
+	}
+	defer end()
 	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err == nil {
-		err = json.Unmarshal(data, v)
+		err = json.Unmarshal(data, in)
 	}
 	if err != nil {
-		http.Error(w, fmt.Sprintf("request body: %v", err), http.StatusBadRequest)
-		return false
+		(&Refusal{Status: http.StatusBadRequest, Code: "invalid_body", Message: fmt.Sprintf("request body: %v", err)}).write(w)
+		return
+	}
+	reply, err := m.route(ctx, call)
+	if err == nil && context.Cause(ctx) != nil {
+		err = context.Cause(ctx)
 	}
-	return true
-}
-
-func (m *Manager) respond(w http.ResponseWriter, r *http.Request, call forwardCall) {
-	reply, err := m.route(r.Context(), call)
 	if err != nil {
-		status := statusOf(err)
-		if status == http.StatusServiceUnavailable {
-			w.Header().Set("Retry-After", "1")
-		}
-		http.Error(w, err.Error(), status)
+		refusalOf(err).write(w)
 		return
 	}
 	if reply.Batch == nil {
@@ -74,37 +142,49 @@
 	_ = json.NewEncoder(w).Encode(reply.Batch) // the trainer may be gone and asks again
 }
 
-func statusOf(err error) int {
-	switch {
-	case errors.Is(err, ErrUnknownTrainer):
-		return http.StatusNotFound
-	case errors.Is(err, ErrBadBatch), errors.Is(err, sample.ErrGroupExists):
-		return http.StatusConflict
-	default:
-		return http.StatusServiceUnavailable
-	}
-}
-
 // route carries out the call here or at the holder of the trainer's lease.
 func (m *Manager) route(ctx context.Context, call forwardCall) (forwardReply, error) {
 	if _, held := m.Loop.Held(control.TrainerLease(call.Trainer), 0); held {
 		return m.carryOut(ctx, call)
 	}
-	if _, _, err := m.local(call.Trainer); errors.Is(err, ErrUnknownTrainer) {
-		return forwardReply{}, err
-	}
 	address, err := m.holder(call.Trainer)
 	if err != nil {
 		return forwardReply{}, err
 	}
 	var reply forwardReply
-	err = m.Peers.Call(ctx, address, peer.KindTrainer, call, &reply)
-	return reply, err
+	if err := m.Peers.Call(ctx, address, peer.KindTrainer, call, &reply); err != nil {
+		return reply, err
+	}
+	if reply.Refusal != nil {
+		return reply, reply.Refusal
+	}
+	return reply, m.restOfBatch(ctx, address, call.Trainer, &reply)
+}
+
+// restOfBatch fetches the pages that did not fit into the first answer.
+func (m *Manager) restOfBatch(ctx context.Context, address, trainer string, reply *forwardReply) error {
+	for reply.More {
+		ask := batchPage{Trainer: trainer, Number: reply.Batch.Number, From: len(reply.Batch.Samples)}
+		var page forwardReply
+		if err := m.Peers.Call(ctx, address, peer.KindBatchPage, ask, &page); err != nil {
+			return err
+		}
+		if page.Batch == nil {
+			return fmt.Errorf("trainer %q: batch %d changed meanwhile: %w", trainer, ask.Number, ErrNoOwner)
+		}
+		reply.Batch.Samples = append(reply.Batch.Samples, page.Batch.Samples...)
+		reply.More = page.More
+	}
+	return nil
 }
 
 func (m *Manager) carryOut(ctx context.Context, call forwardCall) (forwardReply, error) {
+	cfg := m.Loop.Snapshot().Config
+	if cfg == nil || cfg.Trainer(call.Trainer) == nil {
+		return forwardReply{}, fmt.Errorf("trainer %q: %w", call.Trainer, ErrUnknownTrainer)
+	}
 	if call.Submit != nil {
-		return forwardReply{}, m.submit(call.Trainer, *call.Submit)
+		return forwardReply{}, m.submit(ctx, cfg.Trainer(call.Trainer), *call.Submit)
 	}
 	if call.Next == nil {
 		return forwardReply{}, errors.New("trainer's call is empty")
@@ -119,5 +199,42 @@
 	if err != nil {
 		return nil, err
 	}
-	return m.carryOut(ctx, call)
+	reply, err := m.carryOut(ctx, call)
+	if err != nil {
+		return forwardReply{Refusal: refusalOf(err)}, nil
+	}
+	if reply.Batch != nil {
+		reply = pageOf(reply.Batch, 0)
+	}
+	return reply, nil
+}
+
+// HandleBatchPage answers a peer that forwards a large batch.
+func (m *Manager) HandleBatchPage(body []byte) (any, error) {
+	ask, err := peer.Decode[batchPage](body)
+	if err != nil {
+		return nil, err
+	}
+	o, err := m.local(ask.Trainer)
+	if err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.offered == nil || o.offered.Number != ask.Number || ask.From < 0 || ask.From > len(o.offered.Samples) {
+		return forwardReply{}, nil
+	}
+	return pageOf(o.offered, ask.From), nil
+}
+
+// pageOf returns the samples from index from on that fit into one message.
+func pageOf(b *sample.Batch, from int) forwardReply {
+	size, to := 0, from
+	for to < len(b.Samples) && (to == from || size < pageBytes) {
+		s := &b.Samples[to]
+		size += len(s.ID) + len(s.Prompt) + len(s.Text)
+		to++
+	}
+	page := &sample.Batch{Number: b.Number, Samples: b.Samples[from:to]}
+	return forwardReply{Batch: page, More: to < len(b.Samples)}
 }
--- a/internal/samples/manager.go
+++ b/internal/samples/manager.go
@@ -1,6 +1,7 @@
 // Package samples runs the owners of trainers: it generates the samples that
-// core/sample asks for, offers numbered batches, and forwards trainers' calls to
-// the instance that holds the trainer's lease.
+// core/sample asks for, mirrors them to a peer in another data centre, offers
+// numbered batches, and forwards trainers' calls to the instance that holds the
+// trainer's lease.
 package samples
 
 import (
@@ -19,19 +20,20 @@
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
 const (
 	appendTimeout = 5 * time.Second
 	pollInterval  = 20 * time.Millisecond
+	maxWait       = 30 * time.Second // of one request for a batch
 )
 
 // Errors of trainers' calls.
 var (
 	ErrNoOwner        = errors.New("no instance owns the trainer at the moment")
 	ErrUnknownTrainer = errors.New("trainer does not exist")
-	ErrBadBatch       = errors.New("batch number does not match")
 )
 
 // Options are what a Manager works with.
@@ -40,6 +42,7 @@
 	Dispatch *dispatch.Dispatcher
 	Engines  *engine.Client
 	Peers    *peer.Pool
+	Meter    *metering.Meter
 	Clock    clock.Clock
 	Events   *events.Recorder
 }
@@ -47,25 +50,17 @@
 // Manager answers trainers. It is safe for concurrent use.
 type Manager struct {
 	Options
-	scorer *scorerClient
-	ctx    context.Context //nolint:containedctx // generation outlives the call that asked for it
+	scorer  *scorerClient
+	mirrors *mirrors
+	ctx     context.Context //nolint:containedctx // generation outlives the call that asked for it
 
 	mu     sync.Mutex
 	owners map[string]*owner
 }
 
-// owner is the runtime of one trainer at the holder of its lease.
-type owner struct {
-	term record.Offset
-
-	mu    sync.Mutex
-	state *sample.Owner
-	open  *sample.Batch // offered and not acknowledged
-}
-
 // New returns a manager whose generations end with ctx.
 func New(ctx context.Context, o Options) *Manager {
-	return &Manager{Options: o, ctx: ctx, owners: map[string]*owner{}, scorer: newScorerClient()}
+	return &Manager{Options: o, ctx: ctx, owners: map[string]*owner{}, scorer: newScorerClient(), mirrors: newMirrors()}
 }
 
 // SubmitRequest adds groups to a trainer's work.
@@ -79,60 +74,98 @@
 	Groups     int   `json:"groups" cbor:"2,keyasint"`  // at most
 	Ack        int64 `json:"ack" cbor:"3,keyasint"`     // last batch received; zero: none
 	WaitMillis int64 `json:"waitMillis" cbor:"4,keyasint"`
+	MinGroups  int   `json:"minGroups,omitempty" cbor:"5,keyasint"` // fewer only when nothing more is to come
 }
 
 // local returns the runtime of a trainer whose lease this instance holds.
-func (m *Manager) local(trainer string) (*owner, *config.Trainer, error) {
-	cfg := m.Loop.Snapshot().Config
-	if cfg == nil || cfg.Trainer(trainer) == nil {
-		return nil, nil, fmt.Errorf("trainer %q: %w", trainer, ErrUnknownTrainer)
-	}
-	t := cfg.Trainer(trainer)
+func (m *Manager) local(trainer string) (*owner, error) {
 	guard, held := m.Loop.Held(control.TrainerLease(trainer), 0)
-	if !held {
-		return nil, t, fmt.Errorf("trainer %q: %w", trainer, ErrNoOwner)
+	s := m.Loop.Snapshot()
+	if s.Config == nil || s.Config.Trainer(trainer) == nil {
+		return nil, fmt.Errorf("trainer %q: %w", trainer, ErrUnknownTrainer)
+	}
+	// Batches of former holders stand before the acquisition in the log: a
+	// snapshot that has it has their last ledger.
+	if !held || s.Offset < guard.Fencing {
+		return nil, fmt.Errorf("trainer %q: %w", trainer, ErrNoOwner)
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	o := m.owners[trainer]
-	if o == nil || o.term != guard.Fencing {
-		o = &owner{term: guard.Fencing, state: sample.NewOwner(t.MaxStaleness)}
-		m.owners[trainer] = o
+	if o != nil && o.term == guard.Fencing {
+		return o, nil
+	}
+	if o != nil {
+		o.cancel()
 	}
-	return o, t, nil
+	o = newOwner(m, trainer, guard.Fencing, s)
+	m.owners[trainer] = o
+	go o.run()
+	return o, nil
 }
 
-// submit starts the generation of new groups.
-func (m *Manager) submit(trainer string, req SubmitRequest) error {
-	o, t, err := m.local(trainer)
+// forget drops an owner whose lease has moved on.
+func (m *Manager) forget(o *owner) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.owners[o.trainer] == o {
+		delete(m.owners, o.trainer)
+	}
+}
+
+// Run takes up the trainers whose lease this instance holds, so that their
+// groups are generated before they call, and prunes mirrors, until ctx ends.
+func (m *Manager) Run(ctx context.Context) error {
+	ticker := time.NewTicker(pumpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		s := m.Loop.Snapshot()
+		m.mirrors.prune(m.Clock.Now(), s)
+		if s.Config == nil {
+			continue
+		}
+		for i := range s.Config.Trainers {
+			_, _ = m.local(s.Config.Trainers[i].Name) // most are held elsewhere
+		}
+	}
+}
+
+// submit adds groups to the trainer's work.
+func (m *Manager) submit(ctx context.Context, t *config.Trainer, req SubmitRequest) error {
+	o, err := m.local(t.Name)
 	if err != nil {
 		return err
 	}
+	if err := o.await(ctx); err != nil {
+		return err
+	}
+	var errs []error
 	for _, g := range req.Groups {
 		if g.Size == 0 {
 			g.Size = t.GroupSize
 		}
-		o.mu.Lock()
-		jobs, err := o.state.Submit(g)
-		o.mu.Unlock()
-		if err != nil {
-			return err
-		}
-		m.generateAll(o, t, jobs)
+		errs = append(errs, o.submit(g))
 	}
-	return nil
+	o.flush(ctx)
+	return errors.Join(errs...)
 }
 
 // next acknowledges the last batch and returns the next, or nil if none is
 // ready within the wait.
 func (m *Manager) next(ctx context.Context, trainer string, req NextRequest) (*sample.Batch, error) {
-	deadline := time.Now().Add(time.Duration(req.WaitMillis) * time.Millisecond)
+	wait := min(time.Duration(req.WaitMillis)*time.Millisecond, maxWait)
+	deadline := time.Now().Add(wait)
 	for {
-		o, t, err := m.local(trainer)
+		o, err := m.local(trainer)
 		if err != nil {
 			return nil, err
 		}
-		batch, err := m.offer(ctx, o, t, req)
+		batch, err := o.offer(ctx, req)
 		if err != nil || batch != nil || time.Now().After(deadline) {
 			return batch, err
 		}
@@ -144,60 +177,6 @@
 	}
 }
 
-// offer returns the open batch, or records and returns a new one.
-func (m *Manager) offer(ctx context.Context, o *owner, t *config.Trainer, req NextRequest) (*sample.Batch, error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	if err := m.acknowledge(ctx, o, t.Name, req.Ack); err != nil {
-		return nil, err
-	}
-	if o.open != nil {
-		return o.open, nil
-	}
-	ready, again := o.state.Next(req.Version, req.Groups)
-	m.generateAll(o, t, again)
-	if len(ready) == 0 {
-		return nil, nil
-	}
-	return m.record(ctx, o, t.Name, ready)
-}
-
-// record writes the batch's ids to the ledger before the batch is first offered.
-func (m *Manager) record(ctx context.Context, o *owner, trainer string, ready []sample.Sample) (*sample.Batch, error) {
-	ledger := m.Loop.Snapshot().Ledgers[trainer]
-	batch := &sample.Batch{Number: ledger.Number + 1, Samples: ready}
-	ids := make([]string, len(ready))
-	for i := range ready {
-		ids[i] = ready[i].ID
-	}
-	body := record.Batch{Trainer: trainer, Number: batch.Number, Samples: ids}
-	if _, err := m.Loop.Append(ctx, ledger.Current, body); err != nil {
-		return nil, fmt.Errorf("batch %d of trainer %q: %w", batch.Number, trainer, err)
-	}
-	o.open = batch
-	o.state.Delivered(ready)
-	m.Events.Record("batch offered", events.F("trainer", trainer), events.F("batch", fmt.Sprint(batch.Number)))
-	return batch, nil
-}
-
-// acknowledge closes the batch that the trainer says it has. Idempotent.
-func (m *Manager) acknowledge(ctx context.Context, o *owner, trainer string, number int64) error {
-	ledger := m.Loop.Snapshot().Ledgers[trainer]
-	if number == 0 || number < ledger.Number || ledger.Acked && number == ledger.Number {
-		return nil
-	}
-	if number > ledger.Number {
-		return fmt.Errorf("trainer %q acknowledged batch %d, the last is %d: %w", trainer, number, ledger.Number, ErrBadBatch)
-	}
-	if _, err := m.Loop.Append(ctx, 0, record.BatchAck{Trainer: trainer, Number: number}); err != nil {
-		return fmt.Errorf("acknowledge batch %d of trainer %q: %w", number, trainer, err)
-	}
-	o.open = nil
-	return nil
-}
-
 // holder returns the address of the instance that holds the trainer's lease.
 func (m *Manager) holder(trainer string) (string, error) {
 	s := m.Loop.Snapshot()
@@ -208,3 +187,25 @@
 	}
 	return p.Address, nil
 }
+
+// held reports whether the owner is still in charge for need longer.
+func (o *owner) held(need time.Duration) bool {
+	guard, held := o.m.Loop.Held(control.TrainerLease(o.trainer), need)
+	return held && guard.Fencing == o.term
+}
+
+// appendRecord appends on behalf of the owner and follows the ledger that
+// results, whatever became of the record.
+func (o *owner) appendRecord(ctx context.Context, supersedes record.Offset, body record.Body) error {
+	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	res, err := o.m.Loop.Append(ctx, supersedes, body)
+	for res.Offset > 0 && o.m.Loop.Snapshot().Offset < res.Offset && ctx.Err() == nil {
+		time.Sleep(time.Millisecond) // the snapshot follows the result at once
+	}
+	o.follow()
+	if errors.Is(err, control.ErrConflict) {
+		return nil // the log holds another record; the owner follows that one
+	}
+	return err
+}
--- /dev/null
+++ b/internal/samples/score.go
@@ -0,0 +1,106 @@
+package samples
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+
+	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/sample"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+)
+
+const (
+	scoreTimeout    = 10 * time.Second // of one attempt
+	scoreFirstPause = 100 * time.Millisecond
+	scoreMaxPause   = 10 * time.Second
+	scoreAttempts   = 8 // before the time line tells of the scorer
+)
+
+// scorerClient calls the trainers' scoring services.
+type scorerClient struct{ http *http.Client }
+
+func newScorerClient() *scorerClient {
+	return &scorerClient{&http.Client{Timeout: scoreTimeout}}
+}
+
+type scoreRequest struct {
+	Sample string `json:"sample"`
+	Prompt string `json:"prompt"`
+	Text   string `json:"text"`
+}
+
+type scoreReply struct {
+	Reward float64 `json:"reward"`
+}
+
+func (c *scorerClient) score(ctx context.Context, url string, s *sample.Sample) (float64, error) {
+	data, err := json.Marshal(scoreRequest{s.ID, s.Prompt, s.Text})
+	if err != nil {
+		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/score", bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.http.Do(req)
+	if err != nil {
+		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
+	}
+	defer res.Body.Close()
+	var reply scoreReply
+	if res.StatusCode != http.StatusOK {
+		return 0, fmt.Errorf("score sample %q: status %d", s.ID, res.StatusCode)
+	}
+	if err := json.NewDecoder(res.Body).Decode(&reply); err != nil {
+		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
+	}
+	return reply.Reward, nil
+}
+
+// score asks until the scorer has answered, with growing pauses. The sample
+// counts as running meanwhile, so that a scorer that is down stops generation
+// at the owner's limit and loses nothing. The error is that of the owner's end.
+func (o *owner) score(t *config.Trainer, s *sample.Sample) (float64, error) {
+	if t.Scorer == "" {
+		return 0, nil
+	}
+	pause := newPause(scoreFirstPause, scoreMaxPause)
+	for attempt := 1; ; attempt++ {
+		reward, err := o.m.scorer.score(o.ctx, t.Scorer, s)
+		if err == nil {
+			return reward, nil
+		}
+		if attempt%scoreAttempts == 0 {
+			o.m.Events.Record("scorer unavailable", events.F("trainer", t.Name), events.F("sample", s.ID), events.F("error", err.Error()))
+		}
+		if err := o.sleep(pause.NextBackOff()); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// newPause returns an exponential back-off with jitter.
+func newPause(first, most time.Duration) *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval, b.MaxInterval = first, most
+	return b
+}
+
+// sleep returns an error when the owner's term ends first.
+func (o *owner) sleep(d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-o.ctx.Done():
+		return o.ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
