--- a/core/fold/checkpoint_test.go
+++ b/core/fold/checkpoint_test.go
@@ -18,7 +18,9 @@
 	term := l.apply(l.id(), "a", 0, record.Lease{Name: "deployment", Holder: "a"}).Offset
 	l.apply(l.id(), "a", 0, record.KeyGrant{KeyID: "k1", Account: "shop"})
 	l.apply(l.id(), "a", term, record.UsageSeal{Lease: "deployment", Window: 60, Figures: []record.UsageFigure{}})
-	l.apply(l.id(), "a", 0, record.Batch{Trainer: "t", Number: 1, Samples: []string{"s"}})
+	trainer := l.apply(l.id(), "a", 0, record.Lease{Name: record.TrainerLease("t"), Holder: "a"}).Offset
+	l.apply(l.id(), "a", 0, record.Batch{Trainer: "t", Number: 1, Groups: []record.BatchGroup{{ID: "g", Size: 1}}, Term: trainer})
+	l.apply(l.id(), "a", 0, record.BatchAck{Trainer: "t", Number: 1})
 	return l
 }
 
