Usage: cumulative counts, mirrored, sealed in a chain, billed once

Cause: late use of a sealed window was dropped, every heartbeat carried all counts to everybody, window starts could overlap after a change of length, and billing shared a goroutine with orders.

Change: a source reports its cumulative total and recent slots; a seal names the seal before it and what it bills of each source; the rest goes to the next window. Counts go to a mirror in another data centre and to the lease's holder only. The lease is checked when the transport reads the body, on the open connection. Biller runs by itself.

--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -166,17 +166,6 @@
 	return Accepted, nil
 }
 
-func (s *State) foldSeal(at record.Offset, env record.Envelope, b record.UsageSeal) (Verdict, error) {
-	if err := s.inCharge(b.Lease, env.Author, env.Supersedes); err != nil {
-		return Conflict, err
-	}
-	if w, sealed := s.Windows[b.Window]; sealed {
-		return Conflict, fmt.Errorf("window %d was sealed at offset %d", b.Window, w.Sealed)
-	}
-	s.Windows[b.Window] = Window{Start: b.Window, Figures: b.Figures, Sealed: at}
-	return Accepted, nil
-}
-
 func (s *State) foldSent(b record.UsageSent) (Verdict, error) {
 	w, ok := s.Windows[b.Window]
 	if !ok {
--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -44,6 +44,8 @@
 	Figures []record.UsageFigure `cbor:"2,keyasint"`
 	Sealed  record.Offset        `cbor:"3,keyasint"`
 	Sent    bool                 `cbor:"4,keyasint"`
+	End     int64                `cbor:"5,keyasint"` // Unix milliseconds
+	Late    []record.UsageFigure `cbor:"6,keyasint"` // part of Figures used before Start
 }
 
 // Ledger is a trainer's delivery state.
@@ -67,6 +69,7 @@
 	Ledgers      map[string]Ledger      `cbor:"8,keyasint"` // by trainer
 	SeenIDs      []record.ID            `cbor:"9,keyasint"` // ring of the latest ids
 	SeenNext     int                    `cbor:"10,keyasint"`
+	Billing      Billing                `cbor:"60,keyasint"`
 	seen         map[record.ID]struct{} // index of SeenIDs
 	config       *config.Config         // parsed ConfigYAML
 }
@@ -79,6 +82,7 @@
 		Orders:  map[string]Order{},
 		Windows: map[int64]Window{},
 		Ledgers: map[string]Ledger{},
+		Billing: newBilling(),
 		seen:    map[record.ID]struct{}{},
 	}
 }
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -135,6 +135,19 @@
 	Lease   string        `cbor:"1,keyasint"`
 	Window  int64         `cbor:"2,keyasint"` // start, Unix milliseconds
 	Figures []UsageFigure `cbor:"3,keyasint"`
+	// End of the window, Unix milliseconds. The next window starts no earlier.
+	End int64 `cbor:"4,keyasint"`
+	// Previous is the offset of the seal before, which must be the latest.
+	Previous Offset        `cbor:"5,keyasint"`
+	Sources  []UsageSource `cbor:"6,keyasint"` // sources that Figures bill
+	Late     []UsageFigure `cbor:"7,keyasint"` // part of Figures used before the window
+	Retired  []string      `cbor:"8,keyasint"` // sources that are billed no more
+}
+
+// UsageSource is the use of one source that seals have billed so far.
+type UsageSource struct {
+	Source  string        `cbor:"1,keyasint"` // instance and incarnation
+	Figures []UsageFigure `cbor:"2,keyasint"` // cumulative
 }
 
 // UsageSent notes that the platform accepted the report of a sealed window.
--- a/core/usage/usage.go
+++ b/core/usage/usage.go
@@ -1,5 +1,12 @@
-// Package usage counts what client accounts use. Counts are cumulative per
-// instance incarnation and window, so that a repeated message changes nothing.
+// Package usage counts what client accounts use and decides what each billing
+// window holds.
+//
+// A source, which is one incarnation of one instance, counts cumulatively since
+// it started and tells how much of that fell into recent slots of its clock. A
+// repeated or overtaken report therefore changes nothing. A seal bills what the
+// holder of the lease knows up to the end of the window, less what earlier seals
+// billed of the same source. Use that was reported late is in no earlier seal and
+// so goes to the next window.
 package usage
 
 import (
@@ -15,7 +22,7 @@
 	Service string
 }
 
-// Count is the use of one subject in one window.
+// Count is the use of one subject.
 type Count struct {
 	Requests        int64
 	PromptTokens    int64
@@ -28,112 +35,145 @@
 	c.GeneratedTokens += d.GeneratedTokens
 }
 
-// WindowStart returns the start, in Unix milliseconds, of the window that holds at.
-func WindowStart(at time.Time, window time.Duration) int64 {
-	ms := at.UnixMilli()
-	return ms - ms%window.Milliseconds()
+// sub returns c less d, never below zero.
+func (c Count) sub(d Count) Count {
+	return Count{
+		Requests:        max(c.Requests-d.Requests, 0),
+		PromptTokens:    max(c.PromptTokens-d.PromptTokens, 0),
+		GeneratedTokens: max(c.GeneratedTokens-d.GeneratedTokens, 0),
+	}
 }
 
-// Report is one incarnation's cumulative counts of one window.
-type Report struct {
-	Source  string               `cbor:"1,keyasint"` // instance and incarnation
-	Window  int64                `cbor:"2,keyasint"`
-	Figures []record.UsageFigure `cbor:"3,keyasint"`
-}
+// Counts are the counts of several subjects.
+type Counts map[Subject]Count
 
-// Book holds the latest report of every source and window.
-type Book struct {
-	windows map[int64]map[string]map[Subject]Count
+// CountsOf returns the counts that figures hold.
+func CountsOf(figures []record.UsageFigure) Counts {
+	out := make(Counts, len(figures))
+	for _, f := range figures {
+		out.add(Subject{f.Account, f.Service}, Count{f.Requests, f.PromptTokens, f.GeneratedTokens})
+	}
+	return out
 }
 
-// NewBook returns an empty book.
-func NewBook() *Book { return &Book{windows: map[int64]map[string]map[Subject]Count{}} }
+func (c Counts) add(s Subject, d Count) {
+	sum := c[s]
+	sum.add(d)
+	c[s] = sum
+}
 
-// Add counts the use at its source.
-func (b *Book) Add(source string, window int64, s Subject, c Count) {
-	counts := b.counts(window, source)
-	sum := counts[s]
-	sum.add(c)
-	counts[s] = sum
+func (c Counts) addAll(d Counts) {
+	for s, n := range d {
+		c.add(s, n)
+	}
 }
 
-// Merge takes over another source's cumulative report. Counts never decrease.
-func (b *Book) Merge(r Report) {
-	counts := b.counts(r.Window, r.Source)
-	for _, f := range r.Figures {
-		s := Subject{f.Account, f.Service}
-		old := counts[s]
-		counts[s] = Count{
-			Requests:        max(old.Requests, f.Requests),
-			PromptTokens:    max(old.PromptTokens, f.PromptTokens),
-			GeneratedTokens: max(old.GeneratedTokens, f.GeneratedTokens),
+// less returns c less d, never below zero, without subjects that are zero.
+func (c Counts) less(d Counts) Counts {
+	out := Counts{}
+	for s, n := range c {
+		if left := n.sub(d[s]); left != (Count{}) {
+			out[s] = left
 		}
 	}
+	return out
 }
 
-func (b *Book) counts(window int64, source string) map[Subject]Count {
-	sources := b.windows[window]
-	if sources == nil {
-		sources = map[string]map[Subject]Count{}
-		b.windows[window] = sources
-	}
-	if sources[source] == nil {
-		sources[source] = map[Subject]Count{}
+// Figures returns the counts as sorted figures.
+func (c Counts) Figures() []record.UsageFigure {
+	out := make([]record.UsageFigure, 0, len(c))
+	for s, n := range c {
+		out = append(out, record.UsageFigure{
+			Account: s.Account, Service: s.Service,
+			Requests: n.Requests, PromptTokens: n.PromptTokens, GeneratedTokens: n.GeneratedTokens,
+		})
 	}
-	return sources[source]
+	sort.Slice(out, func(i, j int) bool {
+		if out[i].Account != out[j].Account {
+			return out[i].Account < out[j].Account
+		}
+		return out[i].Service < out[j].Service
+	})
+	return out
+}
+
+// WindowStart returns the start, in Unix milliseconds, of the window that holds at.
+func WindowStart(at time.Time, window time.Duration) int64 {
+	return floor(at.UnixMilli(), window)
 }
 
-// Reports returns the source's counts of every open window.
-func (b *Book) Reports(source string) []Report {
-	var out []Report
-	for window, sources := range b.windows {
-		if counts, ok := sources[source]; ok {
-			out = append(out, Report{Source: source, Window: window, Figures: figures(counts)})
+func floor(ms int64, window time.Duration) int64 {
+	length := max(window.Milliseconds(), 1)
+	return ms - ms%length
+}
+
+// Slot is the part of a source's use that fell into one window of its clock.
+type Slot struct {
+	Start   int64                `cbor:"1,keyasint"` // Unix milliseconds
+	Figures []record.UsageFigure `cbor:"2,keyasint"`
+}
+
+// Report is a source's cumulative counts.
+type Report struct {
+	Source   string               `cbor:"1,keyasint"` // instance and incarnation
+	Revision uint64               `cbor:"2,keyasint"` // grows with every count
+	Total    []record.UsageFigure `cbor:"3,keyasint"` // since the source started
+	Recent   []Slot               `cbor:"4,keyasint"` // parts of Total that need not be in a seal yet
+}
+
+// through returns what the source used in slots that start before end.
+func (r *Report) through(end int64) Counts {
+	later := Counts{}
+	for _, slot := range r.Recent {
+		if slot.Start >= end {
+			later.addAll(CountsOf(slot.Figures))
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].Window < out[j].Window })
-	return out
+	return CountsOf(r.Total).less(later)
+}
+
+// Counter counts one source's use.
+type Counter struct {
+	source   string
+	revision uint64
+	total    Counts
+	recent   map[int64]Counts // by slot
 }
 
-// Windows returns the starts of the open windows in order.
-func (b *Book) Windows() []int64 {
-	out := make([]int64, 0, len(b.windows))
-	for w := range b.windows {
-		out = append(out, w)
+// NewCounter returns a counter of the source, an instance and incarnation.
+func NewCounter(source string) *Counter {
+	return &Counter{source: source, total: Counts{}, recent: map[int64]Counts{}}
+}
+
+// Add counts use in the slot that starts at start.
+func (c *Counter) Add(start int64, s Subject, n Count) {
+	c.revision++
+	c.total.add(s, n)
+	if c.recent[start] == nil {
+		c.recent[start] = Counts{}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
-	return out
+	c.recent[start].add(s, n)
 }
 
-// Total returns the window's figures over all sources, sorted.
-func (b *Book) Total(window int64) []record.UsageFigure {
-	sum := map[Subject]Count{}
-	for _, counts := range b.windows[window] {
-		for s, c := range counts {
-			total := sum[s]
-			total.add(c)
-			sum[s] = total
+// Compact forgets the slots before end, which a seal has passed. Their use stays
+// in the total.
+func (c *Counter) Compact(end int64) {
+	for start := range c.recent {
+		if start < end {
+			delete(c.recent, start)
 		}
 	}
-	return figures(sum)
 }
 
-// Drop forgets a sealed window.
-func (b *Book) Drop(window int64) { delete(b.windows, window) }
-
-func figures(counts map[Subject]Count) []record.UsageFigure {
-	out := make([]record.UsageFigure, 0, len(counts))
-	for s, c := range counts {
-		out = append(out, record.UsageFigure{
-			Account: s.Account, Service: s.Service,
-			Requests: c.Requests, PromptTokens: c.PromptTokens, GeneratedTokens: c.GeneratedTokens,
-		})
+// Report returns the counts as of now.
+func (c *Counter) Report() Report {
+	r := Report{Source: c.source, Revision: c.revision, Total: c.total.Figures()}
+	for start, counts := range c.recent {
+		r.Recent = append(r.Recent, Slot{Start: start, Figures: counts.Figures()})
 	}
-	sort.Slice(out, func(i, j int) bool {
-		if out[i].Account != out[j].Account {
-			return out[i].Account < out[j].Account
-		}
-		return out[i].Service < out[j].Service
-	})
-	return out
+	sort.Slice(r.Recent, func(i, j int) bool { return r.Recent[i].Start < r.Recent[j].Start })
+	return r
 }
+
+// Revision returns the number of the latest count.
+func (c *Counter) Revision() uint64 { return c.revision }
--- /dev/null
+++ b/core/usage/usage_suite_test.go
@@ -0,0 +1,22 @@
+package usage_test
+
+import (
+	"flag"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+func TestUsage(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core/usage")
+}
+
+// A fixed seed makes the verdict of the property tests repeatable; -rapid.seed
+// overrides it.
+func init() {
+	if err := flag.Set("rapid.seed", "20261204"); err != nil {
+		panic(err)
+	}
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -59,6 +59,7 @@
 	leases      map[string]*lease.Machine
 	members     *member.Table
 	targets     map[string][]platform.Target // by data centre
+	targetsAt   map[string]time.Duration     // when targets was asked for
 	loads       map[string]TargetLoad        // by target
 	own         []TargetLoad
 	waiters     map[record.ID]chan fold.Result
@@ -72,15 +73,16 @@
 // New returns a loop that has read nothing.
 func New(o Options) *Loop {
 	l := &Loop{
-		Options: o,
-		holder:  HolderName(o.Self),
-		inbox:   make(chan message, inboxSize),
-		state:   fold.New(),
-		leases:  map[string]*lease.Machine{},
-		targets: map[string][]platform.Target{},
-		loads:   map[string]TargetLoad{},
-		waiters: map[record.ID]chan fold.Result{},
-		keys:    map[[32]byte]fold.Key{},
+		Options:   o,
+		holder:    HolderName(o.Self),
+		inbox:     make(chan message, inboxSize),
+		state:     fold.New(),
+		leases:    map[string]*lease.Machine{},
+		targets:   map[string][]platform.Target{},
+		targetsAt: map[string]time.Duration{},
+		loads:     map[string]TargetLoad{},
+		waiters:   map[record.ID]chan fold.Result{},
+		keys:      map[[32]byte]fold.Key{},
 	}
 	l.members = member.NewTable(o.Self, time.Second)
 	l.appender = newAppender(o.Log, o.Clock)
@@ -223,7 +225,10 @@
 	l.members.List(l.Clock.Now(), peers)
 }
 
-func (m targetsRead) handle(l *Loop) { l.targets[m.dataCentre] = m.targets }
+func (m targetsRead) handle(l *Loop) {
+	l.targets[m.dataCentre] = m.targets
+	l.targetsAt[m.dataCentre] = m.sentAt
+}
 
 func (m heard) handle(l *Loop) {
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -6,7 +6,6 @@
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
-	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
@@ -20,11 +19,10 @@
 
 // Heartbeat is what an instance tells its peers of itself.
 type Heartbeat struct {
-	Peer   member.Peer    `cbor:"1,keyasint"`
-	Offset record.Offset  `cbor:"2,keyasint"`
-	Digest [32]byte       `cbor:"3,keyasint"`
-	Loads  []TargetLoad   `cbor:"4,keyasint"`
-	Usage  []usage.Report `cbor:"5,keyasint"`
+	Peer   member.Peer   `cbor:"1,keyasint"`
+	Offset record.Offset `cbor:"2,keyasint"`
+	Digest [32]byte      `cbor:"3,keyasint"`
+	Loads  []TargetLoad  `cbor:"4,keyasint"`
 }
 
 // message is anything that the control goroutine takes.
@@ -42,6 +40,7 @@
 // targetsRead is the outcome of one read of a data centre's targets.
 type targetsRead struct {
 	dataCentre string
+	sentAt     time.Duration
 	targets    []platform.Target
 }
 
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -67,11 +67,12 @@
 func (l *Loop) readTargets(ctx context.Context, dataCentre string) {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
+	sentAt := l.Clock.Now()
 	targets, err := l.Orders(dataCentre).Targets(callCtx)
 	if err != nil {
 		return
 	}
-	l.post(ctx, targetsRead{dataCentre, targets})
+	l.post(ctx, targetsRead{dataCentre, sentAt, targets})
 }
 
 // beat sends heartbeats to every peer.
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -57,6 +57,8 @@
 		Windows:      maps.Clone(l.state.Windows),
 		Orders:       maps.Clone(l.state.Orders),
 		Platform:     l.platformTargets(),
+		TargetsAt:    maps.Clone(l.targetsAt),
+		Billing:      l.state.Billing.Clone(),
 		Digest:       l.digest,
 		FreshAt:      l.freshAt,
 	})
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -33,8 +33,12 @@
 	Windows      map[int64]fold.Window
 	Orders       map[string]fold.Order // announced and not settled, by order id
 	Platform     []platform.Target
-	Digest       [32]byte
-	FreshAt      time.Duration // when the log last proved Offset to be its end
+	// TargetsAt is when the list of a data centre's targets was asked for that
+	// Platform holds, by data centre.
+	TargetsAt map[string]time.Duration
+	Billing   fold.Billing
+	Digest    [32]byte
+	FreshAt   time.Duration // when the log last proved Offset to be its end
 }
 
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/google/uuid"
@@ -15,7 +14,6 @@
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/events"
-	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
@@ -29,8 +27,6 @@
 	Loop   *control.Loop
 	Clock  clock.Clock
 	Orders func(dataCentre string) *platform.Orders
-	Usage  *platform.Usage
-	Meter  *metering.Meter
 	Events *events.Recorder
 }
 
@@ -59,7 +55,6 @@
 	if s.Config == nil {
 		return
 	}
-	c.Meter.SetWindow(s.Config.Usage.Window)
 	if _, held := c.Loop.Held(control.DeploymentLease, s.Config.Control.OrderFlight); !held {
 		return
 	}
@@ -70,7 +65,6 @@
 			return
 		}
 	}
-	c.bill(ctx, s)
 }
 
 // known joins the platform's targets with those that open orders will start.
@@ -117,8 +111,6 @@
 	return err
 }
 
-var errNotInCharge = fmt.Errorf("lease %q is not held long enough", control.DeploymentLease)
-
 // send checks the lease as the last step before the order leaves.
 func (c *Controller) send(ctx context.Context, intent record.OrderIntent, flight time.Duration) (platform.OrderReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, flight)
@@ -155,56 +147,3 @@
 		}
 	}
 }
-
-// bill seals the oldest window that is due, and reports sealed windows.
-func (c *Controller) bill(ctx context.Context, s *control.Snapshot) {
-	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
-	defer cancel()
-	window, figures, due := c.Meter.Due(c.Clock.Wall(), s.Config.Usage.Grace)
-	if due {
-		if _, sealed := s.Windows[window]; !sealed {
-			c.seal(ctx, window, figures)
-			return
-		}
-		c.Meter.Drop(window)
-	}
-	for start, w := range s.Windows {
-		if !w.Sent {
-			c.report(ctx, s, start, w.Figures)
-		}
-	}
-}
-
-func (c *Controller) seal(ctx context.Context, window int64, figures []record.UsageFigure) {
-	guard, held := c.Loop.Held(control.DeploymentLease, 0)
-	if !held {
-		return
-	}
-	body := record.UsageSeal{Lease: control.DeploymentLease, Window: window, Figures: figures}
-	if _, err := c.Loop.Append(ctx, guard.Fencing, body); err != nil {
-		c.Events.Record("usage seal failed", events.F("window", fmt.Sprint(window)), events.F("error", err.Error()))
-		return
-	}
-	c.Events.Record("usage sealed", events.F("window", fmt.Sprint(window)))
-}
-
-func (c *Controller) report(ctx context.Context, s *control.Snapshot, window int64, figures []record.UsageFigure) {
-	flight := s.Config.Control.OrderFlight
-	ctx, cancel := context.WithTimeout(ctx, flight)
-	defer cancel()
-	guard, held := c.Loop.Held(control.DeploymentLease, flight)
-	if !held {
-		return
-	}
-	report := platform.UsageReport{
-		Deployment: s.Config.Deployment, Window: window, Figures: figures,
-		Reporter: c.Loop.Holder(), Fencing: int64(guard.Fencing),
-	}
-	if err := c.Usage.Report(ctx, report); err != nil {
-		c.Events.Record("usage report failed", events.F("window", fmt.Sprint(window)), events.F("error", err.Error()))
-		return
-	}
-	if _, err := c.Loop.Append(ctx, 0, record.UsageSent{Window: window}); err != nil {
-		c.Events.Record("usage note failed", events.F("window", fmt.Sprint(window)), events.F("error", err.Error()))
-	}
-}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -153,7 +153,6 @@
 // Run serves until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	i.Loop.OnBeat(func(b *control.Heartbeat) { b.Usage = i.Meter.Reports() })
 	callers := caller.New(caller.Options{
 		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
 	})
@@ -164,13 +163,19 @@
 		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
 	})
 	acting := controller.New(controller.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
 	})
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, trainers: trainers})
+	billing := controller.NewBiller(controller.BillerOptions{
+		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
+	})
+	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, trainers: trainers, usage: exchange})
 	g.Go(func() error { return peers.Serve(ctx, i.peers) })
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
+	g.Go(func() error { return billing.Run(ctx) })
+	g.Go(func() error { return exchange.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
 	serve(ctx, g, i.callers, callers.Handler())
 	serve(ctx, g, i.operators, operators.Handler())
@@ -198,6 +203,7 @@
 type peerHandler struct {
 	instance *Instance
 	trainers *samples.Manager
+	usage    *metering.Exchange
 }
 
 // Handle implements peer.Handler.
@@ -208,13 +214,14 @@
 		if err != nil {
 			return nil, err
 		}
-		h.instance.Meter.Merge(beat.Usage)
 		h.instance.Loop.Heard(ctx, beat)
 		return nil, nil
 	case peer.KindAdmit:
 		return h.instance.Dispatch.HandleAdmit(ctx, from, body)
 	case peer.KindFinish:
 		return nil, h.instance.Dispatch.HandleFinish(body)
+	case peer.KindUsage:
+		return h.usage.HandleBatch(body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
 	default:
--- /dev/null
+++ b/internal/metering/exchange.go
@@ -0,0 +1,186 @@
+package metering
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/usage"
+	"github.com/amaranthfold/amaranthfold/internal/control"
+	"github.com/amaranthfold/amaranthfold/internal/peer"
+)
+
+const (
+	exchangeInterval = 500 * time.Millisecond
+	exchangeTimeout  = 2 * time.Second
+	receivers        = 2 // the mirror and the holder of the lease
+)
+
+// Batch is the message that carries reports to a mirror or to the lease's holder.
+type Batch struct {
+	Reports []usage.Report `cbor:"1,keyasint"`
+}
+
+// Ack answers a Batch.
+type Ack struct{}
+
+// Exchange sends this instance's counts to its mirror in another data centre and
+// to the holder of the deployment's lease, and what it mirrors of dead sources to
+// the holder. Only what a receiver has not acknowledged is sent.
+type Exchange struct {
+	meter *Meter
+	loop  *control.Loop
+	peers *peer.Pool
+
+	mu    sync.Mutex
+	acked map[string]map[string]uint64 // revision by receiver and source
+}
+
+// NewExchange returns an exchange of the meter's reports.
+func NewExchange(m *Meter, l *control.Loop, p *peer.Pool) *Exchange {
+	return &Exchange{meter: m, loop: l, peers: p, acked: map[string]map[string]uint64{}}
+}
+
+// Run exchanges reports at every interval until ctx ends.
+func (e *Exchange) Run(ctx context.Context) error {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			e.pass(ctx)
+		}
+	}
+}
+
+// HandleBatch takes a peer's reports.
+func (e *Exchange) HandleBatch(body []byte) (any, error) {
+	batch, err := peer.Decode[Batch](body)
+	if err != nil {
+		return nil, err
+	}
+	e.meter.Take(batch.Reports)
+	return Ack{}, nil
+}
+
+func (e *Exchange) pass(ctx context.Context) {
+	s := e.loop.Snapshot()
+	if s.Config == nil {
+		return
+	}
+	e.meter.Follow(s.Config.Usage.Window, s.Billing)
+	own := e.meter.Report()
+	g := errgroup.Group{}
+	g.SetLimit(receivers)
+	holder, remote := holderOf(s)
+	if remote {
+		reports := append(e.meter.Orphans(Live(s)), own)
+		g.Go(func() error { return e.send(ctx, holder, reports) })
+	}
+	if mirror, ok := MirrorOf(s); ok {
+		g.Go(func() error { return e.send(ctx, mirror, []usage.Report{own}) })
+	}
+	// A report that was not acknowledged is sent again at the next interval.
+	_ = g.Wait()
+}
+
+// send sends what the receiver has not acknowledged.
+func (e *Exchange) send(ctx context.Context, to member.Status, reports []usage.Report) error {
+	receiver := control.HolderName(to.Peer)
+	due := e.unacked(receiver, reports)
+	if len(due) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var ack Ack
+	if err := e.peers.Call(ctx, to.Address, peer.KindUsage, Batch{due}, &ack); err != nil {
+		return err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.acked[receiver] == nil {
+		e.acked[receiver] = map[string]uint64{}
+	}
+	for _, r := range due {
+		e.acked[receiver][r.Source] = r.Revision
+	}
+	return nil
+}
+
+func (e *Exchange) unacked(receiver string, reports []usage.Report) []usage.Report {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var due []usage.Report
+	for _, r := range reports {
+		if r.Revision > e.acked[receiver][r.Source] {
+			due = append(due, r)
+		}
+	}
+	return due
+}
+
+// holderOf returns the peer that holds the deployment's lease. It reports false
+// when the holder is this instance or not known.
+func holderOf(s *control.Snapshot) (member.Status, bool) {
+	holder := s.Leases[control.DeploymentLease].Holder
+	for _, p := range s.Peers {
+		if control.HolderName(p.Peer) == holder {
+			return p, true
+		}
+	}
+	return member.Status{}, false
+}
+
+// MirrorOf returns the peer that keeps a copy of this instance's counts: one in
+// another data centre if there is one, and not the holder of the lease, which has
+// them already.
+func MirrorOf(s *control.Snapshot) (member.Status, bool) {
+	holder := s.Leases[control.DeploymentLease].Holder
+	var near, far []string
+	for _, p := range s.Peers {
+		if p.Suspect || p.Leaving || control.HolderName(p.Peer) == holder {
+			continue
+		}
+		if p.DataCentre == s.Self.DataCentre {
+			near = append(near, p.ID)
+		} else {
+			far = append(far, p.ID)
+		}
+	}
+	candidates := far
+	if len(candidates) == 0 {
+		candidates = near
+	}
+	id := member.Owner("usage/"+s.Self.ID, candidates)
+	p, ok := s.PeerByID[id]
+	return p, ok
+}
+
+// Live returns whether a source is this instance or a peer that answers. What a
+// silent peer counted is passed on by its mirror; reports are cumulative, so that
+// a peer which was silent for a while is not billed twice.
+func Live(s *control.Snapshot) func(source string) bool {
+	live := map[string]bool{control.HolderName(s.Self): true}
+	for _, p := range s.Peers {
+		if !p.Suspect {
+			live[control.HolderName(p.Peer)] = true
+		}
+	}
+	return func(source string) bool { return live[source] }
+}
+
+// Listed returns whether a source is this instance or a peer that the platform
+// lists. Only sources that are not listed are retired.
+func Listed(s *control.Snapshot) func(source string) bool {
+	listed := map[string]bool{control.HolderName(s.Self): true}
+	for _, p := range s.Peers {
+		listed[control.HolderName(p.Peer)] = true
+	}
+	return func(source string) bool { return listed[source] }
+}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -75,20 +75,30 @@
 
 // call sends in as JSON, when not nil, and decodes the answer into out.
 func (c client) call(ctx context.Context, method, path string, in, out any) error {
+	return c.callIf(ctx, method, path, in, out, nil)
+}
+
+// callIf is call with a check that runs before the first byte leaves.
+func (c client) callIf(ctx context.Context, method, path string, in, out any, check Check) error {
 	var body io.Reader
+	var length int64
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
 			return fmt.Errorf("%s %s: encode: %w", method, path, err)
 		}
-		body = bytes.NewReader(data)
+		body, length = checked(data, check), int64(len(data))
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
+	req.ContentLength = length
 	req.Header.Set("Content-Type", "application/json")
 	res, err := c.http.Do(req)
+	if errors.Is(err, ErrHeldBack) {
+		return fmt.Errorf("%s %s: %w", method, path, err)
+	}
 	if err != nil {
 		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
 	}
--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -65,8 +65,15 @@
 // Send sends the order. Sending one id again returns the first answer. An error
 // that wraps ErrUnavailable leaves the outcome unknown; see Targets.
 func (o *Orders) Send(ctx context.Context, order Order) (OrderReply, error) {
+	return o.SendIf(ctx, order, nil)
+}
+
+// SendIf is Send with a check that runs on the open connection, right before the
+// order's first byte leaves. If the check fails nothing is sent and the error
+// wraps ErrHeldBack and the check's error.
+func (o *Orders) SendIf(ctx context.Context, order Order, check Check) (OrderReply, error) {
 	var reply OrderReply
-	err := o.call(ctx, http.MethodPost, o.path("/orders"), order, &reply)
+	err := o.callIf(ctx, http.MethodPost, o.path("/orders"), order, &reply, check)
 	return reply, err
 }
 
--- a/internal/platform/usage.go
+++ b/internal/platform/usage.go
@@ -12,7 +12,8 @@
 	Deployment string               `json:"deployment"`
 	Window     int64                `json:"window"` // start, Unix milliseconds
 	Figures    []record.UsageFigure `json:"figures"`
-	Reporter   string               `json:"reporter"` // instance and incarnation
+	Late       []record.UsageFigure `json:"late,omitempty"` // part of Figures used before the window
+	Reporter   string               `json:"reporter"`       // instance and incarnation
 	Fencing    int64                `json:"fencing"`
 }
 
@@ -25,5 +26,10 @@
 // Report sends one window. The interface accepts a window again with the same
 // figures and keeps every report that it received.
 func (u *Usage) Report(ctx context.Context, r UsageReport) error {
-	return u.call(ctx, http.MethodPost, "/usage", r, nil)
+	return u.ReportIf(ctx, r, nil)
+}
+
+// ReportIf is Report with a check on the open connection; see Orders.SendIf.
+func (u *Usage) ReportIf(ctx context.Context, r UsageReport, check Check) error {
+	return u.callIf(ctx, http.MethodPost, "/usage", r, nil, check)
 }
