--- a/core/fold/billing.go
+++ b/core/fold/billing.go
@@ -42,6 +42,9 @@
 	if err := s.inCharge(b.Lease, env.Author, env.Supersedes); err != nil {
 		return Conflict, err
 	}
+	if b.Window <= s.WindowFloor {
+		return Conflict, fmt.Errorf("window %d is settled: windows up to %d are forgotten", b.Window, s.WindowFloor)
+	}
 	if w, sealed := s.Windows[b.Window]; sealed {
 		return Conflict, fmt.Errorf("window %d was sealed at offset %d", b.Window, w.Sealed)
 	}
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -40,10 +40,15 @@
 // targetsRead is the outcome of one read of a data centre's targets.
 type targetsRead struct {
 	dataCentre string
-	sentAt     time.Duration
 	targets    []platform.Target
 }
 
+// targetsAsked tells when the list of the last targetsRead was asked for.
+type targetsAsked struct {
+	dataCentre string
+	at         time.Duration
+}
+
 // heard is a heartbeat from a peer.
 type heard struct{ beat Heartbeat }
 
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -72,7 +72,8 @@
 	if err != nil {
 		return
 	}
-	l.post(ctx, targetsRead{dataCentre, sentAt, targets})
+	l.post(ctx, targetsRead{dataCentre, targets})
+	l.post(ctx, targetsAsked{dataCentre, sentAt})
 }
 
 // beat sends heartbeats to every peer.
@@ -93,7 +94,7 @@
 }
 
 func (l *Loop) heartbeat(s *Snapshot) Heartbeat {
-	b := Heartbeat{Peer: s.Self, Offset: s.Offset, Digest: s.Digest}
+	b := Heartbeat{Peer: s.Self, Offset: s.Offset, Digest: s.Digest, Loads: s.OwnLoads}
 	if extra := l.beatExtra.Load(); extra != nil {
 		(*extra)(&b)
 	}
--- a/internal/platform/check.go
+++ b/internal/platform/check.go
@@ -7,7 +7,7 @@
 	"io"
 )
 
-// ErrHeldBack: a check failed on the open connection; nothing was sent.
+// ErrHeldBack tells that a check failed on the open connection; nothing was sent.
 var ErrHeldBack = errors.New("call held back")
 
 // Check decides at the last moment whether a call may leave.
