--- a/core/fold/checkpoint_test.go
+++ b/core/fold/checkpoint_test.go
@@ -78,7 +78,7 @@
 		l.apply(l.id(), "a", 0, record.Config{YAML: []byte(yaml)})
 		term := l.apply(l.id(), "a", 0, record.Lease{Name: "deployment", Holder: "a"}).Offset
 		seal := func(w int64) fold.Result {
-			return l.apply(uuid.New(), "a", term, record.UsageSeal{Lease: "deployment", Window: w})
+			return l.apply(uuid.New(), "a", term, record.UsageSeal{Lease: "deployment", Window: w, Previous: l.state.Billing.LastSeal})
 		}
 		for w := range int64(100) {
 			Expect(seal(w + 1).Verdict).To(Equal(fold.Accepted))
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -60,6 +60,7 @@
 	leases      map[string]*lease.Machine
 	members     *member.Table
 	targets     map[string][]platform.Target // by data centre
+	targetsAt   map[string]time.Duration     // when targets was asked for
 	loads       map[string]TargetLoad        // by target
 	own         []TargetLoad
 	waiters     map[record.ID]chan fold.Result
@@ -75,16 +76,17 @@
 // New returns a loop that has read nothing.
 func New(o Options) *Loop {
 	l := &Loop{
-		Options: o,
-		holder:  HolderName(o.Self),
-		inbox:   make(chan message, inboxSize),
-		ended:   make(chan struct{}),
-		state:   fold.New(),
-		leases:  map[string]*lease.Machine{},
-		targets: map[string][]platform.Target{},
-		loads:   map[string]TargetLoad{},
-		waiters: map[record.ID]chan fold.Result{},
-		routing: newRouting(),
+		Options:   o,
+		holder:    HolderName(o.Self),
+		inbox:     make(chan message, inboxSize),
+		ended:     make(chan struct{}),
+		state:     fold.New(),
+		leases:    map[string]*lease.Machine{},
+		targets:   map[string][]platform.Target{},
+		targetsAt: map[string]time.Duration{},
+		loads:     map[string]TargetLoad{},
+		waiters:   map[record.ID]chan fold.Result{},
+		routing:   newRouting(),
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
@@ -222,6 +224,8 @@
 
 func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
 
+func (m targetsAsked) handle(l *Loop) { l.targetsAt[m.dataCentre] = m.at }
+
 func (m heard) handle(l *Loop) {
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
 	for _, load := range m.beat.Loads {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -6,7 +6,6 @@
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
-	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
@@ -20,11 +19,10 @@
 
 // Heartbeat is what an instance tells its peers of itself.
 type Heartbeat struct {
-	Peer   member.Peer    `cbor:"1,keyasint"`
-	Offset record.Offset  `cbor:"2,keyasint"`
-	Digest [32]byte       `cbor:"3,keyasint"`
-	Loads  []TargetLoad   `cbor:"4,keyasint"`
-	Usage  []usage.Report `cbor:"5,keyasint"`
+	Peer   member.Peer   `cbor:"1,keyasint"`
+	Offset record.Offset `cbor:"2,keyasint"`
+	Digest [32]byte      `cbor:"3,keyasint"`
+	Loads  []TargetLoad  `cbor:"4,keyasint"`
 }
 
 // message is anything that the control goroutine takes.
@@ -45,6 +43,12 @@
 	targets    []platform.Target
 }
 
+// targetsAsked tells when the list of the last targetsRead was asked for.
+type targetsAsked struct {
+	dataCentre string
+	at         time.Duration
+}
+
 // heard is a heartbeat from a peer.
 type heard struct{ beat Heartbeat }
 
