--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -32,7 +32,7 @@
 	KindMirrorFetch Kind = 41
 	KindBatchPage   Kind = 42 // the rest of a batch that a forwarded call began
 	KindUnfit       Kind = 43 // targets taken out of service by a weight roll-out
-	KindUsage     Kind = 60
+	KindUsage       Kind = 60
 )
 
 // Hello opens a session.
