Plan: wanted capacity, cost limit, cheap reserve, drain before stop

Cause: only the minimum per service was started.

Change: targets from callers' load, samples or the trainers' step deadline, schedules ahead of demand, safe targets for callers and plain services, cheap ones for resumable sampling up to what one data centre may take with it, back-off where starts fail or targets are reclaimed, hysteresis and lifetime.

--- /dev/null
+++ b/core/config/capacity.go
@@ -0,0 +1,152 @@
+package config
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// Capacity sets how targets are ordered.
+type Capacity struct {
+	Utilisation float64       `yaml:"utilisation" cbor:"1,keyasint"` // share of a target's concurrency that is planned with
+	ShrinkAfter time.Duration `yaml:"shrinkAfter" cbor:"2,keyasint"` // a surplus lasts this long before a target is drained
+	MinLifetime time.Duration `yaml:"minLifetime" cbor:"3,keyasint"` // of a target before a surplus drains it
+	DrainSettle time.Duration `yaml:"drainSettle" cbor:"4,keyasint"` // from the drain to the first load report that counts
+	LossShare   float64       `yaml:"lossShare" cbor:"5,keyasint"`   // part of a service's targets that one cheap data centre may hold
+	OrderLag    time.Duration `yaml:"orderLag" cbor:"6,keyasint"`    // from an order's effect to its place in the list of targets
+	UTCOffset   time.Duration `yaml:"utcOffset" cbor:"7,keyasint"`   // of the site's local time
+}
+
+// Defaults of Capacity.
+const (
+	defaultUtilisation = 0.7
+	defaultShrinkAfter = 5 * time.Minute
+	defaultMinLifetime = 10 * time.Minute
+	defaultDrainSettle = 2 * time.Second
+	defaultLossShare   = 0.5
+	defaultOrderLag    = 2 * time.Second
+	maxUTCOffset       = 14 * time.Hour
+)
+
+func (c *Capacity) applyDefaults() {
+	setDefault(&c.Utilisation, defaultUtilisation)
+	setDefault(&c.ShrinkAfter, defaultShrinkAfter)
+	setDefault(&c.MinLifetime, defaultMinLifetime)
+	setDefault(&c.DrainSettle, defaultDrainSettle)
+	setDefault(&c.LossShare, defaultLossShare)
+	setDefault(&c.OrderLag, defaultOrderLag)
+}
+
+// Schedule raises a service's minimum at times that are known to be busy. Start
+// and End are local times of day, such as 16:30. A schedule with neither Weekday
+// nor Date holds every day.
+type Schedule struct {
+	Name       string `yaml:"name" cbor:"1,keyasint"`
+	Weekday    string `yaml:"weekday" cbor:"2,keyasint"` // such as wednesday
+	Date       string `yaml:"date" cbor:"3,keyasint"`    // such as 2026-03-04
+	Start      string `yaml:"start" cbor:"4,keyasint"`
+	End        string `yaml:"end" cbor:"5,keyasint"`
+	MinTargets int    `yaml:"minTargets" cbor:"6,keyasint"`
+}
+
+const (
+	timeOfDay = "15:04"
+	dateOnly  = time.DateOnly
+)
+
+// Holds reports whether the schedule holds at the site's local time, when targets
+// are started ahead of it by lead.
+func (s *Schedule) Holds(local time.Time, lead time.Duration) bool {
+	for _, t := range []time.Time{local, local.Add(lead)} {
+		if s.day(t) && s.timeOfDay(t) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Schedule) day(local time.Time) bool {
+	if s.Date != "" {
+		return local.Format(dateOnly) == s.Date
+	}
+	return s.Weekday == "" || strings.EqualFold(local.Weekday().String(), s.Weekday)
+}
+
+func (s *Schedule) timeOfDay(local time.Time) bool {
+	now := local.Format(timeOfDay)
+	return s.Start <= now && now < s.End
+}
+
+// Local returns the site's local time.
+func (c *Capacity) Local(t time.Time) time.Time {
+	return t.In(time.FixedZone("site", int(c.UTCOffset/time.Second)))
+}
+
+func (v *validator) capacity() {
+	c := v.cfg.Capacity
+	v.share("capacity.utilisation", c.Utilisation)
+	v.share("capacity.lossShare", c.LossShare)
+	v.positive("capacity.shrinkAfter", c.ShrinkAfter.Seconds())
+	v.positive("capacity.minLifetime", c.MinLifetime.Seconds())
+	v.positive("capacity.drainSettle", c.DrainSettle.Seconds())
+	v.positive("capacity.orderLag", c.OrderLag.Seconds())
+	if c.UTCOffset.Abs() > maxUTCOffset {
+		v.fault("capacity.utcOffset", "is %s, want at most %s either way", c.UTCOffset, maxUTCOffset)
+	}
+}
+
+// share checks a number above zero and up to one.
+func (v *validator) share(path string, value float64) {
+	if value <= 0 || value > 1 {
+		v.fault(path, "is %g, want more than zero and at most one", value)
+	}
+}
+
+func (v *validator) schedule(path string, s *Service) {
+	for i := range s.Schedule {
+		entry := &s.Schedule[i]
+		at := path + ".schedule[" + entry.Name + "]"
+		v.scheduleDay(at, entry)
+		v.scheduleTime(at+".start", entry.Start)
+		v.scheduleTime(at+".end", entry.End)
+		if entry.End <= entry.Start {
+			v.fault(at+".end", "is %q, not after the start %q; split a schedule at midnight", entry.End, entry.Start)
+		}
+		if entry.MinTargets < 1 || entry.MinTargets > s.MaxTargets {
+			v.fault(at+".minTargets", "is %d, want between 1 and maxTargets %d", entry.MinTargets, s.MaxTargets)
+		}
+	}
+}
+
+func (v *validator) scheduleDay(path string, s *Schedule) {
+	if s.Weekday != "" && s.Date != "" {
+		v.fault(path, "names a weekday and a date, want one of them")
+	}
+	if _, err := time.Parse(dateOnly, s.Date); s.Date != "" && err != nil {
+		v.fault(path+".date", "is %q, want a date such as 2026-03-04", s.Date)
+	}
+	if s.Weekday != "" && !isWeekday(s.Weekday) {
+		v.fault(path+".weekday", "is %q, want a day such as wednesday", s.Weekday)
+	}
+}
+
+func isWeekday(name string) bool {
+	for day := time.Sunday; day <= time.Saturday; day++ {
+		if strings.EqualFold(day.String(), name) {
+			return true
+		}
+	}
+	return false
+}
+
+func (v *validator) scheduleTime(path, value string) {
+	t, err := time.Parse(timeOfDay, value)
+	if err != nil || t.Format(timeOfDay) != value {
+		v.fault(path, "is %q, want a time of day such as 16:30", value)
+	}
+}
+
+// String formats the schedule for events and reports.
+func (s *Schedule) String() string {
+	return fmt.Sprintf("%s (%s%s %s-%s)", s.Name, s.Weekday, s.Date, s.Start, s.End)
+}
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -28,6 +28,7 @@
 	Cost        Cost         `yaml:"cost" cbor:"7,keyasint"`
 	Usage       Usage        `yaml:"usage" cbor:"8,keyasint"`
 	Control     Control      `yaml:"control" cbor:"9,keyasint"`
+	Capacity    Capacity     `yaml:"capacity" cbor:"60,keyasint"`
 }
 
 // DataCentre is one failure domain of the region.
@@ -50,7 +51,10 @@
 	CostPerHour   float64       `yaml:"costPerHour" cbor:"10,keyasint"`  // currency units per running target
 	CheapPerHour  float64       `yaml:"cheapPerHour" cbor:"11,keyasint"` // the same on reclaimable targets
 	Routes        []Route       `yaml:"routes" cbor:"12,keyasint"`       // plain services only
-	SwapParallel  int           `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
+	// TokensPerSecond is what one engine generates under full load.
+	TokensPerSecond float64    `yaml:"tokensPerSecond" cbor:"60,keyasint"`
+	Schedule        []Schedule `yaml:"schedule" cbor:"61,keyasint"`     // times that are known to be busy
+	SwapParallel    int        `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
 }
 
 // Route describes the calls below one path of a plain service.
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -47,6 +47,7 @@
 	setDefault(&c.Control.Heartbeat, defaultHeartbeat)
 	setDefault(&c.Control.FreshFor, defaultFreshFor)
 	setDefault(&c.Control.OrderFlight, defaultOrderFlight)
+	c.Capacity.applyDefaults()
 	setDefault(&c.Control.LogKeep, defaultLogKeep)
 	setDefault(&c.Control.LogKeepFor, defaultLogKeepFor)
 	setDefault(&c.Control.LogReaders, defaultLogReaders)
@@ -77,6 +78,7 @@
 	v.accounts()
 	v.trainers()
 	v.timing()
+	v.capacity()
 	v.positive("cost.limitPerHour", cfg.Cost.LimitPerHour)
 }
 
@@ -128,6 +130,8 @@
 		v.notNegative(path+".costPerHour", s.CostPerHour)
 		v.notNegative(path+".cheapPerHour", s.CheapPerHour)
 		v.notNegative(path+".startUp", float64(s.StartUp))
+		v.notNegative(path+".tokensPerSecond", s.TokensPerSecond)
+		v.schedule(path, s)
 		v.notNegative(path+".swapParallel", float64(s.SwapParallel))
 		if other, taken := models[s.Model]; taken && s.Model != "" {
 			v.fault(path+".model", "is %q, which service %q already serves", s.Model, other)
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -1,23 +1,49 @@
-// Package plan decides which targets to start and stop.
+// Package plan decides which targets to start, drain and stop, and what became of
+// orders whose answers were lost. It performs no I/O: times, demand and what the
+// platform lists are passed in.
+//
+// Two invariants hold for every decision. What the listed targets and the starts
+// cost together is within the cost limit, or no start is in the decision. And a
+// target is stopped only when it was drained, after which its owner reported that
+// nothing runs there.
 package plan
 
 import (
-	"sort"
+	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/record"
 )
 
+// State is a target's state as planning sees it. Targets of every state cost.
+type State uint8
+
+// The states of a target.
+const (
+	Starting State = iota + 1 // ordered or starting
+	Running
+	Draining // gets no new work; stopped once idle
+	Leaving  // the platform takes it, or a stop is under way
+	Lost     // ordered where the interface does not answer
+)
+
 // Target is a target that the platform lists or that an open order starts.
 type Target struct {
-	ID         string
+	ID         string // empty while only ordered
 	Service    string
 	DataCentre string
 	Cheap      bool
-	Leaving    bool
+	State      State
+	Since      time.Duration // when it was first seen
+	Load       int           // requests granted and waiting, as its owner reported
+	LoadAt     time.Duration // when that was reported; zero: never
+	DrainSince time.Duration // when the drain was first seen
 }
 
-// Order is a wanted change.
+// serves reports whether the target counts as capacity, now or soon.
+func (t *Target) serves() bool { return t.State == Starting || t.State == Running }
+
+// Order is a wanted start or stop.
 type Order struct {
 	Action     record.Action
 	Service    string
@@ -26,48 +52,101 @@
 	Target     string // for a stop
 }
 
-// Missing returns the starts that bring every service to its minimum, spread
-// over the data centres that do not reclaim targets.
-func Missing(cfg *config.Config, targets []Target) []Order {
-	var orders []Order
-	for i := range cfg.Services {
-		orders = append(orders, missing(cfg, &cfg.Services[i], targets)...)
-	}
-	return orders
+// Place is where targets of one kind are ordered.
+type Place struct {
+	Service    string
+	DataCentre string
+	Cheap      bool
 }
 
-func missing(cfg *config.Config, s *config.Service, targets []Target) []Order {
-	perDC := map[string]int{}
-	total := 0
-	for _, t := range targets {
-		if t.Service == s.Name && !t.Leaving {
-			perDC[t.DataCentre]++
-			total++
-		}
-	}
-	var orders []Order
-	for ; total < s.MinTargets; total++ {
-		dc := emptiest(cfg, perDC)
-		if dc == "" {
-			return orders
+// Input is what a decision is made from.
+type Input struct {
+	Now     time.Duration // reading of the instance's clock
+	Wall    time.Time     // for schedules only
+	Targets []Target
+	Demand  map[string]Demand // by service
+	Down    map[string]bool   // data centres whose order interface does not answer
+}
+
+// Decision is what to do now.
+type Decision struct {
+	Starts []Order
+	Drains []string // targets that get no new work from now on
+	Stops  []Order
+	Held   int // starts that the cost limit prevented
+}
+
+// Planner keeps what decisions remember of earlier ones. A new one, as after a
+// change of the instance in charge, waits the whole time before it shrinks.
+type Planner struct {
+	surplusSince map[surplus]time.Duration
+	failures     map[Place]failure
+}
+
+type surplus struct {
+	service string
+	cheap   bool
+}
+
+type failure struct {
+	count int
+	until time.Duration
+}
+
+// Back-off of a place whose starts fail.
+const (
+	firstBackoff  = 2 * time.Second
+	maxBackoff    = 5 * time.Minute
+	reclaimPause  = 10 * time.Minute // no cheap starts where targets were reclaimed
+	maxBackoffExp = 8
+)
+
+// NewPlanner returns a planner that remembers nothing.
+func NewPlanner() *Planner {
+	return &Planner{surplusSince: map[surplus]time.Duration{}, failures: map[Place]failure{}}
+}
+
+// Failed notes that a start in the place failed; further ones wait, longer each time.
+func (p *Planner) Failed(now time.Duration, at Place) {
+	f := p.failures[at]
+	f.count = min(f.count+1, maxBackoffExp)
+	f.until = now + min(firstBackoff<<(f.count-1), maxBackoff)
+	p.failures[at] = f
+}
+
+// Succeeded notes that a start in the place was accepted.
+func (p *Planner) Succeeded(at Place) { delete(p.failures, at) }
+
+// noteReclaims pauses cheap starts in data centres that take targets back.
+func (p *Planner) noteReclaims(in *Input) {
+	for i := range in.Targets {
+		t := &in.Targets[i]
+		if t.State != Leaving || !t.Cheap || t.DrainSince > 0 {
+			continue
 		}
-		perDC[dc]++
-		orders = append(orders, Order{Action: record.ActionStart, Service: s.Name, DataCentre: dc})
+		at := Place{t.Service, t.DataCentre, true}
+		p.failures[at] = failure{count: p.failures[at].count, until: in.Now + reclaimPause}
 	}
-	return orders
 }
 
-// emptiest returns the safe data centre with the fewest targets.
-func emptiest(cfg *config.Config, perDC map[string]int) string {
-	var names []string
-	for _, dc := range cfg.DataCentres {
-		if !dc.Cheap {
-			names = append(names, dc.Name)
-		}
+func (p *Planner) blocked(in *Input, at Place) bool {
+	return in.Down[at.DataCentre] || in.Now < p.failures[at].until
+}
+
+// Plan returns what to do now.
+func (p *Planner) Plan(cfg *config.Config, in Input) Decision {
+	p.noteReclaims(&in)
+	r := newRound(p, cfg, &in)
+	for i := range cfg.Services {
+		r.minimum(&cfg.Services[i])
+	}
+	for i := range cfg.Services {
+		r.grow(&cfg.Services[i])
 	}
-	sort.SliceStable(names, func(i, j int) bool { return perDC[names[i]] < perDC[names[j]] })
-	if len(names) == 0 {
-		return ""
+	for i := range cfg.Services {
+		r.shrink(&cfg.Services[i])
 	}
-	return names[0]
+	r.economise()
+	r.stop()
+	return r.out
 }
--- /dev/null
+++ b/core/plan/round.go
@@ -0,0 +1,258 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/record"
+)
+
+// shrinkPart of a service's targets is drained at once, at least one.
+const shrinkPart = 10
+
+// round is one decision in the making.
+type round struct {
+	p     *Planner
+	cfg   *config.Config
+	in    *Input
+	spend float64 // currency units per hour, of all targets and the starts so far
+	needs map[string]Need
+	have  map[Place]int // targets that serve, by place
+	out   Decision
+}
+
+func newRound(p *Planner, cfg *config.Config, in *Input) *round {
+	r := &round{p: p, cfg: cfg, in: in, needs: map[string]Need{}, have: map[Place]int{}}
+	for i := range cfg.Services {
+		s := &cfg.Services[i]
+		r.needs[s.Name] = NeedOf(cfg, s, in.Demand[s.Name], in.Wall)
+	}
+	in.Targets = slices.Clone(in.Targets)
+	for i := range in.Targets {
+		t := &in.Targets[i]
+		r.spend += r.price(t.Service, t.Cheap)
+		if t.serves() {
+			r.have[Place{t.Service, t.DataCentre, t.Cheap}]++
+		}
+	}
+	return r
+}
+
+// price returns the cost per hour of a target. One of a service that is not
+// configured any more is not known to cost anything.
+func (r *round) price(service string, cheap bool) float64 {
+	s := r.cfg.Service(service)
+	switch {
+	case s == nil:
+		return 0
+	case cheap:
+		return s.CheapPerHour
+	default:
+		return s.CostPerHour
+	}
+}
+
+// count returns the service's serving targets of one kind.
+func (r *round) count(service string, cheap bool) int {
+	n := 0
+	for at, have := range r.have {
+		if at.Service == service && at.Cheap == cheap {
+			n += have
+		}
+	}
+	return n
+}
+
+// minimum orders the safe targets that the service runs at all times.
+func (r *round) minimum(s *config.Service) {
+	for have := r.total(s); have < s.MinTargets; have++ {
+		if at, found := r.place(s, false); !found || !r.start(s, at) {
+			return
+		}
+	}
+}
+
+// grow orders what the service needs. Safe targets stand in for cheap ones that
+// cannot be had.
+func (r *round) grow(s *config.Service) {
+	need := r.needs[s.Name]
+	for cheap := r.count(s.Name, true); cheap < need.Cheap && r.total(s) < s.MaxTargets; cheap++ {
+		if at, found := r.place(s, true); !found || !r.start(s, at) {
+			break
+		}
+	}
+	for r.total(s) < need.Total() || r.count(s.Name, false) < need.Safe && r.total(s) < s.MaxTargets {
+		if at, found := r.place(s, false); !found || !r.start(s, at) {
+			return
+		}
+	}
+}
+
+// total returns the service's serving targets.
+func (r *round) total(s *config.Service) int { return r.count(s.Name, false) + r.count(s.Name, true) }
+
+// place returns the data centre with the fewest targets that may get one more.
+func (r *round) place(s *config.Service, cheap bool) (Place, bool) {
+	best, found := Place{}, false
+	for _, dc := range r.cfg.DataCentres {
+		at := Place{s.Name, dc.Name, cheap}
+		if dc.Cheap != cheap || r.p.blocked(r.in, at) {
+			continue
+		}
+		if cheap && r.have[at] >= perDataCentre(r.cfg, r.needs[s.Name].Total()) {
+			continue
+		}
+		if !found || r.have[at] < r.have[best] {
+			best, found = at, true
+		}
+	}
+	return best, found
+}
+
+// start orders a target unless the cost limit prevents it.
+func (r *round) start(s *config.Service, at Place) bool {
+	price := r.price(s.Name, at.Cheap)
+	if r.spend+price > r.cfg.Cost.LimitPerHour {
+		r.out.Held++
+		return false
+	}
+	r.spend += price
+	r.have[at]++
+	r.out.Starts = append(r.out.Starts, Order{Action: record.ActionStart, Service: s.Name, DataCentre: at.DataCentre, Cheap: at.Cheap})
+	return true
+}
+
+// shrink drains targets of a surplus that has lasted.
+func (r *round) shrink(s *config.Service) {
+	need := r.needs[s.Name]
+	for _, cheap := range []bool{false, true} {
+		want := need.Safe
+		if cheap {
+			want = need.Cheap
+		}
+		key := surplus{s.Name, cheap}
+		over := r.count(s.Name, cheap) - want
+		// Safe targets stand in for cheap ones that cannot be had.
+		over = min(over, r.total(s)-need.Total())
+		since, known := r.p.surplusSince[key]
+		switch {
+		case over <= 0:
+			delete(r.p.surplusSince, key)
+		case !known:
+			r.p.surplusSince[key] = r.in.Now
+		case r.in.Now-since >= r.shrinkAfter(s.Name):
+			r.p.surplusSince[key] = r.in.Now
+			r.drain(s.Name, cheap, min(over, max(1, r.count(s.Name, cheap)/shrinkPart)))
+		}
+	}
+}
+
+// shrinkAfter returns how long a surplus must last: a whole step where steps are
+// sampled, because their need falls until the next one starts.
+func (r *round) shrinkAfter(service string) time.Duration {
+	after := r.cfg.Capacity.ShrinkAfter
+	if len(r.in.Demand[service].Steps) == 0 {
+		return after
+	}
+	for i := range r.cfg.Trainers {
+		if t := &r.cfg.Trainers[i]; t.Service == service {
+			after = max(after, t.StepDeadline)
+		}
+	}
+	return after
+}
+
+// drain takes up to n targets from the data centres with the most, the idlest first.
+func (r *round) drain(service string, cheap bool, n int) {
+	for range n {
+		var best *Target
+		for i := range r.in.Targets {
+			t := &r.in.Targets[i]
+			young := r.in.Now-t.Since < r.cfg.Capacity.MinLifetime
+			if t.Service != service || t.Cheap != cheap || t.State != Running || young {
+				continue
+			}
+			if best == nil || r.prefer(t, best) < 0 {
+				best = t
+			}
+		}
+		if best == nil {
+			return
+		}
+		r.take(best)
+	}
+}
+
+func (r *round) prefer(a, b *Target) int {
+	return cmp.Or(
+		cmp.Compare(r.have[Place{b.Service, b.DataCentre, b.Cheap}], r.have[Place{a.Service, a.DataCentre, a.Cheap}]),
+		cmp.Compare(a.Load, b.Load),
+		cmp.Compare(a.ID, b.ID),
+	)
+}
+
+func (r *round) take(t *Target) {
+	r.have[Place{t.Service, t.DataCentre, t.Cheap}]--
+	t.State, t.DrainSince = Draining, r.in.Now
+	r.out.Drains = append(r.out.Drains, t.ID)
+}
+
+// economise drains targets while the deployment costs more than its limit, as
+// after the limit was lowered: the last service first, above its minimum first.
+func (r *round) economise() {
+	after := 0.0
+	for i := range r.in.Targets {
+		if t := &r.in.Targets[i]; t.serves() || t.State == Lost {
+			after += r.price(t.Service, t.Cheap)
+		}
+	}
+	for _, floor := range []bool{true, false} {
+		for i := len(r.cfg.Services) - 1; i >= 0; i-- {
+			s := &r.cfg.Services[i]
+			for after > r.cfg.Cost.LimitPerHour {
+				if floor && r.total(s) <= s.MinTargets {
+					break
+				}
+				t := r.dearest(s.Name)
+				if t == nil {
+					break
+				}
+				after -= r.price(t.Service, t.Cheap)
+				r.take(t)
+			}
+		}
+	}
+}
+
+// dearest returns the service's running target that costs most, the idlest first.
+func (r *round) dearest(service string) *Target {
+	var best *Target
+	for i := range r.in.Targets {
+		t := &r.in.Targets[i]
+		if t.Service != service || t.State != Running {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(r.price(best.Service, best.Cheap), r.price(t.Service, t.Cheap)), cmp.Compare(t.Load, best.Load)) < 0 {
+			best = t
+		}
+	}
+	return best
+}
+
+// stop orders the end of drained targets that are idle. The report of their load
+// must be newer than the time that a drain takes to reach every instance.
+func (r *round) stop() {
+	for i := range r.in.Targets {
+		t := &r.in.Targets[i]
+		settled := t.DrainSince + r.cfg.Capacity.DrainSettle
+		if t.State != Draining || t.Load > 0 || t.LoadAt < settled || r.in.Now < settled {
+			continue
+		}
+		r.out.Stops = append(r.out.Stops, Order{
+			Action: record.ActionStop, Service: t.Service, DataCentre: t.DataCentre, Cheap: t.Cheap, Target: t.ID,
+		})
+	}
+	slices.SortFunc(r.out.Stops, func(a, b Order) int { return cmp.Compare(a.Target, b.Target) })
+}
