--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -104,6 +104,27 @@
 	return findings
 }
 
+// Description is a setting as documentation lists it.
+type Description struct{ Flag, Env, Default, Help string }
+
+// Name is the flag, or the variable of settings that have no flag.
+func (d Description) Name() string {
+	if d.Flag == "" {
+		return d.Env
+	}
+	return "--" + d.Flag
+}
+
+// All describes every setting.
+func All() []Description {
+	settings := table()
+	out := make([]Description, len(settings))
+	for i, s := range settings {
+		out[i] = Description{Flag: s.flag, Env: s.env, Default: s.fallback, Help: s.help}
+	}
+	return out
+}
+
 func (s setting) name() string {
 	if s.secret {
 		return s.env
