--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -45,6 +45,8 @@
 	Err      error // the reason unless accepted
 	// Claims holds a decision per claim of an accepted Claims record.
 	Claims []claim.Decision
+	// LeaseTaken tells that an accepted lease record began a new term.
+	LeaseTaken bool
 }
 
 // ErrGap is returned when a record does not follow the last one folded.
@@ -69,6 +71,7 @@
 		if b, ok := res.Body.(record.Claims); ok {
 			res.Claims = s.foldClaims(res.Envelope.Author, b)
 		}
+		res.LeaseTaken = s.leaseTaken(res)
 	}
 	return res, nil
 }
@@ -153,6 +156,11 @@
 	return Accepted, nil
 }
 
+func (s *State) leaseTaken(res Result) bool {
+	b, ok := res.Body.(record.Lease)
+	return ok && res.Verdict == Accepted && b.Holder != "" && s.Leases[b.Name].Term == res.Offset
+}
+
 // inCharge reports whether fencing is the current term of the author's lease.
 func (s *State) inCharge(lease, author string, fencing record.Offset) error {
 	cur := s.Leases[lease]
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -33,9 +33,9 @@
 	Windows      map[int64]fold.Window
 	Orders       map[string]fold.Order // announced and not settled, by order id
 	Platform     []platform.Target
+	OwnLoads     []TargetLoad // of the targets that this instance owns
 	Digest       [32]byte
 	FreshAt      time.Duration            // when the log last proved Offset to be its end
-	Own          []TargetLoad             // targets whose queues this instance owns
 	Drains       map[string]record.Offset // targets that operators drain, since when
 }
 
