--- a/internal/caller/claims.go
+++ b/internal/caller/claims.go
@@ -44,6 +44,7 @@
 type pendingClaim struct {
 	claim   claim.Claim
 	decided chan claim.Decision
+	failed  chan error
 }
 
 func newClaims(loop *control.Loop, wall func() time.Time) *claims {
@@ -55,7 +56,7 @@
 func (c *claims) take(ctx context.Context, key claim.Key, digest uint64) (claim.Decision, error) {
 	ctx, cancel := context.WithTimeout(ctx, claimTimeout)
 	defer cancel()
-	p := &pendingClaim{claim: claim.Claim{Key: key, ID: claim.ID(uuid.New()), Digest: digest}, decided: make(chan claim.Decision, 1)}
+	p := &pendingClaim{claim: claim.Claim{Key: key, ID: claim.ID(uuid.New()), Digest: digest}, decided: make(chan claim.Decision, 1), failed: make(chan error, 1)}
 	select {
 	case c.queue <- p:
 	case <-ctx.Done():
@@ -64,6 +65,11 @@
 	select {
 	case d := <-p.decided:
 		return d, nil
+	case err := <-p.failed:
+		if !errors.Is(err, control.ErrNotAppended) {
+			c.giveUp(p.claim.ID)
+		}
+		return claim.Decision{}, errNoClaim
 	case <-ctx.Done():
 		c.giveUp(p.claim.ID)
 		return claim.Decision{}, errNoClaim
@@ -123,11 +129,12 @@
 		body.Claims = append(body.Claims, p.claim)
 	}
 	res, err := c.loop.Append(ctx, 0, body)
-	if err != nil {
-		return // the claimants give up at their own time
-	}
-	for i, d := range res.Claims {
-		batch[i].decided <- d
+	for i, p := range batch {
+		if err != nil {
+			p.failed <- err
+		} else {
+			p.decided <- res.Claims[i]
+		}
 	}
 }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -35,7 +35,7 @@
 	Self       member.Peer
 	Deployment string
 	Clock      clock.Clock
-	Log        *platform.Log
+	Log        LogClient
 	List       *platform.List
 	Orders     func(dataCentre string) *platform.Orders
 	Peers      *peer.Pool
@@ -48,6 +48,7 @@
 	holder string // name in leases: instance and incarnation
 
 	inbox    chan message
+	ended    chan struct{} // closed when the control goroutine has ended
 	snapshot atomic.Pointer[Snapshot]
 	guards   atomic.Pointer[map[string]Guard]
 	appender *appender
@@ -63,10 +64,13 @@
 	own         []TargetLoad
 	waiters     map[record.ID]chan fold.Result
 	freshAt     time.Duration
-	keys        map[[32]byte]fold.Key
+	routing     *routing
+	keys        *KeyIndex
+	keyDigests  map[string][32]byte // by key id
 	keysVersion uint64
 	digest      [32]byte
 	leaving     bool
+	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
 
 // New returns a loop that has read nothing.
@@ -75,15 +79,17 @@
 		Options: o,
 		holder:  HolderName(o.Self),
 		inbox:   make(chan message, inboxSize),
+		ended:   make(chan struct{}),
 		state:   fold.New(),
 		leases:  map[string]*lease.Machine{},
 		targets: map[string][]platform.Target{},
 		loads:   map[string]TargetLoad{},
 		waiters: map[record.ID]chan fold.Result{},
-		keys:    map[[32]byte]fold.Key{},
+		routing: newRouting(),
 	}
+	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
-	l.appender = newAppender(o.Log, o.Clock, o.Events.Stamp)
+	l.appender = newAppender(o.Log, o.Clock, o.Events)
 	l.guards.Store(&map[string]Guard{})
 	l.publish()
 	return l
@@ -111,6 +117,7 @@
 }
 
 func (l *Loop) loop(ctx context.Context) error {
+	defer close(l.ended)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
@@ -130,6 +137,7 @@
 func (l *Loop) post(ctx context.Context, m message) {
 	select {
 	case l.inbox <- m:
+	case <-l.ended:
 	case <-ctx.Done():
 	}
 }
@@ -173,8 +181,15 @@
 		l.machine(b.Name).Observe(now, res.Envelope.ID, res.Verdict, l.state.Leases[b.Name])
 	case record.Config:
 		l.configured(res)
-	case record.KeyGrant, record.KeyWithdraw:
-		l.indexKeys()
+	case record.TargetDrain:
+		l.drainsChanged()
+	case record.KeyGrant:
+		l.keyGranted(b.KeyID)
+	case record.KeyWithdraw:
+		l.keyWithdrawn(b.KeyID)
+	}
+	if res.Envelope.Author == l.holder {
+		l.appender.settle(res.Envelope.ID)
 	}
 	if w, ok := l.waiters[res.Envelope.ID]; ok {
 		delete(l.waiters, res.Envelope.ID)
@@ -197,14 +212,6 @@
 	return lease.Timing{Term: cfg.Control.LeaseTerm, DriftMargin: cfg.Control.DriftMargin}
 }
 
-func (l *Loop) indexKeys() {
-	l.keys = make(map[[32]byte]fold.Key, len(l.state.Keys))
-	for _, k := range l.state.Keys {
-		l.keys[k.Digest] = k
-	}
-	l.keysVersion++
-}
-
 func (m listRead) handle(l *Loop) {
 	peers := make([]member.Peer, 0, len(m.instances))
 	for _, i := range m.instances {
@@ -216,19 +223,19 @@
 	l.members.List(l.Clock.Now(), peers)
 }
 
-func (m targetsRead) handle(l *Loop) { l.targets[m.dataCentre] = m.targets }
+func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
 
 func (m heard) handle(l *Loop) {
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
 	for _, load := range m.beat.Loads {
-		l.loads[load.Target] = load
+		l.setLoad(load)
 	}
 }
 
 func (m ownLoads) handle(l *Loop) {
 	l.own = m.loads
 	for _, load := range m.loads {
-		l.loads[load.Target] = load
+		l.setLoad(load)
 	}
 }
 
@@ -256,11 +263,23 @@
 	now := l.Clock.Now()
 	for _, m := range l.leases {
 		if a := m.Tick(now, newID); a != nil {
-			l.appender.submit(a.ID, l.holder, a.Supersedes, a.Body)
+			l.appendLease(now, a)
 		}
 	}
 }
 
+// appendLease queues a lease record until its term has passed; by then it could
+// only void a newer one. A record that cannot be queued counts as lost.
+func (l *Loop) appendLease(now time.Duration, a *lease.Append) {
+	data, err := l.encode(a.ID, l.state.Applied, a.Supersedes, a.Body)
+	if err == nil {
+		err = l.appender.submit(&entry{id: a.ID, class: classUrgent, data: [][]byte{data}, until: now + a.Body.Duration})
+	}
+	if err != nil {
+		l.Events.Record("lease record lost", events.F("lease", a.Body.Name), events.F("error", err.Error()))
+	}
+}
+
 func (l *Loop) machine(name string) *lease.Machine {
 	m := l.leases[name]
 	if m == nil {
