--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -47,6 +47,7 @@
 	setDefault(&c.Control.Heartbeat, defaultHeartbeat)
 	setDefault(&c.Control.FreshFor, defaultFreshFor)
 	setDefault(&c.Control.OrderFlight, defaultOrderFlight)
+	applyRetryDefaults(&c.Retries)
 	setDefault(&c.Control.LogKeep, defaultLogKeep)
 	setDefault(&c.Control.LogKeepFor, defaultLogKeepFor)
 	setDefault(&c.Control.LogReaders, defaultLogReaders)
@@ -77,6 +78,7 @@
 	v.accounts()
 	v.trainers()
 	v.timing()
+	v.retries()
 	v.positive("cost.limitPerHour", cfg.Cost.LimitPerHour)
 }
 
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -309,6 +309,12 @@
 		return bodyOf[Batch](env)
 	case KindBatchAck:
 		return bodyOf[BatchAck](env)
+	case KindClaims:
+		return bodyOf[Claims](env)
+	case KindClaimsVoid:
+		return bodyOf[ClaimsVoid](env)
+	case KindTargetDrain:
+		return bodyOf[TargetDrain](env)
 	case KindCheckpoint:
 		return bodyOf[Checkpoint](env)
 	default:
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -71,6 +71,7 @@
 	keysVersion uint64
 	digest      [32]byte
 	leaving     bool
+	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
 
 // New returns a loop that has read nothing.
@@ -182,6 +183,8 @@
 		l.machine(b.Name).Observe(now, res.Envelope.ID, res.Verdict, l.state.Leases[b.Name])
 	case record.Config:
 		l.configured(res)
+	case record.TargetDrain:
+		l.drainsChanged()
 	case record.KeyGrant:
 		l.keyGranted(b.KeyID)
 	case record.KeyWithdraw:
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -61,5 +61,6 @@
 		Billing:      l.state.Billing.Clone(),
 		Digest:       l.digest,
 		FreshAt:      l.freshAt,
+		Drains:       l.drains,
 	})
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -39,7 +39,8 @@
 	TargetsAt map[string]time.Duration
 	Billing   fold.Billing
 	Digest    [32]byte
-	FreshAt   time.Duration // when the log last proved Offset to be its end
+	FreshAt   time.Duration            // when the log last proved Offset to be its end
+	Drains    map[string]record.Offset // targets that operators drain, since when
 }
 
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
@@ -48,6 +49,9 @@
 	return s.Keys.Get(sha256.Sum256([]byte(secret)))
 }
 
+// Drained reports whether operators have taken new work from the target.
+func (s *Snapshot) Drained(target string) bool { return s.Drains[target] > 0 }
+
 // Fresh reports whether the snapshot was proved current within bound of now.
 func (s *Snapshot) Fresh(now, bound time.Duration) bool { return now-s.FreshAt <= bound }
 
--- a/internal/control/timeline.go
+++ b/internal/control/timeline.go
@@ -47,6 +47,8 @@
 		return "key withdrawn in the log", []events.Field{events.F("account", b.Account), events.F("keyId", b.KeyID)}
 	case record.Lease:
 		return describeLease(res, b)
+	case record.TargetDrain:
+		return describeDrain(b), []events.Field{events.F("target", b.Target), events.F("actor", b.Actor)}
 	case record.OrderIntent:
 		return "order intended", []events.Field{
 			events.F("order", b.OrderID), events.F("action", string(b.Action)), events.F("service", b.Service),
@@ -67,6 +69,13 @@
 	}
 }
 
+func describeDrain(b record.TargetDrain) string {
+	if b.Undo {
+		return "target drain undone"
+	}
+	return "target drained"
+}
+
 func describeLease(res fold.Result, b record.Lease) (string, []events.Field) {
 	switch {
 	case b.Holder == "":
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -147,7 +147,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	callers := caller.New(caller.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	trainers := samples.New(ctx, samples.Options{
 		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
@@ -162,7 +162,7 @@
 		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, trainers: trainers, usage: exchange}, i.Events)
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, usage: exchange}, i.Events)
 	g.Go(func() error { return peers.Serve(ctx, i.peers) })
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
@@ -191,6 +191,7 @@
 // peerHandler answers peers' messages.
 type peerHandler struct {
 	instance *Instance
+	callers  *caller.Server
 	trainers *samples.Manager
 	usage    *metering.Exchange
 }
@@ -211,6 +212,8 @@
 		return nil, h.instance.Dispatch.HandleFinish(body)
 	case peer.KindUsage:
 		return h.usage.HandleBatch(body)
+	case peer.KindAnswer:
+		return h.callers.HandleAnswer(ctx, body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
 	case peer.KindMirrorPut:
