Control: checkpoints, joining, digests, following through peers

Cause: an instance that started after the log had trimmed its first record retried for ever; the digest was never computed; an instance cut off from the log alone stopped serving keyed routes though its peers knew the log's end.

Change: checkpoints are written by the instance whose turn it is, eight within the retention by records and by time; an instance joins from the newest in the log, else from a peer's state that the log still follows on, else it stays without configuration. Heartbeats carry the chain digest; an instance that at least half of the others differ from stops its control roles, joins again and shows nothing older than it has shown. A record of a format it cannot read halts it. Records and proofs of freshness are relayed by peers; control.logReaders instances per data centre read the log themselves.

--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -71,7 +71,7 @@
 			for i := range 100 {
 				add(s, i)
 			}
-			one, two := 0, 0
+			one := 0
 			for range b.N {
 				data, err := s.Encode()
 				if err != nil {
@@ -86,8 +86,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			two = len(data)
-			b.ReportMetric(float64(two-one)/100, "bytes/"+name)
+			b.ReportMetric(float64(len(data)-one)/100, "bytes/"+name)
 		})
 	}
 }
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -148,3 +148,26 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+// Hash spreads an id over the whole range.
+func Hash(id string) uint64 { return mix(xxhash.Sum64String(id)) }
+
+// Rank returns the n ids with the highest rendezvous hash for key, highest
+// first. Its first is Owner's choice.
+func Rank(key string, ids []string, n int) []string {
+	type scored struct {
+		id    string
+		score uint64
+	}
+	keyHash := xxhash.Sum64String(key)
+	all := make([]scored, len(ids))
+	for i, id := range ids {
+		all[i] = scored{id, mix(keyHash ^ xxhash.Sum64String(id))}
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].score > all[j].score })
+	out := make([]string, min(n, len(all)))
+	for i := range out {
+		out[i] = all[i].id
+	}
+	return out
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -52,39 +52,54 @@
 	snapshot atomic.Pointer[Snapshot]
 	guards   atomic.Pointer[map[string]Guard]
 	appender *appender
+	recent   *recentLog
 	// beatExtra adds what other packages tell peers in each heartbeat.
 	beatExtra atomic.Pointer[func(*Heartbeat)]
 
 	// The rest belongs to the control goroutine.
-	state       *fold.State
-	leases      map[string]*lease.Machine
-	members     *member.Table
-	targets     map[string][]platform.Target // by data centre
-	loads       map[string]TargetLoad        // by target
-	own         []TargetLoad
-	waiters     map[record.ID]chan fold.Result
-	freshAt     time.Duration
+	state     *fold.State
+	leases    map[string]*lease.Machine
+	members   *member.Table
+	targets   map[string][]platform.Target // by data centre
+	loads     map[string]TargetLoad        // by target
+	own       []TargetLoad
+	waiters   map[record.ID]chan fold.Result
+	freshAt   time.Duration
+	proved    bool   // the log has once shown its end
+	halted    string // why the control roles have stopped; empty: they have not
+	agreement *agreement
+
+	encoded          []record.Checkpoint // the state as last given to a joining peer
+	encodedAt        time.Duration
+	checkpointSeen   record.Offset // state.Checkpoint.Offset when last looked at
+	checkpointAt     time.Duration // when it changed
+	checkpointSent   record.Offset // state of the checkpoint that this instance last wrote
+	checkpointSentAt time.Duration
+
 	keys        map[[32]byte]fold.Key
 	keysVersion uint64
-	digest      [32]byte
+	keyCount    int // keys when the index was last known to match
 	leaving     bool
 }
 
 // New returns a loop that has read nothing.
 func New(o Options) *Loop {
 	l := &Loop{
-		Options: o,
-		holder:  HolderName(o.Self),
-		inbox:   make(chan message, inboxSize),
-		ended:   make(chan struct{}),
-		state:   fold.New(),
-		leases:  map[string]*lease.Machine{},
-		targets: map[string][]platform.Target{},
-		loads:   map[string]TargetLoad{},
-		waiters: map[record.ID]chan fold.Result{},
-		keys:    map[[32]byte]fold.Key{},
+		Options:   o,
+		holder:    HolderName(o.Self),
+		inbox:     make(chan message, inboxSize),
+		ended:     make(chan struct{}),
+		recent:    newRecentLog(),
+		agreement: newAgreement(),
+		state:     fold.New(),
+		leases:    map[string]*lease.Machine{},
+		targets:   map[string][]platform.Target{},
+		loads:     map[string]TargetLoad{},
+		waiters:   map[record.ID]chan fold.Result{},
+		keys:      map[[32]byte]fold.Key{},
 	}
 	l.members = member.NewTable(o.Self, time.Second)
+	l.checkpointAt = o.Clock.Now()
 	l.appender = newAppender(o.Log, o.Clock, o.Events)
 	l.guards.Store(&map[string]Guard{})
 	l.publish()
@@ -150,24 +165,6 @@
 // Yield releases every lease and stops owning queues.
 func (l *Loop) Yield(ctx context.Context) { l.post(ctx, yield{}) }
 
-func (m logRead) handle(l *Loop) {
-	now := l.Clock.Now()
-	for _, r := range m.reply.Records {
-		if record.Offset(r.Offset) <= l.state.Applied {
-			continue
-		}
-		res, err := l.state.Apply(record.Offset(r.Offset), r.Data)
-		if err != nil {
-			l.Events.Record("log gap", events.F("error", err.Error()))
-			return
-		}
-		l.folded(now, res)
-	}
-	if l.state.Applied+1 >= record.Offset(m.reply.Next) {
-		l.freshAt = max(l.freshAt, m.sentAt)
-	}
-}
-
 // folded follows up on one record.
 func (l *Loop) folded(now time.Duration, res fold.Result) {
 	l.Events.Observe(res.Envelope.Stamp)
@@ -180,6 +177,7 @@
 	case record.KeyGrant, record.KeyWithdraw:
 		l.indexKeys()
 	}
+	l.keyCount = len(l.state.Keys)
 	if res.Envelope.Author == l.holder {
 		l.appender.settle(res.Envelope.ID)
 	}
@@ -194,6 +192,18 @@
 	if res.Verdict != fold.Accepted || cfg == nil {
 		return
 	}
+	l.inForce()
+	if len(l.state.Keys) != l.keyCount { // keys of accounts that are gone
+		l.indexKeys()
+	}
+}
+
+// inForce follows up on the configuration in force.
+func (l *Loop) inForce() {
+	cfg := l.state.Config()
+	if cfg == nil {
+		return
+	}
 	l.members.SetHeartbeat(cfg.Control.Heartbeat)
 	for _, m := range l.leases {
 		m.SetTiming(timing(cfg))
@@ -214,19 +224,23 @@
 
 func (m listRead) handle(l *Loop) {
 	peers := make([]member.Peer, 0, len(m.instances))
+	listed := make(map[string]bool, len(m.instances))
 	for _, i := range m.instances {
+		listed[i.ID] = true
 		peers = append(peers, member.Peer{
 			ID: i.ID, Incarnation: i.Incarnation, DataCentre: i.DataCentre,
 			Address: i.Address, Operator: i.Operator, Leaving: i.State == platform.Leaving,
 		})
 	}
 	l.members.List(l.Clock.Now(), peers)
+	l.agreement.forgetGone(listed)
 }
 
 func (m targetsRead) handle(l *Loop) { l.targets[m.dataCentre] = m.targets }
 
 func (m heard) handle(l *Loop) {
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
+	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
 	for _, load := range m.beat.Loads {
 		l.loads[load.Target] = load
 	}
@@ -253,7 +267,7 @@
 
 func (tick) handle(l *Loop) {
 	cfg := l.state.Config()
-	if cfg == nil {
+	if cfg == nil || l.halted != "" {
 		return
 	}
 	l.machine(DeploymentLease)
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -30,10 +30,12 @@
 // message is anything that the control goroutine takes.
 type message interface{ handle(l *Loop) }
 
-// logRead is the outcome of one read of the log.
+// logRead is the outcome of one read of the log, or of a peer's copy of it.
 type logRead struct {
-	sentAt time.Duration
-	reply  platform.ReadReply
+	relayed bool
+	proved  bool          // reply.Next was the log's end at sentAt or later
+	sentAt  time.Duration // reading of this instance's clock
+	reply   platform.ReadReply
 }
 
 // listRead is the outcome of one read of the list of instances.
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
@@ -18,25 +17,6 @@
 	beatSendLimit = 500 * time.Millisecond
 )
 
-// tail reads the log and hands its records to the control goroutine.
-func (l *Loop) tail(ctx context.Context) error {
-	next := int64(1)
-	for ctx.Err() == nil {
-		sentAt := l.Clock.Now()
-		callCtx, cancel := context.WithTimeout(ctx, readTimeout)
-		reply, err := l.Log.Read(callCtx, next, readLimit, readWait)
-		cancel()
-		if err != nil {
-			l.Events.Record("log read failed", events.F("error", err.Error()))
-			sleep(ctx, failurePause)
-			continue
-		}
-		next += int64(len(reply.Records))
-		l.post(ctx, logRead{sentAt, reply})
-	}
-	return nil
-}
-
 // pollList reads the platform's list of instances.
 func (l *Loop) pollList(ctx context.Context) error {
 	for ctx.Err() == nil {
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -26,15 +26,36 @@
 	return g, true
 }
 
-func (l *Loop) publish() {
-	now := l.Clock.Now()
+// publishGuards publishes the held leases. A halted instance holds none.
+func (l *Loop) publishGuards(now time.Duration) {
 	guards := make(map[string]Guard, len(l.leases))
 	for name, m := range l.leases {
-		if term, held := m.Held(now, 0); held {
+		if term, held := m.Held(now, 0); held && l.halted == "" {
 			guards[name] = Guard{Fencing: term, ValidTill: m.ValidTill()}
 		}
 	}
 	l.guards.Store(&guards)
+}
+
+func (l *Loop) readers(peers []member.Status, owners []string) map[string]bool {
+	cfg := l.state.Config()
+	if cfg == nil {
+		return nil
+	}
+	return readersOf(peers, l.Self, owners, cfg.Control.LogReaders)
+}
+
+func (l *Loop) publish() {
+	now := l.Clock.Now()
+	l.publishGuards(now)
+	if last := l.snapshot.Load(); last != nil && l.state.Applied < last.Offset {
+		// A state restored from an older offset is folded up to where this
+		// instance was before anyone sees it.
+		kept := *last
+		kept.Halted = l.halted
+		l.snapshot.Store(&kept)
+		return
+	}
 	owners := l.members.Owners(now)
 	peers := l.members.Peers(now)
 	byID := make(map[string]member.Status, len(peers))
@@ -58,7 +79,10 @@
 		Orders:       maps.Clone(l.state.Orders),
 		Platform:     l.platformTargets(),
 		OwnLoads:     l.own,
-		Digest:       l.digest,
+		Digest:       l.state.Chain,
+		Proved:       l.proved,
+		Halted:       l.halted,
+		readers:      l.readers(peers, owners),
 		FreshAt:      l.freshAt,
 	})
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -36,6 +36,10 @@
 	OwnLoads     []TargetLoad // of the targets that this instance owns
 	Digest       [32]byte
 	FreshAt      time.Duration // when the log last proved Offset to be its end
+	Proved       bool          // it has done so
+	Halted       string        // why the control roles have stopped; empty: they have not
+
+	readers map[string]bool // instances of this data centre that read the log themselves
 }
 
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
@@ -46,7 +50,7 @@
 }
 
 // Fresh reports whether the snapshot was proved current within bound of now.
-func (s *Snapshot) Fresh(now, bound time.Duration) bool { return now-s.FreshAt <= bound }
+func (s *Snapshot) Fresh(now, bound time.Duration) bool { return s.Proved && now-s.FreshAt <= bound }
 
 // Target returns the service's target called id, or nil.
 func (s *Snapshot) Target(service, id string) *route.Target {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -211,6 +211,10 @@
 		h.instance.Meter.Merge(beat.Usage)
 		h.instance.Loop.Heard(ctx, beat)
 		return nil, nil
+	case peer.KindRecords:
+		return h.instance.Loop.HandleRecords(ctx, body)
+	case peer.KindState:
+		return h.instance.Loop.HandleState(ctx, body)
 	case peer.KindAdmit:
 		return h.instance.Dispatch.HandleAdmit(ctx, from, body)
 	case peer.KindFinish:
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -27,6 +27,8 @@
 	KindFinish    Kind = 4
 	KindCancel    Kind = 5 // cancels the call with the frame's Seq
 	KindTrainer   Kind = 6
+	KindRecords   Kind = 50 // records of the log
+	KindState     Kind = 51 // encoded control state
 )
 
 // Hello opens a session.
--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -36,6 +36,13 @@
 			Expect(reply.Next).To(Equal(int64(3)))
 			Expect(reply.Records).To(Equal([]platform.LogRecord{{Offset: 2, Data: []byte("b")}}))
 		}),
+		Entry("tells its bounds to a read beyond the end", logstore.Config{Keep: 1}, func(ctx context.Context, f fixture) {
+			_, err := f.client.Append(ctx, [][]byte{[]byte("a"), []byte("b")})
+			Expect(err).NotTo(HaveOccurred())
+			reply, err := f.client.Read(ctx, 1<<62, 10, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(reply).To(Equal(platform.ReadReply{First: 2, Next: 3, Records: []platform.LogRecord{}}))
+		}),
 		Entry("trims to its retention", logstore.Config{Keep: 1}, func(ctx context.Context, f fixture) {
 			_, err := f.client.Append(ctx, [][]byte{[]byte("a"), []byte("b")})
 			Expect(err).NotTo(HaveOccurred())
