--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -58,11 +58,15 @@
 		},
 		"ledger": func(s *fold.State, i int) {
 			name := fmt.Sprint("trainer-", i)
-			ids := make([]string, 2048)
-			for n := range ids {
-				ids[n] = fmt.Sprintf("group-%d/%d", n/8, n%8)
+			groups := make([]record.BatchGroup, 256) // of 8 samples
+			for n := range groups {
+				groups[n] = record.BatchGroup{ID: fmt.Sprintf("group-%d", n), Size: 8, Step: 9, Digest: 1 << 60}
 			}
-			s.Ledgers[name] = fold.Ledger{Trainer: name, Current: 1 << 20, Number: 9, Samples: ids}
+			recent := make([]fold.Delivery, 32) // as many as the fold keeps
+			for n := range recent {
+				recent[n] = fold.Delivery{Number: int64(n), Step: int64(n), Groups: make([]byte, 8*len(groups))}
+			}
+			s.Ledgers[name] = fold.Ledger{Trainer: name, Current: 1 << 20, Number: 40, Groups: groups, Recent: recent}
 		},
 	}
 	for name, add := range kinds {
@@ -71,7 +75,7 @@
 			for i := range 100 {
 				add(s, i)
 			}
-			one := 0
+			var one int
 			for range b.N {
 				data, err := s.Encode()
 				if err != nil {
--- a/core/record/record.go
+++ b/core/record/record.go
@@ -156,6 +156,19 @@
 	Lease   string        `cbor:"1,keyasint"`
 	Window  int64         `cbor:"2,keyasint"` // start, Unix milliseconds
 	Figures []UsageFigure `cbor:"3,keyasint"`
+	// End of the window, Unix milliseconds. The next window starts no earlier.
+	End int64 `cbor:"4,keyasint"`
+	// Previous is the offset of the seal before, which must be the latest.
+	Previous Offset        `cbor:"5,keyasint"`
+	Sources  []UsageSource `cbor:"6,keyasint"` // sources that Figures bill
+	Late     []UsageFigure `cbor:"7,keyasint"` // part of Figures used before the window
+	Retired  []string      `cbor:"8,keyasint"` // sources that are billed no more
+}
+
+// UsageSource is the use of one source that seals have billed so far.
+type UsageSource struct {
+	Source  string        `cbor:"1,keyasint"` // instance and incarnation
+	Figures []UsageFigure `cbor:"2,keyasint"` // cumulative
 }
 
 // UsageSent notes that the platform accepted the report of a sealed window.
@@ -163,14 +176,26 @@
 	Window int64 `cbor:"1,keyasint"`
 }
 
-// Batch numbers the samples that a trainer is offered. Supersedes names the
+// Batch numbers the groups that a trainer is offered. Supersedes names the
 // trainer's previous Batch or BatchAck record, zero for the first.
 type Batch struct {
-	Trainer string   `cbor:"1,keyasint"`
-	Number  int64    `cbor:"2,keyasint"` // from 1, without gaps
-	Samples []string `cbor:"3,keyasint"` // sample ids
+	Trainer string       `cbor:"1,keyasint"`
+	Number  int64        `cbor:"2,keyasint"` // from 1, without gaps
+	Groups  []BatchGroup `cbor:"4,keyasint"`
+	Term    Offset       `cbor:"5,keyasint"` // acquisition of the trainer's lease
 }
 
+// BatchGroup names a group of a batch. The ids of its samples follow from it.
+type BatchGroup struct {
+	ID     string `cbor:"1,keyasint"`
+	Size   int    `cbor:"2,keyasint"` // samples
+	Step   int64  `cbor:"3,keyasint"` // trainer's step; zero: none
+	Digest uint64 `cbor:"4,keyasint"` // of the group's definition
+}
+
+// TrainerLease names the lease of a trainer's owner.
+func TrainerLease(trainer string) string { return "trainer/" + trainer }
+
 // BatchAck notes that the trainer has the batch.
 type BatchAck struct {
 	Trainer string `cbor:"1,keyasint"`
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -90,7 +90,7 @@
 	return end.First, nil, fmt.Errorf("log from offset %d to %d: %w", end.First, end.Next, errNoState)
 }
 
-// readRun reads all records from from up to, but not including, upTo.
+// readRun reads all records in [from, upTo).
 func (l *Loop) readRun(ctx context.Context, from, upTo int64) ([]platform.LogRecord, error) {
 	var run []platform.LogRecord
 	for at := from; at < upTo; {
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -28,7 +28,7 @@
 const DeploymentLease = "deployment"
 
 // TrainerLease names the lease of a trainer's owner.
-func TrainerLease(trainer string) string { return "trainer/" + trainer }
+func TrainerLease(trainer string) string { return record.TrainerLease(trainer) }
 
 // Options are what a Loop works with.
 type Options struct {
@@ -57,17 +57,21 @@
 	beatExtra atomic.Pointer[func(*Heartbeat)]
 
 	// The rest belongs to the control goroutine.
-	state     *fold.State
-	leases    map[string]*lease.Machine
-	members   *member.Table
-	targets   map[string][]platform.Target // by data centre
-	loads     map[string]TargetLoad        // by target
-	own       []TargetLoad
-	waiters   map[record.ID]chan fold.Result
-	freshAt   time.Duration
-	proved    bool   // the log has once shown its end
-	halted    string // why the control roles have stopped; empty: they have not
-	agreement *agreement
+	state      *fold.State
+	leases     map[string]*lease.Machine
+	members    *member.Table
+	targets    map[string][]platform.Target // by data centre
+	targetsAt  map[string]time.Duration     // when targets was asked for
+	loads      map[string]TargetLoad        // by target
+	own        []TargetLoad
+	waiters    map[record.ID]chan fold.Result
+	freshAt    time.Duration
+	routing    *routing
+	keys       *KeyIndex
+	keyDigests map[string][32]byte // by key id
+	proved     bool                // the log has once shown its end
+	halted     string              // why the control roles have stopped; empty: they have not
+	agreement  *agreement
 
 	encoded          []record.Checkpoint // the state as last given to a joining peer
 	encodedAt        time.Duration
@@ -76,7 +80,6 @@
 	checkpointSent   record.Offset // state of the checkpoint that this instance last wrote
 	checkpointSentAt time.Duration
 
-	keys        map[[32]byte]fold.Key
 	keysVersion uint64
 	keyCount    int // keys when the index was last known to match
 	leaving     bool
@@ -89,15 +92,17 @@
 		holder:    HolderName(o.Self),
 		inbox:     make(chan message, inboxSize),
 		ended:     make(chan struct{}),
-		recent:    newRecentLog(),
-		agreement: newAgreement(),
 		state:     fold.New(),
 		leases:    map[string]*lease.Machine{},
 		targets:   map[string][]platform.Target{},
+		targetsAt: map[string]time.Duration{},
 		loads:     map[string]TargetLoad{},
 		waiters:   map[record.ID]chan fold.Result{},
-		keys:      map[[32]byte]fold.Key{},
+		routing:   newRouting(),
+		recent:    newRecentLog(),
+		agreement: newAgreement(),
 	}
+	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
 	l.checkpointAt = o.Clock.Now()
 	l.appender = newAppender(o.Log, o.Clock, o.Events)
@@ -174,8 +179,10 @@
 		l.machine(b.Name).Observe(now, res.Envelope.ID, res.Verdict, l.state.Leases[b.Name])
 	case record.Config:
 		l.configured(res)
-	case record.KeyGrant, record.KeyWithdraw:
-		l.indexKeys()
+	case record.KeyGrant:
+		l.keyGranted(b.KeyID)
+	case record.KeyWithdraw:
+		l.keyWithdrawn(b.KeyID)
 	}
 	l.keyCount = len(l.state.Keys)
 	if res.Envelope.Author == l.holder {
@@ -214,14 +221,6 @@
 	return lease.Timing{Term: cfg.Control.LeaseTerm, DriftMargin: cfg.Control.DriftMargin}
 }
 
-func (l *Loop) indexKeys() {
-	l.keys = make(map[[32]byte]fold.Key, len(l.state.Keys))
-	for _, k := range l.state.Keys {
-		l.keys[k.Digest] = k
-	}
-	l.keysVersion++
-}
-
 func (m listRead) handle(l *Loop) {
 	peers := make([]member.Peer, 0, len(m.instances))
 	listed := make(map[string]bool, len(m.instances))
@@ -236,20 +235,22 @@
 	l.agreement.forgetGone(listed)
 }
 
-func (m targetsRead) handle(l *Loop) { l.targets[m.dataCentre] = m.targets }
+func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
+
+func (m targetsAsked) handle(l *Loop) { l.targetsAt[m.dataCentre] = m.at }
 
 func (m heard) handle(l *Loop) {
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
 	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
 	for _, load := range m.beat.Loads {
-		l.loads[load.Target] = load
+		l.setLoad(load)
 	}
 }
 
 func (m ownLoads) handle(l *Loop) {
 	l.own = m.loads
 	for _, load := range m.loads {
-		l.loads[load.Target] = load
+		l.setLoad(load)
 	}
 }
 
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -22,8 +22,8 @@
 	Offset       record.Offset
 	Config       *config.Config // nil before the first configuration
 	ConfigOffset record.Offset
-	Keys         map[[32]byte]fold.Key // by digest
-	KeysVersion  uint64                // changes with every grant and withdrawal
+	Keys         *KeyIndex
+	KeysVersion  uint64 // changes with every grant and withdrawal
 	Targets      *route.Table
 	Owners       []string
 	Peers        []member.Status
@@ -34,10 +34,14 @@
 	Orders       map[string]fold.Order // announced and not settled, by order id
 	Platform     []platform.Target
 	OwnLoads     []TargetLoad // of the targets that this instance owns
-	Digest       [32]byte
-	FreshAt      time.Duration // when the log last proved Offset to be its end
-	Proved       bool          // it has done so
-	Halted       string        // why the control roles have stopped; empty: they have not
+	// TargetsAt is when the list of a data centre's targets was asked for that
+	// Platform holds, by data centre.
+	TargetsAt map[string]time.Duration
+	Billing   fold.Billing
+	Digest    [32]byte
+	FreshAt   time.Duration // when the log last proved Offset to be its end
+	Proved    bool          // it has done so
+	Halted    string        // why the control roles have stopped; empty: they have not
 
 	readers map[string]bool // instances of this data centre that read the log themselves
 }
@@ -45,8 +49,7 @@
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
 // so its timing tells nothing about the keys.
 func (s *Snapshot) Key(secret string) (fold.Key, bool) {
-	key, ok := s.Keys[sha256.Sum256([]byte(secret))]
-	return key, ok
+	return s.Keys.Get(sha256.Sum256([]byte(secret)))
 }
 
 // Fresh reports whether the snapshot was proved current within bound of now.
