--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -34,6 +34,8 @@
 	KindUnfit       Kind = 43 // targets taken out of service by a weight roll-out
 	KindUsage       Kind = 60
 	KindAnswer      Kind = 30 // asks for the answer of a claimed request
+	KindRecords     Kind = 50 // records of the log
+	KindState       Kind = 51 // encoded control state
 )
 
 // Hello opens a session.
