--- a/core/config/config.go
+++ b/core/config/config.go
@@ -50,6 +50,7 @@
 	CostPerHour   float64       `yaml:"costPerHour" cbor:"10,keyasint"`  // currency units per running target
 	CheapPerHour  float64       `yaml:"cheapPerHour" cbor:"11,keyasint"` // the same on reclaimable targets
 	Routes        []Route       `yaml:"routes" cbor:"12,keyasint"`       // plain services only
+	SampleShare   float64       `yaml:"sampleShare" cbor:"20,keyasint"`  // part of a target's tokens that samples get while callers wait; zero: 0.2
 }
 
 // Route describes the calls below one path of a plain service.
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -114,6 +114,9 @@
 		}
 		v.positive(path+".concurrency", float64(s.Concurrency))
 		v.positive(path+".queueLimit", float64(s.QueueLimit))
+		if s.SampleShare < 0 || s.SampleShare >= 1 {
+			v.fault(path+".sampleShare", "is %g, want zero or more and less than one", s.SampleShare)
+		}
 		v.notNegative(path+".costPerHour", s.CostPerHour)
 		v.notNegative(path+".cheapPerHour", s.CheapPerHour)
 		v.notNegative(path+".startUp", float64(s.StartUp))
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -1,16 +1,23 @@
 // Package dispatch admits requests to targets. The queue of a target lives at
 // the instance that owns it; other instances ask the owner for a slot over drpc
 // and then call the target themselves, so that answers take no extra hop.
+//
+// Ownership serves performance only: two owners of a target for a moment
+// overcommit it. An owner that is lost, suspected or no longer the owner has run
+// nothing for those who wait there, so they ask the next one.
 package dispatch
 
 import (
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/admit"
+	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/route"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
@@ -22,8 +29,9 @@
 
 // RefusedError is an owner's refusal: the request has not run.
 type RefusedError struct {
-	Target string
-	Reason admit.Reason
+	Target     string
+	Reason     admit.Reason
+	RetryAfter time.Duration // likely time until a slot; zero: unknown
 }
 
 // Error implements error.
@@ -42,51 +50,34 @@
 	Class  admit.Class `cbor:"4,keyasint"`
 }
 
-// admitCall is the message of a remote request for a slot.
-type admitCall struct {
-	Target  string  `cbor:"1,keyasint"`
-	Service string  `cbor:"2,keyasint"`
-	Request Request `cbor:"3,keyasint"`
-	// Patience is the time to the caller's deadline; zero: none.
-	Patience time.Duration `cbor:"4,keyasint"`
-}
-
-// admitReply is the owner's answer: a grant when Reason is zero.
-type admitReply struct {
-	Grant  uint64       `cbor:"1,keyasint"`
-	Reason admit.Reason `cbor:"2,keyasint"`
-}
-
-// finishNote ends a remote grant.
-type finishNote struct {
-	Target string  `cbor:"1,keyasint"`
-	Grant  uint64  `cbor:"2,keyasint"`
-	Cost   float64 `cbor:"3,keyasint"` // tokens used
+// Loop is the control state that a dispatcher reads and reports to.
+type Loop interface {
+	Snapshot() *control.Snapshot
+	SetOwnLoads(ctx context.Context, loads []control.TargetLoad)
 }
 
 // Dispatcher holds the queues that this instance owns. It is safe for
 // concurrent use.
 type Dispatcher struct {
-	loop  *control.Loop
+	loop  Loop
 	peers *peer.Pool
 	clock clock.Clock
 
-	mu     sync.Mutex
-	queues map[string]*queue // by target
-	nextID uint64
+	mu      sync.Mutex
+	queues  map[string]*queue // by target
+	nextID  uint64
+	table   *route.Table // that the queues were last compared with
+	waits   map[uint64]remoteWait
+	waitSeq uint64
 }
 
-// queue is one owned target's queue with the goroutines that wait on it.
-type queue struct {
-	admit   *admit.Queue
-	service string
-	waiting map[uint64]chan admit.Reason
-	remote  map[uint64]peer.Session // grants and requests of other instances
-}
-
-// New returns a dispatcher.
-func New(loop *control.Loop, peers *peer.Pool, c clock.Clock) *Dispatcher {
-	return &Dispatcher{loop: loop, peers: peers, clock: c, queues: map[string]*queue{}}
+// New returns a dispatcher. Its grants are numbered from a random start, so that
+// a note meant for an earlier process ends none of them.
+func New(loop Loop, peers *peer.Pool, c clock.Clock) *Dispatcher {
+	return &Dispatcher{
+		loop: loop, peers: peers, clock: c, nextID: rand.Uint64() >> 1,
+		queues: map[string]*queue{}, waits: map[uint64]remoteWait{},
+	}
 }
 
 // Grant is a slot at a target. Finish must be called once.
@@ -98,219 +89,63 @@
 // Finish returns the slot and tells the tokens used.
 func (g *Grant) Finish(cost float64) { g.once.Do(func() { g.finish(cost) }) }
 
+// maxOwners is how many owners are asked before the instance admits by itself.
+const maxOwners = 2
+
 // Admit waits for a slot at the target. The error is a *RefusedError, or a
 // failure to reach the owner, or ctx's; in every case nothing has run.
 func (d *Dispatcher) Admit(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
-	s := d.loop.Snapshot()
-	if t.Owner == "" || t.Owner == s.Self.ID {
-		return d.admitLocal(ctx, t, r)
-	}
-	owner, known := s.PeerByID[t.Owner]
-	if !known {
-		return d.admitLocal(ctx, t, r)
-	}
-	return d.admitRemote(ctx, owner.Address, t, r)
-}
-
-func (d *Dispatcher) admitRemote(ctx context.Context, address string, t *route.Target, r Request) (*Grant, error) {
-	call := admitCall{Target: t.ID, Service: t.Service, Request: r}
-	if deadline, ok := ctx.Deadline(); ok {
-		call.Patience = time.Until(deadline)
-	}
-	var reply admitReply
-	if err := d.peers.Call(ctx, address, peer.KindAdmit, call, &reply); err != nil {
-		return nil, fmt.Errorf("admission to target %q: %w", t.ID, err)
-	}
-	if reply.Reason != 0 {
-		return nil, &RefusedError{t.ID, reply.Reason}
-	}
-	return &Grant{finish: func(cost float64) {
-		note := finishNote{Target: t.ID, Grant: reply.Grant, Cost: cost}
-		// A lost session returns its slots at the owner.
-		_ = d.peers.Send(context.WithoutCancel(ctx), address, peer.KindFinish, note)
-	}}, nil
-}
-
-func (d *Dispatcher) admitLocal(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
-	patience := time.Duration(0)
-	if deadline, ok := ctx.Deadline(); ok {
-		patience = time.Until(deadline)
-	}
-	id, reason, err := d.wait(ctx, peer.Session{}, admitCall{t.ID, t.Service, r, patience})
-	if err != nil {
-		return nil, fmt.Errorf("admission to target %q: %w", t.ID, err)
-	}
-	if reason != 0 {
-		return nil, &RefusedError{t.ID, reason}
-	}
-	return &Grant{finish: func(cost float64) { d.finish(t.ID, id, cost) }}, nil
-}
-
-// HandleAdmit answers a peer's request for a slot.
-func (d *Dispatcher) HandleAdmit(ctx context.Context, from peer.Session, body []byte) (any, error) {
-	call, err := peer.Decode[admitCall](body)
-	if err != nil {
-		return nil, err
-	}
-	id, reason, err := d.wait(ctx, from, call)
-	if err != nil {
-		return nil, err
-	}
-	return admitReply{Grant: id, Reason: reason}, nil
-}
-
-// HandleFinish takes a peer's note that a grant has ended.
-func (d *Dispatcher) HandleFinish(body []byte) error {
-	note, err := peer.Decode[finishNote](body)
-	if err != nil {
-		return err
-	}
-	d.finish(note.Target, note.Grant, note.Cost)
-	return nil
-}
-
-// wait queues the request at this instance and waits for the decision.
-func (d *Dispatcher) wait(ctx context.Context, from peer.Session, call admitCall) (uint64, admit.Reason, error) {
-	id, decided := d.submit(from, call)
-	select {
-	case reason := <-decided:
-		return id, reason, nil
-	case <-ctx.Done():
-		d.withdraw(call.Target, id, decided)
-		return 0, 0, ctx.Err()
-	}
-}
-
-func (d *Dispatcher) submit(from peer.Session, call admitCall) (uint64, chan admit.Reason) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	q := d.queue(call.Target, call.Service)
-	d.nextID++
-	id := d.nextID
-	decided := make(chan admit.Reason, 1)
-	q.waiting[id] = decided
-	if from.ID != "" {
-		q.remote[id] = from
-	}
-	now := d.clock.Now()
-	deadline := time.Duration(0)
-	if call.Patience > 0 {
-		deadline = now + call.Patience
-	}
-	q.settle(q.admit.Submit(now, admit.Request{
-		ID: id, Flow: call.Request.Flow, Weight: max(call.Request.Weight, minWeight),
-		Cost: call.Request.Cost, Class: call.Request.Class, Deadline: deadline,
-	}))
-	return id, decided
-}
-
-// minWeight keeps a peer's malformed weight from dividing by zero.
-const minWeight = 1e-3
-
-// settle hands decisions to the goroutines that wait for them.
-func (q *queue) settle(verdicts []admit.Verdict) {
-	for _, v := range verdicts {
-		if v.Reason != 0 {
-			delete(q.remote, v.ID)
+	var tried []string
+	for len(tried) < maxOwners {
+		s := d.loop.Snapshot()
+		owner := t.Owner
+		if len(tried) > 0 {
+			owner = nextOwner(s, t.ID, tried)
 		}
-		if decided, ok := q.waiting[v.ID]; ok {
-			delete(q.waiting, v.ID)
-			decided <- v.Reason
+		status, known := s.PeerByID[owner]
+		if owner == s.Self.ID || !known {
+			break
 		}
-	}
-}
-
-// withdraw takes back a request that nobody waits for, granted or not.
-func (d *Dispatcher) withdraw(target string, id uint64, decided chan admit.Reason) {
-	d.mu.Lock()
-	q := d.queues[target]
-	delete(q.waiting, id)
-	delete(q.remote, id)
-	waiting := q.admit.Cancel(id)
-	d.mu.Unlock()
-	if waiting {
-		return
-	}
-	select {
-	case reason := <-decided:
-		if reason == 0 {
-			d.finish(target, id, 0)
+		grant, err := d.admitRemote(ctx, status, t, r, len(tried) > 0)
+		if err == nil || ctx.Err() != nil || !askNext(err) {
+			return grant, err
 		}
-	default:
-	}
-}
-
-func (d *Dispatcher) finish(target string, id uint64, cost float64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	q := d.queues[target]
-	if q == nil {
-		return
+		tried = append(tried, owner)
 	}
-	delete(q.remote, id)
-	q.settle(q.admit.Finish(d.clock.Now(), id, cost))
+	return d.admitLocal(ctx, t, r)
 }
 
-// SessionEnded returns the slots of a peer whose session broke.
-func (d *Dispatcher) SessionEnded(from peer.Session) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, q := range d.queues {
-		for id, holder := range q.remote {
-			if holder != from {
-				continue
-			}
-			delete(q.remote, id)
-			if !q.admit.Cancel(id) {
-				q.settle(q.admit.Finish(d.clock.Now(), id, 0))
-			}
-		}
+// askNext reports whether another owner may be asked: the first was not reached,
+// was lost or suspected, or does not own the queue.
+func askNext(err error) bool {
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return refused.Reason == admit.NotOwner
 	}
+	return errors.Is(err, peer.ErrLost) || errors.Is(err, peer.ErrUnreachable) || errors.Is(err, errOwnerSuspect)
 }
 
-// queue returns the target's queue with its limits as configured now.
-func (d *Dispatcher) queue(target, service string) *queue {
-	q := d.queues[target]
-	limits := d.limits(service)
-	if q == nil {
-		q = &queue{
-			admit: admit.New(limits), service: service,
-			waiting: map[uint64]chan admit.Reason{}, remote: map[uint64]peer.Session{},
-		}
-		d.queues[target] = q
-	}
-	q.admit.SetLimits(limits)
-	return q
+// nextOwner returns the owner of the target if those tried were gone.
+func nextOwner(s *control.Snapshot, target string, tried []string) string {
+	rest := slices.DeleteFunc(slices.Clone(s.Owners), func(id string) bool { return slices.Contains(tried, id) })
+	return member.Owner(target, rest)
 }
 
-// callerReserve is the part of a target's slots that samples leave free.
-const callerReserve = 8
-
-func (d *Dispatcher) limits(service string) admit.Limits {
-	cfg := d.loop.Snapshot().Config
-	if cfg == nil || cfg.Service(service) == nil {
-		return admit.Limits{}
+func (d *Dispatcher) admitLocal(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
+	id, v, err := d.wait(ctx, peer.Session{}, admitCall{Target: t.ID, Service: t.Service, Request: r, Patience: patience(ctx), Insist: true})
+	if err != nil {
+		return nil, fmt.Errorf("admission to target %q: %w", t.ID, err)
 	}
-	s := cfg.Service(service)
-	return admit.Limits{Concurrency: s.Concurrency, Queue: s.QueueLimit, CallerReserve: s.Concurrency / callerReserve}
-}
-
-// Load returns the requests granted and waiting at an owned target.
-func (d *Dispatcher) Load(target string) (granted, waiting int) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	q := d.queues[target]
-	if q == nil {
-		return 0, 0
+	if v.Reason != 0 {
+		return nil, &RefusedError{t.ID, v.Reason, v.RetryAfter}
 	}
-	return q.admit.Load()
+	return &Grant{finish: func(cost float64) { d.finish(peer.Session{}, t.ID, id, cost) }}, nil
 }
 
-// Expire refuses requests whose deadline has passed.
-func (d *Dispatcher) Expire() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, q := range d.queues {
-		q.settle(q.admit.Expire(d.clock.Now()))
+// patience is the time to ctx's deadline; zero: none.
+func patience(ctx context.Context) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return max(time.Until(deadline), 1)
 	}
+	return 0
 }
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -27,6 +27,8 @@
 			return nil
 		case <-ticker.C:
 			d.Expire()
+			d.reconcile()
+			d.leaveSuspects()
 			d.loop.SetOwnLoads(ctx, d.poll(ctx, engines))
 		}
 	}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -214,7 +214,7 @@
 	case peer.KindAdmit:
 		return h.instance.Dispatch.HandleAdmit(ctx, from, body)
 	case peer.KindFinish:
-		return nil, h.instance.Dispatch.HandleFinish(body)
+		return nil, h.instance.Dispatch.HandleFinish(from, body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
 	default:
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -36,11 +36,18 @@
 
 // Call sends a call to the peer at address and decodes the answer into out.
 func (p *Pool) Call(ctx context.Context, address string, kind Kind, in, out any) error {
+	return p.CallLate(ctx, address, kind, in, out, nil)
+}
+
+// CallLate is Call with a function that takes the answer if it comes after ctx
+// has ended. The peer's errors are not passed to it. A session that breaks
+// before the answer drops it.
+func (p *Pool) CallLate(ctx context.Context, address string, kind Kind, in, out any, late func(body []byte)) error {
 	s, err := p.session(ctx, address)
 	if err != nil {
 		return err
 	}
-	body, err := s.call(ctx, kind, in)
+	body, err := s.call(ctx, kind, in, late)
 	if err != nil {
 		return fmt.Errorf("call peer %s: %w", address, err)
 	}
@@ -107,10 +114,11 @@
 	mu      sync.Mutex
 	nextSeq uint64
 	waiting map[uint64]chan frame
+	late    map[uint64]func([]byte) // calls that nobody waits for any more
 }
 
 func newOutgoing() *outgoing {
-	return &outgoing{opened: make(chan struct{}), done: make(chan struct{}), waiting: map[uint64]chan frame{}}
+	return &outgoing{opened: make(chan struct{}), done: make(chan struct{}), waiting: map[uint64]chan frame{}, late: map[uint64]func([]byte){}}
 }
 
 func (s *outgoing) open(address string, hello Hello) {
@@ -156,10 +164,15 @@
 		}
 		s.mu.Lock()
 		reply := s.waiting[f.Seq]
+		late := s.late[f.Seq]
 		delete(s.waiting, f.Seq)
+		delete(s.late, f.Seq)
 		s.mu.Unlock()
-		if reply != nil {
+		switch {
+		case reply != nil:
 			reply <- f
+		case late != nil && f.Err == "":
+			go late(f.Body) // it may send, which must not hold up receiving
 		}
 	}
 }
@@ -195,7 +208,7 @@
 	return nil
 }
 
-func (s *outgoing) call(ctx context.Context, kind Kind, in any) ([]byte, error) {
+func (s *outgoing) call(ctx context.Context, kind Kind, in any, late func([]byte)) ([]byte, error) {
 	f, err := newFrame(kind, in)
 	if err != nil {
 		return nil, err
@@ -214,7 +227,7 @@
 	case <-s.done:
 		return nil, ErrLost
 	case <-ctx.Done():
-		s.abandon(f.Seq)
+		s.abandon(f.Seq, reply, late)
 		return nil, ctx.Err()
 	}
 }
@@ -227,10 +240,21 @@
 	return s.nextSeq
 }
 
-// abandon tells the peer that nobody waits for the call any more.
-func (s *outgoing) abandon(seq uint64) {
+// abandon tells the peer that nobody waits for the call any more. An answer that
+// has come, or comes yet, goes to late.
+func (s *outgoing) abandon(seq uint64, reply chan frame, late func([]byte)) {
 	s.mu.Lock()
+	_, open := s.waiting[seq]
 	delete(s.waiting, seq)
+	if open && late != nil {
+		s.late[seq] = late
+	}
 	s.mu.Unlock()
+	if !open {
+		if f := <-reply; late != nil && f.Err == "" {
+			late(f.Body)
+		}
+		return
+	}
 	_ = s.send(&frame{Seq: seq, Kind: KindCancel}) // a broken session has cancelled it
 }
