--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -56,6 +56,7 @@
 		Windows:      maps.Clone(l.state.Windows),
 		Orders:       maps.Clone(l.state.Orders),
 		Platform:     l.routing.platform,
+		OwnLoads:     l.own,
 		Digest:       l.digest,
 		FreshAt:      l.freshAt,
 	})
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -57,13 +57,13 @@
 	for _, id := range []string{"a", "b", "c"} {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		NewWithT(t).Expect(err).NotTo(HaveOccurred())
-		pool := peer.NewPool(peer.Hello{ID: id, Incarnation: 1, Deployment: "d"})
+		pool := peer.NewPool(peer.Hello{ID: id, Incarnation: 1, Deployment: "d"}, nil)
 		n := &node{loop: &fakeLoop{}, address: listener.Addr().String()}
 		n.Dispatcher = New(n.loop, pool, clock.System{})
 		ctx, cancel := context.WithCancel(context.Background())
 		n.stop = cancel
 		var serving sync.WaitGroup
-		serving.Go(func() { _ = peer.NewServer("d", n).Serve(ctx, listener) })
+		serving.Go(func() { _ = peer.NewServer("d", n, nil).Serve(ctx, listener) })
 		t.Cleanup(func() { pool.Close(); cancel(); serving.Wait() })
 		nodes[id] = n
 		byID[id] = member.Status{Peer: member.Peer{ID: id, Address: n.address}}
