--- a/core/config/config.go
+++ b/core/config/config.go
@@ -29,6 +29,7 @@
 	Usage       Usage        `yaml:"usage" cbor:"8,keyasint"`
 	Control     Control      `yaml:"control" cbor:"9,keyasint"`
 	Capacity    Capacity     `yaml:"capacity" cbor:"60,keyasint"`
+	Retries     Retries      `yaml:"retries" cbor:"30,keyasint"`
 }
 
 // DataCentre is one failure domain of the region.
@@ -55,6 +56,7 @@
 	TokensPerSecond float64    `yaml:"tokensPerSecond" cbor:"60,keyasint"`
 	Schedule        []Schedule `yaml:"schedule" cbor:"61,keyasint"`     // times that are known to be busy
 	SwapParallel    int        `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
+	SampleShare     float64    `yaml:"sampleShare" cbor:"20,keyasint"`  // part of a target's tokens that samples get while callers wait; zero: 0.2
 }
 
 // Route describes the calls below one path of a plain service.
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -48,6 +48,7 @@
 	setDefault(&c.Control.FreshFor, defaultFreshFor)
 	setDefault(&c.Control.OrderFlight, defaultOrderFlight)
 	c.Capacity.applyDefaults()
+	applyRetryDefaults(&c.Retries)
 	setDefault(&c.Control.LogKeep, defaultLogKeep)
 	setDefault(&c.Control.LogKeepFor, defaultLogKeepFor)
 	setDefault(&c.Control.LogReaders, defaultLogReaders)
@@ -79,6 +80,7 @@
 	v.trainers()
 	v.timing()
 	v.capacity()
+	v.retries()
 	v.positive("cost.limitPerHour", cfg.Cost.LimitPerHour)
 }
 
@@ -127,6 +129,9 @@
 		}
 		v.positive(path+".concurrency", float64(s.Concurrency))
 		v.positive(path+".queueLimit", float64(s.QueueLimit))
+		if s.SampleShare < 0 || s.SampleShare >= 1 {
+			v.fault(path+".sampleShare", "is %g, want zero or more and less than one", s.SampleShare)
+		}
 		v.notNegative(path+".costPerHour", s.CostPerHour)
 		v.notNegative(path+".cheapPerHour", s.CheapPerHour)
 		v.notNegative(path+".startUp", float64(s.StartUp))
--- a/core/plan/settle.go
+++ b/core/plan/settle.go
@@ -13,6 +13,9 @@
 	Seen    time.Duration // when this instance first read it
 	Sent    time.Duration // when this instance last sent it; zero: never
 	Tries   int           // how often this instance sent it
+	// Answered tells that the platform accepted it. It stays open until the list
+	// shows its effect, so that whoever plans meanwhile counts it.
+	Answered bool
 }
 
 // Listing is a data centre's list of targets.
@@ -80,7 +83,7 @@
 // its first copy may be under way, so that an outage's orders do not take effect
 // when they are no longer wanted.
 func (o *Open) mayResend(now time.Duration, term Term, t Times) bool {
-	if o.Fencing != term.Fencing || o.Tries == 0 {
+	if o.Fencing != term.Fencing || o.Tries == 0 || o.Answered {
 		return false
 	}
 	if o.Order.Action == record.ActionStart && now-o.Seen > t.Flight+t.Lag {
--- a/core/plan/settle_test.go
+++ b/core/plan/settle_test.go
@@ -38,8 +38,16 @@
 	Entry("a former term's order is not sent again", record.ActionStart, 10*s, 0*s, 0, record.Offset(5), false, 21*s, 22*s, plan.Wait),
 	Entry("it is waited for from when the term was taken", record.ActionStart, 10*s, 0*s, 0, record.Offset(5), false, 22*s, 22*s, plan.Wait),
 	Entry("and then fails", record.ActionStart, 10*s, 0*s, 0, record.Offset(5), false, 23*s+1, 24*s, plan.Failed),
+	Entry("not before the list's lag", record.ActionStart, 30*s, 31*s, 1, record.Offset(7), false, 33*s, 34*s, plan.Wait),
 	Entry("a stop whose target is gone is done", record.ActionStop, 30*s, 30*s, 1, record.Offset(7), false, 30*s+1, 31*s, plan.Done),
 	Entry("unless the list is older", record.ActionStop, 30*s, 30*s, 1, record.Offset(7), false, 29*s, 30*s, plan.Wait),
 	Entry("a stop is repeated while its target runs", record.ActionStop, 30*s, 31*s, 1, record.Offset(7), true, 31*s, 32*s, plan.Resend),
 	Entry("a former term's stop of a running target fails", record.ActionStop, 10*s, 0*s, 0, record.Offset(5), true, 24*s, 24*s, plan.Failed),
 )
+
+var _ = It("does not repeat an order that was answered and is not listed yet", func() {
+	open := plan.Open{Order: record.OrderIntent{OrderID: "o", Action: record.ActionStart}, Fencing: 7, Seen: 30 * s, Sent: 30 * s, Tries: 1, Answered: true}
+	term, times := plan.Term{Fencing: 7, Taken: 20 * s}, plan.Times{Flight: s, Lag: 2 * s}
+	got, _ := plan.Settle(open, plan.Listing{AskedAt: 32 * s}, 32*s, term, times)
+	Expect(got).To(Equal(plan.Wait))
+})
--- a/core/plan/trace_bench_test.go
+++ b/core/plan/trace_bench_test.go
@@ -30,7 +30,7 @@
 func callersAt(t time.Duration) float64 {
 	hour := math.Mod(t.Hours(), 24)
 	base := 8 + 6*math.Sin((hour-8)/24*2*math.Pi)
-	evening := 18 * math.Exp(-math.Pow(hour-17.5, 2)/1.5)
+	evening := 18 * math.Exp(-(hour-17.5)*(hour-17.5)/1.5)
 	release := 0.0
 	if t >= 24*time.Hour && hour >= 15.2 && hour < 19 {
 		release = 30
--- a/internal/standin/orders/orders.go
+++ b/internal/standin/orders/orders.go
@@ -121,6 +121,9 @@
 	}
 }
 
+// Remove stops one target without an order, as if its machine had been lost.
+func (p *Platform) Remove(id string) { p.stop(id) }
+
 // Received returns every order that arrived, in order.
 func (p *Platform) Received() []Received {
 	p.mu.Lock()
