--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -243,20 +243,6 @@
 	return Accepted, nil
 }
 
-func (s *State) foldSeal(at record.Offset, env record.Envelope, b record.UsageSeal) (Verdict, error) {
-	if err := s.inCharge(b.Lease, env.Author, env.Supersedes); err != nil {
-		return Conflict, err
-	}
-	if b.Window <= s.WindowFloor {
-		return Conflict, fmt.Errorf("window %d is settled: windows up to %d are forgotten", b.Window, s.WindowFloor)
-	}
-	if w, sealed := s.Windows[b.Window]; sealed {
-		return Conflict, fmt.Errorf("window %d was sealed at offset %d", b.Window, w.Sealed)
-	}
-	s.Windows[b.Window] = Window{Start: b.Window, Figures: b.Figures, Sealed: at}
-	return Accepted, nil
-}
-
 func (s *State) foldSent(b record.UsageSent) (Verdict, error) {
 	w, ok := s.Windows[b.Window]
 	if !ok {
@@ -286,26 +272,3 @@
 		s.WindowFloor = max(s.WindowFloor, start)
 	}
 }
-
-func (s *State) foldBatch(at record.Offset, env record.Envelope, b record.Batch) (Verdict, error) {
-	cur := s.Ledgers[b.Trainer]
-	if env.Supersedes != cur.Current {
-		return Conflict, fmt.Errorf("batch of trainer %q supersedes offset %d, current is %d", b.Trainer, env.Supersedes, cur.Current)
-	}
-	open := cur.Number > 0 && !cur.Acked
-	if open || b.Number != cur.Number+1 {
-		return Conflict, fmt.Errorf("batch %d of trainer %q after batch %d (acknowledged: %t)", b.Number, b.Trainer, cur.Number, cur.Acked)
-	}
-	s.Ledgers[b.Trainer] = Ledger{Trainer: b.Trainer, Current: at, Number: b.Number, Samples: b.Samples}
-	return Accepted, nil
-}
-
-func (s *State) foldBatchAck(at record.Offset, b record.BatchAck) (Verdict, error) {
-	cur := s.Ledgers[b.Trainer]
-	if cur.Number != b.Number || cur.Acked {
-		return Conflict, fmt.Errorf("batch %d of trainer %q is not open", b.Number, b.Trainer)
-	}
-	cur.Acked, cur.Current = true, at
-	s.Ledgers[b.Trainer] = cur
-	return Accepted, nil
-}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -57,6 +57,8 @@
 		Orders:       maps.Clone(l.state.Orders),
 		Platform:     l.routing.platform,
 		OwnLoads:     l.own,
+		TargetsAt:    maps.Clone(l.targetsAt),
+		Billing:      l.state.Billing.Clone(),
 		Digest:       l.digest,
 		FreshAt:      l.freshAt,
 		Drains:       l.drains,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -146,25 +146,31 @@
 // Run serves until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	i.Loop.OnBeat(func(b *control.Heartbeat) { b.Usage = i.Meter.Reports() })
 	callers := caller.New(caller.Options{
 		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	trainers := samples.New(ctx, samples.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	operators := operator.New(operator.Options{
 		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
 	})
 	acting := controller.New(controller.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
+	})
+	billing := controller.NewBiller(controller.BillerOptions{
+		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
 	})
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers}, i.Events)
+	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, usage: exchange}, i.Events)
 	g.Go(func() error { return peers.Serve(ctx, i.peers) })
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
+	g.Go(func() error { return billing.Run(ctx) })
+	g.Go(func() error { return exchange.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
+	g.Go(func() error { return trainers.Run(ctx) })
 	i.callers.Serve(ctx, g, callers.Handler(), i.noteCertificate)
 	i.operators.Serve(ctx, g, operators.Handler(), i.noteCertificate)
 	i.trainers.Serve(ctx, g, trainers.Handler(), i.noteCertificate)
@@ -187,6 +193,7 @@
 	instance *Instance
 	callers  *caller.Server
 	trainers *samples.Manager
+	usage    *metering.Exchange
 }
 
 // Handle implements peer.Handler.
@@ -197,7 +204,6 @@
 		if err != nil {
 			return nil, err
 		}
-		h.instance.Meter.Merge(beat.Usage)
 		h.instance.Loop.Heard(ctx, beat)
 		return nil, nil
 	case peer.KindAdmit:
@@ -206,8 +212,16 @@
 		return nil, h.instance.Dispatch.HandleFinish(body)
 	case peer.KindAnswer:
 		return h.callers.HandleAnswer(ctx, body)
+	case peer.KindUsage:
+		return h.usage.HandleBatch(body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
+	case peer.KindMirrorPut:
+		return h.trainers.HandleMirrorPut(body)
+	case peer.KindMirrorFetch:
+		return h.trainers.HandleMirrorFetch(body)
+	case peer.KindBatchPage:
+		return h.trainers.HandleBatchPage(body)
 	default:
 		return nil, fmt.Errorf("unknown message kind %d from %s", kind, from.ID)
 	}
