--- a/core/config/config.go
+++ b/core/config/config.go
@@ -52,6 +52,7 @@
 	CheapPerHour  float64       `yaml:"cheapPerHour" cbor:"11,keyasint"` // the same on reclaimable targets
 	Routes        []Route       `yaml:"routes" cbor:"12,keyasint"`       // plain services only
 	SwapParallel  int           `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
+	SampleShare   float64       `yaml:"sampleShare" cbor:"20,keyasint"`  // part of a target's tokens that samples get while callers wait; zero: 0.2
 }
 
 // Route describes the calls below one path of a plain service.
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -52,24 +52,36 @@
 	snapshot atomic.Pointer[Snapshot]
 	guards   atomic.Pointer[map[string]Guard]
 	appender *appender
+	recent   *recentLog
 	// beatExtra adds what other packages tell peers in each heartbeat.
 	beatExtra atomic.Pointer[func(*Heartbeat)]
 
 	// The rest belongs to the control goroutine.
-	state       *fold.State
-	leases      map[string]*lease.Machine
-	members     *member.Table
-	targets     map[string][]platform.Target // by data centre
-	targetsAt   map[string]time.Duration     // when targets was asked for
-	loads       map[string]TargetLoad        // by target
-	own         []TargetLoad
-	waiters     map[record.ID]chan fold.Result
-	freshAt     time.Duration
-	routing     *routing
-	keys        *KeyIndex
-	keyDigests  map[string][32]byte // by key id
+	state      *fold.State
+	leases     map[string]*lease.Machine
+	members    *member.Table
+	targets    map[string][]platform.Target // by data centre
+	targetsAt  map[string]time.Duration     // when targets was asked for
+	loads      map[string]TargetLoad        // by target
+	own        []TargetLoad
+	waiters    map[record.ID]chan fold.Result
+	freshAt    time.Duration
+	routing    *routing
+	keys       *KeyIndex
+	keyDigests map[string][32]byte // by key id
+	proved     bool                // the log has once shown its end
+	halted     string              // why the control roles have stopped; empty: they have not
+	agreement  *agreement
+
+	encoded          []record.Checkpoint // the state as last given to a joining peer
+	encodedAt        time.Duration
+	checkpointSeen   record.Offset // state.Checkpoint.Offset when last looked at
+	checkpointAt     time.Duration // when it changed
+	checkpointSent   record.Offset // state of the checkpoint that this instance last wrote
+	checkpointSentAt time.Duration
+
 	keysVersion uint64
-	digest      [32]byte
+	keyCount    int // keys when the index was last known to match
 	leaving     bool
 	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
@@ -88,9 +100,12 @@
 		loads:     map[string]TargetLoad{},
 		waiters:   map[record.ID]chan fold.Result{},
 		routing:   newRouting(),
+		recent:    newRecentLog(),
+		agreement: newAgreement(),
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
+	l.checkpointAt = o.Clock.Now()
 	l.appender = newAppender(o.Log, o.Clock, o.Events)
 	l.guards.Store(&map[string]Guard{})
 	l.publish()
@@ -156,24 +171,6 @@
 // Yield releases every lease and stops owning queues.
 func (l *Loop) Yield(ctx context.Context) { l.post(ctx, yield{}) }
 
-func (m logRead) handle(l *Loop) {
-	now := l.Clock.Now()
-	for _, r := range m.reply.Records {
-		if record.Offset(r.Offset) <= l.state.Applied {
-			continue
-		}
-		res, err := l.state.Apply(record.Offset(r.Offset), r.Data)
-		if err != nil {
-			l.Events.Record("log gap", events.F("error", err.Error()))
-			return
-		}
-		l.folded(now, res)
-	}
-	if l.state.Applied+1 >= record.Offset(m.reply.Next) {
-		l.freshAt = max(l.freshAt, m.sentAt)
-	}
-}
-
 // folded follows up on one record.
 func (l *Loop) folded(now time.Duration, res fold.Result) {
 	l.Events.Observe(res.Envelope.Stamp)
@@ -190,6 +187,7 @@
 	case record.KeyWithdraw:
 		l.keyWithdrawn(b.KeyID)
 	}
+	l.keyCount = len(l.state.Keys)
 	if res.Envelope.Author == l.holder {
 		l.appender.settle(res.Envelope.ID)
 	}
@@ -204,6 +202,18 @@
 	if res.Verdict != fold.Accepted || cfg == nil {
 		return
 	}
+	l.inForce()
+	if len(l.state.Keys) != l.keyCount { // keys of accounts that are gone
+		l.indexKeys()
+	}
+}
+
+// inForce follows up on the configuration in force.
+func (l *Loop) inForce() {
+	cfg := l.state.Config()
+	if cfg == nil {
+		return
+	}
 	l.members.SetHeartbeat(cfg.Control.Heartbeat)
 	for _, m := range l.leases {
 		m.SetTiming(timing(cfg))
@@ -216,13 +226,16 @@
 
 func (m listRead) handle(l *Loop) {
 	peers := make([]member.Peer, 0, len(m.instances))
+	listed := make(map[string]bool, len(m.instances))
 	for _, i := range m.instances {
+		listed[i.ID] = true
 		peers = append(peers, member.Peer{
 			ID: i.ID, Incarnation: i.Incarnation, DataCentre: i.DataCentre,
 			Address: i.Address, Operator: i.Operator, Leaving: i.State == platform.Leaving,
 		})
 	}
 	l.members.List(l.Clock.Now(), peers)
+	l.agreement.forgetGone(listed)
 }
 
 func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
@@ -231,6 +244,7 @@
 
 func (m heard) handle(l *Loop) {
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
+	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
 	for _, load := range m.beat.Loads {
 		l.setLoad(load)
 	}
@@ -257,7 +271,7 @@
 
 func (tick) handle(l *Loop) {
 	cfg := l.state.Config()
-	if cfg == nil {
+	if cfg == nil || l.halted != "" {
 		return
 	}
 	l.machine(DeploymentLease)
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -33,14 +33,18 @@
 	Windows      map[int64]fold.Window
 	Orders       map[string]fold.Order // announced and not settled, by order id
 	Platform     []platform.Target
-	OwnLoads     []TargetLoad             // of the targets that this instance owns
-	Drains       map[string]record.Offset // targets that operators drain, since when
+	OwnLoads     []TargetLoad // of the targets that this instance owns
 	// TargetsAt is when the list of a data centre's targets was asked for that
 	// Platform holds, by data centre.
 	TargetsAt map[string]time.Duration
 	Billing   fold.Billing
 	Digest    [32]byte
-	FreshAt   time.Duration // when the log last proved Offset to be its end
+	Drains    map[string]record.Offset // targets that operators drain, since when
+	FreshAt   time.Duration            // when the log last proved Offset to be its end
+	Proved    bool                     // it has done so
+	Halted    string                   // why the control roles have stopped; empty: they have not
+
+	readers map[string]bool // instances of this data centre that read the log themselves
 }
 
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
@@ -53,7 +57,7 @@
 func (s *Snapshot) Drained(target string) bool { return s.Drains[target] > 0 }
 
 // Fresh reports whether the snapshot was proved current within bound of now.
-func (s *Snapshot) Fresh(now, bound time.Duration) bool { return now-s.FreshAt <= bound }
+func (s *Snapshot) Fresh(now, bound time.Duration) bool { return s.Proved && now-s.FreshAt <= bound }
 
 // Target returns the service's target called id, or nil.
 func (s *Snapshot) Target(service, id string) *route.Target {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -206,14 +206,18 @@
 		}
 		h.instance.Loop.Heard(ctx, beat)
 		return nil, nil
+	case peer.KindRecords:
+		return h.instance.Loop.HandleRecords(ctx, body)
+	case peer.KindState:
+		return h.instance.Loop.HandleState(ctx, body)
 	case peer.KindAdmit:
 		return h.instance.Dispatch.HandleAdmit(ctx, from, body)
 	case peer.KindFinish:
-		return nil, h.instance.Dispatch.HandleFinish(body)
-	case peer.KindAnswer:
-		return h.callers.HandleAnswer(ctx, body)
+		return nil, h.instance.Dispatch.HandleFinish(from, body)
 	case peer.KindUsage:
 		return h.usage.HandleBatch(body)
+	case peer.KindAnswer:
+		return h.callers.HandleAnswer(ctx, body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
 	case peer.KindMirrorPut:
