Weights: roll new versions out to the engines

Cause: nothing ordered engines to load what the weight store published.

Change: core/rollout decides order, share, retries and what is taken out from the engines' own reports; internal/rollout asks the store, orders with fencing number and not-after, and tells every instance which targets to route round. At most half of a service is taken out, so that a version that no engine can load does not end it.

Conclusion: a property test over failing, lying, half-done and crashed engines holds the share and ends on the newest version.

--- /dev/null
+++ b/core/rollout/rollout_test.go
@@ -0,0 +1,209 @@
+package rollout_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthfold/amaranthfold/core/rollout"
+)
+
+func TestRollout(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "core/rollout")
+}
+
+var limits = rollout.Limits{
+	Parallel: 2, Attempts: 3, FirstPause: time.Second, MaxPause: 4 * time.Second,
+	OutPause: time.Minute, ReportLag: 5 * time.Second,
+}
+
+func engines(versions ...int64) []rollout.Target {
+	out := make([]rollout.Target, len(versions))
+	for i, v := range versions {
+		out[i] = rollout.Target{ID: fmt.Sprintf("t%d", i), DataCentre: []string{"north", "south"}[i%2], Version: v}
+	}
+	return out
+}
+
+var _ = Describe("Rollout", func() {
+	var r *rollout.Rollout
+	BeforeEach(func() { r = rollout.New(limits) })
+	ids := func(orders []rollout.Order) []string {
+		var out []string
+		for _, o := range orders {
+			out = append(out, o.Target)
+		}
+		return out
+	}
+
+	DescribeTable("orders engines in an order that keeps the service up",
+		func(targets []rollout.Target, want ...string) {
+			r.Want(0, 5)
+			Expect(ids(r.Plan(0, targets))).To(Equal(want))
+		},
+		Entry("unknown versions first, one a data centre", engines(4, 4, 4, 0), "t0", "t3"),
+		Entry("the oldest first", engines(4, 4, 3, 2), "t2", "t3"),
+		Entry("what is newer stays", engines(6, 5, 4), "t2"),
+		Entry("less loaded first", []rollout.Target{{ID: "a", Load: 9, Version: 1}, {ID: "b", Load: 1, Version: 1}, {ID: "c", Load: 5, Version: 1}}, "b", "c"),
+		Entry("leaving engines are left alone", []rollout.Target{{ID: "a", Version: 1, Leaving: true}, {ID: "b", Version: 1}}, "b"),
+	)
+
+	It("changes no more at once than allowed, and goes on as they finish", func() {
+		r.Want(0, 5)
+		first := r.Plan(0, engines(4, 4, 4, 4))
+		Expect(first).To(HaveLen(2))
+		Expect(r.Plan(1, engines(4, 4, 4, 4))).To(BeEmpty())
+		r.Done(2, first[0], true)
+		Expect(r.Plan(2, engines(4, 4, 4, 4))).To(HaveLen(1))
+	})
+
+	It("retries a failed change with growing pauses, then takes the target out and back in", func() {
+		r.Want(0, 5)
+		now := time.Duration(0)
+		for _, pause := range []time.Duration{time.Second, 2 * time.Second} {
+			o := r.Plan(now, engines(4, 5))
+			Expect(o).To(HaveLen(1))
+			r.Done(now, o[0], false)
+			Expect(r.Plan(now+pause-1, engines(0, 5))).To(BeEmpty())
+			now += pause
+		}
+		r.Done(now, r.Plan(now, engines(0, 5))[0], false)
+		Expect(r.Out()).To(Equal([]string{"t0"}))
+		Expect(r.Plan(now+time.Minute-1, engines(0, 5))).To(BeEmpty())
+		now += time.Minute
+		r.Done(now, r.Plan(now, engines(0, 5))[0], true)
+		Expect(r.Out()).To(Equal([]string{"t0"}), "out until the engine reports the version")
+		r.Plan(now, engines(5, 5))
+		Expect(r.Out()).To(BeEmpty())
+	})
+
+	It("keeps half of the service when no engine can load a version, those of unknown version out first", func() {
+		now := time.Duration(0)
+		r.Want(now, 5)
+		for range 40 {
+			for _, o := range r.Plan(now, engines(4, 4, 0, 4, 0)) {
+				r.Done(now, o, false)
+			}
+			now += time.Second
+		}
+		Expect(r.Out()).To(Equal([]string{"t2", "t4"}))
+	})
+
+	It("does not trust a confirmation that the reports contradict", func() {
+		r.Want(0, 5)
+		r.Done(0, r.Plan(0, engines(4))[0], true)
+		Expect(r.Plan(limits.ReportLag-1, engines(4))).To(BeEmpty())
+		r.Plan(limits.ReportLag, engines(4))
+		Expect(r.Plan(limits.ReportLag+limits.FirstPause, engines(4))).To(HaveLen(1))
+	})
+
+	It("never goes back, and passes over a version that was overtaken", func() {
+		r.Want(0, 5)
+		o := r.Plan(0, engines(4, 4, 4))
+		r.Want(1, 6)
+		r.Want(1, 3)
+		r.Done(2, o[0], true)
+		Expect(r.Plan(2, engines(5, 4, 6))).To(Equal([]rollout.Order{{Target: "t0", Version: 6}}))
+	})
+
+	It("tells once how long a version took to reach all engines in service", func() {
+		r.Want(10, 5)
+		r.Plan(10, engines(4, 5))
+		_, ok := r.Reached(10, engines(4, 5))
+		Expect(ok).To(BeFalse())
+		took, ok := r.Reached(25, engines(5, 5))
+		Expect(ok).To(BeTrue())
+		Expect(took).To(Equal(time.Duration(15)))
+		_, ok = r.Reached(26, engines(5, 5))
+		Expect(ok).To(BeFalse())
+	})
+})
+
+// Engines fail swaps at random, lie, vanish and join; a roll-out never has more
+// than its share changing, never orders an older version, and ends.
+func TestRolloutUnderFaults(t *testing.T) {
+	if err := flag.Set("rapid.seed", "11"); err != nil {
+		t.Fatal(err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		r := rollout.New(limits)
+		targets := engines(1, 1, 1, 1, 1, 1, 1)
+		var open []rollout.Order
+		now, newest := time.Duration(0), int64(1)
+		step := func(faults bool) {
+			now += time.Second
+			for _, o := range r.Plan(now, targets) {
+				if o.Version != newest {
+					t.Fatalf("ordered version %d, newest is %d", o.Version, newest)
+				}
+				open = append(open, o)
+			}
+			if len(open) > limits.Parallel {
+				t.Fatalf("%d engines change at once", len(open))
+			}
+			if len(open) == 0 {
+				return
+			}
+			o := open[0]
+			open = open[1:]
+			outcome := "done"
+			if faults {
+				outcome = rapid.SampledFrom([]string{"done", "failed", "half", "lied", "done, answer lost"}).Draw(t, "outcome")
+			}
+			for i := range targets {
+				if targets[i].ID == o.Target && (outcome == "done" || outcome == "done, answer lost") {
+					targets[i].Version = max(targets[i].Version, o.Version)
+				}
+				if targets[i].ID == o.Target && outcome == "half" {
+					targets[i].Version = 0
+				}
+			}
+			r.Done(now, o, outcome == "done" || outcome == "lied")
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.IntRange(0, 9).Draw(t, "publish") == 0 {
+				newest++
+				r.Want(now, newest)
+			}
+			if rapid.IntRange(0, 9).Draw(t, "crash") == 0 {
+				targets[rapid.IntRange(0, len(targets)-1).Draw(t, "engine")].Version = 0
+			}
+			step(true)
+		}
+		r.Want(now, newest+1)
+		newest++
+		for range 200 {
+			step(false)
+		}
+		if _, ok := r.Reached(now, targets); !ok || len(r.Out()) > 0 {
+			t.Fatalf("version %d is not on all engines: %v, out %v", newest, targets, r.Out())
+		}
+	})
+}
+
+// BenchmarkPlan plans a new version for every sampler at the target size.
+func BenchmarkPlan(b *testing.B) {
+	const samplers, dataCentres = 12_000, 27
+	targets := make([]rollout.Target, samplers)
+	for i := range targets {
+		targets[i] = rollout.Target{ID: fmt.Sprintf("target-%05d", i), DataCentre: fmt.Sprintf("dc-%02d", i%dataCentres), Version: 1, Load: i % 17}
+	}
+	for _, parallel := range []int{0, samplers} {
+		b.Run(fmt.Sprintf("parallel=%d", parallel), func(b *testing.B) {
+			for b.Loop() {
+				r := rollout.New(rollout.Limits{Parallel: parallel, Attempts: 4})
+				r.Want(1, 2)
+				if len(r.Plan(1, targets)) == 0 {
+					b.Fatal("nothing was ordered")
+				}
+			}
+			b.ReportMetric(float64(b.Elapsed().Milliseconds())/float64(b.N), "ms/plan")
+		})
+	}
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -69,6 +69,8 @@
 	keyDigests  map[string][32]byte // by key id
 	keysVersion uint64
 	digest      [32]byte
+	unfit       map[string]bool // targets out of service
+	unfitTerm   record.Offset   // holder that said so
 	leaving     bool
 }
 
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -101,7 +101,7 @@
 	load := l.loads[t.ID]
 	return route.Target{
 		ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, URL: t.URL, Cheap: t.Cheap,
-		Leaving:  load.Leaving || t.State != platform.TargetRunning,
+		Leaving:  load.Leaving || l.unfit[t.ID] || t.State != platform.TargetRunning,
 		Owner:    l.routing.ownerOf.Of(t.ID),
 		Version:  load.Version,
 		Load:     load.Load,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -26,6 +26,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/operator"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
+	"github.com/amaranthfold/amaranthfold/internal/rollout"
 	"github.com/amaranthfold/amaranthfold/internal/samples"
 )
 
@@ -159,13 +160,17 @@
 	acting := controller.New(controller.Options{
 		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
 	})
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, trainers: trainers}, i.Events)
+	weights := rollout.New(rollout.Options{
+		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
+	})
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, trainers: trainers, weights: weights}, i.Events)
 	g.Go(func() error { return peers.Serve(ctx, i.peers) })
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
+	g.Go(func() error { return weights.Run(ctx) })
 	i.callers.Serve(ctx, g, callers.Handler(), i.noteCertificate)
 	i.operators.Serve(ctx, g, operators.Handler(), i.noteCertificate)
 	i.trainers.Serve(ctx, g, trainers.Handler(), i.noteCertificate)
@@ -187,6 +192,7 @@
 type peerHandler struct {
 	instance *Instance
 	trainers *samples.Manager
+	weights  *rollout.Driver
 }
 
 // Handle implements peer.Handler.
@@ -206,6 +212,8 @@
 		return nil, h.instance.Dispatch.HandleFinish(body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
+	case peer.KindUnfit:
+		return nil, h.weights.HandleUnfit(ctx, body)
 	case peer.KindMirrorPut:
 		return h.trainers.HandleMirrorPut(body)
 	case peer.KindMirrorFetch:
--- /dev/null
+++ b/internal/rollout/rollout.go
@@ -0,0 +1,231 @@
+// Package rollout brings new weight versions to the engines. The instance that
+// holds the deployment's lease orders the changes that core/rollout decides;
+// engines fetch the weights themselves.
+package rollout
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/core/rollout"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/control"
+	"github.com/amaranthfold/amaranthfold/internal/engine"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/peer"
+	"github.com/amaranthfold/amaranthfold/internal/platform"
+)
+
+const (
+	passInterval  = 100 * time.Millisecond
+	storeInterval = 500 * time.Millisecond // between questions for a model's newest version
+	storeTimeout  = 2 * time.Second
+	swapTimeout   = 2 * time.Minute // of one order, download included
+	tellInterval  = time.Second     // between repeats of the targets taken out
+	tellTimeout   = 500 * time.Millisecond
+)
+
+// limits shape every roll-out.
+var limits = rollout.Limits{
+	Attempts:   4,
+	FirstPause: 250 * time.Millisecond,
+	MaxPause:   10 * time.Second,
+	OutPause:   time.Minute,
+	ReportLag:  5 * time.Second,
+}
+
+// Options are what a Driver works with.
+type Options struct {
+	Loop    *control.Loop
+	Engines *engine.Client
+	Weights *platform.Weights
+	Peers   *peer.Pool
+	Clock   clock.Clock
+	Events  *events.Recorder
+}
+
+// Driver runs on every instance and acts only while in charge.
+type Driver struct {
+	Options
+
+	mu       sync.Mutex
+	term     record.Offset
+	services map[string]*service
+	told     []string      // targets taken out, as last told
+	toldAt   time.Duration // zero: not in this term
+}
+
+// service is the roll-out of one service's model.
+type service struct {
+	state   *rollout.Rollout
+	askedAt time.Duration // zero: never
+	asking  bool
+}
+
+// Note tells peers which targets the holder of the deployment's lease has taken
+// out of service.
+type Note struct {
+	Term    record.Offset `cbor:"1,keyasint"`
+	Targets []string      `cbor:"2,keyasint"`
+}
+
+// New returns a driver.
+func New(o Options) *Driver { return &Driver{Options: o, services: map[string]*service{}} }
+
+// Run makes a pass at every interval until ctx ends.
+func (d *Driver) Run(ctx context.Context) error {
+	ticker := time.NewTicker(passInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			d.pass(ctx)
+		}
+	}
+}
+
+// HandleUnfit takes a note of the instance in charge.
+func (d *Driver) HandleUnfit(ctx context.Context, body []byte) error {
+	note, err := peer.Decode[Note](body)
+	if err != nil {
+		return err
+	}
+	d.Loop.SetUnfit(ctx, note.Term, note.Targets)
+	return nil
+}
+
+func (d *Driver) pass(ctx context.Context) {
+	s := d.Loop.Snapshot()
+	if s.Config == nil {
+		return
+	}
+	guard, held := d.Loop.Held(control.DeploymentLease, s.Config.Control.OrderFlight)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !held {
+		return
+	}
+	if guard.Fencing != d.term {
+		d.term, d.toldAt = guard.Fencing, 0
+		clear(d.services)
+	}
+	var out []string
+	for i := range s.Config.Services {
+		spec := &s.Config.Services[i]
+		if spec.Kind != config.KindEngine {
+			continue
+		}
+		d.advance(ctx, s, spec)
+		out = append(out, d.services[spec.Name].state.Out()...)
+	}
+	d.tell(ctx, s, out)
+}
+
+// advance orders what the service's roll-out wants now.
+func (d *Driver) advance(ctx context.Context, s *control.Snapshot, spec *config.Service) {
+	svc := d.services[spec.Name]
+	if svc == nil {
+		svc = &service{state: rollout.New(limits)}
+		d.services[spec.Name] = svc
+	}
+	now := d.Clock.Now()
+	if !svc.asking && (svc.askedAt == 0 || now-svc.askedAt >= storeInterval) {
+		svc.asking, svc.askedAt = true, now
+		go d.ask(ctx, svc, spec.Model)
+	}
+	svc.state.SetParallel(spec.SwapParallel)
+	targets, urls := reports(s, spec.Name, svc.state.Out())
+	for _, o := range svc.state.Plan(now, targets) {
+		go d.order(ctx, svc, spec, o, urls[o.Target])
+	}
+	if took, ok := svc.state.Reached(now, targets); ok {
+		d.Events.Record("weights on all engines", events.F("service", spec.Name), events.F("version", fmt.Sprint(svc.state.Wanted())),
+			events.F("engines", fmt.Sprint(len(targets))), events.F("millis", fmt.Sprint(took.Milliseconds())))
+	}
+}
+
+// reports joins the routing table with its URLs. A target that a roll-out took
+// out shows as leaving there, but is to be tried again.
+func reports(s *control.Snapshot, service string, out []string) ([]rollout.Target, map[string]string) {
+	taken := make(map[string]bool, len(out))
+	for _, id := range out {
+		taken[id] = true
+	}
+	list := s.Targets.Targets(service)
+	targets := make([]rollout.Target, len(list))
+	urls := make(map[string]string, len(list))
+	for i := range list {
+		t := &list[i]
+		targets[i] = rollout.Target{ID: t.ID, DataCentre: t.DataCentre, Version: t.Version, Load: t.Load, Leaving: t.Leaving && !taken[t.ID]}
+		urls[t.ID] = t.URL
+	}
+	return targets, urls
+}
+
+// ask learns the model's newest version. The store is rate-limited: only the
+// instance in charge asks, for one number a model.
+func (d *Driver) ask(ctx context.Context, svc *service, model string) {
+	callCtx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	reply, err := d.Weights.Latest(callCtx, model)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	svc.asking = false
+	if err != nil {
+		d.Events.Record("weight store failed", events.F("model", model), events.F("error", err.Error()))
+		return
+	}
+	if reply.Latest > svc.state.Wanted() {
+		svc.state.Want(d.Clock.Now(), reply.Latest)
+		d.Events.Record("weights published", events.F("model", model), events.F("version", fmt.Sprint(reply.Latest)))
+	}
+}
+
+// order sends one change and notes its outcome.
+func (d *Driver) order(ctx context.Context, svc *service, spec *config.Service, o rollout.Order, url string) {
+	err := d.send(ctx, spec, o, url)
+	name := "weights loaded"
+	fields := []events.Field{events.F("target", o.Target), events.F("version", fmt.Sprint(o.Version))}
+	if err != nil {
+		name = "weight swap failed"
+		fields = append(fields, events.F("error", err.Error()))
+	}
+	d.Events.Record(name, fields...)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	svc.state.Done(d.Clock.Now(), o, err == nil)
+}
+
+// errNotInCharge keeps an order from leaving.
+var errNotInCharge = fmt.Errorf("lease %q is not held long enough", control.DeploymentLease)
+
+// send asks the engine itself before it orders, since reports lag, and checks
+// the lease as the last step before the order leaves.
+func (d *Driver) send(ctx context.Context, spec *config.Service, o rollout.Order, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, swapTimeout)
+	defer cancel()
+	report, err := d.Engines.Load(ctx, url)
+	if err != nil {
+		return err
+	}
+	if report.Version >= o.Version {
+		return nil
+	}
+	flight := d.Loop.Snapshot().Config.Control.OrderFlight
+	guard, held := d.Loop.Held(control.DeploymentLease, flight)
+	if !held {
+		return errNotInCharge
+	}
+	return d.Engines.Manage(ctx, url, engine.Order{
+		ID: uuid.NewString(), Kind: engine.LoadWeights, Model: spec.Model, Version: o.Version,
+		Fencing: int64(guard.Fencing), NotAfter: d.Clock.Wall().Add(flight),
+	})
+}
