--- a/core/fold/state.go
+++ b/core/fold/state.go
@@ -48,6 +48,8 @@
 	Figures []record.UsageFigure `cbor:"2,keyasint"`
 	Sealed  record.Offset        `cbor:"3,keyasint"`
 	Sent    bool                 `cbor:"4,keyasint"`
+	End     int64                `cbor:"5,keyasint"` // Unix milliseconds
+	Late    []record.UsageFigure `cbor:"6,keyasint"` // part of Figures used before Start
 }
 
 // CheckpointMark tells how far checkpoints have come.
@@ -72,6 +74,7 @@
 	Ledgers      map[string]Ledger      `cbor:"8,keyasint"` // by trainer
 	SeenIDs      []record.ID            `cbor:"9,keyasint"` // ring of the latest ids
 	SeenNext     int                    `cbor:"10,keyasint"`
+	Billing      Billing                `cbor:"60,keyasint"`
 	Chain        [32]byte               `cbor:"11,keyasint"` // digest of all records and verdicts up to Applied
 	Format       uint8                  `cbor:"12,keyasint"` // newest format level that records may use
 	WindowFloor  int64                  `cbor:"13,keyasint"` // windows up to here are settled and forgotten
@@ -88,6 +91,7 @@
 		Orders:  map[string]Order{},
 		Windows: map[int64]Window{},
 		Ledgers: map[string]Ledger{},
+		Billing: newBilling(),
 		Format:  firstFormat,
 		seen:    map[record.ID]struct{}{},
 	}
