Peers: mutual TLS, and no session under another instance's name

Cause: instances talked in clear, and a peer could claim any id. Change: the pool's dialer can be replaced; with an authority both sides show certificates that it signed, and the common name must be the instance's id. The server accepts connections itself, so that a slow handshake holds up nobody. Before: any process could open a session. After: refused without TLS, with another authority's and with another instance's certificate (tests). Conclusion: mutual TLS is an option, off by default.

--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -85,6 +85,9 @@
 	}
 	i.Events = events.New(cfg.ID, cfg.LogOutput, i.cfg.Clock.Wall)
 	i.pool = peer.NewPool(peer.Hello{ID: cfg.ID, Incarnation: i.incarnation, Deployment: cfg.Deployment}, i.Events)
+	if pair := i.peers.Pair(); pair != nil {
+		i.pool.UseDialer(peer.DialTLS(pair.Client))
+	}
 	i.Loop = control.New(control.Options{
 		Self: member.Peer{
 			ID: cfg.ID, Incarnation: i.incarnation, DataCentre: cfg.DataCentre,
@@ -173,7 +176,8 @@
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
 	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
-	g.Go(func() error { return peers.Serve(ctx, i.peers) })
+	g.Go(func() error { return peers.Serve(ctx, i.peers.Raw()) })
+	i.peers.Watch(ctx, g, i.noteCertificate)
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
--- a/internal/listener/listener.go
+++ b/internal/listener/listener.go
@@ -93,6 +93,11 @@
 		<-ctx.Done()
 		return srv.Close()
 	})
+	l.Watch(ctx, g, report)
+}
+
+// Watch follows the certificate's files until ctx ends; Serve does so itself.
+func (l *Listener) Watch(ctx context.Context, g *errgroup.Group, report func(error)) {
 	if l.pair != nil {
 		g.Go(func() error { return l.pair.Watch(ctx, report) })
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
@@ -26,6 +25,7 @@
 type Pool struct {
 	hello   Hello
 	stamper Stamper
+	dial    Dialer
 
 	mu       sync.Mutex
 	sessions map[string]*outgoing
@@ -34,9 +34,13 @@
 
 // NewPool returns a pool that introduces itself by hello. stamper may be nil.
 func NewPool(hello Hello, stamper Stamper) *Pool {
-	return &Pool{hello: hello, stamper: stamperOr(stamper), sessions: map[string]*outgoing{}}
+	return &Pool{hello: hello, stamper: stamperOr(stamper), dial: DialPlain, sessions: map[string]*outgoing{}}
 }
 
+// UseDialer replaces the way to open connections. It must come before the first
+// call.
+func (p *Pool) UseDialer(d Dialer) { p.dial = d }
+
 // Call sends a call to the peer at address and decodes the answer into out.
 func (p *Pool) Call(ctx context.Context, address string, kind Kind, in, out any) error {
 	return p.CallLate(ctx, address, kind, in, out, nil)
@@ -92,7 +96,7 @@
 	if s == nil || s.failed() {
 		s = newOutgoing(p.stamper)
 		p.sessions[address] = s
-		go s.open(address, p.hello)
+		go s.open(p.dial, address, p.hello)
 	}
 	p.mu.Unlock()
 	select {
@@ -128,16 +132,18 @@
 	}
 }
 
-func (s *outgoing) open(address string, hello Hello) {
-	if err := s.dial(address, hello); err != nil {
+func (s *outgoing) open(dial Dialer, address string, hello Hello) {
+	if err := s.connect(dial, address, hello); err != nil {
 		s.openErr = fmt.Errorf("peer %s: %w: %w", address, ErrUnreachable, err)
 		s.fail()
 	}
 	close(s.opened)
 }
 
-func (s *outgoing) dial(address string, hello Hello) error {
-	raw, err := net.DialTimeout("tcp", address, dialTimeout)
+func (s *outgoing) connect(dial Dialer, address string, hello Hello) error {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	raw, err := dial(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -41,10 +41,31 @@
 	if err := mux.Register(s, description{}); err != nil {
 		return fmt.Errorf("register the peer service: %w", err)
 	}
-	if err := drpcserver.New(mux).Serve(ctx, listener); err != nil && ctx.Err() == nil {
-		return fmt.Errorf("serve peers on %s: %w", listener.Addr(), err)
+	srv := drpcserver.New(mux)
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() }) // ends Accept
+	defer stop()
+	var conns sync.WaitGroup
+	defer conns.Wait()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("serve peers on %s: %w", listener.Addr(), err)
+		}
+		conns.Go(func() { serveConn(ctx, srv, conn) })
 	}
-	return nil
+}
+
+// serveConn serves one connection's session.
+func serveConn(ctx context.Context, srv *drpcserver.Server, conn net.Conn) {
+	defer conn.Close()
+	name, err := certifiedName(ctx, conn)
+	if err != nil {
+		return
+	}
+	_ = srv.ServeOne(withCertifiedName(ctx, name), conn) // a broken session ends in session
 }
 
 // description names the service's only method for drpc.
@@ -79,6 +100,9 @@
 	if first.Kind != KindHello || hello.Deployment != s.deployment {
 		return fmt.Errorf("%w: %q", errDeployment, hello.Deployment)
 	}
+	if err := checkCertifiedName(stream.Context(), hello.ID); err != nil {
+		return err
+	}
 	in := &incoming{
 		server:  s,
 		stream:  stream,
