--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -82,7 +82,9 @@
 	checkpointSentAt time.Duration
 
 	keysVersion uint64
-	keyCount    int // keys when the index was last known to match
+	keyCount    int             // keys when the index was last known to match
+	unfit       map[string]bool // targets out of service
+	unfitTerm   record.Offset   // holder that said so
 	leaving     bool
 	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
