--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -20,6 +20,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
@@ -39,6 +40,7 @@
 	Meter    *metering.Meter
 	Clock    clock.Clock
 	Events   *events.Recorder
+	Measures *measure.Measures // nil: none
 }
 
 // Server answers callers.
@@ -89,6 +91,7 @@
 	account  *config.Account // nil on open routes
 	snapshot *control.Snapshot
 	start    time.Time
+	failed   bool
 }
 
 // flow names the call's flow in admission queues.
@@ -99,6 +102,14 @@
 	return c.account.Name, c.account.Weight
 }
 
+// outcome returns how the call ended, for measures.
+func (c *call) outcome() measure.Outcome {
+	if c.failed {
+		return measure.Failed
+	}
+	return measure.Served
+}
+
 // accountName names the call's account in events; empty on open routes.
 func (c *call) accountName() string {
 	if c.account == nil {
@@ -126,6 +137,7 @@
 	c.account = account
 	if fail := s.limiter.enter(account, len(c.snapshot.Owners)); fail != nil {
 		end()
+		s.Measures.Request(account.Name, measure.Refused, 0)
 		s.Events.Record("request refused", events.F("request", c.id), events.F("account", account.Name), events.F("code", fail.code))
 		fail.write(w)
 		return nil, nil, nil, false
@@ -135,6 +147,7 @@
 		cancel()
 		end()
 		s.limiter.leave(account.Name)
+		s.Measures.Request(account.Name, c.outcome(), time.Since(c.start))
 	}, true
 }
 
--- a/internal/caller/effort.go
+++ b/internal/caller/effort.go
@@ -173,6 +173,7 @@
 	if f.outcome == retry.NotRun && f.status == http.StatusBadGateway {
 		f.status, f.code, f.message = http.StatusServiceUnavailable, "unavailable", "no target could be reached"
 	}
+	e.call.failed = true
 	e.server.Events.Record("request failed", events.F("request", e.call.id), events.F("account", e.call.accountName()),
 		events.F("outcome", f.outcome.String()), events.F("code", f.code))
 	return &f
--- a/internal/controller/billing.go
+++ b/internal/controller/billing.go
@@ -14,20 +14,19 @@
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
 // BillerOptions are what a Biller works with.
 type BillerOptions struct {
-	Loop   *control.Loop
-	Clock  clock.Clock
-	Usage  *platform.Usage
-	Meter  *metering.Meter
-	Events *events.Recorder
-	// Measured is called for every report that the platform accepted, with the
-	// time since the window could first be sealed. It may be nil.
-	Measured func(late time.Duration)
+	Loop     *control.Loop
+	Clock    clock.Clock
+	Usage    *platform.Usage
+	Meter    *metering.Meter
+	Events   *events.Recorder
+	Measures *measure.Measures // nil: none
 }
 
 // Biller seals and reports usage windows while its instance is in charge.
@@ -121,12 +120,14 @@
 	window := events.F("window", fmt.Sprint(w.Start))
 	if err := b.Usage.ReportIf(callCtx, report, stillInCharge(b.Loop, guard.Fencing, flight)); err != nil {
 		b.Events.Record("usage report failed", window, events.F("error", err.Error()))
+		if errors.Is(err, platform.ErrRejected) {
+			b.Measures.Incorrect()
+		}
 		return false
 	}
 	b.Events.Record("usage reported", window)
-	if b.Measured != nil {
-		b.Measured(b.Clock.Wall().Sub(time.UnixMilli(w.End).Add(s.Config.Usage.Grace)))
-	}
+	after := b.Clock.Wall().Sub(time.UnixMilli(w.End).Add(s.Config.Usage.Grace))
+	b.Measures.Reported(after, s.Config.Usage.Window, len(w.Late) > 0)
 	appendCtx, cancelAppend := context.WithTimeout(ctx, appendTimeout)
 	defer cancelAppend()
 	if _, err := b.Loop.Append(appendCtx, 0, record.UsageSent{Window: w.Start}); err != nil {
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -15,6 +15,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
@@ -27,20 +28,11 @@
 
 // Options are what a Controller works with.
 type Options struct {
-	Loop   *control.Loop
-	Clock  clock.Clock
-	Orders func(dataCentre string) *platform.Orders
-	Events *events.Recorder
-	// Planned is called with every pass in charge. It may be nil.
-	Planned func(Pass)
-}
-
-// Pass is what one pass in charge saw and decided.
-type Pass struct {
-	At       time.Duration
-	Targets  []plan.Target
-	Demand   map[string]plan.Demand
-	Decision plan.Decision
+	Loop     *control.Loop
+	Clock    clock.Clock
+	Orders   func(dataCentre string) *platform.Orders
+	Events   *events.Recorder
+	Measures *measure.Measures // nil: none
 }
 
 // Controller runs on every instance and acts only while in charge.
@@ -122,9 +114,8 @@
 	v := c.view(s, now, loads)
 	in := plan.Input{Now: now, Wall: c.Clock.Wall(), Targets: v.targets, Demand: v.demand, Down: v.down}
 	d := c.planner.Plan(s.Config, in)
-	if c.Planned != nil {
-		c.Planned(Pass{At: now, Targets: v.targets, Demand: v.demand, Decision: d})
-	}
+	c.Measures.Spend(now, prices(s.Config, v.targets))
+	c.Measures.Held(d.Held)
 	g := errgroup.Group{}
 	g.SetLimit(parallelCalls)
 	for _, target := range d.Drains {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -3,9 +3,11 @@
 import (
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/plan"
 	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/control"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
@@ -130,3 +132,30 @@
 		}
 	}
 }
+
+// prices sums what the targets cost by data centre.
+func prices(cfg *config.Config, targets []plan.Target) []measure.Price {
+	sums := map[plan.Place]*measure.Price{}
+	for i := range targets {
+		t := &targets[i]
+		s := cfg.Service(t.Service)
+		if s == nil {
+			continue
+		}
+		at := plan.Place{DataCentre: t.DataCentre, Cheap: t.Cheap}
+		if sums[at] == nil {
+			sums[at] = &measure.Price{DataCentre: t.DataCentre, Cheap: t.Cheap}
+		}
+		sums[at].Targets++
+		if t.Cheap {
+			sums[at].PerHour += s.CheapPerHour
+		} else {
+			sums[at].PerHour += s.CostPerHour
+		}
+	}
+	out := make([]measure.Price, 0, len(sums))
+	for _, p := range sums {
+		out = append(out, *p)
+	}
+	return out
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/amaranthfold/amaranthfold/core/route"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
@@ -59,9 +60,10 @@
 // Dispatcher holds the queues that this instance owns. It is safe for
 // concurrent use.
 type Dispatcher struct {
-	loop  Loop
-	peers *peer.Pool
-	clock clock.Clock
+	measures *measure.Measures // nil: none
+	loop     Loop
+	peers    *peer.Pool
+	clock    clock.Clock
 
 	mu      sync.Mutex
 	queues  map[string]*queue // by target
@@ -80,6 +82,9 @@
 	}
 }
 
+// Measure makes finished grants count as work. It is called before Admit.
+func (d *Dispatcher) Measure(m *measure.Measures) { d.measures = m }
+
 // Grant is a slot at a target. Finish must be called once.
 type Grant struct {
 	finish func(cost float64)
@@ -95,6 +100,23 @@
 // Admit waits for a slot at the target. The error is a *RefusedError, or a
 // failure to reach the owner, or ctx's; in every case nothing has run.
 func (d *Dispatcher) Admit(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
+	grant, err := d.ask(ctx, t, r)
+	if err != nil || d.measures == nil {
+		return grant, err
+	}
+	finish, class := grant.finish, measure.Caller
+	if r.Class == admit.ClassSample {
+		class = measure.Sample
+	}
+	grant.finish = func(cost float64) {
+		d.measures.Work(t.DataCentre, t.Cheap, class, cost)
+		finish(cost)
+	}
+	return grant, nil
+}
+
+// ask asks the target's owner, then the next ones, then admits here.
+func (d *Dispatcher) ask(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
 	var tried []string
 	for len(tried) < maxOwners {
 		s := d.loop.Snapshot()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -23,6 +23,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/listener"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/operator"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -66,6 +67,7 @@
 	Events   *events.Recorder
 	Dispatch *dispatch.Dispatcher
 	Meter    *metering.Meter
+	Measures *measure.Measures
 
 	engines *engine.Client
 	pool    *peer.Pool
@@ -103,6 +105,8 @@
 	})
 	i.Dispatch = dispatch.New(i.Loop, i.pool, i.cfg.Clock)
 	i.Meter = metering.New(i.Loop.Holder(), time.Minute)
+	i.Measures = measure.New(cfg.ID)
+	i.Dispatch.Measure(i.Measures)
 	return i, nil
 }
 
@@ -157,22 +161,22 @@
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	callers := caller.New(caller.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	trainers := samples.New(ctx, samples.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	operators := operator.New(operator.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
+		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
 	})
 	acting := controller.New(controller.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events, Measures: i.Measures,
 	})
 	weights := rollout.New(rollout.Options{
 		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	billing := controller.NewBiller(controller.BillerOptions{
-		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events, Measures: i.Measures,
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
 	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,107 @@
+package measure_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/internal/measure"
+)
+
+// filled has one account, one trainer and two data centres.
+func filled(instance string, millis ...int) *measure.Measures {
+	m := measure.New(instance)
+	for _, ms := range millis {
+		m.Request("shop", measure.Served, time.Duration(ms)*time.Millisecond)
+	}
+	m.Request("shop", measure.Failed, time.Second)
+	m.Request("shop", measure.Refused, 0)
+	m.TrainerWaited("sorter", 3*time.Second)
+	m.Delivered("sorter", 1, []int64{0, 2})
+	m.Delivered("sorter", 1, []int64{0, 2}) // handed over again
+	m.Work("north", false, measure.Caller, 100)
+	m.Work("spot", true, measure.Sample, 300)
+	return m
+}
+
+func report(g *WithT, m *measure.Measures) measure.Report {
+	r, err := m.Report()
+	g.Expect(err).NotTo(HaveOccurred())
+	return r
+}
+
+func TestMergedReport(t *testing.T) {
+	g := NewWithT(t)
+	slow := make([]int, 50)
+	for i := range slow {
+		slow[i] = 2000
+	}
+	r, err := measure.Merge([]measure.Report{report(g, filled("a", 10, 10)), report(g, filled("b", slow...))})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Instances).To(Equal([]string{"a", "b"}))
+	a := r.Accounts[0]
+	g.Expect([]int64{a.Served, a.Failed, a.Refused}).To(Equal([]int64{52, 2, 2}))
+	g.Expect(a.P50Millis).To(BeNumerically("~", 2000, 20))
+	trainer := r.Trainers[0]
+	g.Expect([]int64{trainer.Batches, trainer.Samples, trainer.MaxStaleness}).To(Equal([]int64{2, 4, 2}))
+	g.Expect(trainer.MeanStaleness()).To(Equal(1.0))
+	s := r.Summary()
+	g.Expect(s.IdleSeconds).To(Equal(6.0))
+	g.Expect(s.CheapShare).To(Equal(0.75))
+	g.Expect(s.CheapSamples).To(Equal(1.0))
+	g.Expect(s.WorstAccount).To(Equal("shop"))
+	g.Expect(s.WorstFailed).To(BeNumerically("~", 4.0/56, 1e-9))
+}
+
+func TestSpendIsChargedOncePerTime(t *testing.T) {
+	g := NewWithT(t)
+	m := measure.New("a")
+	price := []measure.Price{{DataCentre: "north", Targets: 2, PerHour: 3600}}
+	m.Spend(time.Hour, price)
+	m.Spend(time.Hour+time.Second, price)
+	m.Spend(2*time.Hour, price) // it was not in charge in between
+	d := report(g, m).DataCentres[0]
+	g.Expect(d.Spend).To(BeNumerically("~", 1, 1e-9))
+	g.Expect(d.TargetHours).To(BeNumerically("~", 2.0/3600, 1e-9))
+}
+
+func TestReportsLateAndIncorrect(t *testing.T) {
+	g := NewWithT(t)
+	m := measure.New("a")
+	m.Reported(time.Second, time.Minute, false)
+	m.Reported(2*time.Minute, time.Minute, true)
+	m.Incorrect()
+	r := report(g, m)
+	g.Expect(r.Bills).To(Equal(measure.Bills{Reports: 2, Late: 1, Incorrect: 1, Adjusting: 1, MaxDelaySeconds: 120}))
+	s := r.Summary()
+	g.Expect(s.LateReports).To(Equal(int64(2)))
+}
+
+func TestSeriesBelongToTheirInstance(t *testing.T) {
+	g := NewWithT(t)
+	var text, other bytes.Buffer
+	filled("a", 10).WritePrometheus(&text)
+	measure.New("b").WritePrometheus(&other)
+	g.Expect(text.String()).To(ContainSubstring(`amaranth_requests_total{account="shop",outcome="served"} 1`))
+	g.Expect(text.String()).To(ContainSubstring(`amaranth_work_total{data_centre="spot",cheap="true",class="sample"} 300`))
+	g.Expect(other.String()).To(BeEmpty())
+}
+
+func TestNilMeasuresKeepNothing(t *testing.T) {
+	g := NewWithT(t)
+	var m *measure.Measures
+	m.Request("shop", measure.Served, time.Second)
+	m.Delivered("sorter", 1, []int64{1})
+	m.WritePrometheus(&bytes.Buffer{})
+	r, err := m.Report()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Accounts).To(BeEmpty())
+}
+
+func TestMergeRefusesBrokenTimes(t *testing.T) {
+	g := NewWithT(t)
+	_, err := measure.Merge([]measure.Report{{Accounts: []measure.Account{{Name: "shop", Times: []byte("junk")}}}})
+	g.Expect(err).To(MatchError(ContainSubstring(`account "shop"`)))
+}
--- /dev/null
+++ b/internal/measure/report.go
@@ -0,0 +1,256 @@
+package measure
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Account is how one client account fared. Times are those of served requests.
+type Account struct {
+	Name      string `json:"name"`
+	Served    int64  `json:"served"`
+	Failed    int64  `json:"failed"`
+	Refused   int64  `json:"refused"`
+	P50Millis int64  `json:"p50Millis"`
+	P99Millis int64  `json:"p99Millis"`
+	Times     []byte `json:"times,omitempty"` // HdrHistogram of milliseconds, V2 compressed
+}
+
+// Trainer is how one trainer fared.
+type Trainer struct {
+	Name         string  `json:"name"`
+	Batches      int64   `json:"batches"`
+	Samples      int64   `json:"samples"`
+	IdleSeconds  float64 `json:"idleSeconds"` // in calls that waited for a batch
+	MaxStaleness int64   `json:"maxStaleness"`
+	StalenessSum int64   `json:"stalenessSum"` // over all samples
+	lastBatch    int64
+}
+
+// MeanStaleness returns the mean over all samples, in weight versions.
+func (t *Trainer) MeanStaleness() float64 {
+	if t.Samples == 0 {
+		return 0
+	}
+	return float64(t.StalenessSum) / float64(t.Samples)
+}
+
+// DataCentre is what targets of one kind cost and did in one data centre.
+type DataCentre struct {
+	Name        string  `json:"name"`
+	Cheap       bool    `json:"cheap"`
+	TargetHours float64 `json:"targetHours"`
+	Spend       float64 `json:"spend"`      // currency units
+	CallerWork  float64 `json:"callerWork"` // tokens and plain calls
+	SampleWork  float64 `json:"sampleWork"` // tokens
+}
+
+// Bills are the usage reports.
+type Bills struct {
+	Reports         int64   `json:"reports"`
+	Late            int64   `json:"late"`
+	Incorrect       int64   `json:"incorrect"`
+	Adjusting       int64   `json:"adjusting"` // hold use of earlier windows
+	MaxDelaySeconds float64 `json:"maxDelaySeconds"`
+}
+
+// Report holds the measures of one instance, or of several after Merge.
+type Report struct {
+	Instances   []string     `json:"instances"`
+	Accounts    []Account    `json:"accounts"`
+	Trainers    []Trainer    `json:"trainers"`
+	DataCentres []DataCentre `json:"dataCentres"`
+	Bills       Bills        `json:"bills"`
+}
+
+// Report returns the measures as of now.
+func (m *Measures) Report() (Report, error) {
+	if m == nil {
+		return Report{}, nil
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r := Report{Instances: []string{m.instance}, Bills: m.bills}
+	for _, a := range m.accounts {
+		out, err := a.export()
+		if err != nil {
+			return r, err
+		}
+		r.Accounts = append(r.Accounts, out)
+	}
+	for _, t := range m.trainers {
+		r.Trainers = append(r.Trainers, *t)
+	}
+	for _, d := range m.dataCentres {
+		r.DataCentres = append(r.DataCentres, *d)
+	}
+	r.sort()
+	return r, nil
+}
+
+func (a *account) export() (Account, error) {
+	out := a.Account
+	data, err := a.times.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+	if err != nil {
+		return out, fmt.Errorf("times of account %q: %w", a.Name, err)
+	}
+	out.Times = data
+	out.quantiles(a.times)
+	return out, nil
+}
+
+func (a *Account) quantiles(h *hdrhistogram.Histogram) {
+	a.P50Millis, a.P99Millis = h.ValueAtQuantile(50), h.ValueAtQuantile(99)
+}
+
+func (r *Report) sort() {
+	slices.Sort(r.Instances)
+	slices.SortFunc(r.Accounts, func(a, b Account) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(r.Trainers, func(a, b Trainer) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(r.DataCentres, func(a, b DataCentre) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(fmt.Sprint(a.Cheap), fmt.Sprint(b.Cheap)))
+	})
+}
+
+// Merge adds up the reports of several instances.
+func Merge(reports []Report) (Report, error) {
+	var out Report
+	accounts := map[string]*Account{}
+	times := map[string]*hdrhistogram.Histogram{}
+	trainers := map[string]*Trainer{}
+	places := map[dataCentre]*DataCentre{}
+	for i := range reports {
+		r := &reports[i]
+		out.Instances = append(out.Instances, r.Instances...)
+		out.Bills.add(r.Bills)
+		for _, a := range r.Accounts {
+			if err := addAccount(accounts, times, a); err != nil {
+				return out, err
+			}
+		}
+		for _, t := range r.Trainers {
+			addTrainer(trainers, t)
+		}
+		for _, d := range r.DataCentres {
+			addPlace(places, d)
+		}
+	}
+	for name, a := range accounts {
+		a.quantiles(times[name])
+		out.Accounts = append(out.Accounts, *a)
+	}
+	for _, t := range trainers {
+		out.Trainers = append(out.Trainers, *t)
+	}
+	for _, d := range places {
+		out.DataCentres = append(out.DataCentres, *d)
+	}
+	out.sort()
+	return out, nil
+}
+
+func (b *Bills) add(o Bills) {
+	b.Reports += o.Reports
+	b.Late += o.Late
+	b.Incorrect += o.Incorrect
+	b.Adjusting += o.Adjusting
+	b.MaxDelaySeconds = max(b.MaxDelaySeconds, o.MaxDelaySeconds)
+}
+
+func addAccount(accounts map[string]*Account, times map[string]*hdrhistogram.Histogram, a Account) error {
+	h := newHistogram()
+	if len(a.Times) > 0 {
+		decoded, err := hdrhistogram.Decode(a.Times)
+		if err != nil {
+			return fmt.Errorf("times of account %q: %w", a.Name, err)
+		}
+		h = decoded
+	}
+	if accounts[a.Name] == nil {
+		accounts[a.Name], times[a.Name] = &Account{Name: a.Name}, newHistogram()
+	}
+	sum := accounts[a.Name]
+	sum.Served += a.Served
+	sum.Failed += a.Failed
+	sum.Refused += a.Refused
+	times[a.Name].Merge(h)
+	return nil
+}
+
+func addTrainer(trainers map[string]*Trainer, t Trainer) {
+	if trainers[t.Name] == nil {
+		trainers[t.Name] = &Trainer{Name: t.Name}
+	}
+	sum := trainers[t.Name]
+	sum.Batches += t.Batches
+	sum.Samples += t.Samples
+	sum.IdleSeconds += t.IdleSeconds
+	sum.StalenessSum += t.StalenessSum
+	sum.MaxStaleness = max(sum.MaxStaleness, t.MaxStaleness)
+}
+
+func addPlace(places map[dataCentre]*DataCentre, d DataCentre) {
+	key := dataCentre{d.Name, d.Cheap}
+	if places[key] == nil {
+		places[key] = &DataCentre{Name: d.Name, Cheap: d.Cheap}
+	}
+	sum := places[key]
+	sum.TargetHours += d.TargetHours
+	sum.Spend += d.Spend
+	sum.CallerWork += d.CallerWork
+	sum.SampleWork += d.SampleWork
+}
+
+// Summary holds the five measures of a deployment in one figure or two each.
+type Summary struct {
+	IdleSeconds     float64 `json:"idleSeconds"` // of all trainers
+	MaxStaleness    int64   `json:"maxStaleness"`
+	WorstAccount    string  `json:"worstAccount"` // with the largest 99th percentile
+	WorstP99Millis  int64   `json:"worstP99Millis"`
+	WorstFailed     float64 `json:"worstFailed"`  // largest share of an account's requests that failed or were refused
+	Spend           float64 `json:"spend"`        // currency units
+	SpendPerMillion float64 `json:"spendPer1M"`   // for a million tokens and plain calls
+	LateReports     int64   `json:"lateReports"`  // late or incorrect
+	CheapShare      float64 `json:"cheapShare"`   // of all work
+	CheapSamples    float64 `json:"cheapSamples"` // of samples' work
+}
+
+const million = 1e6
+
+// Summary returns the five measures.
+func (r *Report) Summary() Summary {
+	s := Summary{LateReports: r.Bills.Late + r.Bills.Incorrect}
+	for i := range r.Trainers {
+		s.IdleSeconds += r.Trainers[i].IdleSeconds
+		s.MaxStaleness = max(s.MaxStaleness, r.Trainers[i].MaxStaleness)
+	}
+	for _, a := range r.Accounts {
+		if s.WorstAccount == "" || a.P99Millis > s.WorstP99Millis {
+			s.WorstAccount, s.WorstP99Millis = a.Name, a.P99Millis
+		}
+		s.WorstFailed = max(s.WorstFailed, share(float64(a.Failed+a.Refused), float64(a.Served+a.Failed+a.Refused)))
+	}
+	work, cheap, samples, cheapSamples := 0.0, 0.0, 0.0, 0.0
+	for _, d := range r.DataCentres {
+		s.Spend += d.Spend
+		work += d.CallerWork + d.SampleWork
+		samples += d.SampleWork
+		if d.Cheap {
+			cheap += d.CallerWork + d.SampleWork
+			cheapSamples += d.SampleWork
+		}
+	}
+	s.SpendPerMillion = share(s.Spend*million, work)
+	s.CheapShare, s.CheapSamples = share(cheap, work), share(cheapSamples, samples)
+	return s
+}
+
+func share(part, whole float64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return part / whole
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -26,6 +26,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 )
 
 const (
@@ -39,7 +40,8 @@
 	Loop      *control.Loop
 	Clock     clock.Clock
 	Events    *events.Recorder
-	KeyDigest [32]byte // SHA-256 of the operators' key
+	Measures  *measure.Measures // nil: none
+	KeyDigest [32]byte          // SHA-256 of the operators' key
 }
 
 // Server answers operators.
@@ -144,6 +146,7 @@
 	mux.HandleFunc("POST /operator/keys/grant", s.grant)
 	mux.HandleFunc("POST /operator/keys/withdraw", s.withdraw)
 	mux.HandleFunc("GET /operator/events", s.events)
+	mux.HandleFunc("GET /operator/measures", s.measures)
 	return s.authenticated(mux)
 }
 
--- a/internal/samples/generate.go
+++ b/internal/samples/generate.go
@@ -9,14 +9,12 @@
 	"hash/fnv"
 	"io"
 	"math/rand/v2"
-	"strings"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/admit"
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/route"
 	"github.com/amaranthfold/amaranthfold/core/sample"
-	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
@@ -137,10 +135,7 @@
 		return target.ID, err
 	}
 	before := p.tokens
-	defer func() {
-		grant.Finish(float64(p.tokens - before))
-		o.count(t, job, p.tokens-before)
-	}()
+	defer func() { grant.Finish(float64(p.tokens - before)) }()
 	body, err := json.Marshal(request(s.Config.Service(t.Service).Model, job, p))
 	if err != nil {
 		return target.ID, fmt.Errorf("sample %q: %w", job.Sample, err)
@@ -157,15 +152,6 @@
 	return target.ID, o.collect(stream, p, stall)
 }
 
-// count bills the attempt to the trainer's client account.
-func (o *owner) count(t *config.Trainer, job sample.Job, tokens int) {
-	if t.Account == "" || tokens == 0 {
-		return
-	}
-	used := usage.Count{Requests: 1, PromptTokens: int64(len(strings.Fields(job.Group.Prompt))), GeneratedTokens: int64(tokens)}
-	o.m.Meter.Count(o.m.Clock.Wall(), usage.Subject{Account: t.Account, Service: t.Service}, used)
-}
-
 func request(model string, job sample.Job, p *progress) engine.Request {
 	req := engine.Request{Model: model, Prompt: job.Group.Prompt, MaxTokens: job.Group.MaxTokens, Stream: true, Seed: seed(job.Sample)}
 	if p.tokens > 0 {
--- a/internal/samples/manager.go
+++ b/internal/samples/manager.go
@@ -20,6 +20,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
@@ -45,6 +46,7 @@
 	Meter    *metering.Meter
 	Clock    clock.Clock
 	Events   *events.Recorder
+	Measures *measure.Measures // nil: none
 }
 
 // Manager answers trainers. It is safe for concurrent use.
@@ -159,7 +161,9 @@
 // ready within the wait.
 func (m *Manager) next(ctx context.Context, trainer string, req NextRequest) (*sample.Batch, error) {
 	wait := min(time.Duration(req.WaitMillis)*time.Millisecond, maxWait)
-	deadline := time.Now().Add(wait)
+	asked := time.Now()
+	defer func() { m.Measures.TrainerWaited(trainer, time.Since(asked)) }()
+	deadline := asked.Add(wait)
 	for {
 		o, err := m.local(trainer)
 		if err != nil {
--- a/internal/samples/owner.go
+++ b/internal/samples/owner.go
@@ -217,7 +217,11 @@
 		o.nudge()
 		return nil, err
 	}
-	return o.handOver(ctx, batch)
+	handed, err := o.handOver(ctx, batch)
+	if err == nil {
+		o.measure(handed, req.Version)
+	}
+	return handed, err
 }
 
 // acknowledge records that the trainer has the batch. Idempotent.
@@ -231,6 +235,7 @@
 	if err := o.appendRecord(ctx, 0, record.BatchAck{Trainer: o.trainer, Number: number}); err != nil {
 		return fmt.Errorf("acknowledge batch %d of trainer %q: %w", number, o.trainer, err)
 	}
+	o.bill(number)
 	o.nudge()
 	return nil
 }
