--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -83,7 +83,9 @@
 	checkpointSentAt time.Duration
 
 	keysVersion uint64
-	keyCount    int // keys when the index was last known to match
+	keyCount    int             // keys when the index was last known to match
+	unfit       map[string]bool // targets out of service
+	unfitTerm   record.Offset   // holder that said so
 	leaving     bool
 	retiring    bool
 	drainWatch  *drain.Watch
