--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -116,7 +116,7 @@
 }
 
 // Next returns the next event's payload. It returns io.EOF after the end marker
-// and an *AttemptError that wraps ErrTruncated when the stream ends without it.
+// and an *AttemptError when the stream ends without it or with a failure.
 // The slice is valid until the next call.
 func (s *Stream) Next() ([]byte, error) {
 	payload, err := s.Reader.Next()
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -13,11 +13,16 @@
 	eventBuffer = 16 << 10 // bytes; longer events are copied
 )
 
-// ErrTruncated is wrapped when a stream ends before its end marker.
-var ErrTruncated = errors.New("stream ended before its end marker")
+// Errors that Next wraps.
+var (
+	ErrTruncated = errors.New("stream ended before its end marker")
+	ErrEngine    = errors.New("engine reported a failure within the stream")
+)
 
 var (
-	dataPrefix = []byte("data: ")
+	space      = []byte(" ")
+	dataField  = []byte("data:")
+	errorEvent = []byte(`{"error"`)
 	doneMarker = []byte("[DONE]")
 )
 
@@ -32,7 +37,7 @@
 }
 
 // Next returns the next event's payload, io.EOF after the end marker, or an
-// error that wraps ErrTruncated. The slice is valid until the next call.
+// error that wraps ErrTruncated or ErrEngine. The slice is valid until the next call.
 func (s *Reader) Next() ([]byte, error) {
 	for {
 		line, err := s.reader.ReadSlice('\n')
@@ -42,13 +47,17 @@
 		if err != nil {
 			return nil, fmt.Errorf("%w: %v", ErrTruncated, err) //nolint:errorlint // io.EOF inside must not look like the end marker
 		}
-		payload, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataPrefix)
+		payload, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r\n"), dataField)
 		if !ok {
 			continue
 		}
+		payload = bytes.TrimPrefix(payload, space)
 		if bytes.Equal(payload, doneMarker) {
 			return nil, io.EOF
 		}
+		if bytes.HasPrefix(payload, errorEvent) {
+			return nil, fmt.Errorf("%w: %.200s", ErrEngine, payload)
+		}
 		return payload, nil
 	}
 }
