--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -71,6 +71,8 @@
 	table   *route.Table // that the queues were last compared with
 	waits   map[uint64]remoteWait
 	waitSeq uint64
+
+	uses *uses
 }
 
 // New returns a dispatcher. Its grants are numbered from a random start, so that
@@ -78,7 +80,7 @@
 func New(loop Loop, peers *peer.Pool, c clock.Clock) *Dispatcher {
 	return &Dispatcher{
 		loop: loop, peers: peers, clock: c, nextID: rand.Uint64() >> 1,
-		queues: map[string]*queue{}, waits: map[uint64]remoteWait{},
+		queues: map[string]*queue{}, waits: map[uint64]remoteWait{}, uses: newUses(),
 	}
 }
 
@@ -100,19 +102,23 @@
 // Admit waits for a slot at the target. The error is a *RefusedError, or a
 // failure to reach the owner, or ctx's; in every case nothing has run.
 func (d *Dispatcher) Admit(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
+	d.uses.begin(t.ID)
 	grant, err := d.ask(ctx, t, r)
-	if err != nil || d.measures == nil {
-		return grant, err
+	if err != nil {
+		d.uses.end(t.ID)
+		return nil, err
 	}
-	finish, class := grant.finish, measure.Caller
+	class := measure.Caller
 	if r.Class == admit.ClassSample {
 		class = measure.Sample
 	}
-	grant.finish = func(cost float64) {
-		d.measures.Work(t.DataCentre, t.Cheap, class, cost)
-		finish(cost)
-	}
-	return grant, nil
+	return &Grant{finish: func(cost float64) {
+		d.uses.end(t.ID)
+		if d.measures != nil {
+			d.measures.Work(t.DataCentre, t.Cheap, class, cost)
+		}
+		grant.finish(cost)
+	}}, nil
 }
 
 // ask asks the target's owner, then the next ones, then admits here.
