--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -47,7 +47,10 @@
 	sentAt    time.Duration // when pending was sent
 	hasSent   bool
 	validTill time.Duration // zero: not held
-	yielding  bool          // never claim, release what is held
+	delay     time.Duration // extra wait before a claim
+
+	yielding  bool          // never claim or act, release what is held
+	releaseAt time.Duration // when the last call that the lease covered has ended
 }
 
 // NewMachine returns a machine that has read nothing. now starts the wait that
@@ -84,13 +87,24 @@
 // SetTiming changes the term of future records.
 func (m *Machine) SetTiming(t Timing) { m.timing = t }
 
-// Yield makes the machine release the lease and stop claiming it.
-func (m *Machine) Yield() { m.yielding = true }
+// SetDelay changes how much longer than it must the machine waits before it
+// claims. Instances that wait for different times do not claim all at once.
+func (m *Machine) SetDelay(d time.Duration) { m.delay = d }
+
+// Yield makes the machine stop acting for the lease at once, and release it
+// when flight has passed: by then all that the lease covered has ended, so that
+// the next holder may act as soon as it has read the release.
+func (m *Machine) Yield(now, flight time.Duration) {
+	if m.yielding {
+		return
+	}
+	m.yielding, m.releaseAt = true, now+flight
+}
 
 // Held reports whether the lease is valid at now for at least need longer, and
 // its fencing number.
 func (m *Machine) Held(now, need time.Duration) (record.Offset, bool) {
-	if m.validTill == 0 || now+need >= m.validTill {
+	if m.yielding || m.validTill == 0 || now+need >= m.validTill {
 		return 0, false
 	}
 	return m.current.Term, true
@@ -118,7 +132,7 @@
 }
 
 func (m *Machine) release(now time.Duration, newID func() record.ID) *Append {
-	if m.validTill == 0 {
+	if m.current.Holder != m.self || now < m.releaseAt {
 		return nil
 	}
 	m.validTill = 0
@@ -139,10 +153,10 @@
 		return false
 	}
 	if m.current.Holder == "" && m.current.Current > 0 {
-		return true
+		return now-m.observed >= m.delay
 	}
 	term := max(time.Duration(m.current.Duration), m.timing.Term)
-	return now-m.observed >= term+m.timing.DriftMargin
+	return now-m.observed >= term+m.timing.DriftMargin+m.delay
 }
 
 func (m *Machine) send(now time.Duration, newID func() record.ID, holder string) *Append {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/lease"
 	"github.com/amaranthfold/amaranthfold/core/record"
@@ -52,4 +53,29 @@
 		m.Observe(time.Second, uuid.UUID{9}, fold.Accepted, fold.Lease{Holder: "", Term: 4, Current: 4})
 		Expect(m.Tick(time.Second, ids())).NotTo(BeNil())
 	})
+
+	It("stops acting when it yields and releases once its calls have ended", func() {
+		m := lease.NewMachine("l", "a", timing, 0)
+		claim := m.Tick(7*time.Second, ids())
+		m.Observe(7*time.Second, claim.ID, fold.Accepted, fold.Lease{Holder: "a", Term: 3, Current: 3, Duration: int64(timing.Term)})
+		m.Yield(8*time.Second, time.Second)
+		_, held := m.Held(8*time.Second, 0)
+		Expect(held).To(BeFalse())
+		Expect(m.Tick(9*time.Second-1, ids())).To(BeNil())
+		release := m.Tick(9*time.Second, ids())
+		Expect(release.Body.Holder).To(BeEmpty())
+		Expect(release.Supersedes).To(Equal(record.Offset(3)))
+	})
+
+	It("claims later than others by its delay", func() {
+		m := lease.NewMachine("l", "a", timing, 0)
+		m.SetDelay(time.Second)
+		Expect(m.Tick(8*time.Second-1, ids())).To(BeNil())
+		Expect(m.Tick(8*time.Second, ids())).NotTo(BeNil())
+	})
+
+	DescribeTable("names of leases for orders", func(by config.ShardBy, want string) {
+		Expect(lease.OrdersName(by, "north")).To(Equal(want))
+	},
+		Entry(nil, config.ShardDeployment, "deployment"), Entry(nil, config.ShardDataCentre, "deployment/north"))
 })
--- /dev/null
+++ b/core/lease/names.go
@@ -0,0 +1,30 @@
+package lease
+
+import "github.com/amaranthfold/amaranthfold/core/config"
+
+// deploymentLease is the lease of the instance in charge of the whole deployment.
+const deploymentLease = "deployment"
+
+// OrdersName names the lease of the instance in charge of the data centre's
+// targets: one for the deployment, or one for each data centre.
+func OrdersName(shardBy config.ShardBy, dataCentre string) string {
+	if shardBy == config.ShardDataCentre {
+		return deploymentLease + "/" + dataCentre
+	}
+	return deploymentLease
+}
+
+// Names returns the leases that a configuration needs: of the deployment, of
+// its data centres when orders are sharded, and of its trainers.
+func Names(cfg *config.Config, trainerLease func(trainer string) string) []string {
+	names := []string{deploymentLease}
+	if cfg.Control.ShardBy == config.ShardDataCentre {
+		for _, dc := range cfg.DataCentres {
+			names = append(names, OrdersName(cfg.Control.ShardBy, dc.Name))
+		}
+	}
+	for _, t := range cfg.Trainers {
+		names = append(names, trainerLease(t.Name))
+	}
+	return names
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -171,3 +171,16 @@
 	}
 	return out
 }
+
+// Place returns how many of ids have a higher rendezvous hash for key than id.
+func Place(key, id string, ids []string) int {
+	keyHash := xxhash.Sum64String(key)
+	own := mix(keyHash ^ xxhash.Sum64String(id))
+	place := 0
+	for _, other := range ids {
+		if mix(keyHash^xxhash.Sum64String(other)) > own {
+			place++
+		}
+	}
+	return place
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -81,7 +81,8 @@
 	checkpointSentAt time.Duration
 
 	keysVersion uint64
-	keyCount    int // keys when the index was last known to match
+	keyCount    int      // keys when the index was last known to match
+	claimants   []string // instances that the claims are spaced over
 	leaving     bool
 }
 
@@ -167,7 +168,8 @@
 // SetOwnLoads takes the loads of the targets that this instance owns.
 func (l *Loop) SetOwnLoads(ctx context.Context, loads []TargetLoad) { l.post(ctx, ownLoads{loads}) }
 
-// Yield releases every lease and stops owning queues.
+// Yield stops acting for every lease at once, releases each when the calls that
+// it covered have ended, and stops owning queues.
 func (l *Loop) Yield(ctx context.Context) { l.post(ctx, yield{}) }
 
 // folded follows up on one record.
@@ -262,7 +264,7 @@
 	l.leaving = true
 	l.members.SetLeaving()
 	for _, m := range l.leases {
-		m.Yield()
+		m.Yield(l.Clock.Now(), l.flight())
 	}
 }
 
@@ -271,10 +273,10 @@
 	if cfg == nil || l.halted != "" {
 		return
 	}
-	l.machine(DeploymentLease)
-	for _, t := range cfg.Trainers {
-		l.machine(TrainerLease(t.Name))
+	for _, name := range lease.Names(cfg, TrainerLease) {
+		l.machine(name)
 	}
+	l.spaceClaims()
 	now := l.Clock.Now()
 	for _, m := range l.leases {
 		if a := m.Tick(now, newID); a != nil {
@@ -304,8 +306,9 @@
 		}
 		m = lease.NewMachine(name, l.holder, t, l.Clock.Now())
 		l.leases[name] = m
+		m.SetDelay(l.claimDelay(name))
 		if l.leaving {
-			m.Yield()
+			m.Yield(l.Clock.Now(), l.flight())
 		}
 	}
 	return m
