--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -47,6 +47,7 @@
 	setDefault(&c.Control.Heartbeat, defaultHeartbeat)
 	setDefault(&c.Control.FreshFor, defaultFreshFor)
 	setDefault(&c.Control.OrderFlight, defaultOrderFlight)
+	applyRetryDefaults(&c.Retries)
 	setDefault(&c.Control.LogKeep, defaultLogKeep)
 	setDefault(&c.Control.LogKeepFor, defaultLogKeepFor)
 	setDefault(&c.Control.LogReaders, defaultLogReaders)
@@ -77,6 +78,7 @@
 	v.accounts()
 	v.trainers()
 	v.timing()
+	v.retries()
 	v.positive("cost.limitPerHour", cfg.Cost.LimitPerHour)
 }
 
@@ -125,6 +127,9 @@
 		}
 		v.positive(path+".concurrency", float64(s.Concurrency))
 		v.positive(path+".queueLimit", float64(s.QueueLimit))
+		if s.SampleShare < 0 || s.SampleShare >= 1 {
+			v.fault(path+".sampleShare", "is %g, want zero or more and less than one", s.SampleShare)
+		}
 		v.notNegative(path+".costPerHour", s.CostPerHour)
 		v.notNegative(path+".cheapPerHour", s.CheapPerHour)
 		v.notNegative(path+".startUp", float64(s.StartUp))
--- a/internal/control/append.go
+++ b/internal/control/append.go
@@ -86,8 +86,8 @@
 
 // The classes.
 const (
-	classUrgent class = iota // configuration, keys, leases
-	classOrders
+	classUrgent class = iota // configuration, keys, leases, drains
+	classOrders              // orders and claims: somebody waits
 	classUsage
 	classLedger
 	classes
@@ -95,9 +95,9 @@
 
 func classOf(k record.Kind) class {
 	switch k {
-	case record.KindConfig, record.KindKeyGrant, record.KindKeyWithdraw, record.KindLease:
+	case record.KindConfig, record.KindKeyGrant, record.KindKeyWithdraw, record.KindLease, record.KindTargetDrain:
 		return classUrgent
-	case record.KindOrderIntent, record.KindOrderDone:
+	case record.KindOrderIntent, record.KindOrderDone, record.KindClaims, record.KindClaimsVoid:
 		return classOrders
 	case record.KindUsageSeal, record.KindUsageSent, record.KindCheckpoint:
 		return classUsage
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -81,9 +81,12 @@
 	checkpointSentAt time.Duration
 
 	keysVersion uint64
-	keyCount    int      // keys when the index was last known to match
-	claimants   []string // instances that the claims are spaced over
+	keyCount    int             // keys when the index was last known to match
+	unfit       map[string]bool // targets out of service
+	unfitTerm   record.Offset   // holder that said so
+	claimants   []string        // instances that the claims are spaced over
 	leaving     bool
+	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
 
 // New returns a loop that has read nothing.
@@ -181,6 +184,8 @@
 		l.machine(b.Name).Observe(now, res.Envelope.ID, res.Verdict, l.state.Leases[b.Name])
 	case record.Config:
 		l.configured(res)
+	case record.TargetDrain:
+		l.drainsChanged()
 	case record.KeyGrant:
 		l.keyGranted(b.KeyID)
 	case record.KeyWithdraw:
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -85,5 +85,6 @@
 		Halted:       l.halted,
 		readers:      l.readers(peers, owners),
 		FreshAt:      l.freshAt,
+		Drains:       l.drains,
 	})
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -39,9 +39,10 @@
 	TargetsAt map[string]time.Duration
 	Billing   fold.Billing
 	Digest    [32]byte
-	FreshAt   time.Duration // when the log last proved Offset to be its end
-	Proved    bool          // it has done so
-	Halted    string        // why the control roles have stopped; empty: they have not
+	Drains    map[string]record.Offset // targets that operators drain, since when
+	FreshAt   time.Duration            // when the log last proved Offset to be its end
+	Proved    bool                     // it has done so
+	Halted    string                   // why the control roles have stopped; empty: they have not
 
 	readers map[string]bool // instances of this data centre that read the log themselves
 }
@@ -52,6 +53,9 @@
 	return s.Keys.Get(sha256.Sum256([]byte(secret)))
 }
 
+// Drained reports whether operators have taken new work from the target.
+func (s *Snapshot) Drained(target string) bool { return s.Drains[target] > 0 }
+
 // Fresh reports whether the snapshot was proved current within bound of now.
 func (s *Snapshot) Fresh(now, bound time.Duration) bool { return s.Proved && now-s.FreshAt <= bound }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/operator"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
+	"github.com/amaranthfold/amaranthfold/internal/rollout"
 	"github.com/amaranthfold/amaranthfold/internal/samples"
 )
 
@@ -48,7 +50,9 @@
 
 	OperatorKey string
 	LogOutput   io.Writer // nil: no log
-	Clock       clock.Clock
+	// WrapPeers, if set, wraps the peers' listener.
+	WrapPeers func(net.Listener) net.Listener
+	Clock     clock.Clock
 }
 
 // Instance is a running process of the service.
@@ -112,6 +116,9 @@
 	i.operators = open("operators", i.cfg.Operators)
 	i.trainers = open("trainers", i.cfg.Trainers)
 	i.peers = open("peers", i.cfg.Peers)
+	if i.cfg.WrapPeers != nil && i.peers != nil {
+		i.peers.Listener = i.cfg.WrapPeers(i.peers.Listener)
+	}
 	return errors.Join(errs...)
 }
 
@@ -147,7 +154,7 @@
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	callers := caller.New(caller.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	trainers := samples.New(ctx, samples.Options{
 		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
@@ -158,11 +165,14 @@
 	acting := controller.New(controller.Options{
 		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
 	})
+	weights := rollout.New(rollout.Options{
+		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
+	})
 	billing := controller.NewBiller(controller.BillerOptions{
 		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, trainers: trainers, usage: exchange}, i.Events)
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
 	g.Go(func() error { return peers.Serve(ctx, i.peers) })
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
@@ -171,6 +181,7 @@
 	g.Go(func() error { return exchange.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
+	g.Go(func() error { return weights.Run(ctx) })
 	i.callers.Serve(ctx, g, callers.Handler(), i.noteCertificate)
 	i.operators.Serve(ctx, g, operators.Handler(), i.noteCertificate)
 	i.trainers.Serve(ctx, g, trainers.Handler(), i.noteCertificate)
@@ -191,7 +202,9 @@
 // peerHandler answers peers' messages.
 type peerHandler struct {
 	instance *Instance
+	callers  *caller.Server
 	trainers *samples.Manager
+	weights  *rollout.Driver
 	usage    *metering.Exchange
 }
 
@@ -212,11 +225,15 @@
 	case peer.KindAdmit:
 		return h.instance.Dispatch.HandleAdmit(ctx, from, body)
 	case peer.KindFinish:
-		return nil, h.instance.Dispatch.HandleFinish(body)
+		return nil, h.instance.Dispatch.HandleFinish(from, body)
 	case peer.KindUsage:
 		return h.usage.HandleBatch(body)
+	case peer.KindAnswer:
+		return h.callers.HandleAnswer(ctx, body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
+	case peer.KindUnfit:
+		return nil, h.weights.HandleUnfit(ctx, body)
 	case peer.KindMirrorPut:
 		return h.trainers.HandleMirrorPut(body)
 	case peer.KindMirrorFetch:
