--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -87,6 +87,7 @@
 	keyCount    int             // keys when the index was last known to match
 	unfit       map[string]bool // targets out of service
 	unfitTerm   record.Offset   // holder that said so
+	claimants   []string        // instances that the claims are spaced over
 	leaving     bool
 	retiring    bool
 	drainWatch  *drain.Watch
@@ -178,7 +179,8 @@
 // SetOwnLoads takes the loads of the targets that this instance owns.
 func (l *Loop) SetOwnLoads(ctx context.Context, loads []TargetLoad) { l.post(ctx, ownLoads{loads}) }
 
-// Yield releases every lease and stops owning queues.
+// Yield stops acting for every lease at once, releases each when the calls that
+// it covered have ended, and stops owning queues.
 func (l *Loop) Yield(ctx context.Context) { l.post(ctx, yield{}) }
 
 // folded follows up on one record.
@@ -279,7 +281,7 @@
 	l.leaving = true
 	l.members.SetLeaving()
 	for _, m := range l.leases {
-		m.Yield()
+		m.Yield(l.Clock.Now(), l.flight())
 	}
 }
 
@@ -289,10 +291,10 @@
 		return
 	}
 	l.followDrains(l.Clock.Now())
-	l.machine(DeploymentLease)
-	for _, t := range cfg.Trainers {
-		l.machine(TrainerLease(t.Name))
+	for _, name := range lease.Names(cfg, TrainerLease) {
+		l.machine(name)
 	}
+	l.spaceClaims()
 	now := l.Clock.Now()
 	for _, m := range l.leases {
 		if a := m.Tick(now, newID); a != nil {
@@ -322,8 +324,9 @@
 		}
 		m = lease.NewMachine(name, l.holder, t, l.Clock.Now())
 		l.leases[name] = m
+		m.SetDelay(l.claimDelay(name))
 		if l.leaving {
-			m.Yield()
+			m.Yield(l.Clock.Now(), l.flight())
 		}
 		if l.retiring {
 			m.Retire()
