Callers: client account limits held over all instances

Cause: see core/limit. Retry-After comes from the bucket and from the queue. Conclusion: one instance serves an account's whole limit.

--- a/core/limit/book.go
+++ b/core/limit/book.go
@@ -29,6 +29,10 @@
 type Part struct {
 	Rate        float64 `cbor:"1,keyasint"` // requests a second
 	Concurrency int     `cbor:"2,keyasint"` // requests in flight
+
+	// Whether an ask for more may be met.
+	MoreRate        bool `cbor:"3,keyasint"`
+	MoreConcurrency bool `cbor:"4,keyasint"`
 }
 
 // Ask tells what an instance needs and holds.
@@ -108,12 +112,14 @@
 		growth = 1 / float64(max(instances, 1))
 	}
 	heldInFlight := float64(a.Held.Concurrency)
-	return Part{
-		Rate:        b.allot(&b.rate, &h.rate, a.Rate, a.Held.Rate, a.Held.Rate, growth),
-		Concurrency: int(b.allot(&b.inFlight, &h.inFlight, float64(a.Peak), heldInFlight, max(heldInFlight, float64(a.InFlight)), growth)),
-	}
+	rate := b.allot(&b.rate, &h.rate, a.Rate, a.Held.Rate, a.Held.Rate, growth)
+	inFlight := b.allot(&b.inFlight, &h.inFlight, float64(a.Peak), heldInFlight, max(heldInFlight, float64(a.InFlight)), growth)
+	return Part{Rate: rate, Concurrency: int(inFlight), MoreRate: b.rate.spare(), MoreConcurrency: b.inFlight.spare()}
 }
 
+// spare reports whether less is committed than the limit.
+func (p *pool) spare() bool { return p.committed < p.limit }
+
 // allot returns the holder's part of the pool: its demand and one share of what
 // nobody wants, of which one more is left for newcomers. While demand exceeds
 // the limit, the parts are max-min fair.
--- a/core/limit/share.go
+++ b/core/limit/share.go
@@ -59,6 +59,11 @@
 // Allotted reports whether an allotment is in force.
 func (s *Share) Allotted(now time.Duration) bool { return now < s.till }
 
+// More reports whether the owner may allot more of what the refusal names.
+func (s *Share) More(now time.Duration, refusal Verdict) bool {
+	return s.Allotted(now) && (refusal == OverRate && s.part.MoreRate || refusal == OverConcurrency && s.part.MoreConcurrency)
+}
+
 // Idle reports whether nothing runs and nothing has come for a while.
 func (s *Share) Idle(now time.Duration) bool { return s.inFlight == 0 && now-s.usedAt > idleAfter }
 
@@ -93,11 +98,25 @@
 	s.demand.Rate = max(float64(s.attempts)/elapsed, s.demand.Rate*demandDecay)
 	s.demand.Peak = max(s.peak+s.refused, int(float64(s.demand.Peak)*demandDecay))
 	s.demand.InFlight = s.inFlight
-	s.demand.Held = s.current(now)
+	s.demand.Held = s.held(now)
 	s.measured, s.attempts, s.peak, s.refused = now, 0, s.inFlight, 0
 	return s.demand
 }
 
+// held is what the instance may be using: its allotment or, without one, what
+// it has taken of the equal share.
+func (s *Share) held(now time.Duration) Part {
+	p := s.current(now)
+	if s.Allotted(now) {
+		return p
+	}
+	p.Concurrency = s.inFlight
+	if s.attempts == 0 {
+		p.Rate = 0
+	}
+	return p
+}
+
 // Take puts the owner's answer to an ask sent at sentAt into force.
 func (s *Share) Take(sentAt, now time.Duration, p Part) {
 	s.fill(now, s.current(now).Rate)
--- a/internal/caller/answers.go
+++ b/internal/caller/answers.go
@@ -114,7 +114,7 @@
 // repeatUnknown refuses a repeat whose answer is not known here.
 func repeatUnknown() *failure {
 	return &failure{
-		http.StatusConflict, "already_claimed", retry.Unknown,
-		"the request was accepted before and is not run again; its answer is not known here",
+		status: http.StatusConflict, code: "already_claimed", outcome: retry.Unknown,
+		message: "the request was accepted before and is not run again; its answer is not known here",
 	}
 }
--- a/internal/caller/auth_test.go
+++ b/internal/caller/auth_test.go
@@ -36,10 +36,10 @@
 			s := newSessions()
 			ctx, end := s.begin(context.Background(), key)
 			defer end()
-			before := &control.Snapshot{Config: &account, Keys: control.NewKeyIndex(map[string]fold.Key{"k": key}), KeysVersion: 1}
+			before := &control.Snapshot{Proved: true, Config: &account, Keys: control.NewKeyIndex(map[string]fold.Key{"k": key}), KeysVersion: 1}
 			s.sweep(before, 0)
 			g.Expect(context.Cause(ctx)).NotTo(HaveOccurred())
-			s.sweep(&control.Snapshot{Config: c.cfg, Keys: control.NewKeyIndex(c.keys), KeysVersion: 2}, c.now)
+			s.sweep(&control.Snapshot{Proved: true, Config: c.cfg, Keys: control.NewKeyIndex(c.keys), KeysVersion: 2}, c.now)
 			if c.want == nil {
 				g.Expect(context.Cause(ctx)).NotTo(HaveOccurred())
 				return
@@ -53,7 +53,7 @@
 	g := NewWithT(t)
 	key := fold.Key{ID: "k", Account: "acc", Digest: [32]byte{1}}
 	cfg := &config.Config{Accounts: []config.Account{{Name: "acc"}}, Control: config.Control{FreshFor: time.Second}}
-	withdrawn := &control.Snapshot{Config: cfg, Keys: control.NewKeyIndex(nil), KeysVersion: 2}
+	withdrawn := &control.Snapshot{Proved: true, Config: cfg, Keys: control.NewKeyIndex(nil), KeysVersion: 2}
 	s := newSessions()
 	s.sweep(withdrawn, 0)
 	ctx, end := s.begin(context.Background(), key)
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -56,17 +56,18 @@
 // New returns a server.
 func New(o Options) *Server {
 	return &Server{
-		Options: o, sessions: newSessions(), limiter: newLimiter(), plain: newPlainClient(),
+		Options: o, sessions: newSessions(), limiter: newLimiter(o.Loop, o.Peers, o.Clock), plain: newPlainClient(),
 		retries: newRetries(o.Loop, o.Clock), moves: newMoves(),
 		claims: newClaims(o.Loop, o.Clock.Wall), answers: newAnswers(o.Clock.Now),
 	}
 }
 
-// Run ends the requests of withdrawn keys, moves the streams of targets that are
+// Run ends the requests of withdrawn keys, asks for the accounts' limits, moves the streams of targets that are
 // about to vanish, and claims non-repeatable requests, until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return s.sessions.watch(ctx, s.Loop, s.Clock) })
+	g.Go(func() error { return s.limiter.run(ctx) })
 	g.Go(func() error { return s.moves.watch(ctx, s.Loop, s.Events) })
 	g.Go(func() error { return s.claims.run(ctx) })
 	g.Go(func() error { return s.claims.runVoids(ctx) })
@@ -124,7 +125,7 @@
 		return nil, nil, nil, false
 	}
 	c.account = account
-	if fail := s.limiter.enter(account, len(c.snapshot.Owners)); fail != nil {
+	if fail := s.limiter.enter(ctx, account); fail != nil {
 		end()
 		s.Events.Record("request refused", events.F("request", c.id), events.F("account", account.Name), events.F("code", fail.code))
 		fail.write(w)
--- a/internal/caller/errors.go
+++ b/internal/caller/errors.go
@@ -5,7 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strconv"
+	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/core/route"
@@ -20,9 +20,6 @@
 // codeForgotten refuses a request whose first sending may have been forgotten.
 const codeForgotten = "request_too_old"
 
-// retryAfter is the pause that a refused caller is told, in seconds.
-const retryAfter = 1
-
 var (
 	errKeyWithdrawn = errors.New("the key has been withdrawn")
 	errStale        = errors.New("this instance has lost touch with the configuration")
@@ -49,6 +46,8 @@
 	code    string
 	outcome retry.Outcome
 	message string
+
+	retryAfter time.Duration // of a refusal: likely wait; zero: unknown
 }
 
 func (f *failure) Error() string { return f.message }
@@ -62,23 +61,28 @@
 func asFailure(err error) *failure {
 	var f *failure
 	var attempt *engine.AttemptError
+	var refused *dispatch.RefusedError
 	switch {
 	case errors.As(err, &f):
 		return f
 	case errors.Is(err, errKeyWithdrawn):
-		return &failure{http.StatusUnauthorized, "key_withdrawn", retry.Unknown, errKeyWithdrawn.Error()}
+		return &failure{status: http.StatusUnauthorized, code: "key_withdrawn", outcome: retry.Unknown, message: errKeyWithdrawn.Error()}
 	case errors.Is(err, errStale):
-		return &failure{http.StatusServiceUnavailable, "not_fresh", retry.Unknown, errStale.Error()}
-	case errors.Is(err, dispatch.ErrRefused), errors.Is(err, route.ErrNoTarget):
+		return &failure{status: http.StatusServiceUnavailable, code: "not_fresh", outcome: retry.Unknown, message: errStale.Error()}
+	case errors.As(err, &refused):
+		shed := refuse(http.StatusServiceUnavailable, "overloaded", err.Error())
+		shed.retryAfter = refused.RetryAfter
+		return shed
+	case errors.Is(err, route.ErrNoTarget):
 		return refuse(http.StatusServiceUnavailable, "overloaded", err.Error())
 	case errors.As(err, &attempt) && attempt.Status >= 400 && attempt.Status < 500:
-		return &failure{attempt.Status, "refused_by_target", attempt.Outcome, attempt.Err.Error()}
+		return &failure{status: attempt.Status, code: "refused_by_target", outcome: attempt.Outcome, message: attempt.Err.Error()}
 	case errors.As(err, &attempt):
-		return &failure{http.StatusBadGateway, "target_failed", attempt.Outcome, "the target failed: " + attempt.Outcome.String()}
+		return &failure{status: http.StatusBadGateway, code: "target_failed", outcome: attempt.Outcome, message: "the target failed: " + attempt.Outcome.String()}
 	case errors.Is(err, errNoClaim):
 		return refuse(http.StatusServiceUnavailable, "log_unavailable", err.Error())
 	case errors.Is(err, errForgotten):
-		return &failure{http.StatusConflict, codeForgotten, retry.Unknown, err.Error()}
+		return &failure{status: http.StatusConflict, code: codeForgotten, outcome: retry.Unknown, message: err.Error()}
 	case errors.Is(err, context.DeadlineExceeded):
 		return refuse(http.StatusGatewayTimeout, "deadline_exceeded", "the request's deadline has passed")
 	default:
@@ -102,7 +106,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set(OutcomeHeader, f.outcome.String())
 	if f.status == http.StatusServiceUnavailable || f.status == http.StatusTooManyRequests {
-		w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
+		w.Header().Set("Retry-After", retryAfterSeconds(f.retryAfter))
 	}
 	if f.status == http.StatusUnauthorized {
 		w.Header().Set("Connection", "close")
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -24,6 +24,10 @@
 	// instance's allotment, after which an equal share applies.
 	firstAskTimeout = 100 * time.Millisecond
 	askTimeout      = limit.Term / 2
+	// Requests over an instance's part wait for up to maxMoreAsks asks, each
+	// after moreAskPause, while the account has room left at its owner.
+	maxMoreAsks  = 3
+	moreAskPause = 10 * time.Millisecond
 )
 
 // snapshots is where the limiter reads the accounts and instances.
@@ -46,7 +50,8 @@
 // share is an account's share with the ask that is on its way.
 type share struct {
 	*limit.Share
-	asking chan struct{} // closed when the answer is in; nil: none on its way
+	asking  chan struct{} // closed when the answer is in; nil: none on its way
+	askedAt time.Duration // of the last first ask
 }
 
 func newLimiter(loop snapshots, peers *peer.Pool, c clock.Clock) *limiter {
@@ -58,17 +63,15 @@
 }
 
 // enter counts a request against the account's limits. An admitted request must
-// leave.
+// leave. Before it refuses, it asks for a larger part if there may be one.
 func (l *limiter) enter(ctx context.Context, a *config.Account) *failure {
-	if wait := l.first(ctx, a); wait != nil {
-		select {
-		case <-wait:
-		case <-ctx.Done():
+	verdict, retryAfter := l.tryEnter(ctx, a)
+	for range maxMoreAsks {
+		if verdict == limit.Admitted || !l.askMore(ctx, a, verdict) {
+			break
 		}
+		verdict, retryAfter = l.tryEnter(ctx, a)
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	verdict, retryAfter := l.share(a).Enter(l.clock.Now())
 	switch verdict {
 	case limit.OverRate:
 		f := refuse(http.StatusTooManyRequests, "rate_limited", "client account "+a.Name+" is over its requests per second")
@@ -81,32 +84,67 @@
 	}
 }
 
+func (l *limiter) tryEnter(ctx context.Context, a *config.Account) (limit.Verdict, time.Duration) {
+	l.first(ctx, a)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.share(a).Enter(l.clock.Now())
+}
+
 func (l *limiter) leave(account string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.shares[account].Leave()
 }
 
-// first asks the owner if the account has no allotment here, and returns what to
-// wait for, or nil.
-func (l *limiter) first(ctx context.Context, a *config.Account) <-chan struct{} {
+// first waits for the owner's answer if the account has no allotment here.
+func (l *limiter) first(ctx context.Context, a *config.Account) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	s := l.share(a)
-	if !s.Limited() || s.Allotted(l.clock.Now()) {
-		return nil
+	now := l.clock.Now()
+	silent := s.asking == nil && s.askedAt != 0 && now-s.askedAt < limit.Term // the owner has not answered lately
+	if !s.Limited() || s.Allotted(now) || silent {
+		l.mu.Unlock()
+		return
+	}
+	l.mu.Unlock()
+	l.askNow(ctx, a, 0)
+}
+
+// askMore asks for a larger part and reports whether it was worth it.
+func (l *limiter) askMore(ctx context.Context, a *config.Account, refusal limit.Verdict) bool {
+	l.mu.Lock()
+	more := l.share(a).More(l.clock.Now(), refusal)
+	l.mu.Unlock()
+	if more {
+		l.askNow(ctx, a, moreAskPause)
 	}
+	return more
+}
+
+// askNow waits until the owner has answered, after a pause that lets other
+// requests join. All who wait for one account share one ask.
+func (l *limiter) askNow(ctx context.Context, a *config.Account, pause time.Duration) {
+	l.mu.Lock()
+	s := l.share(a)
 	if s.asking == nil {
-		s.asking = make(chan struct{})
-		go l.askFirst(context.WithoutCancel(ctx), a.Name)
+		s.asking, s.askedAt = make(chan struct{}), l.clock.Now()
+		go l.askOne(context.WithoutCancel(ctx), a.Name, pause)
+	}
+	asking := s.asking
+	l.mu.Unlock()
+	select {
+	case <-asking:
+	case <-ctx.Done():
 	}
-	return s.asking
 }
 
-func (l *limiter) askFirst(ctx context.Context, account string) {
+func (l *limiter) askOne(ctx context.Context, account string, pause time.Duration) {
+	time.Sleep(pause)
 	ctx, cancel := context.WithTimeout(ctx, firstAskTimeout)
 	defer cancel()
-	l.ask(ctx, l.loop.Snapshot(), owner(l.loop.Snapshot(), account), []string{account})
+	snapshot := l.loop.Snapshot()
+	l.ask(ctx, snapshot, owner(snapshot, account), []string{account})
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if s := l.shares[account]; s != nil && s.asking != nil {
@@ -233,7 +271,10 @@
 	}
 	for i, account := range call.Accounts {
 		var part limit.Part
-		if a := snapshot.Config.Account(account); a != nil && i < len(call.Asks) {
+		if i >= len(call.Asks) || snapshot.Config == nil {
+			break
+		}
+		if a := snapshot.Config.Account(account); a != nil {
 			part = l.book(a).Ask(now, from, len(snapshot.Owners), call.Asks[i])
 		}
 		reply.Parts = append(reply.Parts, part)
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -222,6 +222,8 @@
 		return nil, h.instance.Dispatch.HandleFinish(from, body)
 	case peer.KindUsage:
 		return h.usage.HandleBatch(body)
+	case peer.KindAllot:
+		return h.callers.HandleAllot(from, body)
 	case peer.KindAnswer:
 		return h.callers.HandleAnswer(ctx, body)
 	case peer.KindTrainer:
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -28,6 +28,8 @@
 	KindCancel    Kind = 5 // cancels the call with the frame's Seq
 	KindTrainer   Kind = 6
 
+	KindAllot Kind = 20 // asks for parts of client accounts' limits
+
 	KindMirrorPut   Kind = 40 // contents of a trainer's owner, kept until acknowledged
 	KindMirrorFetch Kind = 41
 	KindBatchPage   Kind = 42 // the rest of a batch that a forwarded call began
