--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -27,6 +27,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/operator"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
+	"github.com/amaranthfold/amaranthfold/internal/rollout"
 	"github.com/amaranthfold/amaranthfold/internal/samples"
 )
 
@@ -84,6 +85,9 @@
 	}
 	i.Events = events.New(cfg.ID, cfg.LogOutput, i.cfg.Clock.Wall)
 	i.pool = peer.NewPool(peer.Hello{ID: cfg.ID, Incarnation: i.incarnation, Deployment: cfg.Deployment}, i.Events)
+	if pair := i.peers.Pair(); pair != nil {
+		i.pool.UseDialer(peer.DialTLS(pair.Client))
+	}
 	i.Loop = control.New(control.Options{
 		Self: member.Peer{
 			ID: cfg.ID, Incarnation: i.incarnation, DataCentre: cfg.DataCentre,
@@ -164,12 +168,16 @@
 	acting := controller.New(controller.Options{
 		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
 	})
+	weights := rollout.New(rollout.Options{
+		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
+	})
 	billing := controller.NewBiller(controller.BillerOptions{
 		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, usage: exchange}, i.Events)
-	g.Go(func() error { return peers.Serve(ctx, i.peers) })
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
+	g.Go(func() error { return peers.Serve(ctx, i.peers.Raw()) })
+	i.peers.Watch(ctx, g, i.noteCertificate)
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
@@ -177,6 +185,7 @@
 	g.Go(func() error { return exchange.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
+	g.Go(func() error { return weights.Run(ctx) })
 	i.callers.Serve(ctx, g, callers.Handler(), i.noteCertificate)
 	i.operators.Serve(ctx, g, operators.Handler(), i.noteCertificate)
 	i.trainers.Serve(ctx, g, trainers.Handler(), i.noteCertificate)
@@ -199,6 +208,7 @@
 	instance *Instance
 	callers  *caller.Server
 	trainers *samples.Manager
+	weights  *rollout.Driver
 	usage    *metering.Exchange
 }
 
@@ -228,6 +238,8 @@
 		return h.callers.HandleAnswer(ctx, body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
+	case peer.KindUnfit:
+		return nil, h.weights.HandleUnfit(ctx, body)
 	case peer.KindMirrorPut:
 		return h.trainers.HandleMirrorPut(body)
 	case peer.KindMirrorFetch:
