core/limit: measure demand over a whole interval

Cause: an early ask reset the measurement, so demand was read too low and an account at its limit on one instance was served 71 of 100 requests. Change: an ask within the interval reports the running measurement.

--- a/core/limit/share.go
+++ b/core/limit/share.go
@@ -92,15 +92,22 @@
 // Leave ends an admitted request.
 func (s *Share) Leave() { s.inFlight-- }
 
-// Ask ends a measurement and returns what to ask the owner.
+// Ask returns what to ask the owner. It measures demand over at least AskInterval.
 func (s *Share) Ask(now time.Duration) Ask {
-	elapsed := max(now-s.measured, AskInterval).Seconds()
-	s.demand.Rate = max(float64(s.attempts)/elapsed, s.demand.Rate*demandDecay)
-	s.demand.Peak = max(s.peak+s.refused, int(float64(s.demand.Peak)*demandDecay))
-	s.demand.InFlight = s.inFlight
-	s.demand.Held = s.held(now)
-	s.measured, s.attempts, s.peak, s.refused = now, 0, s.inFlight, 0
-	return s.demand
+	elapsed := now - s.measured
+	a := Ask{
+		Rate:     max(float64(s.attempts)/max(elapsed, AskInterval).Seconds(), s.demand.Rate),
+		Peak:     max(s.peak+s.refused, s.demand.Peak),
+		InFlight: s.inFlight,
+		Held:     s.held(now),
+	}
+	if elapsed >= AskInterval {
+		s.demand.Rate = max(float64(s.attempts)/elapsed.Seconds(), s.demand.Rate*demandDecay)
+		s.demand.Peak = max(s.peak+s.refused, int(float64(s.demand.Peak)*demandDecay))
+		s.measured, s.attempts, s.peak, s.refused = now, 0, s.inFlight, 0
+		a.Rate, a.Peak = s.demand.Rate, s.demand.Peak
+	}
+	return a
 }
 
 // held is what the instance may be using: its allotment or, without one, what
