--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -77,6 +77,7 @@
 	Concurrency   int     // requests in flight
 	Queue         int     // requests waiting
 	CallerReserve int     // slots that samples never hold
+	IdleCredit    float64 // rounds of all slots by which a flow that idled may go ahead of its share
 	SampleShare   float64 // part of the cost that samples get while callers wait, between 0 and 1
 }
 
@@ -254,7 +255,9 @@
 	it := &item{Request: r, seq: q.seq}
 	q.seq++
 	q.waitByID[r.ID] = it
-	q.classes[r.Class].push(it, q.virtual)
+	c := q.classes[r.Class]
+	c.push(it, q.virtual)
+	c.setCredit(q.limits.IdleCredit, q.limits.Concurrency)
 }
 
 func (q *Queue) remove(it *item) {
@@ -287,13 +290,13 @@
 func (q *Queue) dispatch(now time.Duration) []Verdict {
 	var out []Verdict
 	for len(q.granted) < q.limits.Concurrency {
-		class, ok := q.nextClass()
-		if !ok {
+		class, f := q.next()
+		if f == nil {
 			break
 		}
 		c := q.classes[class]
 		q.virtual = max(q.virtual, c.start)
-		it, f := c.pop()
+		it := c.pop(f)
 		delete(q.waitByID, it.ID)
 		q.granted[it.ID] = &grant{flow: f, class: class, cost: it.Cost, at: now, flowEpoch: f.epoch, classEpoch: c.epoch}
 		out = append(out, Verdict{ID: it.ID})
@@ -301,22 +304,29 @@
 	return out
 }
 
-// nextClass returns the class with the least start among those that may go. A
-// class that the reserve holds back earns no credit for it.
-func (q *Queue) nextClass() (Class, bool) {
-	callers, samples := q.classes[ClassCaller], q.classes[ClassSample]
-	mayCaller := callers.waiting > 0
-	maySample := samples.waiting > 0 && q.mayGrant(ClassSample)
-	if mayCaller && !maySample {
-		samples.advance(callers.start)
+// next returns the flow that goes next, of the class with the least start among
+// those that may go, or nil. A class that a reserve holds back earns no credit
+// for it.
+func (q *Queue) next() (Class, *flow) {
+	var samples *flow
+	if q.mayGrant(ClassSample) {
+		samples = q.classes[ClassSample].next()
 	}
+	callers := q.classes[ClassCaller].next()
+	callerStart, sampleStart := q.classes[ClassCaller].start, q.classes[ClassSample].start
 	switch {
-	case mayCaller && (!maySample || callers.start <= samples.start):
-		return ClassCaller, true
-	case maySample:
-		return ClassSample, true
+	case callers == nil && samples == nil:
+		return 0, nil
+	case samples == nil:
+		q.classes[ClassSample].advance(callerStart)
+		return ClassCaller, callers
+	case callers == nil:
+		q.classes[ClassCaller].advance(sampleStart)
+		return ClassSample, samples
+	case callerStart <= sampleStart:
+		return ClassCaller, callers
 	default:
-		return 0, false
+		return ClassSample, samples
 	}
 }
 
@@ -341,12 +351,7 @@
 
 func (h flowHeap) Len() int { return len(h) }
 
-func (h flowHeap) Less(i, j int) bool {
-	if h[i].start != h[j].start {
-		return h[i].start < h[j].start
-	}
-	return h[i].queue[0].seq < h[j].queue[0].seq
-}
+func (h flowHeap) Less(i, j int) bool { return h[i].before(h[j]) }
 
 func (h flowHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
--- a/core/admit/class.go
+++ b/core/admit/class.go
@@ -5,6 +5,9 @@
 	"slices"
 )
 
+// costSmoothing is the weight of the latest request in the mean cost.
+const costSmoothing = 1.0 / 16
+
 // class holds the flows of one class. Its start is the virtual time, between
 // the classes, at which its next request begins.
 type class struct {
@@ -16,7 +19,10 @@
 	backlog  flowHeap
 	waiting  int
 	inFlight int
+	cost     float64 // mean estimated cost of the granted requests
+	credit   float64 // virtual time that a flow which idled may lag behind
 	weight   float64 // sum over the backlogged flows
+	active   float64 // sum over the flows with requests waiting or granted
 }
 
 // flow is one client account or trainer. It stands in the backlog exactly while
@@ -39,38 +45,56 @@
 
 // reset forgets all idle flows and their debts.
 func (c *class) reset() {
-	c.start, c.virtual = 0, 0
+	c.start, c.virtual, c.active, c.credit = 0, 0, 0, 0
 	clear(c.flows)
 }
 
 func (c *class) push(it *item, virtual float64) {
 	f := c.flows[it.Flow]
 	if f == nil {
-		f = &flow{name: it.Flow, weight: it.Weight}
+		f = &flow{name: it.Flow, weight: it.Weight, finish: c.virtual - c.credit}
 		c.flows[it.Flow] = f
 	}
 	if c.waiting == 0 {
 		c.advance(virtual)
 	}
 	c.waiting++
+	if f.open == 0 {
+		f.weight = it.Weight
+		c.active += f.weight
+	}
 	f.open++
 	f.queue = append(f.queue, it)
 	if len(f.queue) > 1 {
 		return
 	}
-	f.weight = it.Weight
 	f.start = f.finish
-	if f.start < c.virtual {
-		f.start = c.virtual
+	if earliest := c.virtual - c.credit; f.start < earliest {
+		f.start = earliest
 		f.epoch++
 	}
 	c.weight += f.weight
 	heap.Push(&c.backlog, f)
 }
 
-// pop grants the next request and charges its estimated cost.
-func (c *class) pop() (*item, *flow) {
-	f := c.backlog[0]
+// next returns the flow that goes next, or nil.
+func (c *class) next() *flow {
+	if len(c.backlog) == 0 {
+		return nil
+	}
+	return c.backlog[0]
+}
+
+// before orders backlogged flows by virtual start, then by arrival.
+func (f *flow) before(g *flow) bool {
+	if f.start != g.start {
+		return f.start < g.start
+	}
+	return f.queue[0].seq < g.queue[0].seq
+}
+
+// pop grants the flow's next request and charges its estimated cost.
+func (c *class) pop(f *flow) *item {
 	it := f.queue[0]
 	f.queue[0] = nil
 	f.queue = f.queue[1:]
@@ -81,7 +105,8 @@
 	f.start = f.finish
 	c.start += it.Cost / c.share
 	c.settle(f)
-	return it, f
+	c.cost += (it.Cost - c.cost) * costSmoothing
+	return it
 }
 
 // remove takes a waiting request out.
@@ -141,18 +166,31 @@
 // close counts one request of the flow as ended.
 func (c *class) close(f *flow) {
 	f.open--
-	if f.open == 0 && f.finish <= c.virtual {
+	if f.open == 0 {
+		c.active -= f.weight
+	}
+	c.forget(f)
+}
+
+// forget drops an idle flow that has all the credit it can have.
+func (c *class) forget(f *flow) {
+	if f.open == 0 && f.finish <= c.virtual-c.credit {
 		delete(c.flows, f.name)
 	}
 }
 
-// forgetIdle drops flows without requests whose debts are paid, so that idle
-// flows cost no memory.
+// forgetIdle drops idle flows, so that they cost no memory.
 func (c *class) forgetIdle() {
-	for name, f := range c.flows {
-		if f.open == 0 && f.finish <= c.virtual {
-			delete(c.flows, name)
-		}
+	for _, f := range c.flows {
+		c.forget(f)
+	}
+}
+
+// setCredit lets a flow that idled take slots for rounds times its share of all
+// slots ahead of the others.
+func (c *class) setCredit(rounds float64, slots int) {
+	if c.active > 0 {
+		c.credit = rounds * float64(slots) * c.cost / c.active
 	}
 }
 
--- a/internal/dispatch/queue.go
+++ b/internal/dispatch/queue.go
@@ -146,6 +146,10 @@
 	return q
 }
 
+// idleCredit is how many rounds of all slots a flow that idled may go ahead of
+// its share.
+const idleCredit = 16
+
 // callerReserve is the part of a target's slots that samples leave free.
 const callerReserve = 8
 
@@ -157,7 +161,7 @@
 	s := cfg.Service(service)
 	return admit.Limits{
 		Concurrency: s.Concurrency, Queue: s.QueueLimit,
-		CallerReserve: s.Concurrency / callerReserve, SampleShare: s.SampleShare,
+		CallerReserve: s.Concurrency / callerReserve, SampleShare: s.SampleShare, IdleCredit: idleCredit,
 	}
 }
 
