Streams: keep text by template instead of parsing every event

Cause: parsing events for a later continuation cost more than relaying them.

Change: an event that differs from the last parsed one in its text only is recognised by its surroundings; only the text is kept, as it stood in JSON.

--- a/internal/caller/history.go
+++ b/internal/caller/history.go
@@ -8,19 +8,16 @@
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 )
 
-// maxUnparsed bounds the events, in bytes, that a history keeps as they came.
-const maxUnparsed = 16 << 10
-
 // history is what of a streamed answer has gone to the caller, so that another
-// engine can go on from there. Events are parsed in batches, off the path of
-// the single token.
+// engine can go on from there. The events of a stream differ in little but their
+// text, so most are recognised by what surrounds it and not parsed.
 type history struct {
-	unparsed []byte // payloads, each ended by a newline
+	around  template
+	escaped []byte // text, as the inside of a JSON string
+	tokens  int
 
 	id       string // of the first event; every event carries it
 	created  json.RawMessage
-	text     []byte
-	tokens   int
 	finished bool // the finish reason has been delivered
 	opaque   bool // holds something that a continuation cannot carry
 
@@ -33,58 +30,128 @@
 type streamEvent struct {
 	ID      string          `json:"id"`
 	Created json.RawMessage `json:"created"`
-	Choices []struct {
-		Index int    `json:"index"`
-		Text  string `json:"text"`
-		Delta struct {
-			Content   string          `json:"content"`
-			ToolCalls json.RawMessage `json:"tool_calls"`
-		} `json:"delta"`
-		FinishReason *string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *engine.Usage `json:"usage"`
+	Choices []streamChoice  `json:"choices"`
+	Usage   *engine.Usage   `json:"usage"`
 }
 
-// add notes an event that has been written to the caller.
-func (h *history) add(payload []byte) {
-	if len(h.unparsed)+len(payload) > maxUnparsed {
-		h.parse()
-	}
-	h.unparsed = append(append(h.unparsed, payload...), '\n')
+type streamChoice struct {
+	Index int             `json:"index"`
+	Text  json.RawMessage `json:"text"`
+	Delta struct {
+		Content   json.RawMessage `json:"content"`
+		ToolCalls json.RawMessage `json:"tool_calls"`
+	} `json:"delta"`
+	FinishReason *string `json:"finish_reason"`
 }
 
-// parse brings text and tokens up to date.
-func (h *history) parse() {
-	for line := range bytes.Lines(h.unparsed) {
-		var ev streamEvent
-		if err := json.Unmarshal(line, &ev); err != nil {
-			h.opaque = true
-			continue
+// content returns the choice's text as a JSON string, or nil.
+func (c *streamChoice) content() json.RawMessage {
+	for _, raw := range []json.RawMessage{c.Text, c.Delta.Content} {
+		if len(raw) > 2 && raw[0] == '"' {
+			return raw
 		}
-		h.note(&ev)
 	}
-	h.unparsed = h.unparsed[:0]
+	return nil
 }
 
-func (h *history) note(ev *streamEvent) {
+// add notes an event that has been written to the caller.
+func (h *history) add(payload []byte) {
+	if text, ok := h.around.cut(payload); ok {
+		h.append(text)
+		return
+	}
+	var ev streamEvent
+	if err := json.Unmarshal(payload, &ev); err != nil {
+		h.opaque = true
+		return
+	}
 	if h.id == "" {
 		h.id, h.created = ev.ID, ev.Created
 	}
 	for i := range ev.Choices {
-		c := &ev.Choices[i]
-		content := c.Text + c.Delta.Content
-		if content != "" {
-			h.tokens++
-			h.text = append(h.text, content...)
+		h.note(&ev.Choices[i])
+	}
+	h.around = templateOf(payload, &ev)
+}
+
+func (h *history) note(c *streamChoice) {
+	if raw := c.content(); raw != nil {
+		h.append(raw[1 : len(raw)-1])
+	}
+	h.finished = h.finished || c.FinishReason != nil
+	h.opaque = h.opaque || c.Index != 0 || len(c.Delta.ToolCalls) > 0
+}
+
+func (h *history) append(text []byte) {
+	if len(text) == 0 {
+		return
+	}
+	h.escaped = append(h.escaped, text...)
+	h.tokens++
+}
+
+// text returns what the caller has.
+func (h *history) text() (string, error) {
+	var out string
+	quoted := append(append([]byte{'"'}, h.escaped...), '"')
+	if err := json.Unmarshal(quoted, &out); err != nil {
+		return "", fmt.Errorf("text of the stream: %w", err)
+	}
+	return out, nil
+}
+
+// template is an event of one token without the token's text. The zero value
+// fits no event.
+type template struct{ before, after []byte }
+
+// templateOf returns the template of an event, or none if the event holds more
+// than one choice's text.
+func templateOf(payload []byte, ev *streamEvent) template {
+	if len(ev.Choices) != 1 || ev.Choices[0].FinishReason != nil || ev.Usage != nil {
+		return template{}
+	}
+	c := &ev.Choices[0]
+	raw := c.content()
+	if raw == nil || c.Index != 0 || len(c.Delta.ToolCalls) > 0 || bytes.Count(payload, raw) != 1 {
+		return template{}
+	}
+	at := bytes.Index(payload, raw)
+	return template{
+		before: bytes.Clone(payload[:at+1]),
+		after:  bytes.Clone(payload[at+len(raw)-1:]),
+	}
+}
+
+// cut returns the text of an event that differs from the template in its text
+// only.
+func (t *template) cut(payload []byte) ([]byte, bool) {
+	if len(t.before) == 0 || len(payload) < len(t.before)+len(t.after) {
+		return nil, false
+	}
+	text := payload[len(t.before) : len(payload)-len(t.after)]
+	if !bytes.HasPrefix(payload, t.before) || !bytes.HasSuffix(payload, t.after) || !insideString(text) {
+		return nil, false
+	}
+	return text, true
+}
+
+// insideString reports whether b cannot end the JSON string that it stands in.
+func insideString(b []byte) bool {
+	for i := 0; i < len(b); i++ {
+		switch b[i] {
+		case '"':
+			return false
+		case '\\':
+			if i++; i == len(b) {
+				return false
+			}
 		}
-		h.finished = h.finished || c.FinishReason != nil
-		h.opaque = h.opaque || c.Index != 0 || len(c.Delta.ToolCalls) > 0
 	}
+	return true
 }
 
 // resume prepares for another engine's attempt and returns its request body.
 func (h *history) resume(body []byte) ([]byte, error) {
-	h.parse()
 	h.resumedAt = h.tokens
 	h.resumed = h.id != ""
 	h.tail = h.finished
@@ -95,7 +162,11 @@
 	if err := json.Unmarshal(body, &fields); err != nil {
 		return nil, fmt.Errorf("request body: %w", err)
 	}
-	next, err := json.Marshal(engine.Continuation{Text: string(h.text), Tokens: h.tokens})
+	text, err := h.text()
+	if err != nil {
+		return nil, err
+	}
+	next, err := json.Marshal(engine.Continuation{Text: text, Tokens: h.tokens})
 	if err != nil {
 		return nil, fmt.Errorf("continuation: %w", err)
 	}
--- /dev/null
+++ b/internal/caller/relay_bench_test.go
@@ -0,0 +1,144 @@
+package caller
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/engine"
+)
+
+const benchEvent = `data: {"id":"cmpl-1","object":"text_completion","created":1796342503,"model":"sorter","choices":[{"index":0,"text":"w4f7 ","finish_reason":null}],"weight_version":1}` + "\n\n"
+
+// tokenSource serves streams of events: all at once, or one by one with a pause.
+func tokenSource(events int, pause time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		_, _ = buf.WriteString("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+		_ = buf.Flush()
+		send(conn, events, pause)
+		_, _ = io.WriteString(conn, "data: [DONE]\n\n")
+	})
+}
+
+func send(conn net.Conn, events int, pause time.Duration) {
+	if pause == 0 {
+		_, _ = io.WriteString(conn, strings.Repeat(benchEvent, events))
+		return
+	}
+	for range events {
+		_, _ = io.WriteString(conn, benchEvent)
+		time.Sleep(pause)
+	}
+}
+
+// relayHandler is the streamed part of a completion, without admission.
+func relayHandler(target string) http.Handler {
+	engines := engine.NewClient()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		stream, err := engines.Open(r.Context(), target, "/v1/completions", []byte(`{}`))
+		if err != nil {
+			w.WriteHeader(http.StatusBadGateway)
+			return
+		}
+		defer stream.Close()
+		_ = copyEvents(stream, newSink(w), &history{}) // the byte count shows a failure
+	})
+}
+
+// load reads streams side by side and returns the processor time and the time
+// that they took.
+func load(b *testing.B, url string, streams, events int) (cpu, wall time.Duration) {
+	b.Helper()
+	start, used := time.Now(), processorTime(b)
+	var wg sync.WaitGroup
+	for range streams {
+		wg.Go(func() {
+			req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, url+"/v1/completions", strings.NewReader("{}"))
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			res, err := http.DefaultClient.Do(req)
+			if err != nil {
+				b.Error(err)
+				return
+			}
+			defer res.Body.Close()
+			n, err := io.Copy(io.Discard, res.Body)
+			if want := int64(events * len(benchEvent)); err != nil || n < want {
+				b.Errorf("read %d bytes of %d: %v", n, want, err)
+			}
+		})
+	}
+	wg.Wait()
+	return processorTime(b) - used, time.Since(start)
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkRelay compares streams through the relay with the same streams
+// straight from their source. cpu-µs/event is the processor time that the hop
+// adds to an event, its kernel time for sockets included.
+func BenchmarkRelay(b *testing.B) {
+	for _, c := range []struct {
+		name            string
+		streams, events int
+		pause           time.Duration
+	}{
+		{"burst", 8, 20000, 0},
+		{"paced-1ms", 64, 400, time.Millisecond},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			source := httptest.NewServer(tokenSource(c.events, c.pause))
+			defer source.Close()
+			relay := httptest.NewServer(relayHandler(source.URL))
+			defer relay.Close()
+			var direct, relayed, directWall, relayedWall time.Duration
+			for b.Loop() {
+				cpu, wall := load(b, source.URL, c.streams, c.events)
+				direct, directWall = direct+cpu, directWall+wall
+				cpu, wall = load(b, relay.URL, c.streams, c.events)
+				relayed, relayedWall = relayed+cpu, relayedWall+wall
+			}
+			total := float64(b.N * c.streams * c.events)
+			b.ReportMetric(float64((relayed-direct).Nanoseconds())/1e3/total, "cpu-µs/event")
+			b.ReportMetric(float64(directWall)/float64(relayedWall), "throughput-ratio")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// BenchmarkHistory is the cost of keeping what a continuation needs.
+func BenchmarkHistory(b *testing.B) {
+	payload := []byte(strings.TrimSpace(strings.TrimPrefix(benchEvent, "data: ")))
+	h := &history{}
+	b.ReportAllocs()
+	for b.Loop() {
+		h.add(payload)
+		if h.tokens > 1<<16 {
+			h = &history{}
+		}
+	}
+	if h.tokens == 0 {
+		b.Fatal("no tokens were noted")
+	}
+}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -98,7 +98,6 @@
 	e := s.newEffort(job.call, job.service.Name, true)
 	out, h := newSink(w), &history{}
 	err := s.streamAttempts(ctx, e, job, out, h)
-	h.parse()
 	s.countTokens(job, h.tokens)
 	if err == nil || errors.Is(err, errCallerGone) {
 		return
@@ -125,7 +124,6 @@
 		if err == nil || errors.Is(err, errCallerGone) {
 			return err
 		}
-		h.parse()
 		moved := errors.Is(err, errMoved)
 		if !e.failed(ctx, target, err, moved || h.tokens > before) {
 			return err
@@ -153,10 +151,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() {
-		h.parse()
-		grant.Finish(float64(h.tokens - h.resumedAt))
-	}()
+	defer func() { grant.Finish(float64(h.tokens - h.resumedAt)) }()
 	ctx, end := s.moves.begin(ctx, target.ID)
 	defer end()
 	stream, err := s.Engines.Open(ctx, target.URL, job.path, body)
