--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -65,6 +65,7 @@
 	targets    map[string][]platform.Target // by data centre
 	targetsAt  map[string]time.Duration     // when targets was asked for
 	loads      map[string]TargetLoad        // by target
+	loadsAt    map[string]time.Duration     // by when loads were true at the latest
 	own        []TargetLoad
 	waiters    map[record.ID]chan fold.Result
 	freshAt    time.Duration
@@ -106,6 +107,7 @@
 		targets:    map[string][]platform.Target{},
 		targetsAt:  map[string]time.Duration{},
 		loads:      map[string]TargetLoad{},
+		loadsAt:    map[string]time.Duration{},
 		waiters:    map[record.ID]chan fold.Result{},
 		routing:    newRouting(),
 		recent:     newRecentLog(),
@@ -254,8 +256,10 @@
 	l.drainWatch.Heard(m.beat.Peer.ID, drain.Report{Offset: m.beat.Offset, Uses: m.beat.Uses, At: l.Clock.Now()})
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
 	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
+	heardOf := l.Clock.Now() - l.beatAge()
 	for _, load := range m.beat.Loads {
 		l.setLoad(load)
+		l.loadsAt[load.Target] = heardOf
 	}
 }
 
@@ -263,6 +267,7 @@
 	l.own = m.loads
 	for _, load := range m.loads {
 		l.setLoad(load)
+		l.loadsAt[load.Target] = l.Clock.Now() - loadReadLimit
 	}
 }
 
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -16,6 +16,8 @@
 	Version int64  `cbor:"2,keyasint"`
 	Load    int    `cbor:"3,keyasint"`
 	Leaving bool   `cbor:"4,keyasint"`
+	Samples int    `cbor:"60,keyasint"` // part of Load that is samples
+	Running int    `cbor:"61,keyasint"` // requests that the engine says it runs
 }
 
 // Heartbeat is what an instance tells its peers of itself.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -24,6 +24,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/listener"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/operator"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -70,6 +71,7 @@
 	Events   *events.Recorder
 	Dispatch *dispatch.Dispatcher
 	Meter    *metering.Meter
+	Measures *measure.Measures
 
 	engines *engine.Client
 	pool    *peer.Pool
@@ -94,6 +96,9 @@
 	}
 	i.Events = events.New(cfg.ID, cfg.LogOutput, i.cfg.Clock.Wall)
 	i.pool = peer.NewPool(peer.Hello{ID: cfg.ID, Incarnation: i.incarnation, Deployment: cfg.Deployment}, i.Events)
+	if pair := i.peers.Pair(); pair != nil {
+		i.pool.UseDialer(peer.DialTLS(pair.Client))
+	}
 	i.Loop = control.New(control.Options{
 		Self: member.Peer{
 			ID: cfg.ID, Incarnation: i.incarnation, DataCentre: cfg.DataCentre,
@@ -111,6 +116,8 @@
 	i.Loop.OnUses(i.Dispatch.Uses)
 	i.callerGate.ready, i.trainerGate.ready = i.ready, i.ready
 	i.Meter = metering.New(i.Loop.Holder(), time.Minute)
+	i.Measures = measure.New(cfg.ID)
+	i.Dispatch.Measure(i.Measures)
 	return i, nil
 }
 
@@ -165,26 +172,27 @@
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	callers := caller.New(caller.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	trainers := samples.New(ctx, samples.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	operators := operator.New(operator.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
+		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
 	})
 	acting := controller.New(controller.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events, Measures: i.Measures,
 	})
 	weights := rollout.New(rollout.Options{
 		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	billing := controller.NewBiller(controller.BillerOptions{
-		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events, Measures: i.Measures,
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
 	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
-	g.Go(func() error { return peers.Serve(ctx, i.peers) })
+	g.Go(func() error { return peers.Serve(ctx, i.peers.Raw()) })
+	i.peers.Watch(ctx, g, i.noteCertificate)
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
