--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -225,6 +225,17 @@
 // Load returns the numbers of granted and waiting requests.
 func (q *Queue) Load() (granted, waiting int) { return len(q.granted), len(q.waitByID) }
 
+// LoadOf returns the number of granted and waiting requests of a class.
+func (q *Queue) LoadOf(c Class) int {
+	n := q.classes[c].waiting
+	for _, g := range q.granted {
+		if g.class == c {
+			n++
+		}
+	}
+	return n
+}
+
 // Wait estimates how long one more request of the flow would wait: its place in
 // fair order, times the mean time that a slot is held, over the slots.
 func (q *Queue) Wait(name string, weight float64, class Class) time.Duration {
--- a/core/config/config.go
+++ b/core/config/config.go
@@ -28,6 +28,7 @@
 	Cost        Cost         `yaml:"cost" cbor:"7,keyasint"`
 	Usage       Usage        `yaml:"usage" cbor:"8,keyasint"`
 	Control     Control      `yaml:"control" cbor:"9,keyasint"`
+	Capacity    Capacity     `yaml:"capacity" cbor:"60,keyasint"`
 	Retries     Retries      `yaml:"retries" cbor:"30,keyasint"`
 }
 
@@ -51,8 +52,11 @@
 	CostPerHour   float64       `yaml:"costPerHour" cbor:"10,keyasint"`  // currency units per running target
 	CheapPerHour  float64       `yaml:"cheapPerHour" cbor:"11,keyasint"` // the same on reclaimable targets
 	Routes        []Route       `yaml:"routes" cbor:"12,keyasint"`       // plain services only
-	SwapParallel  int           `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
-	SampleShare   float64       `yaml:"sampleShare" cbor:"20,keyasint"`  // part of a target's tokens that samples get while callers wait; zero: 0.2
+	// TokensPerSecond is what one engine generates under full load.
+	TokensPerSecond float64    `yaml:"tokensPerSecond" cbor:"60,keyasint"`
+	Schedule        []Schedule `yaml:"schedule" cbor:"61,keyasint"`     // times that are known to be busy
+	SwapParallel    int        `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
+	SampleShare     float64    `yaml:"sampleShare" cbor:"20,keyasint"`  // part of a target's tokens that samples get while callers wait; zero: 0.2
 }
 
 // Route describes the calls below one path of a plain service.
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -52,6 +52,7 @@
 	}
 	for id := range gone {
 		delete(l.loads, id)
+		delete(l.loadsAt, id)
 	}
 	l.targets[dataCentre] = targets
 	l.routing.changed = true
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -5,36 +5,69 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
-	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/plan"
 	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
 const (
 	passInterval  = 200 * time.Millisecond
 	appendTimeout = 5 * time.Second
+	loadsTimeout  = time.Second
+	parallelCalls = 32 // orders under way at once
 )
 
 // Options are what a Controller works with.
 type Options struct {
-	Loop   *control.Loop
-	Clock  clock.Clock
-	Orders func(dataCentre string) *platform.Orders
-	Events *events.Recorder
+	Loop     *control.Loop
+	Clock    clock.Clock
+	Orders   func(dataCentre string) *platform.Orders
+	Events   *events.Recorder
+	Measures *measure.Measures // nil: none
 }
 
 // Controller runs on every instance and acts only while in charge.
-type Controller struct{ Options }
+type Controller struct {
+	Options
+	charge  charge
+	planner *plan.Planner
+	atLeast record.Offset // the next pass must have read this
+
+	mu    sync.Mutex // guards what calls note while a pass runs
+	open  map[string]*plan.Open
+	since map[string]time.Duration // when targets were first seen
+	drain map[string]drain
+}
+
+// drain is what a pass knows of a drained target.
+type drain struct {
+	first      time.Duration
+	everywhere time.Duration // when all instances had read of it; zero: not yet
+}
 
 // New returns a controller.
-func New(o Options) *Controller { return &Controller{o} }
+func New(o Options) *Controller {
+	c := &Controller{Options: o}
+	c.forget()
+	return c
+}
+
+// forget drops what belongs to a term.
+func (c *Controller) forget() {
+	c.planner = plan.NewPlanner()
+	c.open = map[string]*plan.Open{}
+	c.since = map[string]time.Duration{}
+	c.drain = map[string]drain{}
+}
 
 // Run makes a pass at every interval until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
@@ -50,100 +83,71 @@
 	}
 }
 
+// pass settles open orders, then plans and sends new ones, side by side.
 func (c *Controller) pass(ctx context.Context) {
 	s := c.Loop.Snapshot()
-	if s.Config == nil {
+	if s.Config == nil || s.Offset < c.atLeast {
 		return
 	}
-	if _, held := c.Loop.Held(control.DeploymentLease, s.Config.Control.OrderFlight); !held {
-		return
+	now := c.Clock.Now()
+	guard, held := c.Loop.Held(control.DeploymentLease, s.Config.Control.OrderFlight)
+	changed := guard.Fencing != c.charge.fencing || held != c.charge.held
+	term := plan.Term{Fencing: guard.Fencing, Taken: c.charge.since(now, guard.Fencing, held)}
+	if changed {
+		c.forget()
 	}
-	c.settle(ctx, s)
-	for _, o := range plan.Missing(s.Config, known(s)) {
-		if err := c.order(ctx, s, o); err != nil {
-			c.Events.Record("order failed", events.F("service", o.Service), events.F("error", err.Error()))
-			return
-		}
+	if !held {
+		return
 	}
+	c.settleAll(ctx, s, now, term)
+	c.planAll(ctx, s, now, term)
 }
 
-// known joins the platform's targets with those that open orders will start.
-func known(s *control.Snapshot) []plan.Target {
-	var out []plan.Target
-	started := map[string]bool{}
-	for _, t := range s.Platform {
-		started[t.OrderID] = true
-		out = append(out, plan.Target{
-			ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Cheap: t.Cheap,
-			Leaving: t.State == platform.TargetLeaving || t.State == platform.TargetStopped,
-		})
+// planAll carries out what the planner decides.
+func (c *Controller) planAll(ctx context.Context, s *control.Snapshot, now time.Duration, term plan.Term) {
+	loadCtx, cancel := context.WithTimeout(ctx, loadsTimeout)
+	defer cancel()
+	loads, err := c.Loop.Loads(loadCtx)
+	if err != nil {
+		return
 	}
-	for id, o := range s.Orders {
-		if o.Intent.Action == record.ActionStart && !started[id] {
-			out = append(out, plan.Target{Service: o.Intent.Service, DataCentre: o.Intent.DataCentre, Cheap: o.Intent.Cheap})
-		}
+	v := c.view(s, now, loads)
+	in := plan.Input{Now: now, Wall: c.Clock.Wall(), Targets: v.targets, Demand: v.demand, Down: v.down}
+	d := c.planner.Plan(s.Config, in)
+	c.Measures.Spend(now, prices(s.Config, v.targets))
+	c.Measures.Held(d.Held)
+	g := errgroup.Group{}
+	g.SetLimit(parallelCalls)
+	for _, target := range d.Drains {
+		g.Go(func() error { return c.announceDrain(ctx, target, term.Fencing) })
 	}
-	return out
+	for _, o := range append(d.Starts, d.Stops...) {
+		g.Go(func() error { return c.order(ctx, s, o, term.Fencing) })
+	}
+	// Each call records its own failure; the next pass plans again.
+	_ = g.Wait()
 }
 
-// order announces the order in the log, sends it and notes the answer.
-func (c *Controller) order(ctx context.Context, s *control.Snapshot, o plan.Order) error {
-	flight := s.Config.Control.OrderFlight
-	guard, held := c.Loop.Held(control.DeploymentLease, flight)
-	if !held {
+// announceDrain takes new work from a target.
+func (c *Controller) announceDrain(ctx context.Context, target string, fencing record.Offset) error {
+	if guard, held := c.Loop.Held(control.DeploymentLease, 0); !held || guard.Fencing != fencing {
 		return errNotInCharge
 	}
-	intent := record.OrderIntent{
-		OrderID: uuid.NewString(), Lease: control.DeploymentLease, DataCentre: o.DataCentre,
-		Service: o.Service, Action: o.Action, Target: o.Target, Cheap: o.Cheap,
-	}
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
-	if _, err := c.Loop.Append(ctx, guard.Fencing, intent); err != nil {
-		return err
-	}
-	reply, err := c.send(ctx, intent, flight)
+	res, err := c.Loop.Append(ctx, 0, record.TargetDrain{Target: target, Actor: c.Loop.Holder()})
 	if err != nil {
+		c.Events.Record("drain failed", events.F("target", target), events.F("error", err.Error()))
 		return err
 	}
-	c.Events.Record("order confirmed", events.F("order", intent.OrderID), events.F("target", reply.Target))
-	_, err = c.Loop.Append(ctx, 0, record.OrderDone{OrderID: intent.OrderID, Target: reply.Target})
-	return err
+	c.read(res.Offset)
+	c.Events.Record("target drained", events.F("target", target), events.F("by", "planner"))
+	return nil
 }
 
-// send checks the lease as the last step before the order leaves.
-func (c *Controller) send(ctx context.Context, intent record.OrderIntent, flight time.Duration) (platform.OrderReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, flight)
-	defer cancel()
-	guard, held := c.Loop.Held(control.DeploymentLease, flight)
-	if !held {
-		return platform.OrderReply{}, errNotInCharge
-	}
-	order := platform.Order{
-		ID: intent.OrderID, Action: string(intent.Action), Service: intent.Service, Target: intent.Target,
-		Cheap: intent.Cheap, Fencing: int64(guard.Fencing), Holder: c.Loop.Holder(),
-		NotAfter: c.Clock.Wall().Add(flight),
-	}
-	c.Events.Record("order sent", events.F("order", order.ID), events.F("action", order.Action), events.F("service", order.Service))
-	return c.Orders(intent.DataCentre).Send(ctx, order)
-}
-
-// settle closes orders whose answer was lost, by what the platform lists.
-func (c *Controller) settle(ctx context.Context, s *control.Snapshot) {
-	byOrder := map[string]platform.Target{}
-	for _, t := range s.Platform {
-		byOrder[t.OrderID] = t
-	}
-	for id, o := range s.Orders {
-		t, found := byOrder[id]
-		if o.Intent.Action != record.ActionStart || !found {
-			continue
-		}
-		callCtx, cancel := context.WithTimeout(ctx, appendTimeout)
-		_, err := c.Loop.Append(callCtx, 0, record.OrderDone{OrderID: id, Target: t.ID})
-		cancel()
-		if err != nil {
-			c.Events.Record("order settle failed", events.F("order", id), events.F("error", err.Error()))
-		}
-	}
+// read makes the next pass wait until it sees the record at offset.
+func (c *Controller) read(offset record.Offset) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.atLeast = max(c.atLeast, offset)
 }
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/admit"
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/route"
 	"github.com/amaranthfold/amaranthfold/internal/control"
@@ -63,7 +64,7 @@
 
 func (d *Dispatcher) load(ctx context.Context, engines *engine.Client, service *config.Service, t route.Target) control.TargetLoad {
 	granted, waiting := d.Load(t.ID)
-	load := control.TargetLoad{Target: t.ID, Load: granted + waiting}
+	load := control.TargetLoad{Target: t.ID, Load: granted + waiting, Samples: d.Samples(t.ID)}
 	if service.Kind != config.KindEngine {
 		return load
 	}
@@ -73,6 +74,17 @@
 	if err != nil {
 		return load
 	}
-	load.Version, load.Leaving = report.Version, report.Leaving
+	load.Version, load.Leaving, load.Running = report.Version, report.Leaving, report.Running
 	return load
 }
+
+// Samples returns the samples granted and waiting at an owned target.
+func (d *Dispatcher) Samples(target string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	q := d.queues[target]
+	if q == nil {
+		return 0
+	}
+	return q.admit.LoadOf(admit.ClassSample)
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -23,6 +24,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/listener"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/operator"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -53,12 +55,15 @@
 	// WrapPeers, if set, wraps the peers' listener.
 	WrapPeers func(net.Listener) net.Listener
 	Clock     clock.Clock
+
+	DrainTimeout time.Duration // longest wait for requests in flight at a planned stop
 }
 
 // Instance is a running process of the service.
 type Instance struct {
 	cfg         Config
 	incarnation int64
+	startedAt   time.Duration
 
 	callers, operators, trainers, peers *listener.Listener
 
@@ -66,10 +71,15 @@
 	Events   *events.Recorder
 	Dispatch *dispatch.Dispatcher
 	Meter    *metering.Meter
+	Measures *measure.Measures
 
 	engines *engine.Client
 	pool    *peer.Pool
 
+	draining    atomic.Bool
+	callerGate  gate
+	trainerGate gate
+
 	ordersMu sync.Mutex
 	orders   map[string]*platform.Orders // by data centre
 }
@@ -80,6 +90,7 @@
 	if i.cfg.Clock == nil {
 		i.cfg.Clock = clock.System{}
 	}
+	i.startedAt = i.cfg.Clock.Now()
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
@@ -102,7 +113,11 @@
 		Events:     i.Events,
 	})
 	i.Dispatch = dispatch.New(i.Loop, i.pool, i.cfg.Clock)
+	i.Loop.OnUses(i.Dispatch.Uses)
+	i.callerGate.ready, i.trainerGate.ready = i.ready, i.ready
 	i.Meter = metering.New(i.Loop.Holder(), time.Minute)
+	i.Measures = measure.New(cfg.ID)
+	i.Dispatch.Measure(i.Measures)
 	return i, nil
 }
 
@@ -157,22 +172,22 @@
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	callers := caller.New(caller.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	trainers := samples.New(ctx, samples.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	operators := operator.New(operator.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
+		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
 	})
 	acting := controller.New(controller.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events, Measures: i.Measures,
 	})
 	weights := rollout.New(rollout.Options{
 		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	billing := controller.NewBiller(controller.BillerOptions{
-		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events, Measures: i.Measures,
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
 	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
@@ -186,9 +201,9 @@
 	g.Go(func() error { return callers.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
 	g.Go(func() error { return weights.Run(ctx) })
-	i.callers.Serve(ctx, g, callers.Handler(), i.noteCertificate)
-	i.operators.Serve(ctx, g, operators.Handler(), i.noteCertificate)
-	i.trainers.Serve(ctx, g, trainers.Handler(), i.noteCertificate)
+	i.callers.Serve(ctx, g, i.callerGate.wrap(callers.Handler()), i.noteCertificate)
+	i.operators.Serve(ctx, g, (&gate{ready: i.ready}).wrap(operators.Handler()), i.noteCertificate)
+	i.trainers.Serve(ctx, g, i.trainerGate.wrap(trainers.Handler()), i.noteCertificate)
 	err := g.Wait()
 	i.pool.Close()
 	return err
