Routing: prefix affinity on a ring, two independent random targets, versions

Cause: a prompt's prefix was recomputed wherever the request fell; the two candidates were a fixed pair of neighbours; a query could not ask for a weight version. Change: a prefix prefers the target that multi-probe hashing gives it on a ring, within a slack of load; core/route.Table.With shares rings between tables.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -1,7 +1,18 @@
 // Package route chooses the target of a request from an immutable table.
+//
+// A request with a prompt prefix prefers the target that its prefix hashes to, so
+// that all instances send a session where its prefix is cached without telling
+// each other. It goes to the less loaded of two random targets instead where the
+// preferred one is loaded more, by a part of its capacity.
 package route
 
-import "errors"
+import (
+	"cmp"
+	"errors"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Target is a running target as routing sees it.
 type Target struct {
@@ -22,70 +33,205 @@
 
 // Table holds the targets of every service. It is immutable once published.
 type Table struct {
-	services map[string][]Target
+	services map[string]*service
+}
+
+// service holds a service's targets and a ring of the hashes of their ids.
+type service struct {
+	targets []Target
+	ring    []point // sorted by hash
+}
+
+type point struct {
+	hash  uint64
+	index int // of the target
 }
 
 // NewTable groups targets by service.
-func NewTable(targets []Target) *Table {
-	t := &Table{services: map[string][]Target{}}
-	for _, target := range targets {
-		t.services[target.Service] = append(t.services[target.Service], target)
+func NewTable(targets []Target) *Table { return (&Table{}).With(targets) }
+
+// With returns a table of the targets that shares what t has of them already.
+// The targets should come in the same order each time.
+func (t *Table) With(targets []Target) *Table {
+	counts := map[string]int{}
+	for i := range targets {
+		counts[targets[i].Service]++
+	}
+	next := &Table{services: make(map[string]*service, len(counts))}
+	for name, n := range counts {
+		next.services[name] = &service{targets: make([]Target, 0, n)}
+	}
+	for i := range targets {
+		s := next.services[targets[i].Service]
+		s.targets = append(s.targets, targets[i])
+	}
+	for name, s := range next.services {
+		if old := t.services[name]; old != nil && sameIDs(old.targets, s.targets) {
+			s.ring = old.ring
+			continue
+		}
+		s.ring = newRing(s.targets)
+	}
+	return next
+}
+
+func sameIDs(a, b []Target) bool {
+	return slices.EqualFunc(a, b, func(x, y Target) bool { return x.ID == y.ID })
+}
+
+func newRing(targets []Target) []point {
+	ring := make([]point, len(targets))
+	for i := range targets {
+		ring[i] = point{mix(xxhash.Sum64String(targets[i].ID)), i}
 	}
-	return t
+	slices.SortFunc(ring, func(a, b point) int { return cmp.Compare(a.hash, b.hash) })
+	return ring
 }
 
 // Targets returns the service's targets. The slice must not be changed.
-func (t *Table) Targets(service string) []Target { return t.services[service] }
+func (t *Table) Targets(name string) []Target {
+	s := t.services[name]
+	if s == nil {
+		return nil
+	}
+	return s.targets
+}
 
 // Query describes what a request needs of its target.
 type Query struct {
 	Service    string
 	DataCentre string          // preferred
 	NoCheap    bool            // the work may not be lost
+	MinVersion int64           // oldest weight version that will do; zero: any, known or not
 	Exclude    map[string]bool // targets already tried
+	Prefix     uint64          // hash of the prompt's prefix; zero: no preference
 	Random     uint64          // caller's randomness
 }
 
-// Choose returns the better of two random candidates by load, then data centre.
+// Extend returns the hash of a prefix that goes on with text. Zero starts one.
+func Extend(prefix uint64, text string) uint64 {
+	return max(mix(prefix^xxhash.Sum64String(text)), 1)
+}
+
+// Choose returns the target for the query.
 func (t *Table) Choose(q Query) (*Target, error) {
-	list := t.services[q.Service]
-	n := uint64(len(list))
-	if n == 0 {
+	s := t.services[q.Service]
+	if s == nil {
 		return nil, ErrNoTarget
 	}
+	best := s.random(&q)
+	if best == nil {
+		return nil, ErrNoTarget
+	}
+	if q.Prefix == 0 {
+		return best, nil
+	}
+	at := s.preferred(q.Prefix)
+	for range affinityChoices {
+		c := &s.targets[s.ring[at].index]
+		if eligible(c, &q) && !overloaded(c, best) {
+			return c, nil
+		}
+		at = (at + 1) % len(s.ring)
+	}
+	return best, nil
+}
+
+const (
+	// affinityChoices is how many targets of the ring a prefix may go to.
+	affinityChoices = 2
+	// affinityProbes is how many places of the ring are tried for a prefix; more
+	// spread prefixes more evenly.
+	affinityProbes = 4
+	// affinitySlack is the part of its capacity, as a divisor, by which a
+	// preferred target may be loaded more than a random one.
+	affinitySlack = 4
+)
+
+// overloaded reports whether c is loaded too much more than other.
+func overloaded(c, other *Target) bool {
+	a, b := max(c.Capacity, 1), max(other.Capacity, 1)
+	return c.Load*b > other.Load*a+a*b/affinitySlack
+}
+
+// preferred returns the ring's place for the prefix: of the points that follow
+// some hashes of it, the one at the least distance. A change of the targets moves
+// only the prefixes of those that came or went.
+func (s *service) preferred(prefix uint64) int {
+	best, least := 0, ^uint64(0)
+	for i := range uint64(affinityProbes) {
+		h := mix(prefix + i*goldenRatio)
+		at := s.after(h)
+		if distance := s.ring[at].hash - h; distance < least {
+			best, least = at, distance
+		}
+	}
+	return best
+}
+
+// after returns the first point at or after h, around the ring.
+func (s *service) after(h uint64) int {
+	lo, hi := 0, len(s.ring)
+	for lo < hi {
+		mid := int(uint(lo+hi) >> 1)
+		if s.ring[mid].hash < h {
+			lo = mid + 1
+		} else {
+			hi = mid
+		}
+	}
+	return lo % len(s.ring)
+}
+
+// random returns the better of two random targets, or of the first two that may
+// serve after the first.
+func (s *service) random(q *Query) *Target {
+	n := uint64(len(s.targets))
+	first := (q.Random >> 32) * n >> 32
+	second := (q.Random & (1<<32 - 1)) * n >> 32
+	a, b := &s.targets[first], &s.targets[second]
+	if first != second && eligible(a, q) && eligible(b, q) {
+		return better(a, b, q.DataCentre)
+	}
 	var best *Target
-	start := q.Random % n
 	seen := 0
 	for i := range n {
-		c := &list[(start+i*step(n))%n]
-		if c.Leaving || q.NoCheap && c.Cheap || q.Exclude[c.ID] {
+		c := &s.targets[(first+i)%n]
+		if !eligible(c, q) {
 			continue
 		}
-		if best == nil || better(c, best, q.DataCentre) {
-			best = c
-		}
+		best = better(c, best, q.DataCentre)
 		if seen++; seen == 2 {
 			break
 		}
 	}
-	if best == nil {
-		return nil, ErrNoTarget
-	}
-	return best, nil
+	return best
 }
 
-// step is coprime to n, so that stepping by it visits every candidate.
-func step(n uint64) uint64 {
-	const prime = 7919
-	if n%prime == 0 {
-		return 1
-	}
-	return prime
+func eligible(c *Target, q *Query) bool {
+	return !c.Leaving && !(q.NoCheap && c.Cheap) && c.Version >= q.MinVersion && (len(q.Exclude) == 0 || !q.Exclude[c.ID])
 }
 
-func better(a, b *Target, dataCentre string) bool {
-	if a.Load*max(b.Capacity, 1) != b.Load*max(a.Capacity, 1) {
-		return a.Load*max(b.Capacity, 1) < b.Load*max(a.Capacity, 1)
+// better returns the target with less load for its capacity, then the one in the
+// data centre. b may be nil.
+func better(a, b *Target, dataCentre string) *Target {
+	if b == nil {
+		return a
+	}
+	loadA, loadB := a.Load*max(b.Capacity, 1), b.Load*max(a.Capacity, 1)
+	if loadA < loadB || loadA == loadB && (a.DataCentre == dataCentre || b.DataCentre != dataCentre) {
+		return a
 	}
-	return a.DataCentre == dataCentre && b.DataCentre != dataCentre
+	return b
+}
+
+const goldenRatio = 0x9e3779b97f4a7c15
+
+// mix is the finalizer of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
 }
--- /dev/null
+++ b/core/route/route_test.go
@@ -0,0 +1,171 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/route"
+)
+
+func targets(n int) []route.Target {
+	out := make([]route.Target, n)
+	for i := range out {
+		out[i] = route.Target{ID: fmt.Sprintf("t%05d", i), Service: "s", DataCentre: fmt.Sprint("dc", i%3), Capacity: 16, Version: int64(i % 4)}
+	}
+	return out
+}
+
+func TestChooseKeepsToWhatTheRequestNeeds(t *testing.T) {
+	list := []route.Target{
+		{ID: "leaving", Service: "s", Leaving: true, Capacity: 1, Version: 9},
+		{ID: "cheap", Service: "s", Cheap: true, Capacity: 1, Version: 9},
+		{ID: "old", Service: "s", Capacity: 1, Version: 1},
+		{ID: "good", Service: "s", Capacity: 1, Version: 9},
+		{ID: "other", Service: "other", Capacity: 1, Version: 9},
+	}
+	for name, c := range map[string]struct {
+		query route.Query
+		want  []string
+	}{
+		"any":           {route.Query{Service: "s"}, []string{"cheap", "old", "good"}},
+		"work to keep":  {route.Query{Service: "s", NoCheap: true}, []string{"old", "good"}},
+		"fresh weights": {route.Query{Service: "s", MinVersion: 2}, []string{"cheap", "good"}},
+		"tried":         {route.Query{Service: "s", Exclude: map[string]bool{"good": true, "old": true}}, []string{"cheap"}},
+		"all at once":   {route.Query{Service: "s", NoCheap: true, MinVersion: 2, Exclude: map[string]bool{"good": true}}, nil},
+		"no service":    {route.Query{Service: "none"}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			table := route.NewTable(list)
+			random := rand.New(rand.NewPCG(1, 1))
+			seen := map[string]bool{}
+			for i := range 400 {
+				q := c.query
+				q.Random = random.Uint64()
+				if i%2 == 0 {
+					q.Prefix = random.Uint64()
+				}
+				got, err := table.Choose(q)
+				if len(c.want) == 0 {
+					g.Expect(err).To(MatchError(route.ErrNoTarget))
+					continue
+				}
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(c.want).To(ContainElement(got.ID))
+				seen[got.ID] = true
+			}
+			g.Expect(seen).To(HaveLen(len(c.want)))
+		})
+	}
+}
+
+func TestPrefixStaysUntilItsTargetIsLoaded(t *testing.T) {
+	g := NewWithT(t)
+	list := targets(12)
+	table := route.NewTable(list)
+	prefix := route.Extend(0, "you sort comics")
+	home, err := table.Choose(route.Query{Service: "s", Prefix: prefix})
+	g.Expect(err).NotTo(HaveOccurred())
+	random := rand.New(rand.NewPCG(1, 1))
+	choose := func(t *route.Table) map[string]int {
+		seen := map[string]int{}
+		for range 200 {
+			got, err := t.Choose(route.Query{Service: "s", Prefix: prefix, Random: random.Uint64()})
+			g.Expect(err).NotTo(HaveOccurred())
+			seen[got.ID]++
+		}
+		return seen
+	}
+	g.Expect(choose(table)).To(Equal(map[string]int{home.ID: 200}))
+
+	loaded := targets(12)
+	for i := range loaded {
+		if loaded[i].ID == home.ID {
+			loaded[i].Load = 4
+		}
+	}
+	g.Expect(choose(table.With(loaded))).To(Equal(map[string]int{home.ID: 200}), "within the slack")
+	for i := range loaded {
+		if loaded[i].ID == home.ID {
+			loaded[i].Load = 5
+		}
+	}
+	second := choose(table.With(loaded))
+	g.Expect(second).To(HaveLen(1), "the ring's next")
+	g.Expect(second).NotTo(HaveKey(home.ID))
+	for i := range loaded {
+		if second[loaded[i].ID] > 0 {
+			loaded[i].Load = 5
+		}
+	}
+	g.Expect(len(choose(table.With(loaded)))).To(BeNumerically(">", 3), "spread over all")
+}
+
+func TestTargetsThatComeAndGoMoveOnlyTheirPrefixes(t *testing.T) {
+	g := NewWithT(t)
+	full := targets(100)
+	before, after := route.NewTable(full), route.NewTable(append(full[:40:40], full[41:]...))
+	moved, spread := 0, map[string]int{}
+	for i := range 5000 {
+		q := route.Query{Service: "s", Prefix: route.Extend(0, fmt.Sprint(i))}
+		a, err := before.Choose(q)
+		g.Expect(err).NotTo(HaveOccurred())
+		b, err := after.Choose(q)
+		g.Expect(err).NotTo(HaveOccurred())
+		spread[a.ID]++
+		if a.ID != b.ID {
+			moved++
+			g.Expect(a.ID).To(Equal(full[40].ID))
+		}
+	}
+	g.Expect(moved).To(Equal(spread[full[40].ID]))
+	for _, n := range spread {
+		g.Expect(n).To(BeNumerically("<", 5000/100*3), "no target has three times the mean")
+	}
+}
+
+func TestChooseAllocatesNothing(t *testing.T) {
+	g := NewWithT(t)
+	table := route.NewTable(targets(12_000))
+	exclude := map[string]bool{"t00007": true}
+	random := rand.New(rand.NewPCG(1, 1))
+	g.Expect(testing.AllocsPerRun(1000, func() {
+		_, _ = table.Choose(route.Query{Service: "s", DataCentre: "dc1", NoCheap: true, MinVersion: 1, Exclude: exclude, Prefix: random.Uint64(), Random: random.Uint64()})
+	})).To(BeZero())
+}
+
+func BenchmarkChoose(b *testing.B) {
+	table := route.NewTable(targets(12_000))
+	exclude := map[string]bool{"t00007": true}
+	random := rand.New(rand.NewPCG(1, 1))
+	for _, prefix := range []bool{false, true} {
+		b.Run(fmt.Sprintf("prefix=%t", prefix), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				q := route.Query{Service: "s", DataCentre: "dc1", NoCheap: true, MinVersion: 1, Exclude: exclude, Random: random.Uint64()}
+				if prefix {
+					q.Prefix = random.Uint64()
+				}
+				_, _ = table.Choose(q)
+			}
+		})
+	}
+}
+
+func BenchmarkTable(b *testing.B) {
+	list := targets(12_000)
+	table := route.NewTable(list)
+	b.Run("loads", func(b *testing.B) {
+		for b.Loop() {
+			table.With(list)
+		}
+	})
+	b.Run("targets", func(b *testing.B) {
+		for b.Loop() {
+			route.NewTable(list)
+		}
+	})
+}
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -94,7 +94,7 @@
 		}
 	}
 	r.ownerOf.Keep(len(targets))
-	r.table = route.NewTable(targets)
+	r.table = r.table.With(targets)
 	return r.table
 }
 
