--- a/core/fold/apply.go
+++ b/core/fold/apply.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 
+	"github.com/amaranthfold/amaranthfold/core/claim"
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/record"
 )
@@ -46,6 +47,8 @@
 	Body     record.Body
 	Verdict  Verdict
 	Err      error // the reason unless accepted
+	// Claims holds a decision per claim of an accepted Claims record.
+	Claims []claim.Decision
 	// LeaseTaken tells that an accepted lease record began a new term.
 	LeaseTaken bool
 }
@@ -86,6 +89,9 @@
 		res.Err = fmt.Errorf("record %s was folded before", res.Envelope.ID)
 	default:
 		res.Verdict, res.Err = s.fold(offset, res.Envelope, res.Body)
+		if b, ok := res.Body.(record.Claims); ok {
+			res.Claims = s.foldClaims(res.Envelope.Author, b)
+		}
 		res.LeaseTaken = s.leaseTaken(res)
 	}
 	s.extendChain(offset, res.Verdict, data)
@@ -131,6 +137,12 @@
 		return s.foldBatch(at, env, b)
 	case record.BatchAck:
 		return s.foldBatchAck(at, b)
+	case record.Claims:
+		return Accepted, nil // decided per claim
+	case record.ClaimsVoid:
+		return s.foldClaimsVoid(env.Author, b)
+	case record.TargetDrain:
+		return s.foldDrain(at, b)
 	case record.Checkpoint:
 		return s.foldCheckpoint(at, env, b)
 	default:
@@ -220,10 +232,14 @@
 }
 
 func (s *State) foldDone(b record.OrderDone) (Verdict, error) {
-	if _, ok := s.Orders[b.OrderID]; !ok {
+	order, ok := s.Orders[b.OrderID]
+	if !ok {
 		return Conflict, fmt.Errorf("order %q is not open", b.OrderID)
 	}
 	delete(s.Orders, b.OrderID)
+	if order.Intent.Action == record.ActionStop && b.Failure == "" {
+		delete(s.Drains, order.Intent.Target)
+	}
 	return Accepted, nil
 }
 
--- a/core/fold/bench_test.go
+++ b/core/fold/bench_test.go
@@ -75,7 +75,7 @@
 			for i := range 100 {
 				add(s, i)
 			}
-			var one, two int
+			var one int
 			for range b.N {
 				data, err := s.Encode()
 				if err != nil {
@@ -90,8 +90,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			two = len(data)
-			b.ReportMetric(float64(two-one)/100, "bytes/"+name)
+			b.ReportMetric(float64(len(data)-one)/100, "bytes/"+name)
 		})
 	}
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/drain"
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
@@ -15,6 +16,8 @@
 	Version int64  `cbor:"2,keyasint"`
 	Load    int    `cbor:"3,keyasint"`
 	Leaving bool   `cbor:"4,keyasint"`
+	Samples int    `cbor:"60,keyasint"` // part of Load that is samples
+	Running int    `cbor:"61,keyasint"` // requests that the engine says it runs
 }
 
 // Heartbeat is what an instance tells its peers of itself.
@@ -23,15 +26,18 @@
 	Offset record.Offset `cbor:"2,keyasint"`
 	Digest [32]byte      `cbor:"3,keyasint"`
 	Loads  []TargetLoad  `cbor:"4,keyasint"`
+	Uses   []drain.Use   `cbor:"30,keyasint"` // requests at drained targets
 }
 
 // message is anything that the control goroutine takes.
 type message interface{ handle(l *Loop) }
 
-// logRead is the outcome of one read of the log.
+// logRead is the outcome of one read of the log, or of a peer's copy of it.
 type logRead struct {
-	sentAt time.Duration
-	reply  platform.ReadReply
+	relayed bool
+	proved  bool          // reply.Next was the log's end at sentAt or later
+	sentAt  time.Duration // reading of this instance's clock
+	reply   platform.ReadReply
 }
 
 // listRead is the outcome of one read of the list of instances.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -22,6 +24,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/listener"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/operator"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -49,13 +52,18 @@
 
 	OperatorKey string
 	LogOutput   io.Writer // nil: no log
-	Clock       clock.Clock
+	// WrapPeers, if set, wraps the peers' listener.
+	WrapPeers func(net.Listener) net.Listener
+	Clock     clock.Clock
+
+	DrainTimeout time.Duration // longest wait for requests in flight at a planned stop
 }
 
 // Instance is a running process of the service.
 type Instance struct {
 	cfg         Config
 	incarnation int64
+	startedAt   time.Duration
 
 	callers, operators, trainers, peers *listener.Listener
 
@@ -63,10 +71,15 @@
 	Events   *events.Recorder
 	Dispatch *dispatch.Dispatcher
 	Meter    *metering.Meter
+	Measures *measure.Measures
 
 	engines *engine.Client
 	pool    *peer.Pool
 
+	draining    atomic.Bool
+	callerGate  gate
+	trainerGate gate
+
 	ordersMu sync.Mutex
 	orders   map[string]*platform.Orders // by data centre
 }
@@ -77,11 +90,15 @@
 	if i.cfg.Clock == nil {
 		i.cfg.Clock = clock.System{}
 	}
+	i.startedAt = i.cfg.Clock.Now()
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
 	i.Events = events.New(cfg.ID, cfg.LogOutput, i.cfg.Clock.Wall)
 	i.pool = peer.NewPool(peer.Hello{ID: cfg.ID, Incarnation: i.incarnation, Deployment: cfg.Deployment}, i.Events)
+	if pair := i.peers.Pair(); pair != nil {
+		i.pool.UseDialer(peer.DialTLS(pair.Client))
+	}
 	i.Loop = control.New(control.Options{
 		Self: member.Peer{
 			ID: cfg.ID, Incarnation: i.incarnation, DataCentre: cfg.DataCentre,
@@ -96,7 +113,11 @@
 		Events:     i.Events,
 	})
 	i.Dispatch = dispatch.New(i.Loop, i.pool, i.cfg.Clock)
+	i.Loop.OnUses(i.Dispatch.Uses)
+	i.callerGate.ready, i.trainerGate.ready = i.ready, i.ready
 	i.Meter = metering.New(i.Loop.Holder(), time.Minute)
+	i.Measures = measure.New(cfg.ID)
+	i.Dispatch.Measure(i.Measures)
 	return i, nil
 }
 
@@ -113,6 +134,9 @@
 	i.operators = open("operators", i.cfg.Operators)
 	i.trainers = open("trainers", i.cfg.Trainers)
 	i.peers = open("peers", i.cfg.Peers)
+	if i.cfg.WrapPeers != nil && i.peers != nil {
+		i.peers.Listener = i.cfg.WrapPeers(i.peers.Listener)
+	}
 	return errors.Join(errs...)
 }
 
@@ -148,26 +172,27 @@
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	callers := caller.New(caller.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	trainers := samples.New(ctx, samples.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events,
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
 	operators := operator.New(operator.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
+		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures, KeyDigest: sha256.Sum256([]byte(i.cfg.OperatorKey)),
 	})
 	acting := controller.New(controller.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events, Measures: i.Measures,
 	})
 	weights := rollout.New(rollout.Options{
 		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
 	})
 	billing := controller.NewBiller(controller.BillerOptions{
-		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events,
+		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events, Measures: i.Measures,
 	})
 	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, trainers: trainers, weights: weights, usage: exchange}, i.Events)
-	g.Go(func() error { return peers.Serve(ctx, i.peers) })
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
+	g.Go(func() error { return peers.Serve(ctx, i.peers.Raw()) })
+	i.peers.Watch(ctx, g, i.noteCertificate)
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
@@ -176,9 +201,9 @@
 	g.Go(func() error { return callers.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
 	g.Go(func() error { return weights.Run(ctx) })
-	i.callers.Serve(ctx, g, callers.Handler(), i.noteCertificate)
-	i.operators.Serve(ctx, g, operators.Handler(), i.noteCertificate)
-	i.trainers.Serve(ctx, g, trainers.Handler(), i.noteCertificate)
+	i.callers.Serve(ctx, g, i.callerGate.wrap(callers.Handler()), i.noteCertificate)
+	i.operators.Serve(ctx, g, (&gate{ready: i.ready}).wrap(operators.Handler()), i.noteCertificate)
+	i.trainers.Serve(ctx, g, i.trainerGate.wrap(trainers.Handler()), i.noteCertificate)
 	err := g.Wait()
 	i.pool.Close()
 	return err
@@ -196,6 +221,7 @@
 // peerHandler answers peers' messages.
 type peerHandler struct {
 	instance *Instance
+	callers  *caller.Server
 	trainers *samples.Manager
 	weights  *rollout.Driver
 	usage    *metering.Exchange
@@ -211,12 +237,18 @@
 		}
 		h.instance.Loop.Heard(ctx, beat)
 		return nil, nil
+	case peer.KindRecords:
+		return h.instance.Loop.HandleRecords(ctx, body)
+	case peer.KindState:
+		return h.instance.Loop.HandleState(ctx, body)
 	case peer.KindAdmit:
 		return h.instance.Dispatch.HandleAdmit(ctx, from, body)
 	case peer.KindFinish:
-		return nil, h.instance.Dispatch.HandleFinish(body)
+		return nil, h.instance.Dispatch.HandleFinish(from, body)
 	case peer.KindUsage:
 		return h.usage.HandleBatch(body)
+	case peer.KindAnswer:
+		return h.callers.HandleAnswer(ctx, body)
 	case peer.KindTrainer:
 		return h.trainers.HandleForward(ctx, body)
 	case peer.KindUnfit:
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -33,6 +33,9 @@
 	KindBatchPage   Kind = 42 // the rest of a batch that a forwarded call began
 	KindUnfit       Kind = 43 // targets taken out of service by a weight roll-out
 	KindUsage       Kind = 60
+	KindAnswer      Kind = 30 // asks for the answer of a claimed request
+	KindRecords     Kind = 50 // records of the log
+	KindState       Kind = 51 // encoded control state
 )
 
 // Hello opens a session.
