Membership: delta heartbeats, bulletins between data centres, hysteresis

Cause: every instance sent its whole description to every other each second; a newcomer that the lagging list did not show yet was dropped at each read of the list; a peer on a bad link took and lost its queues by turns; each message rebuilt and sorted the membership and copied the control state.

Change: heartbeats carry what has changed, all of it every 16th and after a change of membership; the sender is the session's. Above 64 peers heartbeats stay within a data centre and two relays for each pair of data centres exchange bulletins, which ride on heartbeats at home. A suspect peer is trusted after three heartbeats. Views of peers and of the log are rebuilt only when they change.

--- /dev/null
+++ b/core/member/bulletin.go
@@ -0,0 +1,159 @@
+package member
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// directPeers is up to how many peers an instance sends its heartbeat to all
+	// of them. Above, only those of its own data centre get it, and bulletins go
+	// between data centres.
+	directPeers = 64
+	// relaysPerPair instances of a data centre speak with another one. Each other
+	// data centre has relays of its own, so that the work is spread.
+	relaysPerPair = 2
+	// behindNamed is how many of the instances that are furthest behind in the
+	// log a bulletin names.
+	behindNamed = 8
+)
+
+// Bulletin tells other data centres of the instances of one.
+type Bulletin struct {
+	DataCentre string `cbor:"1,keyasint"`
+	Version    uint64 `cbor:"2,keyasint"`           // of the set of live instances
+	Offset     int64  `cbor:"3,keyasint"`           // that all but Behind have folded
+	Members    []Peer `cbor:"4,keyasint,omitempty"` // the live instances; empty: as in the last bulletin with them
+	Behind     []Lag  `cbor:"5,keyasint,omitempty"`
+}
+
+// Lag is an instance that is behind the others of its data centre.
+type Lag struct {
+	ID     string `cbor:"1,keyasint"`
+	Offset int64  `cbor:"2,keyasint"`
+}
+
+// Routes are whom an instance sends what.
+type Routes struct {
+	Direct []Status // get this instance's heartbeat, with the bulletins that it has got from abroad
+	Abroad []Status // relays of other data centres; get this data centre's bulletin
+}
+
+// RoutesOf plans the heartbeats of self. Every instance with the same view makes
+// the same choice of relays.
+func RoutesOf(self Peer, peers []Status) Routes {
+	if len(peers) <= directPeers {
+		return Routes{Direct: peers}
+	}
+	var r Routes
+	live := map[string][]string{self.DataCentre: {self.ID}}
+	byID := make(map[string]Status, len(peers))
+	for _, p := range peers {
+		byID[p.ID] = p
+		if p.DataCentre == self.DataCentre {
+			r.Direct = append(r.Direct, p)
+		}
+		if !p.Suspect && !p.Leaving {
+			live[p.DataCentre] = append(live[p.DataCentre], p.ID)
+		}
+	}
+	for centre, there := range live {
+		if centre == self.DataCentre || self.Leaving {
+			continue
+		}
+		pair := "relay/" + min(centre, self.DataCentre) + "/" + max(centre, self.DataCentre)
+		place := Place(pair, self.ID, live[self.DataCentre])
+		if place >= relaysPerPair {
+			continue
+		}
+		opposite := Rank(pair, there, relaysPerPair)
+		r.Abroad = append(r.Abroad, byID[opposite[min(place, len(opposite)-1)]])
+	}
+	slices.SortFunc(r.Abroad, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
+	return r
+}
+
+// Bulletin describes this instance's data centre at offset, with all members.
+func (t *Table) Bulletin(now time.Duration, offset int64) Bulletin {
+	live := []Status{{Peer: t.self, Offset: offset}}
+	for _, s := range t.Peers(now) {
+		if s.DataCentre == t.self.DataCentre && !s.Suspect {
+			live = append(live, s)
+		}
+	}
+	slices.SortFunc(live, func(a, b Status) int { return cmp.Compare(a.ID, b.ID) })
+	b := Bulletin{DataCentre: t.self.DataCentre}
+	for _, s := range live {
+		b.Members = append(b.Members, s.Peer)
+	}
+	b.Version = versionOf(b.Members)
+	b.Offset, b.Behind = lags(live)
+	return b
+}
+
+// lags returns the offset that all but a few have folded, and those few.
+func lags(live []Status) (int64, []Lag) {
+	byOffset := slices.Clone(live)
+	slices.SortStableFunc(byOffset, func(a, b Status) int { return cmp.Compare(a.Offset, b.Offset) })
+	named := min(behindNamed, len(byOffset)-1)
+	common := byOffset[named].Offset
+	var out []Lag
+	for _, s := range byOffset[:named] {
+		if s.Offset < common {
+			out = append(out, Lag{s.ID, s.Offset})
+		}
+	}
+	return common, out
+}
+
+func versionOf(members []Peer) uint64 {
+	h := xxhash.New()
+	for _, p := range members {
+		_, _ = h.WriteString(p.ID)                                                // never fails
+		_, _ = h.Write(binary.BigEndian.AppendUint64(nil, uint64(p.Incarnation))) // never fails
+		leaving := byte(0)
+		if p.Leaving {
+			leaving = 1
+		}
+		_, _ = h.Write([]byte{leaving}) // never fails
+	}
+	return h.Sum64()
+}
+
+// Read takes another data centre's bulletin. Without its members it stands for
+// those that the last bulletin with members named, or, before the first, for
+// all that the list names.
+func (t *Table) Read(now time.Duration, b Bulletin) {
+	if b.DataCentre == t.self.DataCentre {
+		return
+	}
+	behind := make(map[string]int64, len(b.Behind))
+	for _, l := range b.Behind {
+		behind[l.ID] = l.Offset
+	}
+	offsetOf := func(id string) int64 {
+		if o, lags := behind[id]; lags {
+			return o
+		}
+		return b.Offset
+	}
+	if len(b.Members) > 0 {
+		t.abroad[b.DataCentre] = b.Members
+	}
+	members, known := t.abroad[b.DataCentre]
+	for _, p := range members {
+		t.Heard(now, p, offsetOf(p.ID))
+	}
+	if known {
+		return
+	}
+	for id, s := range t.peers {
+		if s.DataCentre == b.DataCentre {
+			t.refresh(now, s, offsetOf(id))
+		}
+	}
+}
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -12,17 +12,22 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// suspectAfter missed heartbeats a peer is no longer asked for new work.
-const suspectAfter = 3
+const (
+	// suspectAfter missed heartbeats a peer is no longer asked for new work.
+	suspectAfter = 3
+	// trustAfter heartbeats a suspect peer is asked again, so that a peer on a bad
+	// link does not take and lose its queues by turns.
+	trustAfter = 3
+)
 
 // Peer is an instance as the list and its heartbeats describe it.
 type Peer struct {
-	ID          string
-	Incarnation int64 // start of the process, Unix nanoseconds
-	DataCentre  string
-	Address     string // drpc listener, IP and port
-	Operator    string // operator listener's URL
-	Leaving     bool
+	ID          string `cbor:"1,keyasint"`
+	Incarnation int64  `cbor:"2,keyasint"` // start of the process, Unix nanoseconds
+	DataCentre  string `cbor:"3,keyasint"`
+	Address     string `cbor:"4,keyasint"` // drpc listener, IP and port
+	Operator    string `cbor:"5,keyasint"` // operator listener's URL
+	Leaving     bool   `cbor:"6,keyasint,omitempty"`
 }
 
 // Status is a peer with what this instance knows of its health.
@@ -31,6 +36,9 @@
 	LastHeard time.Duration // reading of the local clock; zero: never
 	Offset    int64         // log offset that its last heartbeat named
 	Suspect   bool
+
+	listed   bool // the platform's list has named it
+	returned int  // heartbeats since it became suspect
 }
 
 // Table is the membership view of one instance.
@@ -38,24 +46,30 @@
 	self      Peer
 	heartbeat time.Duration
 	peers     map[string]*Status
+	version   uint64            // changes with all but LastHeard and Offset
+	abroad    map[string][]Peer // members that the last bulletins named, by data centre
 }
 
 // NewTable returns a view that holds self alone.
 func NewTable(self Peer, heartbeat time.Duration) *Table {
-	return &Table{self: self, heartbeat: heartbeat, peers: map[string]*Status{}}
+	return &Table{self: self, heartbeat: heartbeat, peers: map[string]*Status{}, abroad: map[string][]Peer{}}
 }
 
 // SetHeartbeat changes the interval that suspicion counts in.
 func (t *Table) SetHeartbeat(d time.Duration) { t.heartbeat = d }
 
 // SetLeaving marks this instance as leaving in what others are told.
-func (t *Table) SetLeaving() { t.self.Leaving = true }
+func (t *Table) SetLeaving() {
+	t.self.Leaving = true
+	t.version++
+}
 
 // Self returns this instance.
 func (t *Table) Self() Peer { return t.self }
 
-// List replaces the set of known peers by the platform's list, read at now. A
-// newly listed peer gets the full grace period before it is suspected.
+// List takes the platform's list, read at now. A newly listed peer gets the full
+// grace period before it is suspected. A peer that the list names no more is
+// gone; one that it does not name yet stays while it is heard.
 func (t *Table) List(now time.Duration, listed []Peer) {
 	seen := make(map[string]bool, len(listed))
 	for _, p := range listed {
@@ -65,9 +79,10 @@
 		seen[p.ID] = true
 		t.merge(now, p)
 	}
-	for id := range t.peers {
-		if !seen[id] {
+	for id, s := range t.peers {
+		if !seen[id] && (s.listed || t.suspect(now, s)) {
 			delete(t.peers, id)
+			t.version++
 		}
 	}
 }
@@ -75,26 +90,95 @@
 func (t *Table) merge(now time.Duration, p Peer) {
 	cur, known := t.peers[p.ID]
 	if !known {
-		t.peers[p.ID] = &Status{Peer: p, LastHeard: now}
+		t.peers[p.ID] = &Status{Peer: p, LastHeard: now, listed: true}
+		t.version++
+		return
+	}
+	cur.listed = true
+	if p.Incarnation < cur.Incarnation {
+		return // the list lags behind a restart that was heard of
+	}
+	// The list lags: a heartbeat's news of leaving stands.
+	p.Leaving = p.Leaving || cur.Leaving && p.Incarnation == cur.Incarnation
+	t.replace(cur, p)
+}
+
+func (t *Table) replace(cur *Status, p Peer) {
+	if cur.Peer == p {
 		return
 	}
-	// The list lags: a heartbeat's news of leaving and incarnation stands.
-	leaving := cur.Leaving || p.Leaving
-	incarnation := max(cur.Incarnation, p.Incarnation)
 	cur.Peer = p
-	cur.Leaving, cur.Incarnation = leaving, incarnation
+	t.version++
 }
 
-// Heard notes a heartbeat read at now.
+// Heard notes a heartbeat read at now. A message of an earlier incarnation
+// changes nothing.
 func (t *Table) Heard(now time.Duration, p Peer, offset int64) {
 	if p.ID == t.self.ID {
 		return
 	}
 	cur, known := t.peers[p.ID]
-	if known && p.Incarnation < cur.Incarnation {
+	if !known {
+		t.peers[p.ID] = &Status{Peer: p, LastHeard: now, Offset: offset}
+		t.version++
+		return
+	}
+	if p.Incarnation < cur.Incarnation {
+		return
+	}
+	t.replace(cur, p)
+	t.refresh(now, cur, offset)
+}
+
+// Alive notes a heartbeat that names its sender only. It reports whether the
+// sender's incarnation is known.
+func (t *Table) Alive(now time.Duration, id string, incarnation, offset int64) bool {
+	cur, known := t.peers[id]
+	if !known || cur.Incarnation != incarnation {
+		return false
+	}
+	t.refresh(now, cur, offset)
+	return true
+}
+
+func (t *Table) refresh(now time.Duration, cur *Status, offset int64) {
+	if t.suspect(now, cur) {
+		t.setSuspect(cur, true)
+		cur.returned++
+	}
+	cur.LastHeard, cur.Offset = now, max(cur.Offset, offset)
+	if cur.Suspect && cur.returned >= trustAfter {
+		t.setSuspect(cur, false)
+	}
+}
+
+// suspect reports whether the peer has been silent for too long, or has not
+// been heard often enough since.
+func (t *Table) suspect(now time.Duration, s *Status) bool {
+	return s.Suspect || now-s.LastHeard > suspectAfter*t.heartbeat
+}
+
+func (t *Table) setSuspect(s *Status, suspect bool) {
+	if s.Suspect == suspect {
 		return
 	}
-	t.peers[p.ID] = &Status{Peer: p, LastHeard: now, Offset: offset}
+	s.Suspect, s.returned = suspect, 0
+	t.version++
+}
+
+// Version notes the peers that have been silent for too long and returns a
+// number that changes whenever the peers, or what is said of them besides
+// LastHeard and Offset, have changed.
+func (t *Table) Version(now time.Duration) uint64 {
+	for _, s := range t.peers {
+		if !s.Suspect && t.suspect(now, s) {
+			t.setSuspect(s, true)
+		}
+		if s.Suspect && now-s.LastHeard > suspectAfter*t.heartbeat {
+			s.returned = 0
+		}
+	}
+	return t.version
 }
 
 // Peers returns all known peers by id, with suspicion as of now.
@@ -102,7 +186,7 @@
 	out := make([]Status, 0, len(t.peers))
 	for _, s := range t.peers {
 		status := *s
-		status.Suspect = now-s.LastHeard > suspectAfter*t.heartbeat
+		status.Suspect = t.suspect(now, s)
 		out = append(out, status)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
@@ -111,14 +195,18 @@
 
 // Owners returns the ids of the instances that may own queues, sorted: this
 // one and all peers that are neither suspect nor leaving.
-func (t *Table) Owners(now time.Duration) []string {
-	var ids []string
-	if !t.self.Leaving {
-		ids = append(ids, t.self.ID)
-	}
-	for _, s := range t.Peers(now) {
-		if !s.Suspect && !s.Leaving {
-			ids = append(ids, s.ID)
+func (t *Table) Owners(now time.Duration) []string { return OwnersOf(t.self, t.Peers(now)) }
+
+// OwnersOf returns the ids of those among self and peers that may own queues,
+// sorted.
+func OwnersOf(self Peer, peers []Status) []string {
+	ids := make([]string, 0, len(peers)+1)
+	if !self.Leaving {
+		ids = append(ids, self.ID)
+	}
+	for i := range peers {
+		if !peers[i].Suspect && !peers[i].Leaving {
+			ids = append(ids, peers[i].ID)
 		}
 	}
 	sort.Strings(ids)
--- /dev/null
+++ b/internal/control/beat.go
@@ -0,0 +1,193 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/peer"
+)
+
+const (
+	// fullEvery heartbeats, all that they can say is said again, for peers that
+	// missed it. Between, only what has changed is sent.
+	fullEvery = 16
+	// membersEvery bulletins of a data centre to the same receiver carry its
+	// members though they have not changed.
+	membersEvery = 256
+	digestBytes  = 8
+)
+
+// Heartbeat is what an instance tells its peers of itself.
+type Heartbeat struct {
+	// Peer is empty where it says what an earlier heartbeat of the session said.
+	Peer   member.Peer       `cbor:"1,keyasint,omitzero"`
+	Offset record.Offset     `cbor:"2,keyasint"`
+	Digest [digestBytes]byte `cbor:"3,keyasint"` // start of the chain digest at Offset
+	// Loads are those that have changed, or all of them.
+	Loads []TargetLoad `cbor:"4,keyasint,omitempty"`
+	// Abroad are the bulletins that the sender has got from other data centres.
+	Abroad []member.Bulletin `cbor:"50,keyasint,omitempty"`
+}
+
+// beater composes an instance's heartbeats and bulletins.
+type beater struct {
+	*Loop
+	count   int
+	version uint64 // of the membership that the last full heartbeat went to
+	full    int    // heartbeats that are still to be full
+	loads   map[string]TargetLoad
+	told    map[receiver]map[string]toldMembers // by data centre
+}
+
+// toldMembers is when which version of a data centre's members was sent.
+type toldMembers struct {
+	version uint64
+	at      int // heartbeat
+}
+
+// receiver is one incarnation of a peer.
+type receiver struct {
+	id          string
+	incarnation int64
+}
+
+func newBeater(l *Loop) *beater {
+	return &beater{Loop: l, loads: map[string]TargetLoad{}, told: map[receiver]map[string]toldMembers{}}
+}
+
+// beat sends heartbeats, and bulletins where this instance is a relay.
+func (l *Loop) beat(ctx context.Context) error {
+	b := newBeater(l)
+	for ctx.Err() == nil {
+		s := l.Snapshot()
+		interval := pollInterval
+		if s.Config != nil {
+			interval = s.Config.Control.Heartbeat
+		}
+		beat := b.heartbeat(s)
+		for _, p := range s.view.routes.Direct {
+			go l.sendBeat(ctx, p.Address, peer.KindHeartbeat, beat)
+		}
+		for _, p := range s.view.routes.Abroad {
+			go l.sendBeat(ctx, p.Address, peer.KindBulletin, b.bulletin(receiver{p.ID, p.Incarnation}, s.view.bulletin))
+		}
+		sleep(ctx, interval)
+	}
+	return nil
+}
+
+// heartbeat returns the next heartbeat. Several in a row are full after the
+// membership has changed: one of them reaches each newcomer.
+func (b *beater) heartbeat(s *Snapshot) Heartbeat {
+	if s.view.version != b.version {
+		b.version, b.full = s.view.version, 2
+	}
+	out := Heartbeat{Offset: s.Offset, Digest: digestOf(s.Digest)}
+	full := b.full > 0 || b.count%fullEvery == 0
+	if full {
+		out.Peer = s.Self
+	}
+	for _, load := range s.OwnLoads {
+		if full || b.loads[load.Target] != load {
+			out.Loads = append(out.Loads, load)
+		}
+	}
+	clear(b.loads)
+	for _, load := range s.OwnLoads {
+		b.loads[load.Target] = load
+	}
+	for _, item := range s.view.abroad {
+		out.Abroad = append(out.Abroad, b.bulletin(receiver{}, item))
+	}
+	b.full = max(0, b.full-1)
+	b.count++
+	if extra := b.beatExtra.Load(); extra != nil {
+		(*extra)(&out)
+	}
+	return out
+}
+
+// bulletin returns the bulletin for a receiver, without members that it knows.
+// The zero receiver stands for all that get this instance's heartbeat.
+func (b *beater) bulletin(to receiver, item member.Bulletin) member.Bulletin {
+	told := b.told[to]
+	if told == nil {
+		told = map[string]toldMembers{}
+		b.told[to] = told
+	}
+	last := told[item.DataCentre]
+	if last.version == item.Version && b.count-last.at < membersEvery {
+		item.Members = nil
+		return item
+	}
+	told[item.DataCentre] = toldMembers{item.Version, b.count}
+	return item
+}
+
+func digestOf(chain [32]byte) (short [digestBytes]byte) {
+	copy(short[:], chain[:])
+	return short
+}
+
+func (l *Loop) sendBeat(ctx context.Context, address string, kind peer.Kind, message any) {
+	callCtx, cancel := context.WithTimeout(ctx, beatSendLimit)
+	defer cancel()
+	_ = l.Peers.Send(callCtx, address, kind, message) // the next one follows soon
+}
+
+// heard is a heartbeat from a peer.
+type heard struct {
+	from peer.Session
+	beat Heartbeat
+}
+
+// Heard takes a heartbeat of the session's sender.
+func (l *Loop) Heard(ctx context.Context, from peer.Session, b Heartbeat) {
+	l.post(ctx, heard{from, b})
+}
+
+func (m heard) handle(l *Loop) {
+	now := l.Clock.Now()
+	if m.beat.Peer.ID == m.from.ID {
+		l.members.Heard(now, m.beat.Peer, int64(m.beat.Offset))
+	} else if !l.members.Alive(now, m.from.ID, m.from.Incarnation, int64(m.beat.Offset)) {
+		return
+	}
+	l.compare(m.from.ID, claim{m.beat.Offset, m.beat.Digest})
+	for _, load := range m.beat.Loads {
+		l.setLoad(load)
+	}
+	for _, b := range m.beat.Abroad {
+		l.members.Read(now, b)
+	}
+}
+
+// bulletinRead is another data centre's bulletin from one of its relays.
+type bulletinRead struct{ bulletin member.Bulletin }
+
+// HandleBulletin takes a bulletin from abroad.
+func (l *Loop) HandleBulletin(ctx context.Context, body []byte) error {
+	b, err := peer.Decode[member.Bulletin](body)
+	if err != nil {
+		return err
+	}
+	l.post(ctx, bulletinRead{b})
+	return nil
+}
+
+func (m bulletinRead) handle(l *Loop) {
+	now, b := l.Clock.Now(), m.bulletin
+	l.members.Read(now, b)
+	if len(b.Members) == 0 {
+		b.Members = l.abroad[b.DataCentre].bulletin.Members
+	}
+	l.abroad[b.DataCentre] = received{b, now}
+}
+
+// received is the last bulletin of another data centre.
+type received struct {
+	bulletin member.Bulletin
+	at       time.Duration
+}
--- /dev/null
+++ b/internal/control/beat_test.go
@@ -0,0 +1,164 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/peer"
+	"github.com/amaranthfold/amaranthfold/internal/platform"
+)
+
+// still returns a control loop whose goroutines do not run.
+func still(clock *manualClock, self member.Peer) *Loop {
+	return New(Options{Self: self, Clock: clock, Log: &fakeLog{}, Events: events.New(self.ID, nil, clock.Wall)})
+}
+
+var _ = Describe("Heartbeats", func() {
+	var (
+		clock *manualClock
+		l     *Loop
+		b     *beater
+	)
+	BeforeEach(func() {
+		clock = &manualClock{}
+		l = still(clock, member.Peer{ID: "a", Incarnation: 1, DataCentre: "north"})
+		l.own = []TargetLoad{{Target: "t1", Load: 1}, {Target: "t2", Load: 1}}
+		l.publish()
+		b = newBeater(l)
+	})
+
+	It("say only what has changed, and everything now and then", func() {
+		Expect(b.heartbeat(l.Snapshot()).Loads).To(HaveLen(2))
+		l.own = []TargetLoad{{Target: "t1", Load: 2}, {Target: "t2", Load: 1}}
+		l.publish()
+		second := b.heartbeat(l.Snapshot())
+		Expect(second.Loads).To(Equal([]TargetLoad{{Target: "t1", Load: 2}}))
+		Expect(second.Peer).To(BeZero())
+		for range fullEvery - 2 {
+			b.heartbeat(l.Snapshot())
+		}
+		Expect(b.heartbeat(l.Snapshot()).Loads).To(HaveLen(2))
+	})
+
+	It("say everything to a newcomer", func() {
+		b.heartbeat(l.Snapshot())
+		listRead{[]platform.ListedInstance{{ID: "b", Incarnation: 1}}}.handle(l)
+		l.publish()
+		beat := b.heartbeat(l.Snapshot())
+		Expect(beat.Peer).To(Equal(l.Self))
+		Expect(beat.Loads).To(HaveLen(2))
+	})
+
+	It("count for the session's sender only", func() {
+		listRead{[]platform.ListedInstance{{ID: "b", Incarnation: 2}, {ID: "c", Incarnation: 1}}}.handle(l)
+		forged := Heartbeat{Peer: member.Peer{ID: "c", Incarnation: 9}, Offset: 5}
+		heard{peer.Session{ID: "b", Incarnation: 2}, forged}.handle(l)
+		heard{peer.Session{ID: "b", Incarnation: 1}, Heartbeat{Offset: 9}}.handle(l)
+		for _, p := range l.members.Peers(0) {
+			Expect(p.Incarnation).NotTo(Equal(int64(9)))
+			Expect(p.Offset).NotTo(Equal(int64(9)), "a former process")
+		}
+	})
+
+	It("leave out of a bulletin the members that the receiver knows", func() {
+		one := member.Bulletin{DataCentre: "south", Version: 1, Members: []member.Peer{{ID: "s"}}}
+		Expect(b.bulletin(receiver{"x", 1}, one).Members).To(HaveLen(1))
+		Expect(b.bulletin(receiver{"x", 1}, one).Members).To(BeEmpty())
+		Expect(b.bulletin(receiver{"x", 2}, one).Members).To(HaveLen(1), "it has restarted")
+		one.Version = 2
+		Expect(b.bulletin(receiver{"x", 1}, one).Members).To(HaveLen(1), "they have changed")
+		b.count += membersEvery
+		Expect(b.bulletin(receiver{"x", 1}, one).Members).To(HaveLen(1), "now and then")
+	})
+})
+
+const (
+	// frameOverhead is what drpc and the frame add to a message, in bytes.
+	frameOverhead = 40
+	benchCentres  = 27
+)
+
+// BenchmarkMembership measures one instance's control traffic and processor time
+// for a second of heartbeats, against the number of instances.
+func BenchmarkMembership(b *testing.B) {
+	for _, nodes := range []int{12, 100, 400, 1700} {
+		b.Run(fmt.Sprint("nodes=", nodes), func(b *testing.B) { benchMembership(b, nodes) })
+	}
+}
+
+func benchMembership(b *testing.B, nodes int) {
+	clock := &manualClock{}
+	centres := min(benchCentres, max(3, nodes/63))
+	var listed []platform.ListedInstance
+	for n := range nodes {
+		listed = append(listed, platform.ListedInstance{
+			ID: fmt.Sprintf("entry-%04d", n), Incarnation: 1796342602000000000, DataCentre: fmt.Sprintf("centre-%02d", n%centres),
+			Address: "10.120.130.140:8083", Operator: "https://10.120.130.140:8082", State: platform.Live,
+		})
+	}
+	first := listed[0]
+	member0 := still(clock, member.Peer{ID: first.ID, Incarnation: first.Incarnation, DataCentre: first.DataCentre, Address: first.Address, Operator: first.Operator})
+	data, err := record.Encode(newID(), "a", 0, record.Config{YAML: []byte(testConfig)})
+	if err != nil {
+		b.Fatal(err)
+	}
+	member0.foldOne(0, platform.LogRecord{Offset: 1, Data: data})
+	listRead{listed}.handle(member0)
+	member0.publish()
+	size := func(v any) float64 {
+		data, err := record.Marshal(v)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(data) + frameOverhead)
+	}
+	bulletin := member.Bulletin{DataCentre: "centre-00", Version: 1 << 60, Offset: 1 << 30}
+	whole := bulletin
+	for _, i := range listed {
+		if i.DataCentre == bulletin.DataCentre {
+			whole.Members = append(whole.Members, member.Peer{ID: i.ID, Incarnation: i.Incarnation, DataCentre: i.DataCentre, Address: i.Address, Operator: i.Operator})
+		}
+	}
+	beat := Heartbeat{Offset: 1 << 30, Digest: [digestBytes]byte{1, 2, 3, 4, 5, 6, 7, 8}}
+	full := beat
+	full.Peer = member0.Self
+	local := float64(len(member0.Snapshot().view.routes.Direct))
+	// Bytes per heartbeat, with what only some heartbeats carry spread over all.
+	beatBytes := size(beat) + (size(full)-size(beat))/fullEvery
+	carried, abroad := 0.0, 0.0
+	if nodes > 64 {
+		bulletinBytes := size(bulletin) - frameOverhead + (size(whole)-size(bulletin))/membersEvery
+		duties := 2 * float64(centres-1) / (local + 1) // other data centres that one instance speaks with
+		carried = duties * bulletinBytes
+		abroad = duties * (bulletinBytes + frameOverhead)
+	}
+	bytes := 2 * (local*(beatBytes+carried) + abroad)
+	sender := peer.Session{Incarnation: listed[0].Incarnation}
+	b.ResetTimer()
+	for range b.N {
+		clock.advance(time.Second)
+		for i, p := range member0.Snapshot().view.routes.Direct {
+			sender.ID = p.ID
+			beat.Abroad = nil
+			if nodes > 64 && i < 2*(centres-1) {
+				bulletin.DataCentre = fmt.Sprintf("centre-%02d", i/2+1)
+				beat.Abroad = []member.Bulletin{bulletin}
+			}
+			heard{sender, beat}.handle(member0)
+			member0.publish()
+		}
+		for range time.Second / tickInterval {
+			tick{}.handle(member0)
+			member0.publish()
+		}
+	}
+	b.ReportMetric(bytes, "bytes/s")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/1e9*100, "%core")
+}
--- a/internal/control/checkpoint.go
+++ b/internal/control/checkpoint.go
@@ -89,7 +89,7 @@
 // claim is what a peer's heartbeat says of the log.
 type claim struct {
 	offset record.Offset
-	chain  [32]byte
+	chain  [digestBytes]byte
 }
 
 func newAgreement() *agreement {
@@ -130,7 +130,7 @@
 
 // compare checks a peer's digest, at once or when its offset has been folded.
 func (l *Loop) compare(id string, c claim) {
-	if c.offset == 0 || c.chain == ([32]byte{}) {
+	if c.offset == 0 || c.chain == ([digestBytes]byte{}) {
 		return
 	}
 	if c.offset > l.state.Applied {
@@ -143,7 +143,7 @@
 	if !kept {
 		return
 	}
-	agrees := chain == c.chain
+	agrees := digestOf(chain) == c.chain
 	before, known := l.agreement.agrees[id]
 	l.agreement.agrees[id] = agrees
 	if !agrees && (!known || before) {
--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -14,7 +14,7 @@
 // spaceClaims gives each lease another order of claimants, so that the holders
 // are spread over the instances and a lapsed lease is claimed by one of them.
 func (l *Loop) spaceClaims() {
-	owners := l.members.Owners(l.Clock.Now())
+	owners := l.viewed(l.Clock.Now()).owners
 	if slices.Equal(owners, l.claimants) {
 		return
 	}
--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -85,12 +85,12 @@
 // handler serves the calls that control answers.
 type handler struct{ loop *Loop }
 
-func (h handler) Handle(ctx context.Context, _ peer.Session, kind peer.Kind, body []byte) (any, error) {
+func (h handler) Handle(ctx context.Context, from peer.Session, kind peer.Kind, body []byte) (any, error) {
 	switch kind {
 	case peer.KindHeartbeat:
 		beat, err := peer.Decode[Heartbeat](body)
 		if err == nil {
-			h.loop.Heard(ctx, beat)
+			h.loop.Heard(ctx, from, beat)
 		}
 		return nil, err
 	case peer.KindRecords:
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -72,6 +72,9 @@
 	proved     bool                // the log has once shown its end
 	halted     string              // why the control roles have stopped; empty: they have not
 	agreement  *agreement
+	abroad     map[string]received // by data centre
+	view       *view
+	logView    *logView
 
 	encoded          []record.Checkpoint // the state as last given to a joining peer
 	encodedAt        time.Duration
@@ -105,6 +108,7 @@
 		routing:   newRouting(),
 		recent:    newRecentLog(),
 		agreement: newAgreement(),
+		abroad:    map[string]received{},
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
@@ -165,9 +169,6 @@
 // OnBeat sets a function that completes each heartbeat before it is sent.
 func (l *Loop) OnBeat(f func(*Heartbeat)) { l.beatExtra.Store(&f) }
 
-// Heard takes a peer's heartbeat.
-func (l *Loop) Heard(ctx context.Context, b Heartbeat) { l.post(ctx, heard{b}) }
-
 // SetOwnLoads takes the loads of the targets that this instance owns.
 func (l *Loop) SetOwnLoads(ctx context.Context, loads []TargetLoad) { l.post(ctx, ownLoads{loads}) }
 
@@ -246,14 +247,6 @@
 
 func (m targetsAsked) handle(l *Loop) { l.targetsAt[m.dataCentre] = m.at }
 
-func (m heard) handle(l *Loop) {
-	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
-	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
-	for _, load := range m.beat.Loads {
-		l.setLoad(load)
-	}
-}
-
 func (m ownLoads) handle(l *Loop) {
 	l.own = m.loads
 	for _, load := range m.loads {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/fold"
-	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
@@ -17,14 +16,6 @@
 	Leaving bool   `cbor:"4,keyasint"`
 }
 
-// Heartbeat is what an instance tells its peers of itself.
-type Heartbeat struct {
-	Peer   member.Peer   `cbor:"1,keyasint"`
-	Offset record.Offset `cbor:"2,keyasint"`
-	Digest [32]byte      `cbor:"3,keyasint"`
-	Loads  []TargetLoad  `cbor:"4,keyasint"`
-}
-
 // message is anything that the control goroutine takes.
 type message interface{ handle(l *Loop) }
 
@@ -51,9 +42,6 @@
 	at         time.Duration
 }
 
-// heard is a heartbeat from a peer.
-type heard struct{ beat Heartbeat }
-
 // ownLoads are the loads of the targets that this instance owns.
 type ownLoads struct{ loads []TargetLoad }
 
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"time"
-
-	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
 const (
@@ -55,34 +53,3 @@
 	l.post(ctx, targetsRead{dataCentre, targets})
 	l.post(ctx, targetsAsked{dataCentre, sentAt})
 }
-
-// beat sends heartbeats to every peer.
-func (l *Loop) beat(ctx context.Context) error {
-	for ctx.Err() == nil {
-		s := l.Snapshot()
-		interval := pollInterval
-		if s.Config != nil {
-			interval = s.Config.Control.Heartbeat
-		}
-		b := l.heartbeat(s)
-		for _, p := range s.Peers {
-			go l.sendBeat(ctx, p.Address, b)
-		}
-		sleep(ctx, interval)
-	}
-	return nil
-}
-
-func (l *Loop) heartbeat(s *Snapshot) Heartbeat {
-	b := Heartbeat{Peer: s.Self, Offset: s.Offset, Digest: s.Digest, Loads: s.OwnLoads}
-	if extra := l.beatExtra.Load(); extra != nil {
-		(*extra)(&b)
-	}
-	return b
-}
-
-func (l *Loop) sendBeat(ctx context.Context, address string, b Heartbeat) {
-	callCtx, cancel := context.WithTimeout(ctx, beatSendLimit)
-	defer cancel()
-	_ = l.Peers.Send(callCtx, address, peer.KindHeartbeat, b) // the next one follows soon
-}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -54,13 +54,7 @@
 		l.snapshot.Store(&kept)
 		return
 	}
-	owners := l.members.Owners(now)
-	peers := l.members.Peers(now)
-	byID := make(map[string]member.Status, len(peers))
-	for _, p := range peers {
-		byID[p.ID] = p
-	}
-	table := l.routes(now, owners)
+	v, log := l.viewed(now), l.viewedLog()
 	l.snapshot.Store(&Snapshot{
 		Self:         l.members.Self(),
 		Offset:       l.state.Applied,
@@ -68,23 +62,23 @@
 		ConfigOffset: l.state.ConfigOffset,
 		Keys:         l.keys,
 		KeysVersion:  l.keysVersion,
-		Targets:      table,
-		Owners:       owners,
-		Peers:        peers,
-		PeerByID:     byID,
-		Leases:       maps.Clone(l.state.Leases),
-		Ledgers:      maps.Clone(l.state.Ledgers),
-		Windows:      maps.Clone(l.state.Windows),
-		Orders:       maps.Clone(l.state.Orders),
+		Targets:      l.routes(now, v.owners),
+		Owners:       v.owners,
+		Peers:        v.peers,
+		PeerByID:     v.byID,
+		Leases:       log.leases,
+		Ledgers:      log.ledgers,
+		Windows:      log.windows,
+		Orders:       log.orders,
 		Platform:     l.routing.platform,
 		OwnLoads:     l.own,
 		TargetsAt:    maps.Clone(l.targetsAt),
-		Billing:      l.state.Billing.Clone(),
+		Billing:      log.billing,
 		Digest:       l.state.Chain,
 		Proved:       l.proved,
 		Halted:       l.halted,
-		readers:      l.readers(peers, owners),
 		FreshAt:      l.freshAt,
 		Drains:       l.drains,
+		view:         v,
 	})
 }
--- a/internal/control/relay.go
+++ b/internal/control/relay.go
@@ -117,7 +117,7 @@
 }
 
 // isReader reports whether the instance reads the log itself.
-func (s *Snapshot) isReader(id string) bool { return s.readers[id] }
+func (s *Snapshot) isReader(id string) bool { return s.view.readers[id] }
 
 // readersOf returns the instances of the data centre that read the log.
 func readersOf(peers []member.Status, self member.Peer, owners []string, n int) map[string]bool {
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -44,7 +44,7 @@
 	Proved    bool                     // it has done so
 	Halted    string                   // why the control roles have stopped; empty: they have not
 
-	readers map[string]bool // instances of this data centre that read the log themselves
+	view *view
 }
 
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/fold"
+	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/record"
+)
+
+// viewAge is how old the offsets of peers in a snapshot may be. Everything else
+// that is said of peers is renewed when it changes.
+const viewAge = 250 * time.Millisecond
+
+// view is the membership as snapshots show it. It is never changed after it has
+// been published.
+type view struct {
+	version  uint64
+	at       time.Duration
+	cfg      *config.Config
+	readers  map[string]bool
+	peers    []member.Status
+	byID     map[string]member.Status
+	owners   []string
+	routes   member.Routes
+	bulletin member.Bulletin   // of this data centre, where this instance is a relay
+	abroad   []member.Bulletin // of the others, the same
+}
+
+// viewed returns the membership view, renewed if it has changed or is old.
+func (l *Loop) viewed(now time.Duration) *view {
+	version := l.members.Version(now)
+	if l.view != nil && l.view.version == version && now-l.view.at < viewAge && l.view.cfg == l.state.Config() {
+		return l.view
+	}
+	peers := l.members.Peers(now)
+	v := &view{version: version, at: now, cfg: l.state.Config(), peers: peers, byID: make(map[string]member.Status, len(peers))}
+	for _, p := range peers {
+		v.byID[p.ID] = p
+	}
+	v.owners = member.OwnersOf(l.members.Self(), peers)
+	v.readers = l.readers(peers, v.owners)
+	if l.view != nil && l.view.version == version {
+		v.routes = l.view.routes
+	} else {
+		v.routes = member.RoutesOf(l.members.Self(), peers)
+	}
+	if len(v.routes.Abroad) > 0 {
+		v.bulletin = l.members.Bulletin(now, int64(l.state.Applied))
+		v.abroad = l.recentBulletins(now)
+	}
+	l.view = v
+	return v
+}
+
+// recentBulletins returns the bulletins that are new enough to be passed on.
+func (l *Loop) recentBulletins(now time.Duration) []member.Bulletin {
+	cfg := l.state.Config()
+	if cfg == nil {
+		return nil
+	}
+	var out []member.Bulletin
+	for _, dc := range slices.Sorted(maps.Keys(l.abroad)) {
+		if b := l.abroad[dc]; now-b.at <= cfg.Control.Heartbeat {
+			out = append(out, b.bulletin)
+		}
+	}
+	return out
+}
+
+// logView is the part of the control state that snapshots copy. It is renewed
+// when a record has been folded.
+type logView struct {
+	applied record.Offset
+	leases  map[string]fold.Lease
+	ledgers map[string]fold.Ledger
+	windows map[int64]fold.Window
+	orders  map[string]fold.Order
+	billing fold.Billing
+}
+
+func (l *Loop) viewedLog() *logView {
+	if l.logView != nil && l.logView.applied == l.state.Applied {
+		return l.logView
+	}
+	l.logView = &logView{
+		applied: l.state.Applied,
+		leases:  maps.Clone(l.state.Leases),
+		ledgers: maps.Clone(l.state.Ledgers),
+		windows: maps.Clone(l.state.Windows),
+		orders:  maps.Clone(l.state.Orders),
+		billing: l.state.Billing.Clone(),
+	}
+	return l.logView
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -216,8 +216,10 @@
 		if err != nil {
 			return nil, err
 		}
-		h.instance.Loop.Heard(ctx, beat)
+		h.instance.Loop.Heard(ctx, from, beat)
 		return nil, nil
+	case peer.KindBulletin:
+		return nil, h.instance.Loop.HandleBulletin(ctx, body)
 	case peer.KindRecords:
 		return h.instance.Loop.HandleRecords(ctx, body)
 	case peer.KindState:
