--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -49,6 +49,7 @@
 	validTill time.Duration // zero: not held
 	delay     time.Duration // extra wait before a claim
 
+	retiring  bool          // never claim, renew what is held
 	yielding  bool          // never claim or act, release what is held
 	releaseAt time.Duration // when the last call that the lease covered has ended
 }
@@ -101,6 +102,10 @@
 	m.yielding, m.releaseAt = true, now+flight
 }
 
+// Retire makes the machine stop claiming the lease. A held one is renewed until
+// Yield.
+func (m *Machine) Retire() { m.retiring = true }
+
 // Held reports whether the lease is valid at now for at least need longer, and
 // its fencing number.
 func (m *Machine) Held(now, need time.Duration) (record.Offset, bool) {
@@ -149,7 +154,7 @@
 // mayClaim reports whether nobody can still hold the lease. An instance whose
 // own term has lapsed waits like everyone else.
 func (m *Machine) mayClaim(now time.Duration) bool {
-	if m.validTill > now {
+	if m.validTill > now || m.retiring {
 		return false
 	}
 	if m.current.Holder == "" && m.current.Current > 0 {
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/drain"
 	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -27,6 +30,7 @@
 	Digest [digestBytes]byte `cbor:"3,keyasint"` // start of the chain digest at Offset
 	// Loads are those that have changed, or all of them.
 	Loads []TargetLoad `cbor:"4,keyasint,omitempty"`
+	Uses  []drain.Use  `cbor:"30,keyasint,omitempty"` // requests at drained targets
 	// Abroad are the bulletins that the sender has got from other data centres.
 	Abroad []member.Bulletin `cbor:"50,keyasint,omitempty"`
 }
@@ -67,7 +71,7 @@
 			interval = s.Config.Control.Heartbeat
 		}
 		beat := b.heartbeat(s)
-		for _, p := range s.view.routes.Direct {
+		for _, p := range append(inCharge(s), s.view.routes.Direct...) {
 			go l.sendBeat(ctx, p.Address, peer.KindHeartbeat, beat)
 		}
 		for _, p := range s.view.routes.Abroad {
@@ -84,7 +88,7 @@
 	if s.view.version != b.version {
 		b.version, b.full = s.view.version, 2
 	}
-	out := Heartbeat{Offset: s.Offset, Digest: digestOf(s.Digest)}
+	out := Heartbeat{Offset: s.Offset, Digest: digestOf(s.Digest), Uses: b.uses(s)}
 	full := b.full > 0 || b.count%fullEvery == 0
 	if full {
 		out.Peer = s.Self
@@ -126,6 +130,23 @@
 	return item
 }
 
+// inCharge returns the instances abroad that decide on drained targets, while
+// there are any: they have to hear of every instance.
+func inCharge(s *Snapshot) []member.Status {
+	if len(s.Drains) == 0 || len(s.view.routes.Direct) == len(s.Peers) {
+		return nil
+	}
+	var out []member.Status
+	for name, held := range s.Leases {
+		id, _, _ := strings.Cut(held.Holder, "@")
+		p, known := s.PeerByID[id]
+		if known && strings.HasPrefix(name, DeploymentLease) && p.DataCentre != s.Self.DataCentre {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 func digestOf(chain [32]byte) (short [digestBytes]byte) {
 	copy(short[:], chain[:])
 	return short
@@ -156,11 +177,31 @@
 		return
 	}
 	l.compare(m.from.ID, claim{m.beat.Offset, m.beat.Digest})
+	l.drainWatch.Heard(m.from.ID, drain.Report{Offset: m.beat.Offset, Uses: m.beat.Uses, At: now})
+	l.takeLoads(now, m)
+	for _, b := range m.beat.Abroad {
+		l.members.Read(now, b)
+	}
+}
+
+// takeLoads takes the loads of a heartbeat. What it leaves out has not changed.
+func (l *Loop) takeLoads(now time.Duration, m heard) {
+	id := m.from.ID
+	if m.beat.Peer.ID != "" {
+		l.loadsOf[id] = nil
+	}
 	for _, load := range m.beat.Loads {
 		l.setLoad(load)
+		l.loadFrom[load.Target] = id
+		if !slices.Contains(l.loadsOf[id], load.Target) {
+			l.loadsOf[id] = append(l.loadsOf[id], load.Target)
+		}
 	}
-	for _, b := range m.beat.Abroad {
-		l.members.Read(now, b)
+	heardOf := now - l.beatAge()
+	for _, target := range l.loadsOf[id] {
+		if l.loadFrom[target] == id {
+			l.loadsAt[target] = heardOf
+		}
 	}
 }
 
--- a/internal/control/beat_test.go
+++ b/internal/control/beat_test.go
@@ -67,6 +67,28 @@
 		}
 	})
 
+	It("keep what they leave out current, until another instance reports it", func() {
+		clock.advance(time.Minute)
+		reports := func(id string, full bool, loads ...TargetLoad) {
+			m := heard{peer.Session{ID: id, Incarnation: 1}, Heartbeat{Loads: loads}}
+			if full {
+				m.beat.Peer = member.Peer{ID: id, Incarnation: 1}
+			}
+			m.handle(l)
+		}
+		reports("b", true, TargetLoad{Target: "t1"}, TargetLoad{Target: "t3"})
+		reports("c", true, TargetLoad{Target: "t3"})
+		before := l.loadsAt["t1"]
+		clock.advance(time.Second)
+		reports("b", false)
+		Expect(l.loadsAt["t1"]).To(Equal(before + time.Second))
+		Expect(l.loadsAt["t3"]).To(Equal(before), "another instance reports it now")
+		reports("b", true)
+		clock.advance(time.Second)
+		reports("b", false)
+		Expect(l.loadsAt["t1"]).To(Equal(before+time.Second), "it no longer reports it")
+	})
+
 	It("leave out of a bulletin the members that the receiver knows", func() {
 		one := member.Bulletin{DataCentre: "south", Version: 1, Members: []member.Peer{{ID: "s"}}}
 		Expect(b.bulletin(receiver{"x", 1}, one).Members).To(HaveLen(1))
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/drain"
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/lease"
 	"github.com/amaranthfold/amaranthfold/core/member"
@@ -55,6 +57,7 @@
 	recent   *recentLog
 	// beatExtra adds what other packages tell peers in each heartbeat.
 	beatExtra atomic.Pointer[func(*Heartbeat)]
+	usesOf    atomic.Pointer[UsesOf]
 
 	// The rest belongs to the control goroutine.
 	state      *fold.State
@@ -63,6 +66,9 @@
 	targets    map[string][]platform.Target // by data centre
 	targetsAt  map[string]time.Duration     // when targets was asked for
 	loads      map[string]TargetLoad        // by target
+	loadsAt    map[string]time.Duration     // by when loads were true at the latest
+	loadFrom   map[string]string            // peer that reported last, by target
+	loadsOf    map[string][]string          // targets that a peer reports, by peer
 	own        []TargetLoad
 	waiters    map[record.ID]chan fold.Result
 	freshAt    time.Duration
@@ -89,26 +95,33 @@
 	unfitTerm   record.Offset   // holder that said so
 	claimants   []string        // instances that the claims are spaced over
 	leaving     bool
+	retiring    bool
+	drainWatch  *drain.Watch
+	idle        map[string]time.Duration // drained targets without requests; replaced by every change
 	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
 
 // New returns a loop that has read nothing.
 func New(o Options) *Loop {
 	l := &Loop{
-		Options:   o,
-		holder:    HolderName(o.Self),
-		inbox:     make(chan message, inboxSize),
-		ended:     make(chan struct{}),
-		state:     fold.New(),
-		leases:    map[string]*lease.Machine{},
-		targets:   map[string][]platform.Target{},
-		targetsAt: map[string]time.Duration{},
-		loads:     map[string]TargetLoad{},
-		waiters:   map[record.ID]chan fold.Result{},
-		routing:   newRouting(),
-		recent:    newRecentLog(),
-		agreement: newAgreement(),
-		abroad:    map[string]received{},
+		Options:    o,
+		holder:     HolderName(o.Self),
+		inbox:      make(chan message, inboxSize),
+		ended:      make(chan struct{}),
+		state:      fold.New(),
+		drainWatch: drain.New(),
+		leases:     map[string]*lease.Machine{},
+		targets:    map[string][]platform.Target{},
+		targetsAt:  map[string]time.Duration{},
+		loads:      map[string]TargetLoad{},
+		loadsAt:    map[string]time.Duration{},
+		waiters:    map[record.ID]chan fold.Result{},
+		routing:    newRouting(),
+		recent:     newRecentLog(),
+		agreement:  newAgreement(),
+		abroad:     map[string]received{},
+		loadFrom:   map[string]string{},
+		loadsOf:    map[string][]string{},
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
@@ -241,6 +254,7 @@
 	}
 	l.members.List(l.Clock.Now(), peers)
 	l.agreement.forgetGone(listed)
+	maps.DeleteFunc(l.loadsOf, func(id string, _ []string) bool { return !listed[id] })
 }
 
 func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
@@ -251,6 +265,7 @@
 	l.own = m.loads
 	for _, load := range m.loads {
 		l.setLoad(load)
+		l.loadsAt[load.Target] = l.Clock.Now() - loadReadLimit
 	}
 }
 
@@ -271,6 +286,7 @@
 	if cfg == nil || l.halted != "" {
 		return
 	}
+	l.followDrains(l.Clock.Now())
 	for _, name := range lease.Names(cfg, TrainerLease) {
 		l.machine(name)
 	}
@@ -308,6 +324,9 @@
 		if l.leaving {
 			m.Yield(l.Clock.Now(), l.flight())
 		}
+		if l.retiring {
+			m.Retire()
+		}
 	}
 	return m
 }
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -80,5 +80,6 @@
 		FreshAt:      l.freshAt,
 		Drains:       l.drains,
 		view:         v,
+		Idle:         l.idle,
 	})
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -21,6 +21,7 @@
 	"github.com/amaranthfold/amaranthfold/core/route"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
+	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
@@ -59,9 +60,10 @@
 // Dispatcher holds the queues that this instance owns. It is safe for
 // concurrent use.
 type Dispatcher struct {
-	loop  Loop
-	peers *peer.Pool
-	clock clock.Clock
+	measures *measure.Measures // nil: none
+	loop     Loop
+	peers    *peer.Pool
+	clock    clock.Clock
 
 	mu      sync.Mutex
 	queues  map[string]*queue // by target
@@ -69,6 +71,8 @@
 	table   *route.Table // that the queues were last compared with
 	waits   map[uint64]remoteWait
 	waitSeq uint64
+
+	uses *uses
 }
 
 // New returns a dispatcher. Its grants are numbered from a random start, so that
@@ -76,10 +80,13 @@
 func New(loop Loop, peers *peer.Pool, c clock.Clock) *Dispatcher {
 	return &Dispatcher{
 		loop: loop, peers: peers, clock: c, nextID: rand.Uint64() >> 1,
-		queues: map[string]*queue{}, waits: map[uint64]remoteWait{},
+		queues: map[string]*queue{}, waits: map[uint64]remoteWait{}, uses: newUses(),
 	}
 }
 
+// Measure makes finished grants count as work. It is called before Admit.
+func (d *Dispatcher) Measure(m *measure.Measures) { d.measures = m }
+
 // Grant is a slot at a target. Finish must be called once.
 type Grant struct {
 	finish func(cost float64)
@@ -95,6 +102,27 @@
 // Admit waits for a slot at the target. The error is a *RefusedError, or a
 // failure to reach the owner, or ctx's; in every case nothing has run.
 func (d *Dispatcher) Admit(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
+	d.uses.begin(t.ID)
+	grant, err := d.ask(ctx, t, r)
+	if err != nil {
+		d.uses.end(t.ID)
+		return nil, err
+	}
+	class := measure.Caller
+	if r.Class == admit.ClassSample {
+		class = measure.Sample
+	}
+	return &Grant{finish: func(cost float64) {
+		d.uses.end(t.ID)
+		if d.measures != nil {
+			d.measures.Work(t.DataCentre, t.Cheap, class, cost)
+		}
+		grant.finish(cost)
+	}}, nil
+}
+
+// ask asks the target's owner, then the next ones, then admits here.
+func (d *Dispatcher) ask(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
 	var tried []string
 	for len(tried) < maxOwners {
 		s := d.loop.Snapshot()
