--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -53,6 +53,7 @@
 	for id := range gone {
 		delete(l.loads, id)
 		delete(l.loadsAt, id)
+		delete(l.loadFrom, id)
 	}
 	l.targets[dataCentre] = targets
 	l.routing.changed = true
