Operators: GET /metrics with the operator's key

Cause: measures were kept and could not be scraped. Change: the measures, control gauges read at each scrape, and process metrics. Before: none. After: an operator's key gets them, another gets 401 (test).

--- a/internal/ctl/operate_test.go
+++ b/internal/ctl/operate_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"net/http"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -102,6 +104,25 @@
 		Entry("a file that does not exist", ctl.ExitFindings, "missing.yaml", "apply", "missing.yaml"),
 	)
 
+	It("serves metrics to the operator's key alone", func() {
+		scrape := func(key string) (int, string) {
+			req, err := http.NewRequest(http.MethodGet, s.env["AMARANTH_OPERATOR"]+"/metrics", nil)
+			Expect(err).NotTo(HaveOccurred())
+			req.Header.Set("Authorization", "Bearer "+key)
+			res, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer res.Body.Close()
+			body, err := io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred())
+			return res.StatusCode, string(body)
+		}
+		status, body := scrape(box.OperatorKey)
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(body).To(And(MatchRegexp(`amaranth_log_offset [1-9]`), ContainSubstring("amaranth_peers 1"), ContainSubstring("process_resident_memory_bytes")))
+		status, _ = scrape("wrong")
+		Expect(status).To(Equal(http.StatusUnauthorized))
+	})
+
 	It("refuses a wrong operator key", func() {
 		wrong := &operatorSession{ctx: s.ctx, env: map[string]string{"AMARANTH_OPERATOR": s.env["AMARANTH_OPERATOR"], "AMARANTH_OPERATOR_KEY": "wrong"}}
 		code, _, errOut := wrong.run("status")
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -19,6 +19,7 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
@@ -45,10 +46,13 @@
 }
 
 // Server answers operators.
-type Server struct{ Options }
+type Server struct {
+	Options
+	gauges *metrics.Set
+}
 
 // New returns a server.
-func New(o Options) *Server { return &Server{o} }
+func New(o Options) *Server { return &Server{Options: o, gauges: newGauges(o)} }
 
 // ApplyRequest replaces the configuration.
 type ApplyRequest struct {
@@ -146,6 +150,7 @@
 	mux.HandleFunc("POST /operator/keys/grant", s.grant)
 	mux.HandleFunc("POST /operator/keys/withdraw", s.withdraw)
 	mux.HandleFunc("GET /operator/events", s.events)
+	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /operator/measures", s.measures)
 	mux.HandleFunc("GET /operator/drain", s.drains)
 	mux.HandleFunc("POST /operator/drain", s.drain)
