--- a/internal/samples/manager.go
+++ b/internal/samples/manager.go
@@ -211,8 +211,9 @@
 }
 
 // appendRecord appends on behalf of the owner and follows the ledger that
-// results, whatever became of the record.
-func (o *owner) appendRecord(ctx context.Context, supersedes record.Offset, body record.Body) error {
+// results, whatever became of the record. A record that lost a race is not
+// accepted and no error: the owner follows the one that won.
+func (o *owner) appendRecord(ctx context.Context, supersedes record.Offset, body record.Body) (accepted bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	res, err := o.m.Loop.Append(ctx, supersedes, body)
@@ -221,7 +222,7 @@
 	}
 	o.follow()
 	if errors.Is(err, control.ErrConflict) {
-		return nil // the log holds another record; the owner follows that one
+		return false, nil
 	}
-	return err
+	return err == nil, err
 }
--- a/internal/samples/owner.go
+++ b/internal/samples/owner.go
@@ -178,6 +178,9 @@
 func (o *owner) finish(job sample.Job, s sample.Sample) {
 	o.mu.Lock()
 	err := o.state.Finish(job.Index, s)
+	if o.typical == 0 {
+		o.typical = float64(s.Tokens())
+	}
 	o.typical += (float64(s.Tokens()) - o.typical) / typicalOver
 	o.mu.Unlock()
 	if err != nil {
@@ -239,14 +242,18 @@
 func (o *owner) acknowledge(ctx context.Context, number int64) error {
 	o.mu.Lock()
 	needed, err := o.state.Acknowledge(number)
+	batch := o.state.OpenSamples()
 	o.mu.Unlock()
 	if err != nil || !needed {
 		return err
 	}
-	if err := o.appendRecord(ctx, 0, record.BatchAck{Trainer: o.trainer, Number: number}); err != nil {
+	accepted, err := o.appendRecord(ctx, 0, record.BatchAck{Trainer: o.trainer, Number: number})
+	if err != nil {
 		return fmt.Errorf("acknowledge batch %d of trainer %q: %w", number, o.trainer, err)
 	}
-	o.bill(number)
+	if accepted {
+		o.bill(batch)
+	}
 	o.nudge()
 	return nil
 }
@@ -263,7 +270,7 @@
 		return nil
 	}
 	batch.Term = o.term
-	if err := o.appendRecord(ctx, supersedes, batch); err != nil {
+	if _, err := o.appendRecord(ctx, supersedes, batch); err != nil {
 		return fmt.Errorf("batch %d of trainer %q: %w", batch.Number, o.trainer, err)
 	}
 	return nil
--- a/internal/samples/samples_test.go
+++ b/internal/samples/samples_test.go
@@ -178,6 +178,13 @@
 			}
 			b.replace(all...)
 		}),
+		Entry("an outage of the log that outlasts the lease", func(b *box) {
+			b.Log.SetDown(true)
+			Eventually(b.owner).WithTimeout(eventually).Should(BeEmpty())
+			_, err := b.Ask(b.ctx, 3, 3)
+			Expect(refusal(err).Status).To(Equal(http.StatusServiceUnavailable), "nobody is in charge")
+			b.Log.SetDown(false)
+		}),
 		Entry("the trainer's move past the bound", func(b *box) {
 			b.Weights.Publish(model, 5)
 			b.Version = 5
