Peers: bounds on what a hostile, slow or vanished peer can take

Cause: a connection that never introduced itself stayed for ever, a session had no bound on calls at once, a peer that did not read held up senders without limit, a host that vanished was noticed after minutes, and a pool kept sessions of addresses that were gone.

Change: 5 s to introduce oneself, 8,192 calls at once for a session, 5 s to write a message, TCP_USER_TIMEOUT of 10 s, failed sessions leave the pool; heartbeats are dropped rather than holding up a session's other messages.

The effect of TCP_USER_TIMEOUT was not tested: it needs a host that drops packets.

Conclusion: each kind of bad peer ends its own session only.

--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -165,8 +165,8 @@
 }
 
 // Heard takes a heartbeat of the session's sender.
-func (l *Loop) Heard(ctx context.Context, from peer.Session, b Heartbeat) {
-	l.post(ctx, heard{from, b})
+func (l *Loop) Heard(_ context.Context, from peer.Session, b Heartbeat) {
+	l.offer(heard{from, b})
 }
 
 func (m heard) handle(l *Loop) {
@@ -209,12 +209,12 @@
 type bulletinRead struct{ bulletin member.Bulletin }
 
 // HandleBulletin takes a bulletin from abroad.
-func (l *Loop) HandleBulletin(ctx context.Context, body []byte) error {
+func (l *Loop) HandleBulletin(_ context.Context, body []byte) error {
 	b, err := peer.Decode[member.Bulletin](body)
 	if err != nil {
 		return err
 	}
-	l.post(ctx, bulletinRead{b})
+	l.offer(bulletinRead{b})
 	return nil
 }
 
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -179,6 +179,15 @@
 	}
 }
 
+// offer hands over a message unless the control goroutine is far behind. What
+// peers send again is offered, so that it never holds up their other messages.
+func (l *Loop) offer(m message) {
+	select {
+	case l.inbox <- m:
+	default:
+	}
+}
+
 // OnBeat sets a function that completes each heartbeat before it is sent.
 func (l *Loop) OnBeat(f func(*Heartbeat)) { l.beatExtra.Store(&f) }
 
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,9 +79,10 @@
 // Close ends all sessions.
 func (p *Pool) Close() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.closed = true
-	for _, s := range p.sessions {
+	open := slices.Collect(maps.Values(p.sessions))
+	p.mu.Unlock()
+	for _, s := range open {
 		s.fail()
 	}
 }
@@ -95,6 +98,7 @@
 	s := p.sessions[address]
 	if s == nil || s.failed() {
 		s = newOutgoing(p.stamper)
+		s.ended = func() { p.forget(address, s) }
 		p.sessions[address] = s
 		go s.open(p.dial, address, p.hello)
 	}
@@ -107,8 +111,26 @@
 	}
 }
 
+// forget drops a session that has failed, so that addresses that are gone leave
+// nothing behind.
+func (p *Pool) forget(address string, s *outgoing) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sessions[address] == s {
+		delete(p.sessions, address)
+	}
+}
+
+// Sessions returns how many sessions are open or being opened.
+func (p *Pool) Sessions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.sessions)
+}
+
 // outgoing is one session at its client.
 type outgoing struct {
+	ended   func() // called once when the session has failed
 	stamper Stamper
 	opened  chan struct{} // closed once openErr is set
 	openErr error
@@ -147,7 +169,7 @@
 	if err != nil {
 		return err
 	}
-	conn := drpcconn.New(raw)
+	conn := drpcconn.New(guard(raw))
 	stream, err := conn.NewStream(context.Background(), sessionRPC, codec{})
 	if err != nil {
 		_ = conn.Close() // the first error counts
@@ -155,6 +177,7 @@
 	}
 	f, err := newFrame(KindHello, hello)
 	if err != nil {
+		_ = conn.Close() // the first error counts
 		return err
 	}
 	if err := stream.MsgSend(f, codec{}); err != nil {
@@ -165,6 +188,10 @@
 	s.conn, s.stream = conn, stream
 	s.mu.Unlock()
 	go s.receive()
+	if s.failed() { // closed meanwhile, when there was no connection to close
+		_ = conn.Close() // nothing is left to report
+		return ErrLost
+	}
 	return nil
 }
 
@@ -209,6 +236,7 @@
 		if conn != nil {
 			_ = conn.Close() // nothing is left to report
 		}
+		s.ended()
 	})
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -61,11 +61,13 @@
 // serveConn serves one connection's session.
 func serveConn(ctx context.Context, srv *drpcserver.Server, conn net.Conn) {
 	defer conn.Close()
+	ctx, stop := withIntroduction(ctx, conn, helloTimeout)
+	defer stop()
 	name, err := certifiedName(ctx, conn)
 	if err != nil {
 		return
 	}
-	_ = srv.ServeOne(withCertifiedName(ctx, name), conn) // a broken session ends in session
+	_ = srv.ServeOne(withCertifiedName(ctx, name), guard(conn)) // a broken session ends in session
 }
 
 // description names the service's only method for drpc.
@@ -103,6 +105,7 @@
 	if err := checkCertifiedName(stream.Context(), hello.ID); err != nil {
 		return err
 	}
+	introduced(stream.Context())
 	in := &incoming{
 		server:  s,
 		stream:  stream,
@@ -145,18 +148,26 @@
 			// One-way messages keep their order.
 			_, _ = in.server.handler.Handle(ctx, in.from, f.Kind, f.Body) // nobody waits
 		default:
-			callCtx := in.register(ctx, f.Seq)
+			callCtx, ok := in.register(ctx, f.Seq)
+			if !ok {
+				in.reply(f, nil, ErrTooManyCalls)
+				continue
+			}
 			calls.Go(func() { in.answer(callCtx, f) })
 		}
 	}
 }
 
-func (in *incoming) register(ctx context.Context, seq uint64) context.Context {
-	callCtx, cancel := context.WithCancel(ctx)
+// register notes a call that begins, unless too many run.
+func (in *incoming) register(ctx context.Context, seq uint64) (context.Context, bool) {
 	in.mu.Lock()
 	defer in.mu.Unlock()
+	if len(in.cancels) >= maxCalls {
+		return nil, false
+	}
+	callCtx, cancel := context.WithCancel(ctx)
 	in.cancels[seq] = cancel
-	return callCtx
+	return callCtx, true
 }
 
 func (in *incoming) cancel(seq uint64) {
@@ -171,6 +182,10 @@
 func (in *incoming) answer(ctx context.Context, f frame) {
 	defer in.cancel(f.Seq)
 	reply, err := in.server.handler.Handle(ctx, in.from, f.Kind, f.Body)
+	in.reply(f, reply, err)
+}
+
+func (in *incoming) reply(f frame, reply any, err error) {
 	out := &frame{}
 	if err == nil {
 		out, err = newFrame(f.Kind, reply)
