--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -29,8 +30,10 @@
 	Offset record.Offset     `cbor:"2,keyasint"`
 	Digest [digestBytes]byte `cbor:"3,keyasint"` // start of the chain digest at Offset
 	// Loads are those that have changed, or all of them.
-	Loads []TargetLoad `cbor:"4,keyasint,omitempty"`
-	Uses  []drain.Use  `cbor:"30,keyasint,omitempty"` // requests at drained targets
+	Loads  []TargetLoad `cbor:"4,keyasint,omitempty"`
+	Uses   []drain.Use  `cbor:"30,keyasint,omitempty"` // requests at drained targets
+	Halted string       `cbor:"51,keyasint,omitempty"` // why the sender's control roles have stopped
+	Stale  bool         `cbor:"52,keyasint,omitempty"` // the sender cannot prove that it has read the log's end
 	// Abroad are the bulletins that the sender has got from other data centres.
 	Abroad []member.Bulletin `cbor:"50,keyasint,omitempty"`
 }
@@ -88,7 +91,8 @@
 	if s.view.version != b.version {
 		b.version, b.full = s.view.version, 2
 	}
-	out := Heartbeat{Offset: s.Offset, Digest: digestOf(s.Digest), Uses: b.uses(s)}
+	out := Heartbeat{Offset: s.Offset, Digest: digestOf(s.Digest), Uses: b.uses(s), Halted: s.Halted}
+	out.Stale = s.Config != nil && !s.Fresh(b.Clock.Now(), s.Config.Control.FreshFor)
 	full := b.full > 0 || b.count%fullEvery == 0
 	if full {
 		out.Peer = s.Self
@@ -179,11 +183,33 @@
 	l.compare(m.from.ID, claim{m.beat.Offset, m.beat.Digest})
 	l.drainWatch.Heard(m.from.ID, drain.Report{Offset: m.beat.Offset, Uses: m.beat.Uses, At: now})
 	l.takeLoads(now, m)
+	l.note(m.from.ID, PeerNote{m.beat.Halted, m.beat.Stale})
 	for _, b := range m.beat.Abroad {
 		l.members.Read(now, b)
 	}
 }
 
+// PeerNote is what a peer says of its own trouble.
+type PeerNote struct {
+	Halted string // why its control roles have stopped
+	Stale  bool   // it cannot prove that it has read the log's end
+}
+
+// note keeps a peer's trouble for snapshots, which share the map.
+func (l *Loop) note(id string, n PeerNote) {
+	if l.notes[id] == n {
+		return
+	}
+	l.notes = maps.Clone(l.notes)
+	if l.notes == nil {
+		l.notes = map[string]PeerNote{}
+	}
+	l.notes[id] = n
+	if n == (PeerNote{}) {
+		delete(l.notes, id)
+	}
+}
+
 // takeLoads takes the loads of a heartbeat. What it leaves out has not changed.
 func (l *Loop) takeLoads(now time.Duration, m heard) {
 	id := m.from.ID
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -81,6 +81,7 @@
 	abroad     map[string]received // by data centre
 	view       *view
 	logView    *logView
+	notes      map[string]PeerNote // by peer; replaced by every change
 
 	encoded          []record.Checkpoint // the state as last given to a joining peer
 	encodedAt        time.Duration
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -77,6 +77,7 @@
 		Digest:       l.state.Chain,
 		Proved:       l.proved,
 		Halted:       l.halted,
+		PeerNotes:    l.notes,
 		FreshAt:      l.freshAt,
 		Drains:       l.drains,
 		view:         v,
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -44,6 +44,7 @@
 	FreshAt   time.Duration            // when the log last proved Offset to be its end
 	Proved    bool                     // it has done so
 	Halted    string                   // why the control roles have stopped; empty: they have not
+	PeerNotes map[string]PeerNote      // trouble that peers have reported, by id
 
 	view *view
 }
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/integrii/flaggy"
@@ -124,6 +125,7 @@
 	var files filesArgs
 	var conn connection
 	var wait bool
+	supersedes := int64(notNamed)
 	return &command{
 		name: "apply", summary: "Checks a configuration and puts it in force.",
 		example: "amaranthctl apply --wait deploy/base.yaml deploy/kingston.yaml",
@@ -131,6 +133,7 @@
 			files.attach(sub)
 			conn.attach(sub)
 			sub.Bool(&wait, "w", "wait", "wait until every instance has the configuration in force")
+			sub.Int64(&supersedes, "", "supersedes", "offset of the configuration that the files were made from; left out, the one in force now")
 		},
 		run: func(ctx context.Context, env *Env) error {
 			cfg, err := loadFiles(files.paths())
@@ -145,23 +148,49 @@
 			if err != nil {
 				return err
 			}
-			reply, err := client.Apply(ctx, operator.ApplyRequest{YAML: string(data), Actor: env.Getenv("USER")})
+			offset, err := applyOver(ctx, env, client, string(data), supersedes)
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(env.Out, "accepted at offset %d\n", reply.Offset)
 			if wait {
-				return waitInForce(ctx, env, client, reply.Offset)
+				return waitInForce(ctx, env, client, offset)
 			}
 			return nil
 		},
 	}
 }
 
+// notNamed tells that the operator has not named the configuration to supersede.
+const notNamed = -1
+
+// applyOver puts the configuration in force over the one that the operator has
+// named, or the one in force when the command began. Of two operators who change
+// the same configuration, one gets a conflict. A command that is repeated after
+// an unknown outcome finds its configuration in force.
+func applyOver(ctx context.Context, env *Env, client *operator.Client, yaml string, supersedes int64) (int64, error) {
+	current, err := client.Config(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if current.Offset > 0 && current.YAML == yaml {
+		fmt.Fprintf(env.Out, "already in force at offset %d\n", current.Offset)
+		return current.Offset, nil
+	}
+	if supersedes == notNamed {
+		supersedes = current.Offset
+	}
+	reply, err := client.Apply(ctx, operator.ApplyRequest{YAML: yaml, Actor: env.Getenv("USER"), Supersedes: &supersedes})
+	if err != nil {
+		return 0, err
+	}
+	fmt.Fprintf(env.Out, "accepted at offset %d\n", reply.Offset)
+	return reply.Offset, nil
+}
+
 // waitInForce polls until every instance has applied the offset, and prints
-// those that have not yet whenever their number changes.
+// which have not yet, and why, whenever that changes.
 func waitInForce(ctx context.Context, env *Env, client *operator.Client, offset int64) error {
-	last := -1
+	last := ""
 	for ctx.Err() == nil {
 		status, err := client.Status(ctx)
 		if err != nil {
@@ -172,24 +201,39 @@
 			fmt.Fprintf(env.Out, "in force on %d instances\n", len(status.Peers)+1)
 			return nil
 		}
-		if len(behind) != last {
-			fmt.Fprintf(env.Err, "waiting for %v\n", behind)
-			last = len(behind)
+		if text := strings.Join(behind, ", "); text != last {
+			fmt.Fprintf(env.Err, "not yet in force on %s\n", text)
+			last = text
 		}
 		time.Sleep(waitInterval)
 	}
 	return ctx.Err()
 }
 
+// behindOf names the instances that have not applied the offset, and why.
 func behindOf(status operator.Status, offset int64) []string {
 	var behind []string
 	if status.Offset < offset {
-		behind = append(behind, status.Instance)
+		self := operator.PeerStatus{ID: status.Instance, Offset: status.Offset, Halted: status.Halted, Stale: !status.Fresh}
+		behind = append(behind, whyBehind(self))
 	}
 	for _, p := range status.Peers {
 		if p.Offset < offset {
-			behind = append(behind, p.ID)
+			behind = append(behind, whyBehind(p))
 		}
 	}
 	return behind
 }
+
+func whyBehind(p operator.PeerStatus) string {
+	reason := "reading the log"
+	switch {
+	case p.Halted != "":
+		reason = "halted: " + p.Halted
+	case p.Suspect:
+		reason = "no heartbeats from it"
+	case p.Stale:
+		reason = "cut off from the log"
+	}
+	return fmt.Sprintf("%s (%s, at offset %d)", p.ID, reason, p.Offset)
+}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -28,6 +28,7 @@
 	ErrInvalid      = errors.New("invalid request")
 	ErrUnauthorized = errors.New("operator key refused")
 	ErrUnknown      = errors.New("outcome unknown")
+	ErrNone         = errors.New("there is none")
 )
 
 // Client calls one instance's operator listener.
@@ -59,6 +60,16 @@
 	return out, err
 }
 
+// Config returns the configuration in force. Before the first its offset is zero.
+func (c *Client) Config(ctx context.Context) (ConfigReply, error) {
+	var out ConfigReply
+	err := c.call(ctx, http.MethodGet, "/operator/config", nil, &out)
+	if errors.Is(err, ErrNone) {
+		return ConfigReply{}, nil
+	}
+	return out, err
+}
+
 // Grant creates a key for a client account.
 func (c *Client) Grant(ctx context.Context, account string) (GrantReply, error) {
 	var out GrantReply
@@ -139,6 +150,8 @@
 		kind = ErrConflict
 	case "invalid":
 		kind = ErrInvalid
+	case "none":
+		kind = ErrNone
 	case "unauthorized":
 		kind = ErrUnauthorized
 	}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -54,7 +54,13 @@
 type ApplyRequest struct {
 	YAML       string `json:"yaml"` // merged
 	Actor      string `json:"actor"`
-	Supersedes *int64 `json:"supersedes,omitempty"` // offset of the configuration that the operator saw
+	Supersedes *int64 `json:"supersedes,omitempty"` // offset of the configuration that the operator saw; absent: the one in force here
+}
+
+// ConfigReply is the configuration in force.
+type ConfigReply struct {
+	Offset int64  `json:"offset"` // zero: none has been applied
+	YAML   string `json:"yaml"`
 }
 
 // ApplyReply names the accepted configuration.
@@ -95,6 +101,7 @@
 	Offset       int64          `json:"offset"`
 	ConfigOffset int64          `json:"configOffset"`
 	Fresh        bool           `json:"fresh"`
+	Halted       string         `json:"halted,omitempty"` // why the control roles have stopped
 	Owners       []string       `json:"owners"`
 	Peers        []PeerStatus   `json:"peers"`
 	Leases       []LeaseStatus  `json:"leases"`
@@ -109,6 +116,8 @@
 	Offset     int64  `json:"offset"`
 	Suspect    bool   `json:"suspect"`
 	Leaving    bool   `json:"leaving"`
+	Halted     string `json:"halted,omitempty"` // why its control roles have stopped
+	Stale      bool   `json:"stale,omitempty"`  // it cannot prove that it has read the log's end
 }
 
 // LeaseStatus is a lease's last valid record.
@@ -133,7 +142,7 @@
 // Failure is the body of an error answer.
 type Failure struct {
 	Error string `json:"error"`
-	Code  string `json:"code"` // conflict, invalid, unauthorized, unknown
+	Code  string `json:"code"` // conflict, invalid, unauthorized, none, unknown
 }
 
 // Handler routes operators' requests.
@@ -243,7 +252,7 @@
 func (s *Server) config(w http.ResponseWriter, _ *http.Request) {
 	snapshot := s.Loop.Snapshot()
 	if snapshot.Config == nil {
-		fail(w, http.StatusNotFound, "unknown", errors.New("no configuration has been applied"))
+		fail(w, http.StatusNotFound, "none", errors.New("no configuration has been applied"))
 		return
 	}
 	data, err := config.Marshal(snapshot.Config)
@@ -251,10 +260,7 @@
 		fail(w, http.StatusInternalServerError, "unknown", err)
 		return
 	}
-	writeJSON(w, struct {
-		Offset int64  `json:"offset"`
-		YAML   string `json:"yaml"`
-	}{int64(snapshot.ConfigOffset), string(data)})
+	writeJSON(w, ConfigReply{int64(snapshot.ConfigOffset), string(data)})
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
@@ -262,9 +268,11 @@
 	out := Status{
 		Instance: snapshot.Self.ID, DataCentre: snapshot.Self.DataCentre,
 		Offset: int64(snapshot.Offset), ConfigOffset: int64(snapshot.ConfigOffset), Owners: snapshot.Owners,
+		Halted: snapshot.Halted,
 	}
 	for _, p := range snapshot.Peers {
-		out.Peers = append(out.Peers, PeerStatus{p.ID, p.DataCentre, p.Operator, p.Offset, p.Suspect, p.Leaving})
+		note := snapshot.PeerNotes[p.ID]
+		out.Peers = append(out.Peers, PeerStatus{p.ID, p.DataCentre, p.Operator, p.Offset, p.Suspect, p.Leaving, note.Halted, note.Stale})
 	}
 	for _, l := range snapshot.Leases {
 		out.Leases = append(out.Leases, LeaseStatus{l.Name, l.Holder, int64(l.Term)})
