--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/drain"
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/lease"
 	"github.com/amaranthfold/amaranthfold/core/member"
@@ -55,6 +56,7 @@
 	recent   *recentLog
 	// beatExtra adds what other packages tell peers in each heartbeat.
 	beatExtra atomic.Pointer[func(*Heartbeat)]
+	usesOf    atomic.Pointer[UsesOf]
 
 	// The rest belongs to the control goroutine.
 	state      *fold.State
@@ -85,27 +87,32 @@
 	keyCount    int             // keys when the index was last known to match
 	unfit       map[string]bool // targets out of service
 	unfitTerm   record.Offset   // holder that said so
+	claimants   []string        // instances that the claims are spaced over
 	leaving     bool
+	retiring    bool
+	drainWatch  *drain.Watch
+	idle        map[string]time.Duration // drained targets without requests; replaced by every change
 	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
 
 // New returns a loop that has read nothing.
 func New(o Options) *Loop {
 	l := &Loop{
-		Options:   o,
-		holder:    HolderName(o.Self),
-		inbox:     make(chan message, inboxSize),
-		ended:     make(chan struct{}),
-		state:     fold.New(),
-		leases:    map[string]*lease.Machine{},
-		targets:   map[string][]platform.Target{},
-		targetsAt: map[string]time.Duration{},
-		loads:     map[string]TargetLoad{},
-		loadsAt:   map[string]time.Duration{},
-		waiters:   map[record.ID]chan fold.Result{},
-		routing:   newRouting(),
-		recent:    newRecentLog(),
-		agreement: newAgreement(),
+		Options:    o,
+		holder:     HolderName(o.Self),
+		inbox:      make(chan message, inboxSize),
+		ended:      make(chan struct{}),
+		state:      fold.New(),
+		drainWatch: drain.New(),
+		leases:     map[string]*lease.Machine{},
+		targets:    map[string][]platform.Target{},
+		targetsAt:  map[string]time.Duration{},
+		loads:      map[string]TargetLoad{},
+		loadsAt:    map[string]time.Duration{},
+		waiters:    map[record.ID]chan fold.Result{},
+		routing:    newRouting(),
+		recent:     newRecentLog(),
+		agreement:  newAgreement(),
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
@@ -172,7 +179,8 @@
 // SetOwnLoads takes the loads of the targets that this instance owns.
 func (l *Loop) SetOwnLoads(ctx context.Context, loads []TargetLoad) { l.post(ctx, ownLoads{loads}) }
 
-// Yield releases every lease and stops owning queues.
+// Yield stops acting for every lease at once, releases each when the calls that
+// it covered have ended, and stops owning queues.
 func (l *Loop) Yield(ctx context.Context) { l.post(ctx, yield{}) }
 
 // folded follows up on one record.
@@ -247,6 +255,7 @@
 func (m targetsAsked) handle(l *Loop) { l.targetsAt[m.dataCentre] = m.at }
 
 func (m heard) handle(l *Loop) {
+	l.drainWatch.Heard(m.beat.Peer.ID, drain.Report{Offset: m.beat.Offset, Uses: m.beat.Uses, At: l.Clock.Now()})
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
 	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
 	heardOf := l.Clock.Now() - l.beatAge()
@@ -272,7 +281,7 @@
 	l.leaving = true
 	l.members.SetLeaving()
 	for _, m := range l.leases {
-		m.Yield()
+		m.Yield(l.Clock.Now(), l.flight())
 	}
 }
 
@@ -281,10 +290,11 @@
 	if cfg == nil || l.halted != "" {
 		return
 	}
-	l.machine(DeploymentLease)
-	for _, t := range cfg.Trainers {
-		l.machine(TrainerLease(t.Name))
+	l.followDrains(l.Clock.Now())
+	for _, name := range lease.Names(cfg, TrainerLease) {
+		l.machine(name)
 	}
+	l.spaceClaims()
 	now := l.Clock.Now()
 	for _, m := range l.leases {
 		if a := m.Tick(now, newID); a != nil {
@@ -314,8 +324,12 @@
 		}
 		m = lease.NewMachine(name, l.holder, t, l.Clock.Now())
 		l.leases[name] = m
+		m.SetDelay(l.claimDelay(name))
 		if l.leaving {
-			m.Yield()
+			m.Yield(l.Clock.Now(), l.flight())
+		}
+		if l.retiring {
+			m.Retire()
 		}
 	}
 	return m
--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -49,7 +49,7 @@
 			if output == outputJSON {
 				return printJSON(env.Out, doc)
 			}
-			return doc.Report.Print(env.Out)
+			return doc.Print(env.Out)
 		},
 	}
 }
--- a/internal/ctl/report_html.go
+++ b/internal/ctl/report_html.go
@@ -113,7 +113,7 @@
 		drawn = append(drawn, svg)
 	}
 	var tables, page bytes.Buffer
-	if err := doc.Report.Print(&tables); err != nil {
+	if err := doc.Print(&tables); err != nil {
 		return nil, err
 	}
 	err := reportPage.Execute(&page, struct {
--- a/internal/demo/orders.go
+++ b/internal/demo/orders.go
@@ -22,9 +22,9 @@
 	orderWait     = 15 * time.Second
 	orderPoll     = 20 * time.Millisecond
 	reclaimNotice = 200 * time.Millisecond
-	reclaimCount  = 4 // groups
+	groupsBefore  = 12
+	groupsAfter   = 8
 	reclaimSize   = 8 // samples of a group
-	reclaimTokens = 300
 	stopTokens    = 800
 )
 
@@ -62,29 +62,37 @@
 // reclaimed loads the engines until a cheap target runs and has samples, has the
 // platform take its data centre back, and expects every sample once.
 func (s *site) reclaimed(ctx context.Context) error {
-	trainer := s.cfg.Trainers[0]
-	client := NewTrainer(s.Members()[0].TrainerURL(), trainer.Name, s.keyOf(trainer.Account))
-	if err := client.Submit(ctx, reclaimGroups("before")); err != nil {
+	ctx, cancel := context.WithTimeout(ctx, sampleWait)
+	defer cancel()
+	if err := s.coach.Submit(ctx, reclaimGroups("before", groupsBefore)); err != nil {
 		return err
 	}
 	if err := s.waitFor(ctx, "a cheap target runs", func() bool { return len(s.listed(isCheap)) > 0 }); err != nil {
 		return err
 	}
-	if err := client.Submit(ctx, reclaimGroups("after")); err != nil {
+	if err := s.coach.Submit(ctx, reclaimGroups("after", groupsAfter)); err != nil {
 		return err
 	}
 	if err := s.waitFor(ctx, "a cheap target has samples", s.cheapBusy); err != nil {
 		return err
 	}
 	s.Orders.Reclaim(s.listed(isCheap)[0].DataCentre, reclaimNotice)
-	return s.collectAll(ctx, client, 2*reclaimCount*reclaimSize)
+	for left := (groupsBefore + groupsAfter) * reclaimSize; left > 0; {
+		batch, err := s.coach.Take(ctx, groupsBefore, 1)
+		if err != nil {
+			return err
+		}
+		s.checkBatch(batch)
+		left -= len(batch.Samples)
+	}
+	return s.coach.Acknowledge(ctx)
 }
 
 // reclaimGroups returns groups of samples whose ids begin with prefix.
-func reclaimGroups(prefix string) []sample.Group {
-	groups := make([]sample.Group, reclaimCount)
+func reclaimGroups(prefix string, n int) []sample.Group {
+	groups := make([]sample.Group, n)
 	for i := range groups {
-		groups[i] = sample.Group{ID: fmt.Sprintf("%s-%d", prefix, i), Prompt: fmt.Sprintf("box %d", i), MaxTokens: reclaimTokens, Size: reclaimSize}
+		groups[i] = sample.Group{ID: fmt.Sprintf("%s-%d", prefix, i), Prompt: fmt.Sprintf("box %s %d", prefix, i), MaxTokens: sampleTokens, Size: reclaimSize}
 	}
 	return groups
 }
@@ -99,27 +107,6 @@
 	return false
 }
 
-// collectAll takes batches until count samples have come, and acknowledges them.
-func (s *site) collectAll(ctx context.Context, client *Trainer, count int) error {
-	seen := map[string]bool{}
-	ack := int64(0)
-	for len(seen) < count && ctx.Err() == nil {
-		batch, err := client.Next(ctx, 1, 2*reclaimCount, ack)
-		if err != nil {
-			return err
-		}
-		if batch == nil {
-			continue
-		}
-		for i := range batch.Samples {
-			s.checkSample(s.cfg.Trainers[0], &batch.Samples[i], seen)
-		}
-		ack = batch.Number
-	}
-	_, err := client.Next(ctx, 1, 1, ack)
-	return err
-}
-
 // ordersLost loses the answers to the orders that replace a lost target.
 func (s *site) ordersLost(ctx context.Context) error {
 	plain := s.plainTargets()
@@ -245,21 +232,13 @@
 		s.measured = append(s.measured, report)
 	}
 	s.Kill(m.ID)
-	s.refresh()
-}
-
-// refresh names the entries that are left.
-func (s *site) refresh() {
-	s.announce.Entries, s.announce.Trainer, s.announce.Operator = nil, nil, nil
-	for _, m := range s.Members() {
-		s.announce.Entries = append(s.announce.Entries, m.CallerURL())
-		s.announce.Trainer = append(s.announce.Trainer, m.TrainerURL())
-		s.announce.Operator = append(s.announce.Operator, m.OperatorURL())
-	}
+	s.announceMembers()
+	s.coach.SetBases(s.announce.Trainer)
 }
 
 func (s *site) caughtUp() bool {
-	s.refresh()
+	s.announceMembers()
+	s.coach.SetBases(s.announce.Trainer)
 	for _, m := range s.Members() {
 		snapshot := m.Loop.Snapshot()
 		if snapshot.Config == nil || !snapshot.Fresh(m.Clock().Now(), snapshot.Config.Control.FreshFor) || len(snapshot.Owners) < len(s.Members()) {
--- a/internal/platform/check.go
+++ b/internal/platform/check.go
@@ -1,10 +1,13 @@
 package platform
 
 import (
-	"bytes"
+	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
-	"io"
+	"net"
+	"net/http/httptrace"
+	"sync"
 )
 
 // ErrHeldBack tells that a check failed on the open connection; nothing was sent.
@@ -13,30 +16,68 @@
 // Check decides at the last moment whether a call may leave.
 type Check func() error
 
-// checkedBody runs the check when the transport reads the body. The transport
-// reads it once a connection is open, and it flushes headers only together with
-// the body, so a failed check leaves the wire untouched.
-type checkedBody struct {
-	io.Reader
-	check Check
-	ran   bool
+// checkedConn runs a check right before the first byte of a call is written.
+type checkedConn struct {
+	net.Conn
+	mu    sync.Mutex
+	armed func() error
 }
 
-func checked(data []byte, check Check) io.Reader {
-	if check == nil {
-		return bytes.NewReader(data)
+// Write implements net.Conn.
+func (c *checkedConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	check := c.armed
+	c.armed = nil
+	c.mu.Unlock()
+	if check != nil {
+		if err := check(); err != nil {
+			return 0, err
+		}
 	}
-	// Without GetBody the transport cannot send the call a second time by itself.
-	return &checkedBody{Reader: bytes.NewReader(data), check: check}
+	return c.Conn.Write(p)
+}
+
+func (c *checkedConn) arm(check func() error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.armed = check
 }
 
-// Read implements io.Reader.
-func (b *checkedBody) Read(p []byte) (int, error) {
-	if !b.ran {
-		b.ran = true
-		if err := b.check(); err != nil {
-			return 0, fmt.Errorf("%w: %w", ErrHeldBack, err)
+// dialChecked opens connections that can hold a call back.
+func dialChecked(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &checkedConn{Conn: conn}, nil
+}
+
+// withCheck arms the connection that the call gets. failed returns the check's
+// error after the call.
+func withCheck(ctx context.Context, check Check) (checked context.Context, failed func() error) {
+	var mu sync.Mutex
+	var held error
+	run := func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		if err := check(); err != nil {
+			held = fmt.Errorf("%w: %w", ErrHeldBack, err)
+		}
+		return held
+	}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		raw := info.Conn
+		if secure, ok := raw.(*tls.Conn); ok {
+			raw = secure.NetConn()
+		}
+		if conn, ok := raw.(*checkedConn); ok {
+			conn.arm(run)
 		}
+	}}
+	failed = func() error {
+		mu.Lock()
+		defer mu.Unlock()
+		return held
 	}
-	return b.Reader.Read(p)
+	return httptrace.WithClientTrace(ctx, trace), failed
 }
