Streams of reclaimed cheap targets move before the target vanishes

Cause: a cheap target gives seconds' notice; its streams ran until it vanished and then began their prefill anew.

Change: streams at a cheap target that leaves, and that operators have not drained, go on elsewhere at once and take their KV cache along from service.kvMinTokens tokens on (engine.Client.Export and Import; the stand-in keeps caches of cancelled generations and prefills generated tokens, too). Caches of other weights are not imported.

--- a/core/config/config.go
+++ b/core/config/config.go
@@ -56,6 +56,7 @@
 	TokensPerSecond float64    `yaml:"tokensPerSecond" cbor:"60,keyasint"`
 	Schedule        []Schedule `yaml:"schedule" cbor:"61,keyasint"`     // times that are known to be busy
 	SwapParallel    int        `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
+	KVMinTokens     int        `yaml:"kvMinTokens" cbor:"30,keyasint"`  // tokens from which a moved stream's KV cache is imported; zero: never
 	SampleShare     float64    `yaml:"sampleShare" cbor:"20,keyasint"`  // part of a target's tokens that samples get while callers wait; zero: 0.2
 }
 
--- a/core/config/validate.go
+++ b/core/config/validate.go
@@ -137,6 +137,7 @@
 		v.notNegative(path+".startUp", float64(s.StartUp))
 		v.notNegative(path+".tokensPerSecond", s.TokensPerSecond)
 		v.schedule(path, s)
+		v.notNegative(path+".kvMinTokens", float64(s.KVMinTokens))
 		v.notNegative(path+".swapParallel", float64(s.SwapParallel))
 		if other, taken := models[s.Model]; taken && s.Model != "" {
 			v.fault(path+".model", "is %q, which service %q already serves", s.Model, other)
--- a/internal/caller/history.go
+++ b/internal/caller/history.go
@@ -21,9 +21,11 @@
 	finished bool // the finish reason has been delivered
 	opaque   bool // holds something that a continuation cannot carry
 
-	resumedAt int  // tokens before the running attempt
-	resumed   bool // the running attempt continues another engine's answer
-	tail      bool // it only has to supply what follows the finish reason
+	resumedAt int       // tokens before the running attempt
+	resumed   bool      // the running attempt continues another engine's answer
+	engineID  string    // id of the stream at the engine that runs it
+	tail      bool      // it only has to supply what follows the finish reason
+	origin    *kvOrigin // where the KV cache can be had; nil: nowhere
 }
 
 // streamEvent is the part of an event that a continuation needs.
@@ -66,7 +68,7 @@
 		return
 	}
 	if h.id == "" {
-		h.id, h.created = ev.ID, ev.Created
+		h.id, h.engineID, h.created = ev.ID, ev.ID, ev.Created
 	}
 	for i := range ev.Choices {
 		h.note(&ev.Choices[i])
@@ -151,7 +153,7 @@
 }
 
 // resume prepares for another engine's attempt and returns its request body.
-func (h *history) resume(body []byte) ([]byte, error) {
+func (h *history) resume(body []byte, kv string) ([]byte, error) {
 	h.resumedAt = h.tokens
 	h.resumed = h.id != ""
 	h.tail = h.finished
@@ -166,7 +168,7 @@
 	if err != nil {
 		return nil, err
 	}
-	next, err := json.Marshal(engine.Continuation{Text: text, Tokens: h.tokens})
+	next, err := json.Marshal(engine.Continuation{Text: text, Tokens: h.tokens, KV: kv})
 	if err != nil {
 		return nil, fmt.Errorf("continuation: %w", err)
 	}
@@ -186,6 +188,7 @@
 	if err := json.Unmarshal(payload, &ev); err != nil {
 		return nil, fmt.Errorf("engine event: %w", err)
 	}
+	h.engineID = ev.ID
 	if h.tail && len(ev.Choices) > 0 {
 		return nil, nil
 	}
--- a/internal/caller/history_test.go
+++ b/internal/caller/history_test.go
@@ -82,7 +82,7 @@
 	h := &history{}
 	h.add(event("a "))
 	h.add(event("b "))
-	body, err := h.resume([]byte(`{"model":"m","top_k":7,"stream":true}`))
+	body, err := h.resume([]byte(`{"model":"m","top_k":7,"stream":true}`), "")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -134,6 +134,9 @@
 		if h.opaque || job.alternatives() {
 			return err
 		}
+		if h.origin = nil; moved {
+			h.origin = s.exportKV(ctx, job, target, h)
+		}
 		if h.tokens > 0 {
 			s.Events.Record("stream resumed", events.F("request", job.id), events.F("after", target.ID),
 				events.F("tokens", fmt.Sprint(h.tokens)), events.F("moved", fmt.Sprint(moved)))
@@ -143,15 +146,15 @@
 
 // streamAttempt runs the rest of the completion on one target.
 func (s *Server) streamAttempt(ctx context.Context, e *effort, job *completion, target *route.Target, out *sink, h *history) error {
-	body, err := h.resume(job.body)
+	grant, err := s.admitCompletion(ctx, job, target, h.tokens)
 	if err != nil {
 		return err
 	}
-	grant, err := s.admitCompletion(ctx, job, target, h.tokens)
+	defer func() { grant.Finish(float64(h.tokens - h.resumedAt)) }()
+	body, err := h.resume(job.body, s.importKV(ctx, job, h.origin, target))
 	if err != nil {
 		return err
 	}
-	defer func() { grant.Finish(float64(h.tokens - h.resumedAt)) }()
 	ctx, end := s.moves.begin(ctx, target.ID)
 	defer end()
 	stream, err := s.Engines.Open(ctx, target.URL, job.path, body)
--- a/internal/caller/stream_test.go
+++ b/internal/caller/stream_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 	"strings"
 	"sync"
 	"time"
@@ -47,26 +48,26 @@
 	done    bool
 }
 
+// failureCode finds the code of an error event.
+var failureCode = regexp.MustCompile(`"code":"([a-z_]*)"`)
+
 func readStream(r io.Reader) streamed {
 	GinkgoHelper()
 	got := streamed{ids: map[string]bool{}}
 	reader := engine.NewReader(r)
 	for {
 		payload, err := reader.Next()
+		if errors.Is(err, engine.ErrEngine) {
+			got.failure = failureCode.FindStringSubmatch(err.Error())[1]
+			continue
+		}
 		if err != nil {
 			got.done = errors.Is(err, io.EOF)
 			return got
 		}
-		var ev struct {
-			engine.Chunk
-			Error *struct{ Code string }
-		}
-		Expect(json.Unmarshal(payload, &ev)).To(Succeed())
-		if ev.Error != nil {
-			got.failure = ev.Error.Code
-			continue
-		}
-		got.note(&ev.Chunk)
+		var chunk engine.Chunk
+		Expect(json.Unmarshal(payload, &chunk)).To(Succeed())
+		got.note(&chunk)
 	}
 }
 
--- a/internal/caller/suite_test.go
+++ b/internal/caller/suite_test.go
@@ -35,6 +35,9 @@
 	Expect(err).NotTo(HaveOccurred())
 })
 
+// kvMinTokens is from which length on moved streams take their KV cache along.
+const kvMinTokens = 20
+
 // site is kingston at a quick pace.
 func site() *config.Config {
 	base, err := deploy.Files.ReadFile("base.yaml")
@@ -49,6 +52,9 @@
 	cfg.Retries.Share = 1
 	cfg.Retries.Burst = 1000
 	cfg.Retries.EjectAfter = 1000 // specs cut streams at will
+	for i := range cfg.Services {
+		cfg.Services[i].KVMinTokens = kvMinTokens
+	}
 	for i := range cfg.Accounts {
 		cfg.Accounts[i].RequestsPerSecond, cfg.Accounts[i].Concurrency = 0, 0
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -24,6 +24,7 @@
 	Step          time.Duration // one step of an empty batch
 	StepPerSeq    time.Duration // added per running sequence
 	Prefill       time.Duration // per uncached prompt token
+	Transfer      time.Duration // per token of an imported KV cache
 	CacheBlocks   int           // prefix blocks kept
 	LoadLag       time.Duration // age of load reports
 	ChecksFencing bool
@@ -46,8 +47,8 @@
 	served    int64
 	seen      []Seen
 	runs      []*Run
-	kvCaches  map[string]int // tokens by handle
-	nextKV    int
+	kv        kvStore
+	nextID    int64
 	cutAfter  int // cut the connection after this many tokens of the next completion
 	wake      chan struct{}
 }
@@ -113,7 +114,7 @@
 		version:   cfg.Version,
 		sequences: map[*sequence]struct{}{},
 		cache:     newPrefixCache(cfg.CacheBlocks),
-		kvCaches:  map[string]int{},
+		kv:        newKVStore(),
 		wake:      make(chan struct{}, 1),
 	}
 	go e.run()
@@ -196,10 +197,9 @@
 	if e.stopped {
 		return nil
 	}
-	uncached := e.cache.admit(prompt)
-	if _, imported := e.kvCaches[kv]; imported {
+	uncached := e.cache.admit(prompt) + from
+	if e.kv.use(kv) {
 		uncached = 0
-		delete(e.kvCaches, kv)
 	}
 	s := &sequence{
 		prompt: prompt, seed: seed, next: from, end: end,
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -83,6 +83,7 @@
 		http.Error(w, "engine is stopping", http.StatusServiceUnavailable)
 		return
 	}
+	e.keep(id, s)
 	defer e.cancel(s)
 	a := answer{id: id, model: req.Model, chat: chat, prompt: len(strings.Fields(prompt))}
 	if req.Stream {
@@ -110,7 +111,8 @@
 	defer e.mu.Unlock()
 	e.seen = append(e.seen, Seen{Header: r.Header.Clone(), URL: r.URL.String(), Body: body})
 	cut, e.cutAfter = e.cutAfter, 0
-	return "cmpl-" + strconv.FormatInt(e.served, 10), cut
+	e.nextID++
+	return "cmpl-" + strconv.FormatInt(e.nextID, 10), cut
 }
 
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, a answer, s *sequence, req api.Request, cut int) {
--- a/internal/standin/engine/manage.go
+++ b/internal/standin/engine/manage.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	api "github.com/amaranthfold/amaranthfold/internal/engine"
@@ -70,30 +69,3 @@
 func (swapError) Error() string { return "weight swap failed" }
 
 var errSwap = swapError{}
-
-// kvBlob is an exported KV cache.
-type kvBlob struct {
-	Handle string `json:"handle"`
-	Tokens int    `json:"tokens"`
-}
-
-func (e *Engine) handleExport(w http.ResponseWriter, r *http.Request) {
-	var blob kvBlob
-	if !standin.ReadJSON(w, r, &blob) {
-		return
-	}
-	standin.WriteJSON(w, blob)
-}
-
-func (e *Engine) handleImport(w http.ResponseWriter, r *http.Request) {
-	var blob kvBlob
-	if !standin.ReadJSON(w, r, &blob) {
-		return
-	}
-	e.mu.Lock()
-	e.nextKV++
-	blob.Handle = "kv-" + strconv.Itoa(e.nextKV)
-	e.kvCaches[blob.Handle] = blob.Tokens
-	e.mu.Unlock()
-	standin.WriteJSON(w, blob)
-}
--- a/internal/standin/orders/orders.go
+++ b/internal/standin/orders/orders.go
@@ -180,6 +180,14 @@
 	}
 }
 
+// Start starts a target that nobody ordered, for checks, and returns its id.
+func (p *Platform) Start(service, dataCentre string, cheap bool) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	reply, _ := p.carryOut(dataCentre, platform.Order{Action: "start", Service: service, Cheap: cheap})
+	return reply.Target
+}
+
 // take carries out an order once per id.
 func (p *Platform) take(dataCentre string, order platform.Order) (reply platform.OrderReply, status int, lost bool) {
 	p.mu.Lock()
