--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,8 @@
 	targetsAt  map[string]time.Duration     // when targets was asked for
 	loads      map[string]TargetLoad        // by target
 	loadsAt    map[string]time.Duration     // by when loads were true at the latest
+	loadFrom   map[string]string            // peer that reported last, by target
+	loadsOf    map[string][]string          // targets that a peer reports, by peer
 	own        []TargetLoad
 	waiters    map[record.ID]chan fold.Result
 	freshAt    time.Duration
@@ -75,6 +78,9 @@
 	proved     bool                // the log has once shown its end
 	halted     string              // why the control roles have stopped; empty: they have not
 	agreement  *agreement
+	abroad     map[string]received // by data centre
+	view       *view
+	logView    *logView
 
 	encoded          []record.Checkpoint // the state as last given to a joining peer
 	encodedAt        time.Duration
@@ -87,6 +93,7 @@
 	keyCount    int             // keys when the index was last known to match
 	unfit       map[string]bool // targets out of service
 	unfitTerm   record.Offset   // holder that said so
+	claimants   []string        // instances that the claims are spaced over
 	leaving     bool
 	retiring    bool
 	drainWatch  *drain.Watch
@@ -112,6 +119,9 @@
 		routing:    newRouting(),
 		recent:     newRecentLog(),
 		agreement:  newAgreement(),
+		abroad:     map[string]received{},
+		loadFrom:   map[string]string{},
+		loadsOf:    map[string][]string{},
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
@@ -172,13 +182,11 @@
 // OnBeat sets a function that completes each heartbeat before it is sent.
 func (l *Loop) OnBeat(f func(*Heartbeat)) { l.beatExtra.Store(&f) }
 
-// Heard takes a peer's heartbeat.
-func (l *Loop) Heard(ctx context.Context, b Heartbeat) { l.post(ctx, heard{b}) }
-
 // SetOwnLoads takes the loads of the targets that this instance owns.
 func (l *Loop) SetOwnLoads(ctx context.Context, loads []TargetLoad) { l.post(ctx, ownLoads{loads}) }
 
-// Yield releases every lease and stops owning queues.
+// Yield stops acting for every lease at once, releases each when the calls that
+// it covered have ended, and stops owning queues.
 func (l *Loop) Yield(ctx context.Context) { l.post(ctx, yield{}) }
 
 // folded follows up on one record.
@@ -246,23 +254,13 @@
 	}
 	l.members.List(l.Clock.Now(), peers)
 	l.agreement.forgetGone(listed)
+	maps.DeleteFunc(l.loadsOf, func(id string, _ []string) bool { return !listed[id] })
 }
 
 func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
 
 func (m targetsAsked) handle(l *Loop) { l.targetsAt[m.dataCentre] = m.at }
 
-func (m heard) handle(l *Loop) {
-	l.drainWatch.Heard(m.beat.Peer.ID, drain.Report{Offset: m.beat.Offset, Uses: m.beat.Uses, At: l.Clock.Now()})
-	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
-	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
-	heardOf := l.Clock.Now() - l.beatAge()
-	for _, load := range m.beat.Loads {
-		l.setLoad(load)
-		l.loadsAt[load.Target] = heardOf
-	}
-}
-
 func (m ownLoads) handle(l *Loop) {
 	l.own = m.loads
 	for _, load := range m.loads {
@@ -279,7 +277,7 @@
 	l.leaving = true
 	l.members.SetLeaving()
 	for _, m := range l.leases {
-		m.Yield()
+		m.Yield(l.Clock.Now(), l.flight())
 	}
 }
 
@@ -289,10 +287,10 @@
 		return
 	}
 	l.followDrains(l.Clock.Now())
-	l.machine(DeploymentLease)
-	for _, t := range cfg.Trainers {
-		l.machine(TrainerLease(t.Name))
+	for _, name := range lease.Names(cfg, TrainerLease) {
+		l.machine(name)
 	}
+	l.spaceClaims()
 	now := l.Clock.Now()
 	for _, m := range l.leases {
 		if a := m.Tick(now, newID); a != nil {
@@ -322,8 +320,9 @@
 		}
 		m = lease.NewMachine(name, l.holder, t, l.Clock.Now())
 		l.leases[name] = m
+		m.SetDelay(l.claimDelay(name))
 		if l.leaving {
-			m.Yield()
+			m.Yield(l.Clock.Now(), l.flight())
 		}
 		if l.retiring {
 			m.Retire()
