Callers: prompts' prefixes reach routing; loads hold what an earlier owner granted

Cause: no query named a prefix; a new owner reported no load for a target that was still busy with an earlier owner's grants, so that requests rushed there.

--- /dev/null
+++ b/internal/caller/affinity_test.go
@@ -0,0 +1,28 @@
+package caller
+
+import (
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/internal/engine"
+)
+
+func TestPrefixOfAChatStaysWhileItGrows(t *testing.T) {
+	g := NewWithT(t)
+	chat := func(contents ...string) *engine.Request {
+		r := &engine.Request{}
+		for i, c := range contents {
+			r.Messages = append(r.Messages, engine.Message{Role: []string{"system", "user", "assistant"}[min(i, 1+i%2)], Content: c})
+		}
+		return r
+	}
+	first := prefixOf("acc", chat("you sort", "a box"))
+	g.Expect(prefixOf("acc", chat("you sort", "a box", "series 4", "another"))).To(Equal(first))
+	g.Expect(prefixOf("acc", chat("you sort", "a bag"))).NotTo(Equal(first))
+	g.Expect(prefixOf("other", chat("you sort", "a box"))).NotTo(Equal(first))
+	long := strings.Repeat("x", prefixBytes)
+	g.Expect(prefixOf("acc", &engine.Request{Prompt: long + "a"})).To(Equal(prefixOf("acc", &engine.Request{Prompt: long + "b"})))
+	g.Expect(prefixOf("acc", &engine.Request{Prompt: "a"})).NotTo(Equal(prefixOf("acc", &engine.Request{Prompt: "b"})))
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -92,6 +92,7 @@
 	account  *config.Account // nil on open routes
 	snapshot *control.Snapshot
 	start    time.Time
+	prefix   uint64 // of an engine call's prompt
 	failed   bool
 }
 
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -68,6 +68,7 @@
 	if !c.account.MayUse(job.service.Name) {
 		return nil, refuse(http.StatusForbidden, "not_allowed", "client account "+c.account.Name+" may not use model "+job.request.Model)
 	}
+	c.prefix = prefixOf(c.account.Name, &job.request)
 	return job, nil
 }
 
--- a/internal/caller/effort.go
+++ b/internal/caller/effort.go
@@ -47,7 +47,7 @@
 	snapshot := e.server.Loop.Snapshot()
 	q := route.Query{
 		Service: e.service, DataCentre: snapshot.Self.DataCentre,
-		NoCheap: !e.repeatable, Exclude: e.tried, Random: rand.Uint64(),
+		NoCheap: !e.repeatable, Exclude: e.tried, Prefix: e.call.prefix, Random: rand.Uint64(),
 	}
 	skip := e.tried
 	for {
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -75,6 +75,9 @@
 		return load
 	}
 	load.Version, load.Leaving, load.Running = report.Version, report.Leaving, report.Running
+	// A new owner does not know of the slots that an earlier one granted: the
+	// engine's report, though it lags, keeps requests from rushing there.
+	load.Load = max(load.Load, report.Running+report.Waiting)
 	return load
 }
 
