Demo: one place brings addresses up to date after instances are replaced

Cause: the trainer of the demo kept addresses of instances that had been replaced and asked them until its deadline. Change: announceMembers also tells the trainer. Conclusion: a fault of the demo, not of the service.

--- a/internal/demo/orders.go
+++ b/internal/demo/orders.go
@@ -233,12 +233,10 @@
 	}
 	s.Kill(m.ID)
 	s.announceMembers()
-	s.coach.SetBases(s.announce.Trainer)
 }
 
 func (s *site) caughtUp() bool {
 	s.announceMembers()
-	s.coach.SetBases(s.announce.Trainer)
 	for _, m := range s.Members() {
 		snapshot := m.Loop.Snapshot()
 		if snapshot.Config == nil || !snapshot.Fresh(m.Clock().Now(), snapshot.Config.Control.FreshFor) || len(snapshot.Owners) < len(s.Members()) {
--- a/internal/demo/samples.go
+++ b/internal/demo/samples.go
@@ -239,7 +239,6 @@
 		}
 	}
 	s.announceMembers()
-	s.coach.SetBases(s.announce.Trainer)
 	if err := s.takeAgain(ctx, first); err != nil {
 		return err
 	}
@@ -254,4 +253,5 @@
 		s.announce.Operator = append(s.announce.Operator, m.OperatorURL())
 		s.announce.Trainer = append(s.announce.Trainer, m.TrainerURL())
 	}
+	s.coach.SetBases(s.announce.Trainer)
 }
