Time line: suspected peers, lapsed leases, how long a request waited

Cause: the time line told neither of a silent peer nor of a term that ended without a renewal, and a request's wait was not on it. Before: none of these. Conclusion: an operator sees why an instance stopped acting.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/route"
 	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
@@ -215,3 +216,11 @@
 	}
 	s.Meter.Count(s.Clock.Wall(), usage.Subject{Account: c.account.Name, Service: service}, n)
 }
+
+// noteSent puts a request on the time line that was admitted since asked.
+func (s *Server) noteSent(c *call, target *route.Target, asked time.Duration) {
+	account, _ := c.flow()
+	waited := (s.Clock.Now() - asked).Milliseconds()
+	s.Events.Record("request sent", events.F("request", c.id), events.F("account", account), events.F("target", target.ID),
+		events.F("owner", target.Owner), events.F("waitedMillis", strconv.FormatInt(waited, 10)))
+}
--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -14,7 +14,6 @@
 	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
-	"github.com/amaranthfold/amaranthfold/internal/events"
 )
 
 const (
@@ -150,11 +149,12 @@
 func (s *Server) admitCompletion(ctx context.Context, job *completion, target *route.Target, done int) (*dispatch.Grant, error) {
 	flow, weight := job.flow()
 	cost := max(job.cost()-float64(done), 1)
+	asked := s.Clock.Now()
 	grant, err := s.Dispatch.Admit(ctx, target, dispatch.Request{Flow: flow, Weight: weight, Cost: cost, Class: admit.ClassCaller})
 	if err != nil {
 		return nil, err
 	}
-	s.Events.Record("request sent", events.F("request", job.id), events.F("account", job.account.Name), events.F("target", target.ID))
+	s.noteSent(job.call, target, asked)
 	return grant, nil
 }
 
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -16,7 +16,6 @@
 	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
-	"github.com/amaranthfold/amaranthfold/internal/events"
 )
 
 const maxPlainAnswer = 32 << 20 // bytes
@@ -191,6 +190,7 @@
 // attemptPlain sends the request to one target. Any status is an answer.
 func (s *Server) attemptPlain(ctx context.Context, job *plainRequest, target *route.Target) (*plainAnswer, error) {
 	flow, weight := job.flow()
+	asked := s.Clock.Now()
 	grant, err := s.Dispatch.Admit(ctx, target, dispatch.Request{Flow: flow, Weight: weight, Cost: 1, Class: admit.ClassCaller})
 	if err != nil {
 		return nil, err
@@ -201,7 +201,7 @@
 			return nil, err
 		}
 	}
-	s.Events.Record("request sent", events.F("request", job.id), events.F("target", target.ID))
+	s.noteSent(job.call, target, asked)
 	answer, err := s.plain.do(ctx, job, target.URL)
 	if err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/control/health.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"github.com/amaranthfold/amaranthfold/internal/events"
+)
+
+// health is what of peers and leases has last been put on the time line.
+type health struct {
+	suspects map[string]bool // peers
+	held     map[string]bool // leases of this instance
+}
+
+func newHealth() health {
+	return health{suspects: map[string]bool{}, held: map[string]bool{}}
+}
+
+// noteHealth puts on the time line what has changed since the last call.
+func (l *Loop) noteHealth() {
+	snapshot := l.snapshot.Load()
+	for i := range snapshot.Peers {
+		l.notePeer(snapshot.Peers[i].ID, snapshot.Peers[i].Suspect)
+	}
+	guards := *l.guards.Load()
+	for name := range l.leases {
+		_, held := guards[name]
+		l.noteLease(name, held)
+	}
+}
+
+func (l *Loop) notePeer(id string, suspect bool) {
+	if suspect == l.health.suspects[id] {
+		return
+	}
+	if suspect {
+		l.health.suspects[id] = true
+		l.Events.Record("peer suspected", events.F("peer", id))
+		return
+	}
+	delete(l.health.suspects, id)
+	l.Events.Record("peer back", events.F("peer", id))
+}
+
+// noteLease tells of a term that ended without a release by this instance.
+func (l *Loop) noteLease(name string, held bool) {
+	was := l.health.held[name]
+	l.health.held[name] = held
+	if was && !held && !l.leaving {
+		l.Events.Record("lease lapsed", events.F("lease", name))
+	}
+}
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -94,7 +94,8 @@
 	keyCount    int             // keys when the index was last known to match
 	unfit       map[string]bool // targets out of service
 	unfitTerm   record.Offset   // holder that said so
-	claimants   []string        // instances that the claims are spaced over
+	health      health
+	claimants   []string // instances that the claims are spaced over
 	leaving     bool
 	retiring    bool
 	drainWatch  *drain.Watch
@@ -124,6 +125,7 @@
 		loadFrom:   map[string]string{},
 		loadsOf:    map[string][]string{},
 	}
+	l.health = newHealth()
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
 	l.checkpointAt = o.Clock.Now()
@@ -296,6 +298,7 @@
 	if cfg == nil || l.halted != "" {
 		return
 	}
+	l.noteHealth()
 	l.followDrains(l.Clock.Now())
 	for _, name := range lease.Names(cfg, TrainerLease) {
 		l.machine(name)
