--- a/core/admit/isolation_test.go
+++ b/core/admit/isolation_test.go
@@ -18,6 +18,7 @@
 	fair   bool // weighted fair queues, else first come first served
 	shard  bool // accounts on a hashed subset of the targets
 	credit float64
+	slices int  // entries that each dispatch with their part of the slots; zero: one queue at the owner
 	limits bool // each account has at most twice its share of all slots in flight or waiting
 }
 
@@ -75,6 +76,7 @@
 	target  int
 	id      uint64
 	epoch   int
+	entry   int
 }
 
 const (
@@ -98,7 +100,7 @@
 }
 
 type simTarget struct {
-	queue    *admit.Queue
+	queues   []*admit.Queue // one, or one for each entry
 	reported int
 	busy     time.Duration
 	downTill time.Duration
@@ -109,6 +111,7 @@
 type request struct {
 	account int
 	arrived time.Duration
+	entry   int
 	poison  int // crashes left
 }
 
@@ -135,7 +138,17 @@
 	m := &sim{policy: p, site: s, random: rand.New(rand.NewPCG(1, 2)), open: map[uint64]request{}, waits: make([][]time.Duration, len(s.weights)), hit: map[int]bool{}}
 	limits := admit.Limits{Concurrency: slots, Queue: 1 << 20, IdleCredit: p.credit}
 	for i := range s.targets {
-		m.targets = append(m.targets, &simTarget{queue: admit.New(limits), running: map[uint64]request{}})
+		t := &simTarget{running: map[uint64]request{}}
+		entries := max(p.slices, 1)
+		for e := range entries {
+			// The rest of the division goes to other entries at each target.
+			limits.Concurrency = slots / entries
+			if (e+i)%entries < slots%entries {
+				limits.Concurrency++
+			}
+			t.queues = append(t.queues, admit.New(limits))
+		}
+		m.targets = append(m.targets, t)
 		m.all = append(m.all, i)
 	}
 	total := 0.0
@@ -190,12 +203,15 @@
 			if e.epoch == t.epoch {
 				m.held[t.running[e.id].account]--
 				delete(t.running, e.id)
-				m.take(e.target, t.queue.Finish(m.now, e.id, 1))
+				m.take(e.target, t.queues[e.entry].Finish(m.now, e.id, 1))
 			}
 		case report:
 			for _, t := range m.targets {
-				granted, waiting := t.queue.Load()
-				t.reported = granted + waiting
+				t.reported = 0
+				for _, q := range t.queues {
+					granted, waiting := q.Load()
+					t.reported += granted + waiting
+				}
 			}
 			m.push(event{at: m.now + reportEvery, kind: report})
 		case poison:
@@ -215,13 +231,16 @@
 	if m.shard {
 		list = m.subset[r.account]
 	}
+	if m.slices > 0 {
+		r.entry = m.random.IntN(m.slices)
+	}
 	best := -1
 	for range 2 {
 		c := list[m.random.IntN(len(list))]
 		if m.targets[c].downTill > m.now && best >= 0 {
 			continue
 		}
-		if best < 0 || m.targets[best].downTill > m.now || m.targets[c].reported < m.targets[best].reported {
+		if best < 0 || m.targets[best].downTill > m.now || m.load(c, r.entry) < m.load(best, r.entry) {
 			best = c
 		}
 	}
@@ -231,7 +250,22 @@
 	if m.fair {
 		ask.Flow, ask.Weight = fmt.Sprint(r.account), m.weights[r.account]
 	}
-	m.take(best, m.targets[best].queue.Submit(m.now, ask))
+	m.take(best, m.targets[best].queues[r.entry].Submit(m.now, ask))
+}
+
+// load is what the entry knows of a target's load: its own part of the target as
+// it is now, or all of it as last reported.
+func (m *sim) load(target, entry int) float64 {
+	t := m.targets[target]
+	if m.slices == 0 {
+		return float64(t.reported)
+	}
+	granted, waiting := t.queues[entry].Load()
+	part := slots / m.slices
+	if (entry+target)%m.slices < slots%m.slices {
+		part++
+	}
+	return float64(granted+waiting) / float64(part)
 }
 
 func (m *sim) take(target int, verdicts []admit.Verdict) {
@@ -250,7 +284,7 @@
 		served := max(m.exp(meanService), t.downTill-m.now)
 		t.busy += served
 		t.running[v.ID] = r
-		m.push(event{at: m.now + served, kind: finish, target: target, id: v.ID, epoch: t.epoch})
+		m.push(event{at: m.now + served, kind: finish, target: target, id: v.ID, epoch: t.epoch, entry: r.entry})
 	}
 }
 
@@ -264,9 +298,9 @@
 		m.hit[lost.account] = true
 		m.held[lost.account]--
 		delete(t.running, other)
-		m.take(target, t.queue.Finish(m.now, other, 0))
+		m.take(target, t.queues[lost.entry].Finish(m.now, other, 0))
 	}
-	m.take(target, t.queue.Finish(m.now, id, 0))
+	m.take(target, t.queues[r.entry].Finish(m.now, id, 0))
 	m.held[r.account]--
 	if r.poison--; r.poison > 0 {
 		m.submit(r)
@@ -334,3 +368,27 @@
 		}
 	}
 }
+
+// BenchmarkOwnership compares one queue for each target at its owner with twelve
+// entries that each dispatch with their part of the target's slots.
+func BenchmarkOwnership(b *testing.B) {
+	for _, load := range []float64{0.7, 0.9, 1.2} {
+		for _, p := range []policy{
+			{name: "owner", fair: true, credit: 16},
+			{name: "slices", fair: true, credit: 16, slices: 12},
+		} {
+			b.Run(fmt.Sprintf("load=%g/%s", load, p.name), func(b *testing.B) {
+				for range b.N {
+					m := newSim(p, sites()[0])
+					m.run(load, false, false)
+					served := 0
+					for _, waits := range m.waits {
+						served += len(waits)
+					}
+					b.ReportMetric(m.worst().Seconds()*1000, "worst-p99-ms")
+					b.ReportMetric(float64(served)/m.duration.Seconds(), "served/s")
+				}
+			})
+		}
+	}
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -209,7 +209,7 @@
 }
 
 func eligible(c *Target, q *Query) bool {
-	return !c.Leaving && !(q.NoCheap && c.Cheap) && c.Version >= q.MinVersion && (len(q.Exclude) == 0 || !q.Exclude[c.ID])
+	return !c.Leaving && (!q.NoCheap || !c.Cheap) && c.Version >= q.MinVersion && (len(q.Exclude) == 0 || !q.Exclude[c.ID])
 }
 
 // better returns the target with less load for its capacity, then the one in the
