--- a/core/config/config.go
+++ b/core/config/config.go
@@ -56,6 +56,7 @@
 	TokensPerSecond float64    `yaml:"tokensPerSecond" cbor:"60,keyasint"`
 	Schedule        []Schedule `yaml:"schedule" cbor:"61,keyasint"`     // times that are known to be busy
 	SwapParallel    int        `yaml:"swapParallel" cbor:"40,keyasint"` // engines that change weights at once; zero: a quarter
+	KVMinTokens     int        `yaml:"kvMinTokens" cbor:"30,keyasint"`  // tokens from which a moved stream's KV cache is imported; zero: never
 	SampleShare     float64    `yaml:"sampleShare" cbor:"20,keyasint"`  // part of a target's tokens that samples get while callers wait; zero: 0.2
 }
 
@@ -155,6 +156,16 @@
 	return nil
 }
 
+// HasDataCentre reports whether there is a data centre called name.
+func (c *Config) HasDataCentre(name string) bool {
+	for i := range c.DataCentres {
+		if c.DataCentres[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
+
 // Trainer returns the trainer called name, or nil.
 func (c *Config) Trainer(name string) *Trainer {
 	for i := range c.Trainers {
--- a/core/sample/owner.go
+++ b/core/sample/owner.go
@@ -32,6 +32,7 @@
 	Group
 	states   []state
 	samples  []Sample // by index; valid where done
+	began    []int64  // oldest version so far of each running sample; zero: no token yet
 	finished int
 }
 
@@ -125,7 +126,7 @@
 	case !inBatch && len(o.groups) >= o.limits.Groups:
 		return fmt.Errorf("group %q: %w", g.ID, ErrTooManyGroups)
 	}
-	o.groups[g.ID] = &groupState{Group: g, states: make([]state, g.Size), samples: make([]Sample, g.Size)}
+	o.groups[g.ID] = &groupState{Group: g, states: make([]state, g.Size), samples: make([]Sample, g.Size), began: make([]int64, g.Size)}
 	o.order = append(o.order, g.ID)
 	return nil
 }
@@ -155,7 +156,7 @@
 			if g.states[i] != waiting {
 				continue
 			}
-			g.states[i] = running
+			g.states[i], g.began[i] = running, 0
 			o.running++
 			jobs = append(jobs, Job{Sample: ID(g.ID, i), Index: i, Group: g.Group})
 		}
@@ -194,6 +195,13 @@
 	return append(open, rest...)
 }
 
+// Began notes the version of a running sample's oldest token.
+func (o *Owner) Began(j Job, version int64) {
+	if g, ok := o.groups[j.Group.ID]; ok && g.states[j.Index] == running {
+		g.began[j.Index] = version
+	}
+}
+
 // Abandon returns a sample whose generation ended without a result.
 func (o *Owner) Abandon(j Job) {
 	g, ok := o.groups[j.Group.ID]
@@ -229,153 +237,3 @@
 	g.finished++
 	return nil
 }
-
-// Request is a trainer's request for a batch.
-type Request struct {
-	Version int64 // weight version that the trainer has reached
-	Groups  int   // at most
-	Least   int   // groups to wait for while samples are still to come
-}
-
-// Propose returns the batch to record next, if enough complete groups are fresh
-// for the request. Groups that are not complete stay for a later batch.
-func (o *Owner) Propose(r Request) (record.Batch, bool) {
-	o.noteRequest(r.Version)
-	if o.ledger.Open() || r.Groups < 1 {
-		return record.Batch{}, false
-	}
-	b := record.Batch{Trainer: o.ledger.Trainer, Number: o.ledger.Number + 1}
-	for _, id := range o.order {
-		g := o.groups[id]
-		o.dropStale(g, r.Version)
-		if g.finished == g.Size && len(b.Groups) < r.Groups {
-			b.Groups = append(b.Groups, g.recorded())
-		}
-	}
-	if len(b.Groups) < min(r.Least, r.Groups) && o.moreToCome() {
-		return record.Batch{}, false
-	}
-	return b, len(b.Groups) > 0
-}
-
-// moreToCome reports whether a sample is being generated or may be started.
-func (o *Owner) moreToCome() bool {
-	for _, g := range o.startable() {
-		if g.finished < g.Size {
-			return true
-		}
-	}
-	return false
-}
-
-// Offer returns the open batch for a trainer at version, or nil while none is
-// open or some of its samples are still to be generated. Samples that have gone
-// stale since the first offer are generated again under the same ids: the
-// trainer's request without an acknowledgement tells that it has not taken the
-// batch, and it takes one batch of a number. The error is a *GroupsUnknownError.
-func (o *Owner) Offer(version int64) (*Batch, error) {
-	o.noteRequest(version)
-	if !o.ledger.Open() {
-		return nil, nil
-	}
-	if unknown := o.unknown(); len(unknown) > 0 {
-		return nil, &GroupsUnknownError{o.ledger.Number, unknown}
-	}
-	b := &Batch{Number: o.ledger.Number}
-	complete := true
-	for _, recorded := range o.ledger.Groups {
-		g := o.groups[recorded.ID]
-		o.dropStale(g, version)
-		complete = complete && g.finished == g.Size
-		b.Samples = append(b.Samples, g.samples...)
-	}
-	if !complete {
-		return nil, nil
-	}
-	return b, nil
-}
-
-func (o *Owner) unknown() []string {
-	var ids []string
-	for _, g := range o.ledger.Groups {
-		if o.groups[g.ID] == nil {
-			ids = append(ids, g.ID)
-		}
-	}
-	return ids
-}
-
-// noteRequest moves the floor with the trainer, also back to an older version.
-func (o *Owner) noteRequest(version int64) { o.floor = version - o.limits.MaxStaleness }
-
-// Fresh reports whether the sample may be handed to a trainer at version.
-func (o *Owner) Fresh(s *Sample, version int64) bool {
-	return version-s.Oldest() <= o.limits.MaxStaleness
-}
-
-func (o *Owner) dropStale(g *groupState, version int64) {
-	for i := range g.states {
-		if g.states[i] == done && !o.Fresh(&g.samples[i], version) {
-			g.states[i] = waiting
-			g.samples[i] = Sample{}
-			g.finished--
-		}
-	}
-}
-
-// Acknowledge checks the number of a batch that the trainer says it has, and
-// reports whether the ledger has still to record it.
-func (o *Owner) Acknowledge(number int64) (record bool, err error) {
-	switch {
-	case number > o.ledger.Number:
-		return false, fmt.Errorf("batch %d was acknowledged, the last is %d: %w", number, o.ledger.Number, ErrBadBatch)
-	case number == o.ledger.Number && o.ledger.Open():
-		return true, nil
-	default:
-		return false, nil
-	}
-}
-
-// Contents are groups with their finished samples, as a mirror keeps them.
-type Contents struct {
-	Groups  []Group  `cbor:"1,keyasint"`
-	Samples []Sample `cbor:"2,keyasint"`
-}
-
-// Contents returns all that the owner would lose.
-func (o *Owner) Contents() Contents {
-	var c Contents
-	for _, id := range o.order {
-		g := o.groups[id]
-		c.Groups = append(c.Groups, g.Group)
-		for i := range g.states {
-			if g.states[i] == done {
-				c.Samples = append(c.Samples, g.samples[i])
-			}
-		}
-	}
-	return c
-}
-
-// Restore takes over what a mirror kept for a former owner.
-func (o *Owner) Restore(c Contents) {
-	for _, g := range c.Groups {
-		if err := o.Submit(g); err != nil {
-			continue // the ledger or another mirror knows better
-		}
-	}
-	for _, s := range c.Samples {
-		if g := o.groups[s.Group]; g != nil {
-			o.restoreSample(g, s)
-		}
-	}
-}
-
-func (o *Owner) restoreSample(g *groupState, s Sample) {
-	for i := range g.Size {
-		if ID(g.ID, i) == s.ID {
-			_ = o.Finish(i, s) // an invalid sample is generated again
-			return
-		}
-	}
-}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -98,7 +98,6 @@
 	e := s.newEffort(job.call, job.service.Name, true)
 	out, h := newSink(w), &history{}
 	err := s.streamAttempts(ctx, e, job, out, h)
-	h.parse()
 	s.countTokens(job, h.tokens)
 	if err == nil || errors.Is(err, errCallerGone) {
 		return
@@ -125,7 +124,6 @@
 		if err == nil || errors.Is(err, errCallerGone) {
 			return err
 		}
-		h.parse()
 		moved := errors.Is(err, errMoved)
 		if !e.failed(ctx, target, err, moved || h.tokens > before) {
 			return err
@@ -136,6 +134,9 @@
 		if h.opaque || job.alternatives() {
 			return err
 		}
+		if h.origin = nil; moved {
+			h.origin = s.exportKV(ctx, job, target, h)
+		}
 		if h.tokens > 0 {
 			s.Events.Record("stream resumed", events.F("request", job.id), events.F("after", target.ID),
 				events.F("tokens", fmt.Sprint(h.tokens)), events.F("moved", fmt.Sprint(moved)))
@@ -145,18 +146,15 @@
 
 // streamAttempt runs the rest of the completion on one target.
 func (s *Server) streamAttempt(ctx context.Context, e *effort, job *completion, target *route.Target, out *sink, h *history) error {
-	body, err := h.resume(job.body)
+	grant, err := s.admitCompletion(ctx, job, target, h.tokens)
 	if err != nil {
 		return err
 	}
-	grant, err := s.admitCompletion(ctx, job, target, h.tokens)
+	defer func() { grant.Finish(float64(h.tokens - h.resumedAt)) }()
+	body, err := h.resume(job.body, s.importKV(ctx, job, h.origin, target))
 	if err != nil {
 		return err
 	}
-	defer func() {
-		h.parse()
-		grant.Finish(float64(h.tokens - h.resumedAt))
-	}()
 	ctx, end := s.moves.begin(ctx, target.ID)
 	defer end()
 	stream, err := s.Engines.Open(ctx, target.URL, job.path, body)
--- a/internal/control/claims.go
+++ b/internal/control/claims.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/lease"
 	"github.com/amaranthfold/amaranthfold/core/member"
 )
 
@@ -14,7 +17,7 @@
 // spaceClaims gives each lease another order of claimants, so that the holders
 // are spread over the instances and a lapsed lease is claimed by one of them.
 func (l *Loop) spaceClaims() {
-	owners := l.members.Owners(l.Clock.Now())
+	owners := l.viewed(l.Clock.Now()).owners
 	if slices.Equal(owners, l.claimants) {
 		return
 	}
@@ -24,8 +27,17 @@
 	}
 }
 
+// claimDelay lets the instances of a data centre go first for its lease.
 func (l *Loop) claimDelay(name string) time.Duration {
-	return time.Duration(member.Place("lease/"+name, l.Self.ID, l.claimants)) * claimSpacing
+	place := member.Place("lease/"+name, l.Self.ID, l.claimants)
+	cfg := l.state.Config()
+	if cfg == nil || !cfg.HasDataCentre(strings.TrimPrefix(name, DeploymentLease+"/")) {
+		return time.Duration(place) * claimSpacing
+	}
+	if name != lease.OrdersName(config.ShardDataCentre, l.Self.DataCentre) {
+		place += len(l.claimants)
+	}
+	return time.Duration(place) * claimSpacing
 }
 
 // flight returns how long after its start a call that a lease covers has ended.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -44,8 +44,9 @@
 	FreshAt   time.Duration            // when the log last proved Offset to be its end
 	Proved    bool                     // it has done so
 	Halted    string                   // why the control roles have stopped; empty: they have not
+	PeerNotes map[string]PeerNote      // trouble that peers have reported, by id
 
-	readers map[string]bool // instances of this data centre that read the log themselves
+	view *view
 }
 
 // Key returns the granted key that equals secret, if any. Lookup is by digest,
--- a/internal/demo/scenarios.go
+++ b/internal/demo/scenarios.go
@@ -17,5 +17,13 @@
 	{"owner lost", (*site).ownerLost},
 	{"withdrawal", (*site).withdrawal},
 	{"bills", (*site).bills},
+	{"raced configuration", (*site).racedConfiguration},
+	{"log outage", (*site).logOutage},
+	{"paused holder", (*site).pausedHolder},
+	{"instances replaced", (*site).replaced},
+	{"cheap data centre reclaimed", (*site).reclaimed},
+	{"order answers lost", (*site).ordersLost},
+	{"planned stop", (*site).plannedStop},
+	{"holder killed before its report", (*site).billsKilled},
 	{"keys hidden", (*site).keysHidden},
 }
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -66,6 +66,7 @@
 // that one slow service cannot starve another of connections.
 func newClient(base string) client {
 	transport := &http.Transport{
+		DialContext:           dialChecked,
 		MaxIdleConnsPerHost:   8,
 		IdleConnTimeout:       time.Minute,
 		ResponseHeaderTimeout: 30 * time.Second,
@@ -81,23 +82,28 @@
 // callIf is call with a check that runs before the first byte leaves.
 func (c client) callIf(ctx context.Context, method, path string, in, out any, check Check) error {
 	var body io.Reader
-	var length int64
 	if in != nil {
 		data, err := json.Marshal(in)
 		if err != nil {
 			return fmt.Errorf("%s %s: encode: %w", method, path, err)
 		}
-		body, length = checked(data, check), int64(len(data))
+		body = bytes.NewReader(data)
+	}
+	heldBack := func() error { return nil }
+	if check != nil {
+		ctx, heldBack = withCheck(ctx, check)
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, body)
 	if err != nil {
 		return fmt.Errorf("%s %s: %w", method, path, err)
 	}
-	req.ContentLength = length
+	if check != nil {
+		req.GetBody = nil // the transport must not send the call a second time by itself
+	}
 	req.Header.Set("Content-Type", "application/json")
 	res, err := c.http.Do(req)
-	if errors.Is(err, ErrHeldBack) {
-		return fmt.Errorf("%s %s: %w", method, path, err)
+	if held := heldBack(); held != nil {
+		return fmt.Errorf("%s %s: %w", method, path, held)
 	}
 	if err != nil {
 		return fmt.Errorf("%s %s: %w: %w", method, path, ErrUnavailable, err)
