--- a/internal/controller/billing_test.go
+++ b/internal/controller/billing_test.go
@@ -181,6 +181,26 @@
 	})
 })
 
+var _ = Describe("A planned stop of an instance", func() {
+	It("hands its counts over before it ends", func() {
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		cfg := smallSite()
+		cfg.Usage.Grace = 20 * time.Second // so that no exchange comes in time by itself
+		b := startBox(ctx, cfg)
+		b.call(5)
+		for _, m := range b.Members() {
+			if source := m.Meter.Report(); len(source.Total) > 0 {
+				Expect(m.Drain(ctx)).To(Succeed())
+				b.Kill(m.ID)
+				Expect(mirrored(b, source.Source)).To(BeTrue())
+				return
+			}
+		}
+		Fail("no instance has counted anything")
+	})
+})
+
 // mirrored reports whether an instance that is not in charge holds the source's counts.
 func mirrored(b *box, source string) bool {
 	holder := b.holder().ID
--- a/internal/instance/drain.go
+++ b/internal/instance/drain.go
@@ -29,6 +29,9 @@
 		i.Events.Record("drain cut short", events.F("error", err.Error()))
 		return err
 	}
+	if err := i.exchange.Flush(ctx); err != nil {
+		i.Events.Record("usage not handed over", events.F("error", err.Error()))
+	}
 	i.Loop.Yield(ctx)
 	ctx, cancel := context.WithTimeout(ctx, releaseWindow)
 	defer cancel()
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -71,6 +71,7 @@
 	Dispatch *dispatch.Dispatcher
 	Meter    *metering.Meter
 	Measures *measure.Measures
+	exchange *metering.Exchange
 
 	engines *engine.Client
 	pool    *peer.Pool
@@ -122,6 +123,7 @@
 	i.callerGate.ready, i.trainerGate.ready = i.ready, i.ready
 	i.Meter = metering.New(i.Loop.Holder(), time.Minute)
 	i.Measures = measure.New(cfg.ID)
+	i.exchange = metering.NewExchange(i.Meter, i.Loop, i.pool)
 	i.Dispatch.Measure(i.Measures)
 	return i, nil
 }
@@ -197,15 +199,14 @@
 	billing := controller.NewBiller(controller.BillerOptions{
 		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events, Measures: i.Measures,
 	})
-	exchange := metering.NewExchange(i.Meter, i.Loop, i.pool)
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: exchange}, i.Events)
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: i.exchange}, i.Events)
 	g.Go(func() error { return peers.Serve(ctx, i.peers.Raw()) })
 	i.peers.Watch(ctx, g, i.noteCertificate)
 	g.Go(func() error { return i.Loop.Run(ctx) })
 	g.Go(func() error { return i.Dispatch.Watch(ctx, i.engines) })
 	g.Go(func() error { return acting.Run(ctx) })
 	g.Go(func() error { return billing.Run(ctx) })
-	g.Go(func() error { return exchange.Run(ctx) })
+	g.Go(func() error { return i.exchange.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
 	g.Go(func() error { return weights.Run(ctx) })
--- a/internal/metering/exchange.go
+++ b/internal/metering/exchange.go
@@ -58,7 +58,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-			e.pass(ctx)
+			// A report that was not acknowledged is sent again at the next interval.
+			_ = e.Flush(ctx)
 			timer.Reset(e.interval())
 		}
 	}
@@ -82,10 +83,12 @@
 	return Ack{}, nil
 }
 
-func (e *Exchange) pass(ctx context.Context) {
+// Flush sends now what receivers have not acknowledged. An instance that leaves
+// calls it after its last request.
+func (e *Exchange) Flush(ctx context.Context) error {
 	s := e.loop.Snapshot()
 	if s.Config == nil {
-		return
+		return nil
 	}
 	e.meter.Follow(s.Config.Usage.Window, s.Billing)
 	own := e.meter.Report()
@@ -99,8 +102,7 @@
 	if mirror, ok := MirrorOf(s); ok {
 		g.Go(func() error { return e.send(ctx, mirror, []usage.Report{own}) })
 	}
-	// A report that was not acknowledged is sent again at the next interval.
-	_ = g.Wait()
+	return g.Wait()
 }
 
 // send sends what the receiver has not acknowledged.
