Orders: the trainers' open steps are demand

Cause: samples counted by the requests at hand, which fill whatever runs, so that sampling alone would have grown a service to its bounds.

Change: owners of trainers tell the holder what their open steps still need, with the usage counts; the planner works out targets by deadline and keeps what a step needed until the next one.

On a running site not measured.

--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -80,6 +80,7 @@
 // change of the instance in charge, waits the whole time before it shrinks.
 type Planner struct {
 	surplusSince map[surplus]time.Duration
+	steppedAt    map[string]time.Duration // when a service last had an open step
 	failures     map[Place]failure
 }
 
@@ -103,7 +104,7 @@
 
 // NewPlanner returns a planner that remembers nothing.
 func NewPlanner() *Planner {
-	return &Planner{surplusSince: map[surplus]time.Duration{}, failures: map[Place]failure{}}
+	return &Planner{surplusSince: map[surplus]time.Duration{}, steppedAt: map[string]time.Duration{}, failures: map[Place]failure{}}
 }
 
 // Failed notes that a start in the place failed; further ones wait, longer each time.
@@ -136,6 +137,11 @@
 // Plan returns what to do now.
 func (p *Planner) Plan(cfg *config.Config, in Input) Decision {
 	p.noteReclaims(&in)
+	for service, d := range in.Demand {
+		if len(d.Steps) > 0 {
+			p.steppedAt[service] = in.Now
+		}
+	}
 	r := newRound(p, cfg, &in)
 	for i := range cfg.Services {
 		r.minimum(&cfg.Services[i])
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -180,6 +180,19 @@
 		Expect(p.Plan(site(100), in).Drains).To(BeEmpty(), "one step at a time")
 	})
 
+	It("keeps what a step needed while the trainer trains", func() {
+		in := plan.Input{
+			Wall: monday, Now: time.Hour, Targets: join(running(7, "lm", "north", false), running(2, "desk", "south", false)),
+			Demand: map[string]plan.Demand{"lm": {Steps: []plan.Step{{Tokens: 1e6, Left: 24 * time.Minute}}}},
+		}
+		p.Plan(site(100), in)
+		in.Demand = nil
+		in.Now += 20 * time.Minute
+		Expect(p.Plan(site(100), in).Drains).To(BeEmpty())
+		in.Now += 5 * time.Minute
+		Expect(p.Plan(site(100), in).Drains).To(HaveLen(1))
+	})
+
 	It("does not drain when the surplus goes away in between", func() {
 		in := plan.Input{Wall: monday, Now: time.Hour, Targets: join(running(5, "lm", "north", false), running(2, "desk", "south", false))}
 		p.Plan(site(100), in)
--- a/core/plan/round.go
+++ b/core/plan/round.go
@@ -150,14 +150,13 @@
 }
 
 // shrinkAfter returns how long a surplus must last: a whole step where steps are
-// sampled, because their need falls until the next one starts.
+// sampled, because their need falls until the next one starts, also while the
+// trainer trains in between.
 func (r *round) shrinkAfter(service string) time.Duration {
 	after := r.cfg.Capacity.ShrinkAfter
-	if len(r.in.Demand[service].Steps) == 0 {
-		return after
-	}
+	at, stepped := r.p.steppedAt[service]
 	for i := range r.cfg.Trainers {
-		if t := &r.cfg.Trainers[i]; t.Service == service {
+		if t := &r.cfg.Trainers[i]; t.Service == service && stepped && r.in.Now-at < t.StepDeadline {
 			after = max(after, t.StepDeadline)
 		}
 	}
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -33,6 +33,8 @@
 	Orders   func(dataCentre string) *platform.Orders
 	Events   *events.Recorder
 	Measures *measure.Measures // nil: none
+	// Steps returns the trainers' open steps; nil: not known.
+	Steps func() []plan.OpenStep
 }
 
 // Controller runs on every instance and acts only while in charge.
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -48,6 +48,13 @@
 		}
 		v.targets = append(v.targets, t)
 	}
+	if c.Steps != nil {
+		for service, steps := range plan.StepsByService(c.Steps()) {
+			d := v.demand[service]
+			d.Steps = steps
+			v.demand[service] = d
+		}
+	}
 	c.trim(s)
 	return v
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -70,7 +70,8 @@
 	cfg.Capacity.OrderLag = 600 * time.Millisecond
 	cfg.Capacity.DrainSettle = 300 * time.Millisecond
 	for i := range cfg.Services {
-		cfg.Services[i].Schedule = nil // the demo runs at any hour
+		cfg.Services[i].Schedule = nil      // the demo runs at any hour
+		cfg.Services[i].TokensPerSecond = 0 // loopback engines have no rate to plan with
 	}
 }
 
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -190,8 +190,9 @@
 	operators := operator.New(operator.Options{
 		Loop: i.Loop, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures, Keys: i.operatorKeys,
 	})
+	i.exchange.OnSteps(trainers.Steps)
 	acting := controller.New(controller.Options{
-		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events, Measures: i.Measures,
+		Loop: i.Loop, Clock: i.cfg.Clock, Orders: i.ordersClient, Events: i.Events, Measures: i.Measures, Steps: i.exchange.Steps,
 	})
 	weights := rollout.New(rollout.Options{
 		Loop: i.Loop, Engines: i.engines, Weights: platform.NewWeights(i.cfg.WeightsURL), Peers: i.pool, Clock: i.cfg.Clock, Events: i.Events,
--- a/internal/metering/exchange.go
+++ b/internal/metering/exchange.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/plan"
 	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -27,6 +28,10 @@
 // Batch is the message that carries reports to a mirror or to the lease's holder.
 type Batch struct {
 	Reports []usage.Report `cbor:"1,keyasint"`
+	// Source and Steps are only for the holder of the lease: the open steps of the
+	// trainers that the sender owns.
+	Source string          `cbor:"2,keyasint"`
+	Steps  []plan.OpenStep `cbor:"3,keyasint"`
 }
 
 // Ack answers a Batch.
@@ -40,13 +45,17 @@
 	loop  *control.Loop
 	peers *peer.Pool
 
+	ownSteps func() []plan.OpenStep
+
 	mu    sync.Mutex
 	acked map[string]map[string]uint64 // revision by receiver and source
+	heard map[string]heardSteps        // by source
+	told  bool                         // the holder knows of open steps
 }
 
 // NewExchange returns an exchange of the meter's reports.
 func NewExchange(m *Meter, l *control.Loop, p *peer.Pool) *Exchange {
-	return &Exchange{meter: m, loop: l, peers: p, acked: map[string]map[string]uint64{}}
+	return &Exchange{meter: m, loop: l, peers: p, acked: map[string]map[string]uint64{}, heard: map[string]heardSteps{}}
 }
 
 // Run exchanges reports at every interval until ctx ends.
@@ -80,6 +89,7 @@
 		return nil, err
 	}
 	e.meter.Take(batch.Reports)
+	e.hear(batch)
 	return Ack{}, nil
 }
 
@@ -97,25 +107,39 @@
 	holder, remote := holderOf(s)
 	if remote {
 		reports := append(e.meter.Orphans(Live(s)), own)
-		g.Go(func() error { return e.send(ctx, holder, reports) })
+		g.Go(func() error { return e.send(ctx, holder, reports, e.forHolder()) })
 	}
 	if mirror, ok := MirrorOf(s); ok {
-		g.Go(func() error { return e.send(ctx, mirror, []usage.Report{own}) })
+		g.Go(func() error { return e.send(ctx, mirror, []usage.Report{own}, Batch{}) })
 	}
 	return g.Wait()
 }
 
-// send sends what the receiver has not acknowledged.
-func (e *Exchange) send(ctx context.Context, to member.Status, reports []usage.Report) error {
+// forHolder returns a batch with the open steps, if there are any to tell or to
+// take back.
+func (e *Exchange) forHolder() Batch {
+	steps := e.steps()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(steps) == 0 && !e.told {
+		return Batch{}
+	}
+	e.told = len(steps) > 0
+	return Batch{Source: e.loop.Holder(), Steps: steps}
+}
+
+// send sends the batch with the reports that the receiver has not acknowledged.
+func (e *Exchange) send(ctx context.Context, to member.Status, reports []usage.Report, batch Batch) error {
 	receiver := control.HolderName(to.Peer)
 	due := e.unacked(receiver, reports)
-	if len(due) == 0 {
+	if len(due) == 0 && batch.Source == "" {
 		return nil
 	}
+	batch.Reports = due
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var ack Ack
-	if err := e.peers.Call(ctx, to.Address, peer.KindUsage, Batch{due}, &ack); err != nil {
+	if err := e.peers.Call(ctx, to.Address, peer.KindUsage, batch, &ack); err != nil {
 		return err
 	}
 	e.mu.Lock()
--- a/internal/samples/owner.go
+++ b/internal/samples/owner.go
@@ -37,9 +37,10 @@
 
 	mu      sync.Mutex
 	state   *sample.Owner
-	typical float64       // tokens of a finished sample, averaged over the latest
-	askedAt time.Duration // when the trainer began to ask for the next batch; zero: it does not
-	offered *sample.Batch // last handed over, for the pages of a forwarded answer
+	typical float64                 // tokens of a finished sample, averaged over the latest
+	askedAt time.Duration           // when the trainer began to ask for the next batch; zero: it does not
+	seen    map[int64]time.Duration // when open steps were first seen
+	offered *sample.Batch           // last handed over, for the pages of a forwarded answer
 }
 
 func newOwner(m *Manager, trainer string, term record.Offset, s *control.Snapshot) *owner {
--- /dev/null
+++ b/internal/samples/steps.go
@@ -0,0 +1,52 @@
+package samples
+
+import (
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/plan"
+)
+
+// Steps returns the open steps of the trainers that this instance owns.
+func (m *Manager) Steps() []plan.OpenStep {
+	cfg := m.Loop.Snapshot().Config
+	if cfg == nil {
+		return nil
+	}
+	now := m.Clock.Now()
+	m.mu.Lock()
+	owners := make([]*owner, 0, len(m.owners))
+	for _, o := range m.owners {
+		owners = append(owners, o)
+	}
+	m.mu.Unlock()
+	var out []plan.OpenStep
+	for _, o := range owners {
+		if t := cfg.Trainer(o.trainer); t != nil && o.held(0) {
+			out = append(out, o.steps(now, t.Service, t.StepDeadline)...)
+		}
+	}
+	return out
+}
+
+// steps returns the owner's open steps and remembers when each was first seen.
+func (o *owner) steps(now time.Duration, service string, deadline time.Duration) []plan.OpenStep {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	open := o.state.Left()
+	seen := make(map[int64]time.Duration, len(open))
+	first := make([]time.Duration, len(open))
+	for i, left := range open {
+		at, known := o.seen[left.Step]
+		if !known {
+			at = now
+		}
+		seen[left.Step], first[i] = at, at
+	}
+	o.seen = seen
+	deadlines := plan.Deadlines(first, now, deadline)
+	out := make([]plan.OpenStep, len(open))
+	for i, left := range open {
+		out[i] = plan.OpenStep{Trainer: o.trainer, Service: service, Step: left.Step, Tokens: float64(left.Tokens), Left: deadlines[i]}
+	}
+	return out
+}
