Demo: crashes, lost answers, repeats, refusals, drains and planned stops

Cause: the demo did not show the promises on retries and on leaving targets.

Change: six scenarios on each site.

Conclusion: each of these promises is checked with its fault on both sites.

--- a/internal/demo/scenarios.go
+++ b/internal/demo/scenarios.go
@@ -16,6 +16,12 @@
 	{"stale batch", (*site).staleBatch},
 	{"owner lost", (*site).ownerLost},
 	{"withdrawal", (*site).withdrawal},
+	{"lost answer", (*site).lostAnswer},
+	{"repeats", (*site).repeats},
+	{"refusals", (*site).refusals},
+	{"drained target", (*site).drainedTarget},
+	{"planned stop", (*site).plannedStop},
+	{"engine crash", (*site).engineCrash},
 	{"bills", (*site).bills},
 	{"keys hidden", (*site).keysHidden},
 }
