--- a/internal/demo/scenarios.go
+++ b/internal/demo/scenarios.go
@@ -23,5 +23,13 @@
 	{"planned stop", (*site).plannedStop},
 	{"engine crash", (*site).engineCrash},
 	{"bills", (*site).bills},
+	{"raced configuration", (*site).racedConfiguration},
+	{"log outage", (*site).logOutage},
+	{"paused holder", (*site).pausedHolder},
+	{"instances replaced", (*site).replaced},
+	{"cheap data centre reclaimed", (*site).reclaimed},
+	{"order answers lost", (*site).ordersLost},
+	{"planned stop", (*site).plannedStop},
+	{"holder killed before its report", (*site).billsKilled},
 	{"keys hidden", (*site).keysHidden},
 }
