--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -66,6 +67,8 @@
 	targetsAt  map[string]time.Duration     // when targets was asked for
 	loads      map[string]TargetLoad        // by target
 	loadsAt    map[string]time.Duration     // by when loads were true at the latest
+	loadFrom   map[string]string            // peer that reported last, by target
+	loadsOf    map[string][]string          // targets that a peer reports, by peer
 	own        []TargetLoad
 	waiters    map[record.ID]chan fold.Result
 	freshAt    time.Duration
@@ -75,6 +78,10 @@
 	proved     bool                // the log has once shown its end
 	halted     string              // why the control roles have stopped; empty: they have not
 	agreement  *agreement
+	abroad     map[string]received // by data centre
+	view       *view
+	logView    *logView
+	notes      map[string]PeerNote // by peer; replaced by every change
 
 	encoded          []record.Checkpoint // the state as last given to a joining peer
 	encodedAt        time.Duration
@@ -113,6 +120,9 @@
 		routing:    newRouting(),
 		recent:     newRecentLog(),
 		agreement:  newAgreement(),
+		abroad:     map[string]received{},
+		loadFrom:   map[string]string{},
+		loadsOf:    map[string][]string{},
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
@@ -170,12 +180,18 @@
 	}
 }
 
+// offer hands over a message unless the control goroutine is far behind. What
+// peers send again is offered, so that it never holds up their other messages.
+func (l *Loop) offer(m message) {
+	select {
+	case l.inbox <- m:
+	default:
+	}
+}
+
 // OnBeat sets a function that completes each heartbeat before it is sent.
 func (l *Loop) OnBeat(f func(*Heartbeat)) { l.beatExtra.Store(&f) }
 
-// Heard takes a peer's heartbeat.
-func (l *Loop) Heard(ctx context.Context, b Heartbeat) { l.post(ctx, heard{b}) }
-
 // SetOwnLoads takes the loads of the targets that this instance owns.
 func (l *Loop) SetOwnLoads(ctx context.Context, loads []TargetLoad) { l.post(ctx, ownLoads{loads}) }
 
@@ -248,23 +264,13 @@
 	}
 	l.members.List(l.Clock.Now(), peers)
 	l.agreement.forgetGone(listed)
+	maps.DeleteFunc(l.loadsOf, func(id string, _ []string) bool { return !listed[id] })
 }
 
 func (m targetsRead) handle(l *Loop) { l.setTargets(m.dataCentre, m.targets) }
 
 func (m targetsAsked) handle(l *Loop) { l.targetsAt[m.dataCentre] = m.at }
 
-func (m heard) handle(l *Loop) {
-	l.drainWatch.Heard(m.beat.Peer.ID, drain.Report{Offset: m.beat.Offset, Uses: m.beat.Uses, At: l.Clock.Now()})
-	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
-	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
-	heardOf := l.Clock.Now() - l.beatAge()
-	for _, load := range m.beat.Loads {
-		l.setLoad(load)
-		l.loadsAt[load.Target] = heardOf
-	}
-}
-
 func (m ownLoads) handle(l *Loop) {
 	l.own = m.loads
 	for _, load := range m.loads {
--- a/internal/control/routes.go
+++ b/internal/control/routes.go
@@ -53,6 +53,7 @@
 	for id := range gone {
 		delete(l.loads, id)
 		delete(l.loadsAt, id)
+		delete(l.loadFrom, id)
 	}
 	l.targets[dataCentre] = targets
 	l.routing.changed = true
@@ -94,7 +95,7 @@
 		}
 	}
 	r.ownerOf.Keep(len(targets))
-	r.table = route.NewTable(targets)
+	r.table = r.table.With(targets)
 	return r.table
 }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,7 +7,6 @@
 	"context"
 	"crypto/rand"
 	"crypto/sha256"
-	"crypto/subtle"
 	"encoding/base64"
 	"encoding/json"
 	"errors"
@@ -16,9 +15,9 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/google/uuid"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
@@ -37,24 +36,32 @@
 
 // Options are what the listener works with.
 type Options struct {
-	Loop      *control.Loop
-	Clock     clock.Clock
-	Events    *events.Recorder
-	Measures  *measure.Measures // nil: none
-	KeyDigest [32]byte          // SHA-256 of the operators' key
+	Loop     *control.Loop
+	Clock    clock.Clock
+	Events   *events.Recorder
+	Measures *measure.Measures // nil: none
+	Keys     []Key             // operators who may use the listener
 }
 
 // Server answers operators.
-type Server struct{ Options }
+type Server struct {
+	Options
+	gauges *metrics.Set
+}
 
 // New returns a server.
-func New(o Options) *Server { return &Server{o} }
+func New(o Options) *Server { return &Server{Options: o, gauges: newGauges(o)} }
 
 // ApplyRequest replaces the configuration.
 type ApplyRequest struct {
-	YAML       string `json:"yaml"` // merged
-	Actor      string `json:"actor"`
-	Supersedes *int64 `json:"supersedes,omitempty"` // offset of the configuration that the operator saw
+	YAML       string `json:"yaml"`                 // merged
+	Supersedes *int64 `json:"supersedes,omitempty"` // offset of the configuration that the operator saw; absent: the one in force here
+}
+
+// ConfigReply is the configuration in force.
+type ConfigReply struct {
+	Offset int64  `json:"offset"` // zero: none has been applied
+	YAML   string `json:"yaml"`
 }
 
 // ApplyReply names the accepted configuration.
@@ -95,6 +102,7 @@
 	Offset       int64          `json:"offset"`
 	ConfigOffset int64          `json:"configOffset"`
 	Fresh        bool           `json:"fresh"`
+	Halted       string         `json:"halted,omitempty"` // why the control roles have stopped
 	Owners       []string       `json:"owners"`
 	Peers        []PeerStatus   `json:"peers"`
 	Leases       []LeaseStatus  `json:"leases"`
@@ -109,6 +117,8 @@
 	Offset     int64  `json:"offset"`
 	Suspect    bool   `json:"suspect"`
 	Leaving    bool   `json:"leaving"`
+	Halted     string `json:"halted,omitempty"` // why its control roles have stopped
+	Stale      bool   `json:"stale,omitempty"`  // it cannot prove that it has read the log's end
 }
 
 // LeaseStatus is a lease's last valid record.
@@ -133,7 +143,7 @@
 // Failure is the body of an error answer.
 type Failure struct {
 	Error string `json:"error"`
-	Code  string `json:"code"` // conflict, invalid, unauthorized, unknown
+	Code  string `json:"code"` // conflict, invalid, unauthorized, none, unknown
 }
 
 // Handler routes operators' requests.
@@ -146,24 +156,13 @@
 	mux.HandleFunc("POST /operator/keys/grant", s.grant)
 	mux.HandleFunc("POST /operator/keys/withdraw", s.withdraw)
 	mux.HandleFunc("GET /operator/events", s.events)
+	mux.HandleFunc("GET /metrics", s.metrics)
 	mux.HandleFunc("GET /operator/measures", s.measures)
 	mux.HandleFunc("GET /operator/drain", s.drains)
 	mux.HandleFunc("POST /operator/drain", s.drain)
 	return s.authenticated(mux)
 }
 
-func (s *Server) authenticated(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		key, _ := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
-		digest := sha256.Sum256([]byte(key))
-		if subtle.ConstantTimeCompare(digest[:], s.KeyDigest[:]) != 1 {
-			fail(w, http.StatusUnauthorized, "unauthorized", errors.New("the operator key is missing or wrong"))
-			return
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
 	var req ApplyRequest
 	if !readJSON(w, r, &req) {
@@ -177,12 +176,12 @@
 	if req.Supersedes != nil {
 		supersedes = record.Offset(*req.Supersedes)
 	}
-	offset, err := s.append(r.Context(), supersedes, record.Config{YAML: []byte(req.YAML), Actor: req.Actor})
+	offset, err := s.append(r.Context(), supersedes, record.Config{YAML: []byte(req.YAML), Actor: operatorOf(r)})
 	if err != nil {
 		failAppend(w, err)
 		return
 	}
-	s.Events.Record("configuration applied", events.F("offset", strconv.FormatInt(offset, 10)), events.F("actor", req.Actor))
+	s.Events.Record("configuration applied", events.F("offset", strconv.FormatInt(offset, 10)), events.F("actor", operatorOf(r)))
 	writeJSON(w, ApplyReply{Offset: offset})
 }
 
@@ -201,7 +200,7 @@
 		failAppend(w, err)
 		return
 	}
-	s.Events.Record("key granted", events.F("account", req.Account), events.F("keyId", id))
+	s.Events.Record("key granted", events.F("account", req.Account), events.F("keyId", id), events.F("actor", operatorOf(r)))
 	writeJSON(w, GrantReply{Account: req.Account, KeyID: id, Key: key, Offset: offset})
 }
 
@@ -215,7 +214,7 @@
 		failAppend(w, err)
 		return
 	}
-	s.Events.Record("key withdrawn", events.F("account", req.Account), events.F("keyId", req.KeyID))
+	s.Events.Record("key withdrawn", events.F("account", req.Account), events.F("keyId", req.KeyID), events.F("actor", operatorOf(r)))
 	writeJSON(w, ApplyReply{Offset: offset})
 }
 
@@ -243,7 +242,7 @@
 func (s *Server) config(w http.ResponseWriter, _ *http.Request) {
 	snapshot := s.Loop.Snapshot()
 	if snapshot.Config == nil {
-		fail(w, http.StatusNotFound, "unknown", errors.New("no configuration has been applied"))
+		fail(w, http.StatusNotFound, "none", errors.New("no configuration has been applied"))
 		return
 	}
 	data, err := config.Marshal(snapshot.Config)
@@ -251,10 +250,7 @@
 		fail(w, http.StatusInternalServerError, "unknown", err)
 		return
 	}
-	writeJSON(w, struct {
-		Offset int64  `json:"offset"`
-		YAML   string `json:"yaml"`
-	}{int64(snapshot.ConfigOffset), string(data)})
+	writeJSON(w, ConfigReply{int64(snapshot.ConfigOffset), string(data)})
 }
 
 func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
@@ -262,9 +258,11 @@
 	out := Status{
 		Instance: snapshot.Self.ID, DataCentre: snapshot.Self.DataCentre,
 		Offset: int64(snapshot.Offset), ConfigOffset: int64(snapshot.ConfigOffset), Owners: snapshot.Owners,
+		Halted: snapshot.Halted,
 	}
 	for _, p := range snapshot.Peers {
-		out.Peers = append(out.Peers, PeerStatus{p.ID, p.DataCentre, p.Operator, p.Offset, p.Suspect, p.Leaving})
+		note := snapshot.PeerNotes[p.ID]
+		out.Peers = append(out.Peers, PeerStatus{p.ID, p.DataCentre, p.Operator, p.Offset, p.Suspect, p.Leaving, note.Halted, note.Stale})
 	}
 	for _, l := range snapshot.Leases {
 		out.Leases = append(out.Leases, LeaseStatus{l.Name, l.Holder, int64(l.Term)})
