Demo: the trainer asks the instances that run; forwarded calls have an end

Cause: after all instances were replaced the demo's trainer still asked the old addresses, and the scenario that reclaims a data centre timed out at both sites. A forwarded call waited for as long as the trainer did when its owner hung.

--- a/internal/demo/control.go
+++ b/internal/demo/control.go
@@ -201,11 +201,8 @@
 		}
 		s.Kill(m.ID)
 	}
-	s.announce.Entries, s.announce.Operator, s.announce.Trainer = nil, nil, nil
+	s.announceMembers()
 	for _, m := range s.Members() {
-		s.announce.Entries = append(s.announce.Entries, m.CallerURL())
-		s.announce.Operator = append(s.announce.Operator, m.OperatorURL())
-		s.announce.Trainer = append(s.announce.Trainer, m.TrainerURL())
 		after := int64(m.Loop.Snapshot().ConfigOffset)
 		s.tally.check(ConfigInForce, after == before, "%s has the configuration of offset %d, not %d", m.ID, after, before)
 	}
--- a/internal/demo/samples.go
+++ b/internal/demo/samples.go
@@ -239,14 +239,14 @@
 		}
 	}
 	s.announceMembers()
-	s.coach.SetBases(s.announce.Trainer)
 	if err := s.takeAgain(ctx, first); err != nil {
 		return err
 	}
 	return s.coach.Acknowledge(ctx)
 }
 
-// announceMembers brings the announcement's addresses up to date.
+// announceMembers brings the announcement's addresses, and those that the
+// trainer asks, up to date.
 func (s *site) announceMembers() {
 	s.announce.Entries, s.announce.Operator, s.announce.Trainer = nil, nil, nil
 	for _, m := range s.Members() {
@@ -254,4 +254,5 @@
 		s.announce.Operator = append(s.announce.Operator, m.OperatorURL())
 		s.announce.Trainer = append(s.announce.Trainer, m.TrainerURL())
 	}
+	s.coach.SetBases(s.announce.Trainer)
 }
--- a/internal/samples/http.go
+++ b/internal/samples/http.go
@@ -7,13 +7,17 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/sample"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
-const maxBody = 64 << 20 // bytes
+const (
+	maxBody        = 64 << 20         // bytes
+	forwardTimeout = 10 * time.Second // beyond the trainer's own wait, before it is told to ask again
+)
 
 // forwardCall carries a trainer's call to the holder of its lease.
 type forwardCall struct {
@@ -151,6 +155,12 @@
 	if err != nil {
 		return forwardReply{}, err
 	}
+	wait := forwardTimeout
+	if call.Next != nil {
+		wait += min(time.Duration(call.Next.WaitMillis)*time.Millisecond, maxWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
 	var reply forwardReply
 	if err := m.Peers.Call(ctx, address, peer.KindTrainer, call, &reply); err != nil {
 		return reply, err
