--- a/internal/demo/samples.go
+++ b/internal/demo/samples.go
@@ -245,7 +245,8 @@
 	return s.coach.Acknowledge(ctx)
 }
 
-// announceMembers brings the announcement's addresses up to date.
+// announceMembers brings the announcement's addresses, and those that the
+// trainer asks, up to date.
 func (s *site) announceMembers() {
 	s.announce.Entries, s.announce.Operator, s.announce.Trainer = nil, nil, nil
 	for _, m := range s.Members() {
