Control: read a long list less often; measure failover, joining and a data centre

Cause: every instance read the whole list four times a second: 1.7 MB/s a node at 1,700 instances. Failover, time to join and traffic over sockets were not measured.

Change: above 16 instances the list is read every 60 ms per instance on it. Benchmarks over real sockets.

--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -54,8 +54,26 @@
 	logURL string
 	list   *list.List
 	lists  *standin.Server
+	logs   *standin.Server
 	nodes  map[string]*node
 	count  int
+	sent   atomic.Int64 // bytes between instances
+}
+
+// countedConn counts what is written.
+type countedConn struct {
+	net.Conn
+	sent *atomic.Int64
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	c.sent.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+func (b *bench) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := peer.DialPlain(ctx, address)
+	return countedConn{conn, &b.sent}, err
 }
 
 // node is one instance's control loop.
@@ -66,22 +84,30 @@
 }
 
 func newBench() *bench {
-	b := &bench{store: logstore.New(logstore.Config{Keep: testKeep}), list: list.New(0), nodes: map[string]*node{}}
+	b := openBench(testKeep)
+	DeferCleanup(b.close)
+	return b
+}
+
+func openBench(keep int) *bench {
+	b := &bench{store: logstore.New(logstore.Config{Keep: keep}), list: list.New(0), nodes: map[string]*node{}}
 	logs, err := standin.Serve(b.store.Handler())
 	Expect(err).NotTo(HaveOccurred())
 	b.logURL = logs.URL
 	b.lists, err = standin.Serve(b.list.Handler())
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(func() {
-		for _, n := range b.nodes {
-			n.stop()
-		}
-		logs.Close()
-		b.lists.Close()
-	})
+	b.logs = logs
 	return b
 }
 
+func (b *bench) close() {
+	for _, n := range b.nodes {
+		n.stop()
+	}
+	b.logs.Close()
+	b.lists.Close()
+}
+
 // handler serves the calls that control answers.
 type handler struct{ loop *Loop }
 
@@ -111,6 +137,7 @@
 	Expect(err).NotTo(HaveOccurred())
 	self := member.Peer{ID: id, Incarnation: int64(b.count), DataCentre: "north", Address: listener.Addr().String()}
 	pool := peer.NewPool(peer.Hello{ID: id, Incarnation: self.Incarnation, Deployment: "site"}, nil)
+	pool.UseDialer(b.dial)
 	n := &node{log: &gatedLog{Log: platform.NewLog(b.logURL)}}
 	n.log.cut.Store(cut)
 	n.Loop = New(Options{
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -6,13 +6,17 @@
 )
 
 const (
-	readLimit     = 1000
-	readWait      = 500 * time.Millisecond
-	readTimeout   = 3 * time.Second
-	pollInterval  = 250 * time.Millisecond
-	pollTimeout   = 2 * time.Second
-	failurePause  = 200 * time.Millisecond
-	beatSendLimit = 500 * time.Millisecond
+	readLimit    = 1000
+	readWait     = 500 * time.Millisecond
+	readTimeout  = 3 * time.Second
+	pollInterval = 250 * time.Millisecond
+	pollTimeout  = 2 * time.Second
+
+	shortList = 16 // instances
+	// listIntervalPerInstance keeps the reads of a long list at about 4 kB/s.
+	listIntervalPerInstance = 60 * time.Millisecond
+	failurePause            = 200 * time.Millisecond
+	beatSendLimit           = 500 * time.Millisecond
 )
 
 // pollList reads the platform's list of instances.
@@ -24,11 +28,21 @@
 		if err == nil {
 			l.post(ctx, listRead{instances})
 		}
-		sleep(ctx, pollInterval)
+		sleep(ctx, listInterval(len(instances)))
 	}
 	return nil
 }
 
+// listInterval returns the time between two reads of a list of n instances. A
+// long list is read less often: heartbeats and bulletins tell sooner who came,
+// leaves or is silent.
+func listInterval(n int) time.Duration {
+	if n <= shortList {
+		return pollInterval
+	}
+	return time.Duration(n) * listIntervalPerInstance
+}
+
 // pollTargets reads the targets of every configured data centre.
 func (l *Loop) pollTargets(ctx context.Context) error {
 	for ctx.Err() == nil {
