--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -179,7 +179,7 @@
 	if supersedes == notNamed {
 		supersedes = current.Offset
 	}
-	reply, err := client.Apply(ctx, operator.ApplyRequest{YAML: yaml, Actor: env.Getenv("USER"), Supersedes: &supersedes})
+	reply, err := client.Apply(ctx, operator.ApplyRequest{YAML: yaml, Supersedes: &supersedes})
 	if err != nil {
 		return 0, err
 	}
