Targets: a few instances read the platform's lists in a large site

Cause: every instance read every data centre's list of targets four times a second: 9.6 MB/s a node at 12,000 targets of 200 bytes.

Change: above 64 peers a data centre's list is read by its log readers and by whoever gives it orders, less often the longer it is; the others ask a reader whether it has changed. An answer carries its age, so that TargetsAt never looks younger than the list is.

Conclusion: small sites work as before; the readers' share is left.

--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -119,6 +119,8 @@
 			h.loop.Heard(ctx, from, beat)
 		}
 		return nil, err
+	case peer.KindTargets:
+		return h.loop.HandleTargets(body)
 	case peer.KindRecords:
 		return h.loop.HandleRecords(ctx, body)
 	case peer.KindState:
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -43,19 +43,7 @@
 	return time.Duration(n) * listIntervalPerInstance
 }
 
-// pollTargets reads the targets of every configured data centre.
-func (l *Loop) pollTargets(ctx context.Context) error {
-	for ctx.Err() == nil {
-		if cfg := l.Snapshot().Config; cfg != nil {
-			for _, dc := range cfg.DataCentres {
-				l.readTargets(ctx, dc.Name)
-			}
-		}
-		sleep(ctx, pollInterval)
-	}
-	return nil
-}
-
+// readTargets reads a data centre's targets from the platform.
 func (l *Loop) readTargets(ctx context.Context, dataCentre string) {
 	callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
--- /dev/null
+++ b/internal/control/targets.go
@@ -0,0 +1,174 @@
+package control
+
+import (
+	"context"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/amaranthfold/amaranthfold/core/lease"
+	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/internal/peer"
+	"github.com/amaranthfold/amaranthfold/internal/platform"
+)
+
+const (
+	// largeSite is above how many peers the lists of targets are read by a few
+	// instances, which pass them on.
+	largeSite = 64
+	// targetsIntervalPerTarget keeps the reads of a long list at about 10 kB/s.
+	targetsIntervalPerTarget = 20 * time.Millisecond
+	// targetsAskInterval is between two questions to a peer whether a list has
+	// changed.
+	targetsAskInterval = 2 * time.Second
+)
+
+// TargetsRequest asks a peer for a data centre's targets.
+type TargetsRequest struct {
+	DataCentre string `cbor:"1,keyasint"`
+	Version    uint64 `cbor:"2,keyasint"` // of the list that the sender has
+}
+
+// TargetsReply is a peer's list of a data centre's targets.
+type TargetsReply struct {
+	Known   bool              `cbor:"1,keyasint"` // the peer has a list
+	Version uint64            `cbor:"2,keyasint"`
+	Age     time.Duration     `cbor:"3,keyasint"`           // since the list was asked for
+	Targets []platform.Target `cbor:"4,keyasint,omitempty"` // empty when the versions are equal
+}
+
+// HandleTargets answers a peer's question for a list of targets.
+func (l *Loop) HandleTargets(body []byte) (any, error) {
+	req, err := peer.Decode[TargetsRequest](body)
+	if err != nil {
+		return nil, err
+	}
+	s := l.Snapshot()
+	at, known := s.TargetsAt[req.DataCentre]
+	if !known {
+		return TargetsReply{}, nil
+	}
+	list := s.targetsIn(req.DataCentre)
+	reply := TargetsReply{Known: true, Version: versionOfTargets(list), Age: l.Clock.Now() - at}
+	if reply.Version != req.Version {
+		reply.Targets = list
+	}
+	return reply, nil
+}
+
+// targetsIn returns the platform's targets of a data centre.
+func (s *Snapshot) targetsIn(dataCentre string) []platform.Target {
+	var out []platform.Target
+	for _, t := range s.Platform {
+		if t.DataCentre == dataCentre {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// versionOfTargets differs for lists that differ. No list has version zero.
+func versionOfTargets(list []platform.Target) uint64 {
+	h := xxhash.New()
+	for _, t := range list {
+		for _, field := range []string{t.ID, t.OrderID, t.Service, t.DataCentre, t.URL, string(t.State)} {
+			_, _ = h.Write(binary.AppendUvarint(nil, uint64(len(field)))) // never fails
+			_, _ = h.WriteString(field)                                   // never fails
+		}
+		if t.Cheap {
+			_, _ = h.Write([]byte{1}) // never fails
+		}
+	}
+	return max(1, h.Sum64())
+}
+
+// readsTargets reports whether the instance reads the data centre's list of
+// targets itself: everyone in a small site; in a large one the readers of that
+// data centre and whoever gives it orders.
+func (l *Loop) readsTargets(s *Snapshot, dataCentre string) bool {
+	if len(s.Peers) <= largeSite || dataCentre == s.Self.DataCentre && s.isReader(s.Self.ID) {
+		return true
+	}
+	_, held := l.Held(lease.OrdersName(s.Config.Control.ShardBy, dataCentre), 0)
+	return held
+}
+
+// pollTargets keeps the targets of every configured data centre.
+func (l *Loop) pollTargets(ctx context.Context) error {
+	due := map[string]time.Duration{}
+	for ctx.Err() == nil {
+		s := l.Snapshot()
+		if s.Config == nil {
+			sleep(ctx, pollInterval)
+			continue
+		}
+		for _, dc := range s.Config.DataCentres {
+			if now := l.Clock.Now(); now >= due[dc.Name] {
+				due[dc.Name] = now + l.refreshTargets(ctx, s, dc.Name)
+			}
+		}
+		sleep(ctx, pollInterval)
+	}
+	return nil
+}
+
+// refreshTargets reads a data centre's targets once and returns how long the
+// answer will do.
+func (l *Loop) refreshTargets(ctx context.Context, s *Snapshot, dataCentre string) time.Duration {
+	if !l.readsTargets(s, dataCentre) && l.askTargets(ctx, s, dataCentre) {
+		return targetsAskInterval
+	}
+	l.readTargets(ctx, dataCentre)
+	if len(s.Peers) <= largeSite {
+		return 0
+	}
+	return time.Duration(len(s.targetsIn(dataCentre))) * targetsIntervalPerTarget
+}
+
+// askTargets asks one of the readers of the data centre.
+func (l *Loop) askTargets(ctx context.Context, s *Snapshot, dataCentre string) bool {
+	var there []string
+	for _, p := range s.Peers {
+		if p.DataCentre == dataCentre && !p.Suspect {
+			there = append(there, p.ID)
+		}
+	}
+	if dataCentre == s.Self.DataCentre {
+		there = append(there, s.Self.ID)
+	}
+	readers := member.Rank("log-reader/"+dataCentre, there, s.Config.Control.LogReaders)
+	if len(readers) == 0 || slices.Contains(readers, s.Self.ID) {
+		return false
+	}
+	chosen := s.PeerByID[readers[member.Hash(s.Self.ID)%uint64(len(readers))]]
+	return l.askTargetsOf(ctx, s, chosen.Address, dataCentre)
+}
+
+func (l *Loop) askTargetsOf(ctx context.Context, s *Snapshot, address, dataCentre string) bool {
+	callCtx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	sentAt := l.Clock.Now()
+	list := s.targetsIn(dataCentre)
+	req := TargetsRequest{DataCentre: dataCentre}
+	if _, known := s.TargetsAt[dataCentre]; known {
+		req.Version = versionOfTargets(list)
+	}
+	var reply TargetsReply
+	if err := l.Peers.Call(callCtx, address, peer.KindTargets, req, &reply); err != nil || !reply.Known {
+		return false
+	}
+	if reply.Version != req.Version {
+		list = reply.Targets
+	}
+	// The peer's list was asked for Age before its answer, which came after the
+	// question was sent.
+	askedAt := sentAt - reply.Age
+	if askedAt <= s.TargetsAt[dataCentre] {
+		return true // what this instance has is newer
+	}
+	l.post(ctx, targetsRead{dataCentre, list})
+	l.post(ctx, targetsAsked{dataCentre, askedAt})
+	return true
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -247,6 +247,8 @@
 		return nil, nil
 	case peer.KindBulletin:
 		return nil, h.instance.Loop.HandleBulletin(ctx, body)
+	case peer.KindTargets:
+		return h.instance.Loop.HandleTargets(body)
 	case peer.KindRecords:
 		return h.instance.Loop.HandleRecords(ctx, body)
 	case peer.KindState:
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -39,6 +39,7 @@
 	KindRecords     Kind = 50 // records of the log
 	KindState       Kind = 51 // encoded control state
 	KindBulletin    Kind = 52 // bulletins of data centres
+	KindTargets     Kind = 53 // a data centre\'s list of targets
 )
 
 // Hello opens a session.
--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -37,13 +37,13 @@
 
 // Target is a target as the order interface lists it.
 type Target struct {
-	ID         string      `json:"id"`
-	OrderID    string      `json:"orderId"` // order that started it
-	Service    string      `json:"service"`
-	DataCentre string      `json:"dataCentre"`
-	URL        string      `json:"url"`
-	Cheap      bool        `json:"cheap"`
-	State      TargetState `json:"state"`
+	ID         string      `json:"id" cbor:"1,keyasint"`
+	OrderID    string      `json:"orderId" cbor:"2,keyasint"` // order that started it
+	Service    string      `json:"service" cbor:"3,keyasint"`
+	DataCentre string      `json:"dataCentre" cbor:"4,keyasint"`
+	URL        string      `json:"url" cbor:"5,keyasint"`
+	Cheap      bool        `json:"cheap" cbor:"6,keyasint"`
+	State      TargetState `json:"state" cbor:"7,keyasint"`
 }
 
 // TargetsReply is the body of GET /dc/{dc}/targets.
