--- a/internal/control/health_test.go
+++ b/internal/control/health_test.go
@@ -25,7 +25,7 @@
 		Eventually(happened(holder, "lease lapsed"), "30s").Should(BeTrue())
 		b.store.SetDown(false)
 
-		left := silent.Loop.Self
+		left := silent.Self
 		silent.stop()
 		// The list goes on showing it, as a lagging list does.
 		b.list.Set(platform.ListedInstance{ID: left.ID, Incarnation: left.Incarnation, DataCentre: left.DataCentre, Address: left.Address, State: platform.Live})
