--- a/core/admit/isolation_test.go
+++ b/core/admit/isolation_test.go
@@ -18,8 +18,8 @@
 	fair   bool // weighted fair queues, else first come first served
 	shard  bool // accounts on a hashed subset of the targets
 	credit float64
-	slices int  // entries that each dispatch with their part of the slots; zero: one queue at the owner
-	limits bool // each account has at most twice its share of all slots in flight or waiting
+	slices int     // entries that each dispatch with their part of the slots; zero: one queue at the owner
+	limits float64 // times its share of all slots that an account may have in flight or waiting; zero: any
 }
 
 var policies = []policy{
@@ -28,11 +28,12 @@
 	{name: "shard", shard: true},
 	{name: "both", fair: true, shard: true},
 	{name: "fair+credit16", fair: true, credit: 16},
-	{name: "limits", limits: true},
-	{name: "fair+limits", fair: true, limits: true},
-	{name: "fair+limits+credit16", fair: true, limits: true, credit: 16},
-	{name: "shard+limits", shard: true, limits: true},
-	{name: "both+limits", fair: true, shard: true, limits: true},
+	{name: "limits", limits: 2},
+	{name: "fair+limits", fair: true, limits: 2},
+	{name: "fair+limits+credit16", fair: true, limits: 2, credit: 16},
+	{name: "fair+limits1.5+credit16", fair: true, limits: 1.5, credit: 16},
+	{name: "shard+limits", shard: true, limits: 2},
+	{name: "both+limits", fair: true, shard: true, limits: 2},
 }
 
 // site is the size of a simulated deployment.
@@ -157,7 +158,7 @@
 	}
 	m.held, m.refused = make([]int, len(s.weights)), make([]int, len(s.weights))
 	for _, w := range s.weights {
-		m.cap = append(m.cap, max(int(2*w/total*float64(s.targets*slots)), 1))
+		m.cap = append(m.cap, max(int(p.limits*w/total*float64(s.targets*slots)), 1))
 		// Twice the account's share of the targets, and at least two.
 		k := min(max(int(math.Ceil(2*w/total*float64(s.targets))), 2), s.targets)
 		m.subset = append(m.subset, m.random.Perm(s.targets)[:k])
@@ -222,7 +223,7 @@
 
 // submit routes to the better of two random targets by reported load.
 func (m *sim) submit(r request) {
-	if m.limits && m.held[r.account] >= m.cap[r.account] {
+	if m.limits > 0 && m.held[r.account] >= m.cap[r.account] {
 		m.refused[r.account]++
 		return
 	}
