Samples: large submissions and batches fit the sessions between instances

Cause: groups of more than 4 MB that came through an instance other than the owner broke the session to it, again and again: a message of drpc holds 4 MB. A step of 256 groups with prompts of 16 KB is that large. A mirror transfer that took over a second never ended, and without a peer the changes to send piled up.

Change: forwarded groups go in pages; a prompt holds 2 MB at most; transfers to the mirror go on in the background for up to 10 s and wait on each other no longer than the trainer's call; without a peer only the need is noted.

--- a/core/config/config_test.go
+++ b/core/config/config_test.go
@@ -64,6 +64,8 @@
 		Entry("number with a unit", "cost:\n  limitPerHour: 10USD\n", `site.yaml:10:17: cost.limitPerHour is "10USD", want a number`),
 		Entry("overlay that names nothing in the base", "services:\n  - {name: ghost}\n", `site.yaml:10:12: overlay names "ghost", which is not in services of the base`),
 		Entry("list where a mapping belongs", "control: [1]\n", `site.yaml:9:10: control is a list, want a mapping`),
+		Entry("trainer of an unknown account", "  trainers: [{name: t, service: models, groupSize: 1, groupsPerStep: 1, stepDeadline: 1m, account: ghost}]\n", `trainers[t].account names client account "ghost", which does not exist`),
+		Entry("trainer of an account without the service", "    - {name: idle}\n  trainers: [{name: t, service: models, groupSize: 1, groupsPerStep: 1, stepDeadline: 1m, account: idle}]\n", `trainers[t].account names client account "idle", which may not use service "models"`),
 		Entry("several at once", "colour: red\nusage:\n  window: x\n", `site.yaml:9:1:`, `site.yaml:11:11:`),
 	)
 
--- a/core/sample/owner.go
+++ b/core/sample/owner.go
@@ -105,8 +105,8 @@
 // Submit adds a group. Submitting the same group again is idempotent, also
 // after it was delivered.
 func (o *Owner) Submit(g Group) error {
-	if g.ID == "" || g.Size < 1 {
-		return fmt.Errorf("group %q of size %d: %w", g.ID, g.Size, ErrGroupInvalid)
+	if g.ID == "" || g.Size < 1 || len(g.Prompt) > MaxPrompt {
+		return fmt.Errorf("group %q of size %d with a prompt of %d bytes: %w", g.ID, g.Size, len(g.Prompt), ErrGroupInvalid)
 	}
 	if old, ok := o.groups[g.ID]; ok {
 		if old.Group != g {
--- a/core/sample/sample.go
+++ b/core/sample/sample.go
@@ -53,6 +53,10 @@
 	return n
 }
 
+// MaxPrompt is the longest prompt of a group, in bytes. A group and a sample of
+// it must fit into one message between instances.
+const MaxPrompt = 2 << 20
+
 // Group is a prompt whose samples are delivered together.
 type Group struct {
 	ID        string `json:"id" cbor:"1,keyasint"`
@@ -99,7 +103,7 @@
 // Errors of Owner.
 var (
 	ErrGroupExists   = errors.New("group was submitted with other contents")
-	ErrGroupInvalid  = errors.New("group needs an id and a size from 1")
+	ErrGroupInvalid  = errors.New("group needs an id, a size from 1 and a prompt within the limit")
 	ErrGroupsUnknown = errors.New("groups of the open batch are unknown, submit them again")
 	ErrStepClosed    = errors.New("step is closed")
 	ErrTooManyGroups = errors.New("too many groups are open")
--- a/internal/samples/http.go
+++ b/internal/samples/http.go
@@ -161,6 +161,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	if call.Submit != nil {
+		return forwardReply{}, m.forwardGroups(ctx, address, call.Trainer, call.Submit.Groups)
+	}
+	reply, err := m.forward(ctx, address, call)
+	if err != nil {
+		return reply, err
+	}
+	return reply, m.restOfBatch(ctx, address, call.Trainer, &reply)
+}
+
+func (m *Manager) forward(ctx context.Context, address string, call forwardCall) (forwardReply, error) {
 	var reply forwardReply
 	if err := m.Peers.Call(ctx, address, peer.KindTrainer, call, &reply); err != nil {
 		return reply, err
@@ -168,7 +179,25 @@
 	if reply.Refusal != nil {
 		return reply, reply.Refusal
 	}
-	return reply, m.restOfBatch(ctx, address, call.Trainer, &reply)
+	return reply, nil
+}
+
+// forwardGroups sends groups in messages that a session carries. A part that
+// arrived when a later one did not is submitted again by the trainer, which is
+// idempotent.
+func (m *Manager) forwardGroups(ctx context.Context, address, trainer string, groups []sample.Group) error {
+	for _, g := range groups {
+		if len(g.Prompt) > sample.MaxPrompt {
+			return fmt.Errorf("group %q with a prompt of %d bytes: %w", g.ID, len(g.Prompt), sample.ErrGroupInvalid)
+		}
+	}
+	for _, page := range split(sample.Contents{Groups: groups}) {
+		call := forwardCall{Trainer: trainer, Submit: &SubmitRequest{Groups: page.Groups}}
+		if _, err := m.forward(ctx, address, call); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // restOfBatch fetches the pages that did not fit into the first answer.
--- a/internal/samples/manager.go
+++ b/internal/samples/manager.go
@@ -165,7 +165,7 @@
 		}
 		errs = append(errs, o.submit(g))
 	}
-	o.flush(ctx)
+	o.flush(ctx, mirrorTimeout)
 	return errors.Join(errs...)
 }
 
--- a/internal/samples/mirror.go
+++ b/internal/samples/mirror.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	mirrorTimeout = time.Second
-	pageBytes     = 1 << 20 // of samples and prompts in one message, roughly
+	mirrorTimeout = time.Second      // that a trainer's call waits for the mirror, and a new owner for its peers
+	mirrorPeriod  = 10 * time.Second // of one transfer in the background
+	pageBytes     = 1 << 20          // of samples and prompts in one message, roughly
 	staleMirror   = time.Minute
 )
 
@@ -77,17 +78,18 @@
 	trainer string
 	term    record.Offset
 
-	sending sync.Mutex // one message at a time
-	peer    string     // id of the mirror
+	sending chan struct{} // one transfer at a time
+	peer    string        // id of the mirror
 	seq     uint64
 	synced  bool // the mirror has all but pending
 
 	mu      sync.Mutex
 	pending sample.Contents
+	failed  bool // the last transfer
 }
 
 func newReplica(trainer string, term record.Offset) *replica {
-	return &replica{trainer: trainer, term: term}
+	return &replica{trainer: trainer, term: term, sending: make(chan struct{}, 1)}
 }
 
 func (r *replica) add(c sample.Contents) {
@@ -97,10 +99,11 @@
 	r.pending.Samples = append(r.pending.Samples, c.Samples...)
 }
 
+// dirty reports whether the mirror lacks something.
 func (r *replica) dirty() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.pending.Groups)+len(r.pending.Samples) > 0
+	return r.failed || len(r.pending.Groups)+len(r.pending.Samples) > 0
 }
 
 func (r *replica) takePending() sample.Contents {
@@ -111,6 +114,14 @@
 	return c
 }
 
+// noteOutcome is called while sending is held.
+func (r *replica) noteOutcome(ok bool) {
+	r.synced = ok
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failed = !ok
+}
+
 // mirrorPeer chooses the mirror: a live peer, in another data centre if one is.
 func mirrorPeer(s *control.Snapshot, trainer string) (member.Status, bool) {
 	var near, far []string
@@ -130,17 +141,25 @@
 	return p, ok
 }
 
-// flush brings the mirror up to date. A mirror that can't be reached delays
-// nothing: lost contents are produced again under the same ids.
-func (o *owner) flush(ctx context.Context) {
+// flush brings the mirror up to date within the timeout. A mirror that can't be
+// reached holds up nothing beyond it: lost contents are produced again under the
+// same ids.
+func (o *owner) flush(ctx context.Context, timeout time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	r := o.replica
-	r.sending.Lock()
-	defer r.sending.Unlock()
+	select {
+	case r.sending <- struct{}{}:
+		defer func() { <-r.sending }()
+	case <-ctx.Done():
+		return
+	}
 	p, ok := mirrorPeer(o.m.Loop.Snapshot(), o.trainer)
+	contents := r.takePending()
 	if !ok {
+		r.noteOutcome(false) // the next mirror gets everything
 		return
 	}
-	contents := r.takePending()
 	full := !r.synced || r.peer != p.ID
 	if full {
 		o.mu.Lock()
@@ -151,10 +170,8 @@
 		return
 	}
 	r.peer = p.ID
-	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
-	defer cancel()
 	err := o.sendPages(ctx, p.Address, split(contents), full)
-	r.synced = err == nil
+	r.noteOutcome(err == nil)
 	if err != nil {
 		o.m.Events.Record("mirror failed", events.F("trainer", o.trainer), events.F("peer", p.ID), events.F("error", err.Error()))
 	}
--- a/internal/samples/owner.go
+++ b/internal/samples/owner.go
@@ -142,7 +142,7 @@
 		case <-ticker.C:
 		}
 		if o.replica.dirty() {
-			o.flush(o.ctx)
+			o.flush(o.ctx, mirrorPeriod)
 		}
 	}
 }
@@ -289,7 +289,7 @@
 
 // handOver mirrors the contents and checks the lease as the last step.
 func (o *owner) handOver(ctx context.Context, batch *sample.Batch) (*sample.Batch, error) {
-	o.flush(ctx)
+	o.flush(ctx, mirrorTimeout)
 	if !o.held(o.m.Loop.Snapshot().Config.Control.OrderFlight) {
 		return nil, fmt.Errorf("trainer %q: %w", o.trainer, ErrNoOwner)
 	}
--- a/internal/samples/samples_test.go
+++ b/internal/samples/samples_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -191,6 +192,32 @@
 		}),
 	)
 
+	It("takes and hands over what is larger than one message between instances", func() {
+		b := startBox()
+		owner := ""
+		Eventually(func() string { owner = b.owner(); return owner }).WithTimeout(eventually).ShouldNot(BeEmpty())
+		for _, m := range b.Members() {
+			if m.ID != owner {
+				b.SetBases([]string{m.TrainerURL()})
+			}
+		}
+		var groups []sample.Group
+		for i := range 8 {
+			groups = append(groups, sample.Group{ID: fmt.Sprintf("g%d", i), Prompt: strings.Repeat(fmt.Sprint(i), 1<<20), MaxTokens: tokens, Size: 1})
+		}
+		Expect(b.Submit(b.ctx, groups)).To(Succeed())
+		batch, err := b.Take(b.ctx, 8, 8)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(batch.Samples).To(HaveLen(8))
+		for i := range batch.Samples {
+			Expect(batch.Samples[i].Prompt == groups[i].Prompt).To(BeTrue(), "prompt of %s", batch.Samples[i].ID)
+		}
+		_, err = b.Ask(b.ctx, 0, 0)
+		Expect(err).NotTo(HaveOccurred())
+		err = b.Submit(b.ctx, []sample.Group{{ID: "huge", Prompt: strings.Repeat("x", 3<<20), Size: 1}})
+		Expect(refusal(err).Code).To(Equal("invalid_group"))
+	})
+
 	It("generates nothing for a group that was delivered, also after the loss of the owner", func() {
 		b := startBox()
 		b.submit(1)
