--- a/internal/metering/exchange.go
+++ b/internal/metering/exchange.go
@@ -8,6 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/plan"
 	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -27,6 +28,10 @@
 // Batch is the message that carries reports to a mirror or to the lease's holder.
 type Batch struct {
 	Reports []usage.Report `cbor:"1,keyasint"`
+	// Source and Steps are only for the holder of the lease: the open steps of the
+	// trainers that the sender owns.
+	Source string          `cbor:"2,keyasint"`
+	Steps  []plan.OpenStep `cbor:"3,keyasint"`
 }
 
 // Ack answers a Batch.
@@ -40,13 +45,17 @@
 	loop  *control.Loop
 	peers *peer.Pool
 
+	ownSteps func() []plan.OpenStep
+
 	mu    sync.Mutex
 	acked map[string]map[string]uint64 // revision by receiver and source
+	heard map[string]heardSteps        // by source
+	told  bool                         // the holder knows of open steps
 }
 
 // NewExchange returns an exchange of the meter's reports.
 func NewExchange(m *Meter, l *control.Loop, p *peer.Pool) *Exchange {
-	return &Exchange{meter: m, loop: l, peers: p, acked: map[string]map[string]uint64{}}
+	return &Exchange{meter: m, loop: l, peers: p, acked: map[string]map[string]uint64{}, heard: map[string]heardSteps{}}
 }
 
 // Run exchanges reports at every interval until ctx ends.
@@ -58,7 +67,8 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-			e.pass(ctx)
+			// A report that was not acknowledged is sent again at the next interval.
+			_ = e.Flush(ctx)
 			timer.Reset(e.interval())
 		}
 	}
@@ -79,13 +89,16 @@
 		return nil, err
 	}
 	e.meter.Take(batch.Reports)
+	e.hear(batch)
 	return Ack{}, nil
 }
 
-func (e *Exchange) pass(ctx context.Context) {
+// Flush sends now what receivers have not acknowledged. An instance that leaves
+// calls it after its last request.
+func (e *Exchange) Flush(ctx context.Context) error {
 	s := e.loop.Snapshot()
 	if s.Config == nil {
-		return
+		return nil
 	}
 	e.meter.Follow(s.Config.Usage.Window, s.Billing)
 	own := e.meter.Report()
@@ -94,26 +107,39 @@
 	holder, remote := holderOf(s)
 	if remote {
 		reports := append(e.meter.Orphans(Live(s)), own)
-		g.Go(func() error { return e.send(ctx, holder, reports) })
+		g.Go(func() error { return e.send(ctx, holder, reports, e.forHolder()) })
 	}
 	if mirror, ok := MirrorOf(s); ok {
-		g.Go(func() error { return e.send(ctx, mirror, []usage.Report{own}) })
+		g.Go(func() error { return e.send(ctx, mirror, []usage.Report{own}, Batch{}) })
+	}
+	return g.Wait()
+}
+
+// forHolder returns a batch with the open steps, if there are any to tell or to
+// take back.
+func (e *Exchange) forHolder() Batch {
+	steps := e.steps()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if len(steps) == 0 && !e.told {
+		return Batch{}
 	}
-	// A report that was not acknowledged is sent again at the next interval.
-	_ = g.Wait()
+	e.told = len(steps) > 0
+	return Batch{Source: e.loop.Holder(), Steps: steps}
 }
 
-// send sends what the receiver has not acknowledged.
-func (e *Exchange) send(ctx context.Context, to member.Status, reports []usage.Report) error {
+// send sends the batch with the reports that the receiver has not acknowledged.
+func (e *Exchange) send(ctx context.Context, to member.Status, reports []usage.Report, batch Batch) error {
 	receiver := control.HolderName(to.Peer)
 	due := e.unacked(receiver, reports)
-	if len(due) == 0 {
+	if len(due) == 0 && batch.Source == "" {
 		return nil
 	}
+	batch.Reports = due
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var ack Ack
-	if err := e.peers.Call(ctx, to.Address, peer.KindUsage, Batch{due}, &ack); err != nil {
+	if err := e.peers.Call(ctx, to.Address, peer.KindUsage, batch, &ack); err != nil {
 		return err
 	}
 	e.mu.Lock()
