--- a/internal/demo/orders.go
+++ b/internal/demo/orders.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// plannedStop drains the engine that serves an open stream and waits for its stop.
-func (s *site) plannedStop(ctx context.Context) error {
+// targetStopped drains the engine that serves an open stream and waits for its stop.
+func (s *site) targetStopped(ctx context.Context) error {
 	const prompt = "a planned stop"
 	drained := make(chan error, 1)
 	var victim string
--- a/internal/demo/retries.go
+++ b/internal/demo/retries.go
@@ -14,12 +14,10 @@
 )
 
 const (
-	longAnswer   = 400 // tokens; about a second
-	faultAt      = 20  // token at which a fault strikes
-	requestID    = "X-Request-Id"
-	outcomeField = "X-Amaranth-Outcome"
-	notRun       = "not run"
-	stopTimeout  = 20 * time.Second
+	longAnswer  = 400 // tokens; about a second
+	faultAt     = 20  // token at which a fault strikes
+	requestID   = "X-Request-Id"
+	stopTimeout = 20 * time.Second
 )
 
 // runsOn returns the target whose engine has the prompt's generation.
@@ -72,7 +70,7 @@
 	}
 	defer res.Body.Close()
 	data, err := io.ReadAll(res.Body)
-	return plainReply{res.StatusCode, res.Header.Get(outcomeField), string(data)}, err
+	return plainReply{res.StatusCode, res.Header.Get(outcomeHeader), string(data)}, err
 }
 
 // nonRepeatable returns a plain service with its non-repeatable route.
@@ -202,8 +200,8 @@
 	return before, nil
 }
 
-// instanceStop stops an instance while it relays a stream.
-func (s *site) instanceStop(ctx context.Context) error {
+// instanceStopped stops an instance while it relays a stream.
+func (s *site) instanceStopped(ctx context.Context) error {
 	const prompt = "an instance stops"
 	m, err := s.AddInstance(ctx)
 	if err != nil {
