Control: fair append rates, a hanging log does not hold up what peers know

Cause: rates that grew with accepted calls favoured who was ahead; a log that hangs instead of refusing delayed each proof of freshness by 3 s, near the bound; nothing checked that a checkpoint at any record gives the same state.

--- /dev/null
+++ b/core/fold/property_test.go
@@ -0,0 +1,87 @@
+package fold_test
+
+import (
+	"testing"
+
+	"github.com/google/uuid"
+	"pgregory.net/rapid"
+
+	"github.com/amaranthfold/amaranthfold/core/fold"
+	"github.com/amaranthfold/amaranthfold/core/record"
+)
+
+// anyBody draws a record's body from few names, so that records meet.
+func anyBody(t *rapid.T) record.Body {
+	name := rapid.SampledFrom([]string{"a", "b"})
+	switch rapid.IntRange(0, 7).Draw(t, "kind") {
+	case 0:
+		return record.Config{YAML: []byte(yaml)}
+	case 1:
+		return record.KeyGrant{KeyID: name.Draw(t, "key"), Account: rapid.SampledFrom([]string{"shop", "nobody"}).Draw(t, "account")}
+	case 2:
+		return record.KeyWithdraw{KeyID: name.Draw(t, "key"), Account: "shop"}
+	case 3:
+		return record.Lease{Name: "deployment", Holder: rapid.SampledFrom([]string{"a", "b", ""}).Draw(t, "holder")}
+	case 4:
+		return record.OrderIntent{OrderID: name.Draw(t, "order"), Lease: "deployment"}
+	case 5:
+		return record.OrderDone{OrderID: name.Draw(t, "order")}
+	case 6:
+		return record.UsageSeal{Lease: "deployment", Window: rapid.Int64Range(1, 5).Draw(t, "window")}
+	default:
+		return record.UsageSent{Window: rapid.Int64Range(1, 5).Draw(t, "window")}
+	}
+}
+
+// TestAnyCheckpoint folds a random log whole, and from a checkpoint taken at any
+// record of it. Both must end in the same state.
+func TestAnyCheckpoint(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole := fold.New()
+		var joined *fold.State
+		n := rapid.IntRange(1, 40).Draw(t, "records")
+		at := rapid.IntRange(0, n-1).Draw(t, "checkpoint")
+		for i := range n {
+			if i == at {
+				joined = viaCheckpoint(t, whole)
+			}
+			env := record.Envelope{
+				ID: uuid.UUID{byte(rapid.IntRange(1, 30).Draw(t, "id"))}, Author: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "author"),
+				Supersedes: record.Offset(rapid.IntRange(0, i).Draw(t, "supersedes")),
+			}
+			data, err := record.EncodeAs(env, anyBody(t))
+			if err != nil {
+				t.Fatal(err)
+			}
+			want := apply(t, whole, data)
+			if joined != nil && apply(t, joined, data) != want {
+				t.Fatalf("record %d: verdict differs from %s", i, want)
+			}
+		}
+		a, errA := whole.Digest()
+		b, errB := joined.Digest()
+		if errA != nil || errB != nil || a != b || whole.Chain != joined.Chain {
+			t.Fatalf("states differ after %d records, checkpoint before record %d: %v, %v", n, at, errA, errB)
+		}
+	})
+}
+
+func viaCheckpoint(t *rapid.T, s *fold.State) *fold.State {
+	parts, err := s.CheckpointParts()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := fold.Restore(parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+func apply(t *rapid.T, s *fold.State, data []byte) fold.Verdict {
+	res, err := s.Apply(s.Applied+1, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return res.Verdict
+}
--- a/internal/control/appender.go
+++ b/internal/control/appender.go
@@ -28,13 +28,14 @@
 	laneWorkers      = 2 // calls in flight per lane
 
 	// The rate of calls below the urgent class follows the log's refusals: it
-	// halves at each and grows slowly otherwise, so that the instances that
-	// append share the log's budget.
-	maxAppendRate  = 100.0 // calls a second
-	minAppendRate  = 0.5
-	rateGrowth     = 1.0 // calls a second, per accepted call
-	rateBurst      = 4
-	rateStepPeriod = 200 * time.Millisecond
+	// halves at each and grows by the same amount a second on every instance, so
+	// that the instances that append come to share the log's budget evenly.
+	maxAppendRate   = 100.0 // calls a second
+	firstAppendRate = 10.0
+	minAppendRate   = 1.0
+	rateGrowth      = 1.0 // calls a second, each second
+	rateBurst       = 4
+	rateStepPeriod  = 200 * time.Millisecond
 )
 
 // entry is one or several records that must stand together in the log.
@@ -159,8 +160,10 @@
 			continue
 		}
 		if err := a.call(ctx, batch); err != nil {
-			a.refused(batch, err)
-			sleep(ctx, retry.NextBackOff())
+			a.refused(ctx, batch, err)
+			if l == laneUrgent || !errors.Is(err, platform.ErrBusy) { // the pace waits after a refusal
+				sleep(ctx, retry.NextBackOff())
+			}
 			a.signal(l)
 			continue
 		}
@@ -236,9 +239,9 @@
 
 // refused puts a failed batch back, in order, or gives up an entry that the log
 // refuses by itself. What the log refused in company is tried alone.
-func (a *appender) refused(batch []*entry, err error) {
+func (a *appender) refused(ctx context.Context, batch []*entry, err error) {
 	if errors.Is(err, platform.ErrRejected) {
-		a.rejected(batch, err)
+		a.rejected(ctx, batch, err)
 		return
 	}
 	noEffect := errors.Is(err, platform.ErrBusy)
@@ -251,9 +254,9 @@
 	}
 }
 
-func (a *appender) rejected(batch []*entry, err error) {
+func (a *appender) rejected(ctx context.Context, batch []*entry, err error) {
 	if len(batch) > 1 {
-		a.alone(batch)
+		a.alone(ctx, batch)
 		return
 	}
 	e := batch[0]
@@ -264,11 +267,11 @@
 	}
 }
 
-func (a *appender) alone(batch []*entry) {
+func (a *appender) alone(ctx context.Context, batch []*entry) {
 	for _, e := range batch {
-		err := a.call(context.Background(), []*entry{e})
+		err := a.call(ctx, []*entry{e})
 		if err != nil {
-			a.refused([]*entry{e}, err)
+			a.refused(ctx, []*entry{e}, err)
 		}
 	}
 }
@@ -282,7 +285,7 @@
 	lowerYet bool
 }
 
-func newPace() *pace { return &pace{limiter: rate.NewLimiter(maxAppendRate, rateBurst)} }
+func newPace() *pace { return &pace{limiter: rate.NewLimiter(firstAppendRate, rateBurst)} }
 
 func (p *pace) wait(ctx context.Context) error { return p.limiter.Wait(ctx) }
 
@@ -293,7 +296,7 @@
 	limit := float64(p.limiter.Limit())
 	switch {
 	case err == nil:
-		limit = min(maxAppendRate, limit+rateGrowth)
+		limit = min(maxAppendRate, limit+rateGrowth/limit)
 	case errors.Is(err, platform.ErrBusy) && (!p.lowerYet || now-p.lowered >= rateStepPeriod):
 		limit = max(minAppendRate, limit/2)
 		p.lowered, p.lowerYet = now, true
--- a/internal/control/beat_test.go
+++ b/internal/control/beat_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -125,6 +126,9 @@
 			Address: "10.120.130.140:8083", Operator: "https://10.120.130.140:8082", State: platform.Live,
 		})
 	}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
 	first := listed[0]
 	member0 := still(clock, member.Peer{ID: first.ID, Incarnation: first.Incarnation, DataCentre: first.DataCentre, Address: first.Address, Operator: first.Operator})
 	data, err := record.Encode(newID(), "a", 0, record.Config{YAML: []byte(testConfig)})
@@ -181,6 +185,10 @@
 			member0.publish()
 		}
 	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(member0)
+	b.ReportMetric((float64(after.HeapAlloc)-float64(before.HeapAlloc))/(1<<20), "heap-MB")
 	b.ReportMetric(bytes, "bytes/s")
 	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/1e9*100, "%core")
 }
--- a/internal/control/control_bench_test.go
+++ b/internal/control/control_bench_test.go
@@ -1,8 +1,12 @@
 package control
 
 import (
+	"context"
 	"fmt"
+	"math"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,7 +15,11 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
+	"github.com/amaranthfold/amaranthfold/internal/standin"
+	"github.com/amaranthfold/amaranthfold/internal/standin/logstore"
 )
 
 // holderOf returns the node that holds the deployment's lease, or nil.
@@ -144,3 +152,69 @@
 	Expect(unix.Getrusage(unix.RUSAGE_SELF, &u)).To(Succeed())
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkAppenders measures how instances that all append share a log of 200
+// calls a second: accepted and refused calls, and the least against the most that
+// one of them got through.
+func BenchmarkAppenders(t *testing.B) {
+	for _, n := range []int{4, 16, 64} {
+		t.Run(fmt.Sprint("appenders=", n), func(t *testing.B) { benchAppenders(t, n) })
+	}
+}
+
+// tally counts one appender's calls.
+type tally struct {
+	*platform.Log
+	accepted, refused atomic.Int64
+}
+
+func (c *tally) Append(ctx context.Context, records [][]byte) ([]int64, error) {
+	offsets, err := c.Log.Append(ctx, records)
+	if err == nil {
+		c.accepted.Add(1)
+	} else {
+		c.refused.Add(1)
+	}
+	return offsets, err
+}
+
+func benchAppenders(t *testing.B, n int) {
+	RegisterTestingT(t)
+	const span = 4 * time.Second
+	store := logstore.New(logstore.Config{AppendsPerSecond: 200})
+	server, err := standin.Serve(store.Handler())
+	Expect(err).NotTo(HaveOccurred())
+	defer server.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	counts := make([]*tally, n)
+	var wg sync.WaitGroup
+	for i := range counts {
+		counts[i] = &tally{Log: platform.NewLog(server.URL)}
+		a := newAppender(counts[i], clock.System{}, events.New("a", nil, time.Now))
+		wg.Go(func() { _ = a.run(ctx) })
+		wg.Go(func() {
+			for ctx.Err() == nil {
+				_ = a.submit(&entry{id: newID(), class: classLedger, data: [][]byte{{1}}}) // a full queue will do
+				sleep(ctx, time.Millisecond)
+			}
+		})
+	}
+	time.Sleep(span) // the rates settle
+	for _, c := range counts {
+		c.accepted.Store(0)
+		c.refused.Store(0)
+	}
+	time.Sleep(span)
+	accepted, refused, least, most := 0.0, 0.0, math.Inf(1), 0.0
+	for _, c := range counts {
+		got := float64(c.accepted.Load())
+		accepted += got
+		refused += float64(c.refused.Load())
+		least, most = min(least, got), max(most, got)
+	}
+	cancel()
+	wg.Wait()
+	t.ReportMetric(accepted/span.Seconds(), "accepted/s")
+	t.ReportMetric(refused/accepted, "refused/accepted")
+	t.ReportMetric(least/most, "least/most")
+}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -16,8 +16,10 @@
 	*Loop
 	next    int64 // offset to read next
 	attempt int   // rotates the peers that are asked
-	failing bool
-	stuck   bool
+
+	logFailing bool // the log itself did not answer the last time
+	failing    bool // nor did any peer
+	stuck      bool // no state was found to join from
 }
 
 // tail follows the log: directly where this instance is one of its data
@@ -57,35 +59,32 @@
 	return true
 }
 
+// read reads from the log or from a peer. While the log does not answer, only
+// every other attempt tries it first: a log that hangs must not hold up what
+// peers know.
 func (f *follower) read(ctx context.Context, s *Snapshot) (logRead, error) {
-	var relayErr error
-	if s.Config != nil && !s.isReader(s.Self.ID) {
-		read, err := f.relayed(ctx, s)
-		if err == nil {
+	f.attempt++
+	viaPeer := s.Config != nil && !s.isReader(s.Self.ID) || f.logFailing && f.attempt%2 == 0
+	if viaPeer {
+		if read, err := f.relayed(ctx, s); err == nil {
 			return read, nil
 		}
-		relayErr = err
 	}
 	sentAt := f.Clock.Now()
 	reply, err := f.readLog(ctx, f.next, readWait)
-	if err == nil || errors.Is(err, platform.ErrTrimmed) {
+	f.logFailing = err != nil && !errors.Is(err, platform.ErrTrimmed)
+	if !f.logFailing {
 		return logRead{sentAt: sentAt, proved: true, reply: reply}, err
 	}
-	if relayErr == nil {
-		var read logRead
-		if read, relayErr = f.relayed(ctx, s); relayErr == nil {
-			return read, nil
-		}
-	}
-	if errors.Is(relayErr, platform.ErrTrimmed) {
-		return logRead{}, relayErr
+	read, relayErr := f.relayed(ctx, s)
+	if relayErr == nil || errors.Is(relayErr, platform.ErrTrimmed) {
+		return read, relayErr
 	}
 	return logRead{}, err
 }
 
 // relayed asks peers in turn. A peer that is behind counts as no answer.
 func (f *follower) relayed(ctx context.Context, s *Snapshot) (logRead, error) {
-	f.attempt++
 	err := errRelay
 	for _, address := range relays(s, f.attempt) {
 		read, callErr := f.readRelayed(ctx, address, f.next)
--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -31,7 +31,9 @@
 // gatedLog is one instance's way to the log, which a test can cut.
 type gatedLog struct {
 	*platform.Log
-	cut atomic.Bool
+	cut   atomic.Bool
+	hangs atomic.Bool
+	reads atomic.Int64
 }
 
 func (g *gatedLog) Append(ctx context.Context, records [][]byte) ([]int64, error) {
@@ -42,9 +44,14 @@
 }
 
 func (g *gatedLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (platform.ReadReply, error) {
+	g.reads.Add(1)
 	if g.cut.Load() {
 		return platform.ReadReply{}, platform.ErrUnavailable
 	}
+	if g.hangs.Load() {
+		<-ctx.Done()
+		return platform.ReadReply{}, platform.ErrUnavailable
+	}
 	return g.Log.Read(ctx, from, limit, wait)
 }
 
@@ -280,6 +287,26 @@
 	})
 })
 
+var _ = Describe("A log that hangs for one instance", func() {
+	It("does not hold up what its peers know", func() {
+		b := newBench()
+		reader, hung := b.start(false), b.start(false)
+		at := b.configure(reader)
+		Eventually(inForce(hung), "30s").Should(Equal(at))
+		Eventually(func() int { return len(hung.Snapshot().Peers) }, "30s").Should(Equal(1))
+		hung.log.hangs.Store(true)
+		reads, proofs, last := hung.log.reads.Load(), 0, hung.Snapshot().FreshAt
+		Eventually(func() int {
+			if at := hung.Snapshot().FreshAt; at > last {
+				last = at
+				proofs++
+			}
+			return proofs
+		}, "60s", "5ms").Should(BeNumerically(">=", 4))
+		Expect(hung.log.reads.Load()-reads).To(BeNumerically("<=", 3), "half of the proofs come without asking the log")
+	})
+})
+
 func lastOffset(n *node) int64 { return int64(n.Snapshot().Offset) }
 
 // spoil changes a control loop's state behind its back.
