--- a/internal/demo/orders.go
+++ b/internal/demo/orders.go
@@ -152,8 +152,8 @@
 	}
 }
 
-// plannedStop drains the engine that serves an open stream and waits for its stop.
-func (s *site) plannedStop(ctx context.Context) error {
+// targetStopped drains the engine that serves an open stream and waits for its stop.
+func (s *site) targetStopped(ctx context.Context) error {
 	const prompt = "a planned stop"
 	drained := make(chan error, 1)
 	var victim string
@@ -233,12 +233,10 @@
 	}
 	s.Kill(m.ID)
 	s.announceMembers()
-	s.coach.SetBases(s.announce.Trainer)
 }
 
 func (s *site) caughtUp() bool {
 	s.announceMembers()
-	s.coach.SetBases(s.announce.Trainer)
 	for _, m := range s.Members() {
 		snapshot := m.Loop.Snapshot()
 		if snapshot.Config == nil || !snapshot.Fresh(m.Clock().Now(), snapshot.Config.Control.FreshFor) || len(snapshot.Owners) < len(s.Members()) {
