--- a/internal/caller/limits_test.go
+++ b/internal/caller/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/limit"
 	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
@@ -95,3 +97,26 @@
 	g.Expect(l.shares).To(BeEmpty())
 	g.Expect(l.books).To(BeEmpty())
 }
+
+// BenchmarkAllotBytes reports what a holder's asks for 12 accounts of one owner
+// cost on the wire, before framing.
+func BenchmarkAllotBytes(b *testing.B) {
+	var call allotCall
+	var reply allotReply
+	for i := range 12 {
+		call.Accounts = append(call.Accounts, fmt.Sprintf("client-account-%d", i))
+		call.Asks = append(call.Asks, limit.Ask{Rate: 123.4, Peak: 17, InFlight: 16, Held: limit.Part{Rate: 98.7, Concurrency: 16, MoreRate: true}})
+		reply.Parts = append(reply.Parts, limit.Part{Rate: 98.7, Concurrency: 16, MoreRate: true})
+	}
+	for b.Loop() {
+		sent, err := record.Marshal(call)
+		if err != nil {
+			b.Fatal(err)
+		}
+		received, err := record.Marshal(reply)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.ReportMetric(float64(len(sent)+len(received))*float64(time.Second/limit.AskInterval), "B/s")
+	}
+}
