Claims: specs for a dead claimant and a lost log answer, drain command

Change: specs on a killed claimant, lost answers of the log, and the command drain; a claim that was given up stays so.

Conclusion: a repeat after its claimant's death is refused as unknown (409), and the request ran once.

--- a/core/claim/claim.go
+++ b/core/claim/claim.go
@@ -96,7 +96,7 @@
 // Take claims a request for holder.
 func (t *Table) Take(holder string, at int64, c Claim) Decision {
 	t.load()
-	if t.voids[Void{c.ID, holder}] {
+	if t.voids[Void{c.ID, holder}] || t.givenUp(c.ID) {
 		return Decision{ID: c.ID, Holder: holder, Same: true, Horizon: t.Horizon}
 	}
 	if i, claimed := t.standing[c.Key]; claimed {
@@ -129,6 +129,12 @@
 	return len(t.standing)
 }
 
+// givenUp reports whether the claim was read and given up before.
+func (t *Table) givenUp(id ID) bool {
+	i, known := t.byID[id]
+	return known && t.Entries[i].Void
+}
+
 func (t *Table) voidLater(v Void) {
 	if t.voids[v] {
 		return
--- a/core/claim/claim_test.go
+++ b/core/claim/claim_test.go
@@ -30,6 +30,7 @@
 		{"given up", func(t *claim.Table) { t.Take("b", 0, other); t.GiveUp("b", other.ID) }, first, claim.Decision{ID: first.ID, Taken: true, Holder: "a", Same: true}},
 		{"given up by another", func(t *claim.Table) { t.Take("b", 0, other); t.GiveUp("c", other.ID) }, first, claim.Decision{ID: first.ID, Holder: "b", Same: true}},
 		{"given up before it was read", func(t *claim.Table) { t.GiveUp("a", first.ID) }, first, claim.Decision{ID: first.ID, Holder: "a", Same: true}},
+		{"folded again after it was given up", func(t *claim.Table) { t.Take("a", 0, first); t.GiveUp("a", first.ID) }, first, claim.Decision{ID: first.ID, Holder: "a", Same: true}},
 		{"folded again", func(t *claim.Table) { t.Take("a", 0, first) }, first, claim.Decision{ID: first.ID, Taken: true, Holder: "a", Same: true}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/caller/once_test.go
+++ b/internal/caller/once_test.go
@@ -1,6 +1,7 @@
 package caller_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -99,6 +100,36 @@
 		Expect(runs("shared")).To(Equal(2))
 	})
 
+	It("runs once when the instance that claimed it dies", func() {
+		m, err := box.AddInstance(context.Background())
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(func() int {
+			res, err := http.Get(m.CallerURL() + "/readyz")
+			Expect(err).NotTo(HaveOccurred())
+			defer res.Body.Close()
+			return res.StatusCode
+		}).WithTimeout(generous).Should(Equal(http.StatusOK))
+		res := post(m.CallerURL(), "/services/pull-desk/holds/7", account, http.Header{"X-Request-Id": {"claimant dies"}}, []byte("issue 7"))
+		Expect(res.StatusCode).To(Equal(http.StatusOK))
+		box.Kill(m.ID)
+		for entry := range announce.Entries {
+			status, outcome, _ := hold(entry, "claimant dies")
+			Expect(status).To(Equal(http.StatusConflict))
+			Expect(outcome).To(Equal("unknown"))
+		}
+		Expect(runs("claimant dies")).To(Equal(1))
+	})
+
+	It("runs once when the log's answer to its claim is lost", func() {
+		box.Log.LoseAnswers(3)
+		DeferCleanup(box.Log.LoseAnswers, 0)
+		for entry := range announce.Entries {
+			status, outcome, body := hold(entry, "claim's answer lost")
+			Expect(status).To(Equal(http.StatusOK), outcome+body)
+		}
+		Expect(runs("claim's answer lost")).To(Equal(1))
+	})
+
 	It("is refused as not run while the log is down, and runs after it", func() {
 		box.Log.SetDown(true)
 		status, outcome, body := hold(0, "outage")
--- a/internal/ctl/operate_test.go
+++ b/internal/ctl/operate_test.go
@@ -134,4 +134,19 @@
 		Expect(code).To(Equal(ctl.ExitFindings))
 		Expect(errOut).To(ContainSubstring("operator key refused"))
 	})
+
+	It("drains a target, lists it, meets a conflict and undoes the drain", func() {
+		target := box.Members()[0].Loop.Snapshot().Targets.Targets("assist-lm")[0].ID
+		Expect(s.ok("drain", target)).To(ContainSubstring("drained at offset"))
+		var drains []operator.DrainStatus
+		Expect(json.Unmarshal([]byte(s.ok("drain", "-o", "json")), &drains)).To(Succeed())
+		Expect(drains).To(HaveLen(1))
+		Expect(drains[0].Target).To(Equal(target))
+		code, _, errOut := s.run("drain", target)
+		Expect(code).To(Equal(ctl.ExitFindings))
+		Expect(errOut).To(ContainSubstring("conflict"))
+		Expect(s.ok("drain", "--undo", target)).To(ContainSubstring("gets new work again"))
+		Expect(json.Unmarshal([]byte(s.ok("drain", "-o", "json")), &drains)).To(Succeed())
+		Expect(drains).To(BeEmpty())
+	})
 })
