Samples: a test that both versions of a sample are labelled

Cause: no case made sure that a swap lands in mid-sample.

Change: versions are published under long samples until one has two segments; every label is compared with what the engine says it ran.

Conclusion: labels follow the engine across a swap.

--- a/internal/samples/samples_test.go
+++ b/internal/samples/samples_test.go
@@ -145,6 +145,24 @@
 	b.SetBases(bases)
 }
 
+// ran returns what the engines say made the sample, if one engine made it whole.
+func (b *box) ran(s *sample.Sample, tokens int) []sample.Segment {
+	for _, e := range b.Engines() {
+		for _, r := range e.Runs() {
+			var segments []sample.Segment
+			n := 0
+			for _, seg := range r.Segments {
+				segments = append(segments, sample.Segment{Version: seg.Version, Tokens: seg.Tokens})
+				n += seg.Tokens
+			}
+			if r.Prompt == s.Prompt && r.Seed == samples.Seed(s.ID) && n == tokens {
+				return segments
+			}
+		}
+	}
+	return nil
+}
+
 func refusal(err error) *trainer.RefusedError {
 	GinkgoHelper()
 	var refused *trainer.RefusedError
@@ -320,6 +338,26 @@
 		Expect(runs(true)).NotTo(Equal(busy.ID))
 	})
 
+	It("labels both versions when a swap lands in mid-sample", func() {
+		b := startBox()
+		const long = 600
+		for step, mixed := 0, false; !mixed; step++ {
+			group := sample.Group{ID: fmt.Sprintf("long-%d", step), Prompt: fmt.Sprintf("long %d", step), MaxTokens: long, Size: 2}
+			Expect(b.Submit(b.ctx, []sample.Group{group})).To(Succeed())
+			b.Weights.Publish(model, b.Version+1)
+			batch, err := b.Take(b.ctx, 1, 1)
+			Expect(err).NotTo(HaveOccurred(), "no sample was made by two versions")
+			for i := range batch.Samples {
+				got := &batch.Samples[i]
+				Expect(got.Tokens()).To(Equal(long))
+				Expect(got.Oldest()).To(BeNumerically(">=", b.Version-1))
+				Expect(got.Segments).To(Equal(b.ran(got, long)))
+				mixed = mixed || len(got.Segments) > 1
+			}
+			b.Version++
+		}
+	})
+
 	It("hands over nothing from an engine that does not know its version", func() {
 		b := startBox()
 		for _, e := range b.Engines() {
