--- a/internal/control/follow_test.go
+++ b/internal/control/follow_test.go
@@ -369,3 +369,25 @@
 		Eventually(func() bool { return n.Snapshot().Fresh(n.Clock.Now(), 2*time.Second) }, "30s").Should(BeFalse())
 	})
 })
+
+var _ = Describe("Hand-over", func() {
+	It("releases the lease, and another instance takes it", func() {
+		b := newBench()
+		nodes := []*node{b.start(false), b.start(false)}
+		b.configure(nodes[0])
+		var holder *node
+		Eventually(func() *node { holder = b.holderOf(); return holder }, "30s").ShouldNot(BeNil())
+		term := holder.Snapshot().Leases[DeploymentLease].Term
+		holder.Yield(context.Background())
+		other := nodes[0]
+		if other == holder {
+			other = nodes[1]
+		}
+		Eventually(func() bool { _, held := other.Held(DeploymentLease, 0); return held }, "30s").Should(BeTrue())
+		Expect(happened(other, "lease released")()).To(BeTrue())
+		guard, _ := other.Held(DeploymentLease, 0)
+		Expect(guard.Fencing).To(BeNumerically(">", term))
+		_, held := holder.Held(DeploymentLease, 0)
+		Expect(held).To(BeFalse())
+	})
+})
