--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -218,7 +218,7 @@
 // logBytes is what the log's records take a second, checkpoints included.
 func logBytes(z Size, s Slopes) float64 {
 	r := LogRecords(z)
-	claims := r.Claims * r.PerRecord * s.ClaimBytes
+	claims := r.Claims * (s.ClaimsBytes + r.PerRecord*s.ClaimBytes)
 	checkpoint := float64(z.Trainers)*s.LedgerBytes + float64(z.Keys)*s.KeyEncoded + s.IDBytes
 	return (r.Total-r.Claims)*s.RecordBytes + claims + checkpoint/z.Checkpoint.Seconds()
 }
--- a/core/capacity/slopes.go
+++ b/core/capacity/slopes.go
@@ -19,6 +19,7 @@
 	RecordCPU    time.Duration // every node: a folded record
 	RecordBytes  float64       // a record on the wire
 	ClaimBytes   float64       // a claim to a non-repeatable request
+	ClaimsBytes  float64       // the record that carries claims
 	BeatCPU      time.Duration // every node: one peer's heartbeat, both directions, with loads and bulletins
 	BeatBytes    float64       // the same on the wire
 	ListedBytes  float64       // an instance or target in the platform's list
@@ -44,7 +45,8 @@
 		RecentBytes:  4 << 20,
 		RecordCPU:    3080 * time.Nanosecond,
 		RecordBytes:  200,
-		ClaimBytes:   100,
+		ClaimBytes:   47,
+		ClaimsBytes:  117,
 		BeatCPU:      143 * time.Microsecond,
 		BeatBytes:    212,
 		ListedBytes:  250,
--- a/internal/ctl/capacity.go
+++ b/internal/ctl/capacity.go
@@ -30,6 +30,7 @@
 			sub.Int(&size.Trainers, "", "trainers", "trainers")
 			sub.Int(&size.Keys, "", "keys", "granted keys")
 			sub.Float64(&size.RequestsPerSecond, "", "requests", "requests a second")
+			sub.Float64(&size.NonRepeatable, "", "non-repeatable", "part of the requests that may not be repeated, 0 to 1")
 			sub.Float64(&size.TokensPerSecond, "", "tokens", "generated tokens a second")
 			sub.Duration(&size.Heartbeat, "", "heartbeat", "time between heartbeats")
 			sub.Duration(&size.LeaseTerm, "", "lease-term", "term of leases")
