Samples: a test that a takeover reads the mirror

Cause: without the mirror the trainer's resubmission gave the same batch, so no case told the two ways apart.

Change: after the loss of the owner the open batch comes without a request to an engine.

Conclusion: the mirror carries contents and groups over a takeover.

--- a/internal/samples/samples_test.go
+++ b/internal/samples/samples_test.go
@@ -145,6 +145,15 @@
 	b.SetBases(bases)
 }
 
+// runs returns how many requests the engines have generated for.
+func (b *box) runs() int {
+	n := 0
+	for _, e := range b.Engines() {
+		n += len(e.Runs())
+	}
+	return n
+}
+
 // ran returns what the engines say made the sample, if one engine made it whole.
 func (b *box) ran(s *sample.Sample, tokens int) []sample.Segment {
 	for _, e := range b.Engines() {
@@ -210,6 +219,16 @@
 		}),
 	)
 
+	It("takes an open batch over from the mirror without generating it again", func() {
+		b := startBox()
+		b.submit(3)
+		lost := b.lose(3)
+		before := b.runs()
+		b.replace(b.owner())
+		Expect(ids(b.take(3))).To(Equal(ids(lost)))
+		Expect(b.runs()).To(Equal(before))
+	})
+
 	It("hands over nothing of its own after a pause past its term", func() {
 		b := startBox()
 		b.submit(3)
