--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -158,16 +158,7 @@
 
 // watch sweeps until ctx ends.
 func (s *sessions) watch(ctx context.Context, loop *control.Loop, c clock.Clock) error {
-	ticker := time.NewTicker(sweepInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			s.sweep(loop.Snapshot(), c.Now())
-		}
-	}
+	return clock.Every(ctx, sweepInterval, func() { s.sweep(loop.Snapshot(), c.Now()) })
 }
 
 const sweepInterval = 100 * time.Millisecond
--- a/internal/caller/claims.go
+++ b/internal/caller/claims.go
@@ -11,6 +11,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/claim"
 	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 )
 
@@ -96,7 +97,7 @@
 			batch := c.gather(first)
 			go c.append(ctx, batch)
 		}
-		if !pause(ctx, c.gap()) {
+		if !clock.Pause(ctx, c.gap()) {
 			return nil
 		}
 	}
@@ -142,7 +143,7 @@
 // confirm.
 func (c *claims) runVoids(ctx context.Context) error {
 	var waiting []claim.ID
-	for pause(ctx, voidInterval) {
+	for clock.Pause(ctx, voidInterval) {
 		waiting = c.gatherVoids(waiting)
 		if len(waiting) == 0 {
 			continue
@@ -169,18 +170,6 @@
 	return waiting
 }
 
-// pause waits and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // claimError is a claim that another attempt holds.
 type claimError struct{ decision claim.Decision }
 
--- a/internal/caller/limits.go
+++ b/internal/caller/limits.go
@@ -172,16 +172,7 @@
 
 // run asks for allotments until ctx ends.
 func (l *limiter) run(ctx context.Context) error {
-	ticker := time.NewTicker(limit.AskInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			l.askAll(ctx)
-		}
-	}
+	return clock.Every(ctx, limit.AskInterval, func() { l.askAll(ctx) })
 }
 
 // askAll asks every owner, once, for the accounts that are in use here.
--- a/internal/caller/moves.go
+++ b/internal/caller/moves.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/retry"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
@@ -56,16 +57,7 @@
 
 // watch moves streams until ctx ends.
 func (m *moves) watch(ctx context.Context, loop *control.Loop, recorder *events.Recorder) error {
-	ticker := time.NewTicker(moveInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			m.sweep(loop.Snapshot(), recorder)
-		}
-	}
+	return clock.Every(ctx, moveInterval, func() { m.sweep(loop.Snapshot(), recorder) })
 }
 
 // sweep ends the attempts at cheap targets that are about to vanish. Other
--- a/internal/certs/certs.go
+++ b/internal/certs/certs.go
@@ -11,6 +11,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 )
 
 // reloadInterval is how often files are looked at.
@@ -96,16 +98,7 @@
 // Watch loads the files again when they change, until ctx ends. A file that
 // does not load leaves the certificate in use; report hears of both.
 func (p *Pair) Watch(ctx context.Context, report func(err error)) error {
-	ticker := time.NewTicker(reloadInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			p.refresh(report)
-		}
-	}
+	return clock.Every(ctx, reloadInterval, func() { p.refresh(report) })
 }
 
 func (p *Pair) refresh(report func(err error)) {
--- /dev/null
+++ b/internal/clock/every.go
@@ -0,0 +1,33 @@
+package clock
+
+import (
+	"context"
+	"time"
+)
+
+// Every calls f at each interval until ctx ends. It returns nil, so that it can
+// end a function of an errgroup.
+func Every(ctx context.Context, interval time.Duration, f func()) error {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			f()
+		}
+	}
+}
+
+// Pause waits for d and reports whether ctx still runs.
+func Pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/control/appender.go
+++ b/internal/control/appender.go
@@ -151,7 +151,7 @@
 			return
 		case <-a.wake[l]:
 		}
-		sleep(ctx, appendGather)
+		clock.Pause(ctx, appendGather)
 		if l == laneOthers && a.pace.wait(ctx) != nil {
 			return
 		}
@@ -162,7 +162,7 @@
 		if err := a.call(ctx, batch); err != nil {
 			a.refused(ctx, batch, err)
 			if l == laneUrgent || !errors.Is(err, platform.ErrBusy) { // the pace waits after a refusal
-				sleep(ctx, retry.NextBackOff())
+				clock.Pause(ctx, retry.NextBackOff())
 			}
 			a.signal(l)
 			continue
@@ -303,12 +303,3 @@
 	}
 	p.limiter.SetLimit(rate.Limit(limit))
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/control/beat.go
+++ b/internal/control/beat.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthfold/amaranthfold/core/drain"
 	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
@@ -80,7 +81,7 @@
 		for _, p := range s.view.routes.Abroad {
 			go l.sendBeat(ctx, p.Address, peer.KindBulletin, b.bulletin(receiver{p.ID, p.Incarnation}, s.view.bulletin))
 		}
-		sleep(ctx, interval)
+		clock.Pause(ctx, interval)
 	}
 	return nil
 }
--- a/internal/control/control_bench_test.go
+++ b/internal/control/control_bench_test.go
@@ -195,7 +195,7 @@
 		wg.Go(func() {
 			for ctx.Err() == nil {
 				_ = a.submit(&entry{id: newID(), class: classLedger, data: [][]byte{{1}}}) // a full queue will do
-				sleep(ctx, time.Millisecond)
+				clock.Pause(ctx, time.Millisecond)
 			}
 		})
 	}
--- a/internal/control/follow.go
+++ b/internal/control/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/record"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
@@ -29,7 +30,7 @@
 	f := &follower{Loop: l, next: 1}
 	for ctx.Err() == nil {
 		if !f.step(ctx) {
-			sleep(ctx, failurePause)
+			clock.Pause(ctx, failurePause)
 		}
 	}
 	return nil
@@ -41,7 +42,7 @@
 	switch s.Halted {
 	case "":
 	case haltDiverged:
-		sleep(ctx, joinPause)
+		clock.Pause(ctx, joinPause)
 		return f.rejoin(ctx)
 	default:
 		return false
@@ -123,7 +124,7 @@
 			f.Events.Record("no state to join from", events.F("error", err.Error()))
 		}
 		f.stuck = true
-		sleep(ctx, joinPause)
+		clock.Pause(ctx, joinPause)
 		return false
 	}
 	f.next, f.stuck = next, false
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 )
 
 const (
@@ -28,7 +30,7 @@
 		if err == nil {
 			l.post(ctx, listRead{instances})
 		}
-		sleep(ctx, listInterval(len(instances)))
+		clock.Pause(ctx, listInterval(len(instances)))
 	}
 	return nil
 }
--- a/internal/control/targets.go
+++ b/internal/control/targets.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/lease"
 	"github.com/amaranthfold/amaranthfold/core/member"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
@@ -101,7 +102,7 @@
 	for ctx.Err() == nil {
 		s := l.Snapshot()
 		if s.Config == nil {
-			sleep(ctx, pollInterval)
+			clock.Pause(ctx, pollInterval)
 			continue
 		}
 		for _, dc := range s.Config.DataCentres {
@@ -109,7 +110,7 @@
 				due[dc.Name] = now + l.refreshTargets(ctx, s, dc.Name)
 			}
 		}
-		sleep(ctx, pollInterval)
+		clock.Pause(ctx, pollInterval)
 	}
 	return nil
 }
--- a/internal/controller/billing.go
+++ b/internal/controller/billing.go
@@ -40,16 +40,7 @@
 
 // Run makes a pass at every interval until ctx ends.
 func (b *Biller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(passInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			b.pass(ctx)
-		}
-	}
+	return clock.Every(ctx, passInterval, func() { b.pass(ctx) })
 }
 
 // pass seals the oldest window that is due, then reports sealed windows in order
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -73,16 +73,7 @@
 
 // Run makes a pass at every interval until ctx ends.
 func (c *Controller) Run(ctx context.Context) error {
-	ticker := time.NewTicker(passInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.pass(ctx)
-		}
-	}
+	return clock.Every(ctx, passInterval, func() { c.pass(ctx) })
 }
 
 // pass settles open orders, then plans and sends new ones, side by side.
--- a/internal/ctl/timeline.go
+++ b/internal/ctl/timeline.go
@@ -11,6 +11,7 @@
 
 	"github.com/integrii/flaggy"
 
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/operator"
@@ -68,7 +69,7 @@
 				if err := t.print(page, &filter, output); err != nil {
 					return err
 				}
-				if !follow || !pause(ctx, followInterval) {
+				if !follow || !clock.Pause(ctx, followInterval) {
 					return nil
 				}
 			}
@@ -76,18 +77,6 @@
 	}
 }
 
-// pause waits and reports whether ctx still runs.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // timeline follows the events of every instance.
 type timeline struct {
 	env     *Env
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -8,6 +8,7 @@
 	"github.com/amaranthfold/amaranthfold/core/admit"
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/route"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 )
@@ -20,19 +21,12 @@
 // Watch polls the load of owned targets, expires waiting requests and tells the
 // control goroutine, until ctx ends.
 func (d *Dispatcher) Watch(ctx context.Context, engines *engine.Client) error {
-	ticker := time.NewTicker(watchInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.Expire()
-			d.reconcile()
-			d.leaveSuspects()
-			d.loop.SetOwnLoads(ctx, d.poll(ctx, engines))
-		}
-	}
+	return clock.Every(ctx, watchInterval, func() {
+		d.Expire()
+		d.reconcile()
+		d.leaveSuspects()
+		d.loop.SetOwnLoads(ctx, d.poll(ctx, engines))
+	})
 }
 
 // poll reads the loads of all owned targets side by side.
--- a/internal/rollout/rollout.go
+++ b/internal/rollout/rollout.go
@@ -80,16 +80,7 @@
 
 // Run makes a pass at every interval until ctx ends.
 func (d *Driver) Run(ctx context.Context) error {
-	ticker := time.NewTicker(passInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			d.pass(ctx)
-		}
-	}
+	return clock.Every(ctx, passInterval, func() { d.pass(ctx) })
 }
 
 // HandleUnfit takes a note of the instance in charge.
