Streams: a request that fails its targets is given up after five

Cause: a request that streams tokens before it crashes its target was resumed up to 16 times, and so could fail 16 targets; each is a loss for every account on it. Ruled out: one bound for all resumes. A stream that is moved because its target is reclaimed has done nothing wrong and keeps 16. Change: at most five resumes after failures. The test of the bound now covers both kinds; the former one counted failures against 16. Conclusion: the blast of a poison request is bounded; retries of requests without any token were bounded at 3 before.

--- a/internal/caller/effort.go
+++ b/internal/caller/effort.go
@@ -18,6 +18,7 @@
 const (
 	maxAttempts = 3  // attempts in a row that bring the request nowhere
 	maxResumes  = 16 // attempts of one stream that brought some tokens
+	maxCuts     = 5  // of these, attempts whose target failed: the request may be what fails them
 )
 
 // effort follows one request over its attempts.
@@ -31,6 +32,7 @@
 	outcome    retry.Outcome
 	fruitless  int // attempts since the last progress
 	resumes    int
+	cuts       int // resumes after a target's failure
 	tried      map[string]bool
 	last       error
 	pause      *backoff.ExponentialBackOff
@@ -107,7 +109,10 @@
 	if progress {
 		e.fruitless, e.pause = 0, nil
 		e.resumes++
-		return e.resumes <= maxResumes
+		if !errors.Is(err, errMoved) {
+			e.cuts++
+		}
+		return e.resumes <= maxResumes && e.cuts <= maxCuts
 	}
 	if e.fruitless++; e.fruitless >= maxAttempts {
 		return false
--- a/internal/caller/resend_test.go
+++ b/internal/caller/resend_test.go
@@ -187,13 +187,19 @@
 	if retried > 2+5 {
 		t.Errorf("%d of 50 requests were sent again, want at most 7", retried)
 	}
-	e := s.newEffort(&call{id: "r"}, "s", true)
-	for range maxResumes {
-		if !e.failed(t.Context(), &route.Target{ID: "a"}, broken, true) {
-			t.Fatal("a stream with progress was not resumed")
+	for _, c := range []struct {
+		name  string
+		err   error
+		bound int
+	}{{"moved", errMoved, maxResumes}, {"cut", broken, maxCuts}} {
+		e := s.newEffort(&call{id: "r"}, "s", true)
+		for range c.bound {
+			if !e.failed(t.Context(), &route.Target{ID: "a"}, c.err, true) {
+				t.Fatalf("a stream with progress was not resumed after it was %s", c.name)
+			}
+		}
+		if e.failed(t.Context(), &route.Target{ID: "a"}, c.err, true) {
+			t.Errorf("resumes of a stream that is %s are not bounded", c.name)
 		}
-	}
-	if e.failed(t.Context(), &route.Target{ID: "a"}, broken, true) {
-		t.Error("resumes are not bounded")
 	}
 }
