Planned stop: callers that the timeout cuts are told so

Change: the requests in flight end with the typed error instance_stopping first, and a second is left for it to arrive. Before: a read error.

--- a/internal/caller/auth.go
+++ b/internal/caller/auth.go
@@ -151,6 +151,15 @@
 	}
 }
 
+// endAll ends every keyed request with the cause.
+func (s *sessions) endAll(cause error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, a := range s.active {
+		a.cancel(cause)
+	}
+}
+
 func granted(snapshot *control.Snapshot, key fold.Key) bool {
 	current, held := snapshot.Keys.Get(key.Digest)
 	return held && current.Account == key.Account && snapshot.Config.Account(key.Account) != nil
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -77,6 +77,9 @@
 	return g.Wait()
 }
 
+// EndAll ends every keyed request in flight with a typed error.
+func (s *Server) EndAll() { s.sessions.endAll(errStopping) }
+
 // Handler routes callers' requests.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
--- a/internal/caller/errors.go
+++ b/internal/caller/errors.go
@@ -23,6 +23,7 @@
 var (
 	errKeyWithdrawn = errors.New("the key has been withdrawn")
 	errStale        = errors.New("this instance has lost touch with the configuration")
+	errStopping     = errors.New("the instance is stopping")
 	errForgotten    = errors.New("the request is older than the claims that are remembered; it may have run")
 	errMoved        = errors.New("the target leaves and its work goes on elsewhere")
 )
@@ -69,6 +70,8 @@
 		return &failure{status: http.StatusUnauthorized, code: "key_withdrawn", outcome: retry.Unknown, message: errKeyWithdrawn.Error()}
 	case errors.Is(err, errStale):
 		return &failure{status: http.StatusServiceUnavailable, code: "not_fresh", outcome: retry.Unknown, message: errStale.Error()}
+	case errors.Is(err, errStopping):
+		return &failure{status: http.StatusServiceUnavailable, code: "instance_stopping", outcome: retry.Unknown, message: errStopping.Error()}
 	case errors.As(err, &refused):
 		shed := refuse(http.StatusServiceUnavailable, "overloaded", err.Error())
 		shed.retryAfter = refused.RetryAfter
--- a/internal/instance/drain.go
+++ b/internal/instance/drain.go
@@ -14,6 +14,7 @@
 	drainNotice   = 2 * time.Second
 	drainPoll     = 20 * time.Millisecond
 	targetsWait   = 10 * time.Second
+	endWindow     = time.Second     // for callers to be told that they were ended
 	releaseWindow = 3 * time.Second // for leases to be read back as released
 )
 
@@ -27,6 +28,7 @@
 	i.Loop.Leave(ctx)
 	if err := i.finishRequests(ctx); err != nil {
 		i.Events.Record("drain cut short", events.F("error", err.Error()))
+		i.endCallers(ctx)
 		return err
 	}
 	if err := i.exchange.Flush(ctx); err != nil {
@@ -51,6 +53,15 @@
 	return await(ctx, func() bool { return i.callerGate.inFlight.Load()+i.trainerGate.inFlight.Load() == 0 })
 }
 
+// endCallers ends the requests in flight with a typed error, which a cut
+// connection could not tell.
+func (i *Instance) endCallers(ctx context.Context) {
+	i.calls.EndAll()
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endWindow)
+	defer cancel()
+	_ = await(ctx, func() bool { return i.callerGate.inFlight.Load() == 0 }) // the rest is cut
+}
+
 // released reports whether the log shows none of this instance's leases.
 func (i *Instance) released() bool {
 	for _, l := range i.Loop.Snapshot().Leases {
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -72,6 +72,7 @@
 	Meter    *metering.Meter
 	Measures *measure.Measures
 	exchange *metering.Exchange
+	calls    *caller.Server
 
 	engines *engine.Client
 	pool    *peer.Pool
@@ -123,6 +124,9 @@
 	i.callerGate.ready, i.trainerGate.ready = i.ready, i.ready
 	i.Meter = metering.New(i.Loop.Holder(), time.Minute)
 	i.Measures = measure.New(cfg.ID)
+	i.calls = caller.New(caller.Options{
+		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
+	})
 	i.exchange = metering.NewExchange(i.Meter, i.Loop, i.pool)
 	i.Dispatch.Measure(i.Measures)
 	return i, nil
@@ -181,9 +185,6 @@
 // Run serves until ctx ends.
 func (i *Instance) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	callers := caller.New(caller.Options{
-		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
-	})
 	trainers := samples.New(ctx, samples.Options{
 		Loop: i.Loop, Dispatch: i.Dispatch, Engines: i.engines, Peers: i.pool, Meter: i.Meter, Clock: i.cfg.Clock, Events: i.Events, Measures: i.Measures,
 	})
@@ -200,7 +201,7 @@
 	billing := controller.NewBiller(controller.BillerOptions{
 		Loop: i.Loop, Clock: i.cfg.Clock, Usage: platform.NewUsage(i.cfg.UsageURL), Meter: i.Meter, Events: i.Events, Measures: i.Measures,
 	})
-	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: callers, trainers: trainers, weights: weights, usage: i.exchange}, i.Events)
+	peers := peer.NewServer(i.cfg.Deployment, &peerHandler{instance: i, callers: i.calls, trainers: trainers, weights: weights, usage: i.exchange}, i.Events)
 	g.Go(func() error { return peers.Serve(ctx, i.peers.Raw()) })
 	i.peers.Watch(ctx, g, i.noteCertificate)
 	g.Go(func() error { return i.Loop.Run(ctx) })
@@ -208,10 +209,10 @@
 	g.Go(func() error { return acting.Run(ctx) })
 	g.Go(func() error { return billing.Run(ctx) })
 	g.Go(func() error { return i.exchange.Run(ctx) })
-	g.Go(func() error { return callers.Run(ctx) })
+	g.Go(func() error { return i.calls.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
 	g.Go(func() error { return weights.Run(ctx) })
-	i.callers.Serve(ctx, g, i.callerGate.wrap(callers.Handler()), i.noteCertificate)
+	i.callers.Serve(ctx, g, i.callerGate.wrap(i.calls.Handler()), i.noteCertificate)
 	i.operators.Serve(ctx, g, (&gate{ready: i.ready}).wrap(operators.Handler()), i.noteCertificate)
 	i.trainers.Serve(ctx, g, i.trainerGate.wrap(trainers.Handler()), i.noteCertificate)
 	err := g.Wait()
