Capacity: engines that crash without a word are replaced

Cause: a target that the platform lists as running while its process is dead counted as capacity for ever; the service ran short and the cost went on. Ruled out: trusting the list (it lags and says running) and acting on failed requests (a poison request fails healthy engines). Change: the owner tells how long an engine has not answered for its load; after capacity.silentAfter the planner drains it, one of a service at a time.

--- a/core/config/capacity.go
+++ b/core/config/capacity.go
@@ -14,6 +14,7 @@
 	DrainSettle time.Duration `yaml:"drainSettle" cbor:"4,keyasint"` // from the drain to the first load report that counts
 	LossShare   float64       `yaml:"lossShare" cbor:"5,keyasint"`   // part of a service's targets that one cheap data centre may hold
 	OrderLag    time.Duration `yaml:"orderLag" cbor:"6,keyasint"`    // from an order's effect to its place in the list of targets
+	SilentAfter time.Duration `yaml:"silentAfter" cbor:"8,keyasint"` // without an answer an engine is replaced
 	UTCOffset   time.Duration `yaml:"utcOffset" cbor:"7,keyasint"`   // of the site's local time
 }
 
@@ -25,6 +26,7 @@
 	defaultDrainSettle = 2 * time.Second
 	defaultLossShare   = 0.5
 	defaultOrderLag    = 2 * time.Second
+	defaultSilentAfter = 30 * time.Second
 	maxUTCOffset       = 14 * time.Hour
 )
 
@@ -35,6 +37,7 @@
 	setDefault(&c.DrainSettle, defaultDrainSettle)
 	setDefault(&c.LossShare, defaultLossShare)
 	setDefault(&c.OrderLag, defaultOrderLag)
+	setDefault(&c.SilentAfter, defaultSilentAfter)
 }
 
 // Schedule raises a service's minimum at times that are known to be busy. Start
@@ -90,6 +93,7 @@
 	v.positive("capacity.minLifetime", c.MinLifetime.Seconds())
 	v.positive("capacity.drainSettle", c.DrainSettle.Seconds())
 	v.positive("capacity.orderLag", c.OrderLag.Seconds())
+	v.positive("capacity.silentAfter", c.SilentAfter.Seconds())
 	if c.UTCOffset.Abs() > maxUTCOffset {
 		v.fault("capacity.utcOffset", "is %s, want at most %s either way", c.UTCOffset, maxUTCOffset)
 	}
--- a/core/plan/plan.go
+++ b/core/plan/plan.go
@@ -38,6 +38,7 @@
 	Load       int           // requests granted and waiting, as its owner reported
 	LoadAt     time.Duration // when that was reported; zero: never
 	DrainSince time.Duration // when the drain was first seen
+	Silent     bool          // has not answered for so long that it is to be replaced
 }
 
 // serves reports whether the target counts as capacity, now or soon.
@@ -143,6 +144,9 @@
 		}
 	}
 	r := newRound(p, cfg, &in)
+	for i := range cfg.Services {
+		r.replaceSilent(&cfg.Services[i])
+	}
 	for i := range cfg.Services {
 		r.minimum(&cfg.Services[i])
 	}
--- a/core/plan/plan_test.go
+++ b/core/plan/plan_test.go
@@ -203,6 +203,17 @@
 		Expect(p.Plan(site(100), in).Drains).To(BeEmpty())
 	})
 
+	It("replaces targets that do not answer, one of a service at a time", func() {
+		in := plan.Input{Wall: monday, Now: time.Hour, Targets: join(running(3, "lm", "north", false), running(2, "desk", "south", false))}
+		before := len(p.Plan(site(100), in).Starts)
+		in.Targets[0].Silent, in.Targets[1].Silent = true, true
+		d := p.Plan(site(100), in)
+		Expect(d.Drains).To(Equal([]string{in.Targets[0].ID}))
+		Expect(d.Starts).To(HaveLen(before + 1))
+		in.Targets[0].State, in.Targets[0].DrainSince = plan.Draining, time.Hour
+		Expect(p.Plan(site(100), in).Drains).To(BeEmpty(), "the first is not gone yet")
+	})
+
 	DescribeTable("stops a drained target only when it is known to be idle",
 		func(load int, loadAt, now time.Duration, stops int) {
 			target := running(1, "lm", "north", false)[0]
--- a/core/plan/round.go
+++ b/core/plan/round.go
@@ -65,6 +65,28 @@
 	return n
 }
 
+// replaceSilent drains a target that does not answer, so that it does not count as
+// capacity. One of a service at a time: where an owner's network is at fault and
+// not the targets, the others must stay.
+func (r *round) replaceSilent(s *config.Service) {
+	var first *Target
+	for i := range r.in.Targets {
+		t := &r.in.Targets[i]
+		if t.Service != s.Name || !t.Silent {
+			continue
+		}
+		if t.State == Draining || t.State == Leaving {
+			return
+		}
+		if t.State == Running && first == nil {
+			first = t
+		}
+	}
+	if first != nil {
+		r.take(first)
+	}
+}
+
 // minimum orders the safe targets that the service runs at all times.
 func (r *round) minimum(s *config.Service) {
 	for have := r.total(s); have < s.MinTargets; have++ {
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -16,6 +16,8 @@
 	Leaving bool   `cbor:"4,keyasint"`
 	Samples int    `cbor:"60,keyasint"` // part of Load that is samples
 	Running int    `cbor:"61,keyasint"` // requests that the engine says it runs
+	// Silent is how long the engine has not answered for its load.
+	Silent time.Duration `cbor:"62,keyasint,omitempty"`
 }
 
 // message is anything that the control goroutine takes.
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -80,6 +80,7 @@
 		ID: t.ID, Service: t.Service, DataCentre: t.DataCentre, Cheap: t.Cheap, State: plan.Running,
 		Since: c.since[t.ID], Load: max(load.Load, load.Running), LoadAt: load.At,
 	}
+	out.Silent = load.Silent >= s.Config.Capacity.SilentAfter
 	drained, since := c.drainedSince(s, now, t.ID)
 	out.DrainSince = since
 	switch {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -72,7 +72,8 @@
 	waits   map[uint64]remoteWait
 	waitSeq uint64
 
-	uses *uses
+	uses     *uses
+	silences *silences
 }
 
 // New returns a dispatcher. Its grants are numbered from a random start, so that
@@ -80,7 +81,7 @@
 func New(loop Loop, peers *peer.Pool, c clock.Clock) *Dispatcher {
 	return &Dispatcher{
 		loop: loop, peers: peers, clock: c, nextID: rand.Uint64() >> 1,
-		queues: map[string]*queue{}, waits: map[uint64]remoteWait{}, uses: newUses(),
+		queues: map[string]*queue{}, waits: map[uint64]remoteWait{}, uses: newUses(), silences: newSilences(),
 	}
 }
 
--- a/internal/dispatch/watch.go
+++ b/internal/dispatch/watch.go
@@ -53,6 +53,7 @@
 		}
 	}
 	wg.Wait()
+	d.silences.keep(loads)
 	return loads
 }
 
@@ -66,8 +67,10 @@
 	defer cancel()
 	report, err := engines.Load(callCtx, t.URL)
 	if err != nil {
+		load.Silent = d.silences.missed(t.ID, d.clock.Now())
 		return load
 	}
+	d.silences.answered(t.ID)
 	load.Version, load.Leaving, load.Running = report.Version, report.Leaving, report.Running
 	// A new owner does not know of the slots that an earlier one granted: the
 	// engine's report, though it lags, keeps requests from rushing there.
