--- a/core/fold/fuzz_test.go
+++ b/core/fold/fuzz_test.go
@@ -13,8 +13,12 @@
 // one, whatever it holds, and never ends the fold of a well-formed log.
 func FuzzApply(f *testing.F) {
 	for _, body := range []record.Body{
-		record.Config{YAML: []byte(yaml)}, record.KeyGrant{KeyID: "k", Account: "shop"}, record.Lease{Name: "deployment", Holder: "a"},
-		record.OrderIntent{OrderID: "o", Lease: "deployment"}, record.UsageSeal{Lease: "deployment", Window: 60}, record.TargetDrain{Target: "t"},
+		record.Config{YAML: []byte(yaml)},
+		record.KeyGrant{KeyID: "k", Account: "shop"},
+		record.Lease{Name: "deployment", Holder: "a"},
+		record.OrderIntent{OrderID: "o", Lease: "deployment"},
+		record.UsageSeal{Lease: "deployment", Window: 60},
+		record.TargetDrain{Target: "t"},
 	} {
 		data, err := record.Encode(uuid.UUID{1}, "a", 0, body)
 		if err != nil {
