--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -21,6 +21,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/listener"
 	"github.com/amaranthfold/amaranthfold/internal/measure"
 	"github.com/amaranthfold/amaranthfold/internal/metering"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
@@ -202,11 +203,14 @@
 }
 
 func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *failure) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	body, err := listener.ReadBody(w, r, maxBody, listener.BodyTimeout)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, refuse(http.StatusRequestEntityTooLarge, "body_too_large", "the request body is over 8 MiB")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, refuse(http.StatusRequestTimeout, "body_too_slow", "the request body did not arrive within "+listener.BodyTimeout.String())
+	}
 	if err != nil {
 		return nil, refuse(http.StatusBadRequest, "body_unreadable", "the request body did not arrive whole")
 	}
--- a/internal/listener/listener_test.go
+++ b/internal/listener/listener_test.go
@@ -53,6 +53,34 @@
 		Entry("unknown version", "GET / HTTP/9.9\r\nHost: a\r\n\r\n", "505"),
 	)
 
+	It("does not wait for ever for a body, and goes on with a long answer after one", func() {
+		const patience = 50 * time.Millisecond
+		results := make(chan error, 2)
+		l, err := listener.Open(listener.Config{Address: "127.0.0.1:0"})
+		Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		g, ctx := errgroup.WithContext(ctx)
+		l.Serve(ctx, g, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, err := listener.ReadBody(w, r, 100, patience)
+			if err == nil {
+				time.Sleep(4 * patience)
+				err = r.Context().Err()
+			}
+			results <- err
+		}), nil)
+		conn, err := net.Dial("tcp", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nab")
+		Expect(err).NotTo(HaveOccurred())
+		Eventually(results, "30s").Should(Receive(MatchError(os.ErrDeadlineExceeded)))
+		res, err := http.Post(l.URL(), "text/plain", strings.NewReader("whole"))
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		Eventually(results, "30s").Should(Receive(BeNil()), "the request outlived the deadline of its body")
+	})
+
 	Describe("with TLS", func() {
 		var authority *certtest.Authority
 		BeforeEach(func() {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,7 +11,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -25,6 +24,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/control"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/listener"
 	"github.com/amaranthfold/amaranthfold/internal/measure"
 )
 
@@ -288,7 +288,7 @@
 }
 
 func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	data, err := listener.ReadBody(w, r, maxBody, listener.BodyTimeout)
 	if err == nil {
 		err = json.Unmarshal(data, v)
 	}
--- a/internal/samples/http.go
+++ b/internal/samples/http.go
@@ -5,12 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/sample"
 	"github.com/amaranthfold/amaranthfold/internal/control"
+	"github.com/amaranthfold/amaranthfold/internal/listener"
 	"github.com/amaranthfold/amaranthfold/internal/peer"
 )
 
@@ -122,7 +122,7 @@
 		return
 	}
 	defer end()
-	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	data, err := listener.ReadBody(w, r, maxBody, listener.BodyTimeout)
 	if err == nil {
 		err = json.Unmarshal(data, in)
 	}
