--- a/cmd/amaranthfold/main.go
+++ b/cmd/amaranthfold/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/amaranthfold/amaranthfold/internal/instance"
 	"github.com/amaranthfold/amaranthfold/internal/settings"
@@ -28,16 +29,35 @@
 		return exitSettings
 	}
 	cfg.LogOutput = os.Stderr
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	i, err := instance.New(cfg)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go stopOnSignal(i, cfg.DrainTimeout, cancel)
 	if err := i.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
 	}
 	return 0
 }
+
+// stopOnSignal drains the instance at the first signal, for timeout at most, and
+// ends the process at the second.
+func stopOnSignal(i *instance.Instance, timeout time.Duration, cancel context.CancelFunc) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	<-signals
+	go func() {
+		<-signals
+		os.Exit(exitFailure)
+	}()
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
+	defer stop()
+	if err := i.Drain(ctx); err != nil {
+		fmt.Fprintf(os.Stderr, "requests were in flight after %s: %v\n", timeout, err)
+	}
+	cancel()
+}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -48,6 +48,7 @@
 	hasSent   bool
 	validTill time.Duration // zero: not held
 	yielding  bool          // never claim, release what is held
+	retiring  bool          // never claim, renew what is held
 }
 
 // NewMachine returns a machine that has read nothing. now starts the wait that
@@ -87,6 +88,10 @@
 // Yield makes the machine release the lease and stop claiming it.
 func (m *Machine) Yield() { m.yielding = true }
 
+// Retire makes the machine stop claiming the lease. A held one is renewed until
+// Yield.
+func (m *Machine) Retire() { m.retiring = true }
+
 // Held reports whether the lease is valid at now for at least need longer, and
 // its fencing number.
 func (m *Machine) Held(now, need time.Duration) (record.Offset, bool) {
@@ -135,7 +140,7 @@
 // mayClaim reports whether nobody can still hold the lease. An instance whose
 // own term has lapsed waits like everyone else.
 func (m *Machine) mayClaim(now time.Duration) bool {
-	if m.validTill > now {
+	if m.validTill > now || m.retiring {
 		return false
 	}
 	if m.current.Holder == "" && m.current.Current > 0 {
--- a/internal/control/join.go
+++ b/internal/control/join.go
@@ -161,6 +161,7 @@
 		}
 	}
 	l.inForce()
+	l.drainsChanged()
 	l.indexKeys()
 	l.publish()
 	close(m.done)
--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/config"
+	"github.com/amaranthfold/amaranthfold/core/drain"
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/lease"
 	"github.com/amaranthfold/amaranthfold/core/member"
@@ -55,6 +56,7 @@
 	recent   *recentLog
 	// beatExtra adds what other packages tell peers in each heartbeat.
 	beatExtra atomic.Pointer[func(*Heartbeat)]
+	usesOf    atomic.Pointer[UsesOf]
 
 	// The rest belongs to the control goroutine.
 	state      *fold.State
@@ -83,25 +85,29 @@
 	keysVersion uint64
 	keyCount    int // keys when the index was last known to match
 	leaving     bool
+	retiring    bool
+	drainWatch  *drain.Watch
+	idle        map[string]time.Duration // drained targets without requests; replaced by every change
 	drains      map[string]record.Offset // copy of the state's, replaced by every change
 }
 
 // New returns a loop that has read nothing.
 func New(o Options) *Loop {
 	l := &Loop{
-		Options:   o,
-		holder:    HolderName(o.Self),
-		inbox:     make(chan message, inboxSize),
-		ended:     make(chan struct{}),
-		state:     fold.New(),
-		leases:    map[string]*lease.Machine{},
-		targets:   map[string][]platform.Target{},
-		targetsAt: map[string]time.Duration{},
-		loads:     map[string]TargetLoad{},
-		waiters:   map[record.ID]chan fold.Result{},
-		routing:   newRouting(),
-		recent:    newRecentLog(),
-		agreement: newAgreement(),
+		Options:    o,
+		holder:     HolderName(o.Self),
+		inbox:      make(chan message, inboxSize),
+		ended:      make(chan struct{}),
+		state:      fold.New(),
+		drainWatch: drain.New(),
+		leases:     map[string]*lease.Machine{},
+		targets:    map[string][]platform.Target{},
+		targetsAt:  map[string]time.Duration{},
+		loads:      map[string]TargetLoad{},
+		waiters:    map[record.ID]chan fold.Result{},
+		routing:    newRouting(),
+		recent:     newRecentLog(),
+		agreement:  newAgreement(),
 	}
 	l.indexKeys()
 	l.members = member.NewTable(o.Self, time.Second)
@@ -243,6 +249,7 @@
 func (m targetsAsked) handle(l *Loop) { l.targetsAt[m.dataCentre] = m.at }
 
 func (m heard) handle(l *Loop) {
+	l.drainWatch.Heard(m.beat.Peer.ID, drain.Report{Offset: m.beat.Offset, Uses: m.beat.Uses, At: l.Clock.Now()})
 	l.members.Heard(l.Clock.Now(), m.beat.Peer, int64(m.beat.Offset))
 	l.compare(m.beat.Peer.ID, claim{m.beat.Offset, m.beat.Digest})
 	for _, load := range m.beat.Loads {
@@ -274,6 +281,7 @@
 	if cfg == nil || l.halted != "" {
 		return
 	}
+	l.followDrains(l.Clock.Now())
 	l.machine(DeploymentLease)
 	for _, t := range cfg.Trainers {
 		l.machine(TrainerLease(t.Name))
@@ -310,6 +318,9 @@
 		if l.leaving {
 			m.Yield()
 		}
+		if l.retiring {
+			m.Retire()
+		}
 	}
 	return m
 }
--- a/internal/control/messages.go
+++ b/internal/control/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/drain"
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/member"
 	"github.com/amaranthfold/amaranthfold/core/record"
@@ -23,6 +24,7 @@
 	Offset record.Offset `cbor:"2,keyasint"`
 	Digest [32]byte      `cbor:"3,keyasint"`
 	Loads  []TargetLoad  `cbor:"4,keyasint"`
+	Uses   []drain.Use   `cbor:"30,keyasint"` // requests at drained targets
 }
 
 // message is anything that the control goroutine takes.
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -74,7 +74,7 @@
 }
 
 func (l *Loop) heartbeat(s *Snapshot) Heartbeat {
-	b := Heartbeat{Peer: s.Self, Offset: s.Offset, Digest: s.Digest, Loads: s.OwnLoads}
+	b := Heartbeat{Peer: s.Self, Offset: s.Offset, Digest: s.Digest, Loads: s.OwnLoads, Uses: l.uses(s)}
 	if extra := l.beatExtra.Load(); extra != nil {
 		(*extra)(&b)
 	}
--- a/internal/control/publish.go
+++ b/internal/control/publish.go
@@ -86,5 +86,6 @@
 		readers:      l.readers(peers, owners),
 		FreshAt:      l.freshAt,
 		Drains:       l.drains,
+		Idle:         l.idle,
 	})
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -40,6 +40,7 @@
 	Billing   fold.Billing
 	Digest    [32]byte
 	Drains    map[string]record.Offset // targets that operators drain, since when
+	Idle      map[string]time.Duration // drained targets without requests, since when
 	FreshAt   time.Duration            // when the log last proved Offset to be its end
 	Proved    bool                     // it has done so
 	Halted    string                   // why the control roles have stopped; empty: they have not
@@ -53,9 +54,6 @@
 	return s.Keys.Get(sha256.Sum256([]byte(secret)))
 }
 
-// Drained reports whether operators have taken new work from the target.
-func (s *Snapshot) Drained(target string) bool { return s.Drains[target] > 0 }
-
 // Fresh reports whether the snapshot was proved current within bound of now.
 func (s *Snapshot) Fresh(now, bound time.Duration) bool { return s.Proved && now-s.FreshAt <= bound }
 
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -41,7 +41,7 @@
 
 func commands() []*command {
 	return []*command{
-		checkCommand(), applyCommand(), keysCommand(), statusCommand(), timelineCommand(),
+		checkCommand(), applyCommand(), keysCommand(), statusCommand(), timelineCommand(), drainCommand(),
 		sandboxCommand(), demoCommand(), versionCommand(),
 	}
 }
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -69,6 +69,8 @@
 	table   *route.Table // that the queues were last compared with
 	waits   map[uint64]remoteWait
 	waitSeq uint64
+
+	uses *uses
 }
 
 // New returns a dispatcher. Its grants are numbered from a random start, so that
@@ -76,7 +78,7 @@
 func New(loop Loop, peers *peer.Pool, c clock.Clock) *Dispatcher {
 	return &Dispatcher{
 		loop: loop, peers: peers, clock: c, nextID: rand.Uint64() >> 1,
-		queues: map[string]*queue{}, waits: map[uint64]remoteWait{},
+		queues: map[string]*queue{}, waits: map[uint64]remoteWait{}, uses: newUses(),
 	}
 }
 
@@ -95,6 +97,20 @@
 // Admit waits for a slot at the target. The error is a *RefusedError, or a
 // failure to reach the owner, or ctx's; in every case nothing has run.
 func (d *Dispatcher) Admit(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
+	d.uses.begin(t.ID)
+	grant, err := d.admit(ctx, t, r)
+	if err != nil {
+		d.uses.end(t.ID)
+		return nil, err
+	}
+	finish := grant.finish
+	return &Grant{finish: func(cost float64) {
+		d.uses.end(t.ID)
+		finish(cost)
+	}}, nil
+}
+
+func (d *Dispatcher) admit(ctx context.Context, t *route.Target, r Request) (*Grant, error) {
 	var tried []string
 	for len(tried) < maxOwners {
 		s := d.loop.Snapshot()
--- /dev/null
+++ b/internal/instance/drain.go
@@ -0,0 +1,85 @@
+package instance
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/control"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+)
+
+const (
+	// drainNotice is how long new requests are still served after readyPath has
+	// begun to fail, so that balancers and peers can learn of it.
+	drainNotice   = 2 * time.Second
+	drainPoll     = 20 * time.Millisecond
+	targetsWait   = 10 * time.Second
+	releaseWindow = 3 * time.Second // for leases to be read back as released
+)
+
+// Drain ends the instance's work without cutting a request: peers are told, new
+// requests are refused after a notice, those in flight finish, then leases are
+// released. It returns when that is done or ctx ends; the end of Run's context
+// must follow.
+func (i *Instance) Drain(ctx context.Context) error {
+	i.Events.Record("drain started")
+	i.draining.Store(true)
+	i.Loop.Leave(ctx)
+	if err := i.finishRequests(ctx); err != nil {
+		i.Events.Record("drain cut short", events.F("error", err.Error()))
+		return err
+	}
+	i.Loop.Yield(ctx)
+	ctx, cancel := context.WithTimeout(ctx, releaseWindow)
+	defer cancel()
+	_ = await(ctx, i.released) // a lease that is not released lapses
+	i.Events.Record("drain finished")
+	return nil
+}
+
+// finishRequests returns when callers and trainers have nothing in flight.
+func (i *Instance) finishRequests(ctx context.Context) error {
+	notice := time.Now().Add(drainNotice)
+	if err := await(ctx, func() bool { return time.Now().After(notice) }); err != nil {
+		return err
+	}
+	i.callerGate.closed.Store(true)
+	i.trainerGate.closed.Store(true)
+	return await(ctx, func() bool { return i.callerGate.inFlight.Load()+i.trainerGate.inFlight.Load() == 0 })
+}
+
+// released reports whether the log shows none of this instance's leases.
+func (i *Instance) released() bool {
+	for _, l := range i.Loop.Snapshot().Leases {
+		if l.Holder == i.Loop.Holder() {
+			return false
+		}
+	}
+	return true
+}
+
+// ready reports whether balancers may send requests here.
+func (i *Instance) ready() bool {
+	s := i.Loop.Snapshot()
+	return !i.draining.Load() && s.Config != nil && s.Fresh(i.cfg.Clock.Now(), s.Config.Control.FreshFor) && i.targetsKnown(s)
+}
+
+// targetsKnown reports whether every data centre has told its targets. One that
+// does not answer holds a new instance back for targetsWait only.
+func (i *Instance) targetsKnown(s *control.Snapshot) bool {
+	return len(s.TargetsAt) >= len(s.Config.DataCentres) || i.cfg.Clock.Now()-i.startedAt > targetsWait
+}
+
+// await polls until done or ctx ends.
+func await(ctx context.Context, done func() bool) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -49,12 +50,15 @@
 	OperatorKey string
 	LogOutput   io.Writer // nil: no log
 	Clock       clock.Clock
+
+	DrainTimeout time.Duration // longest wait for requests in flight at a planned stop
 }
 
 // Instance is a running process of the service.
 type Instance struct {
 	cfg         Config
 	incarnation int64
+	startedAt   time.Duration
 
 	callers, operators, trainers, peers *listener.Listener
 
@@ -66,6 +70,10 @@
 	engines *engine.Client
 	pool    *peer.Pool
 
+	draining    atomic.Bool
+	callerGate  gate
+	trainerGate gate
+
 	ordersMu sync.Mutex
 	orders   map[string]*platform.Orders // by data centre
 }
@@ -76,6 +84,7 @@
 	if i.cfg.Clock == nil {
 		i.cfg.Clock = clock.System{}
 	}
+	i.startedAt = i.cfg.Clock.Now()
 	if err := i.listen(); err != nil {
 		return nil, err
 	}
@@ -95,6 +104,8 @@
 		Events:     i.Events,
 	})
 	i.Dispatch = dispatch.New(i.Loop, i.pool, i.cfg.Clock)
+	i.Loop.OnUses(i.Dispatch.Uses)
+	i.callerGate.ready, i.trainerGate.ready = i.ready, i.ready
 	i.Meter = metering.New(i.Loop.Holder(), time.Minute)
 	return i, nil
 }
@@ -171,9 +182,9 @@
 	g.Go(func() error { return exchange.Run(ctx) })
 	g.Go(func() error { return callers.Run(ctx) })
 	g.Go(func() error { return trainers.Run(ctx) })
-	i.callers.Serve(ctx, g, callers.Handler(), i.noteCertificate)
-	i.operators.Serve(ctx, g, operators.Handler(), i.noteCertificate)
-	i.trainers.Serve(ctx, g, trainers.Handler(), i.noteCertificate)
+	i.callers.Serve(ctx, g, i.callerGate.wrap(callers.Handler()), i.noteCertificate)
+	i.operators.Serve(ctx, g, (&gate{ready: i.ready}).wrap(operators.Handler()), i.noteCertificate)
+	i.trainers.Serve(ctx, g, i.trainerGate.wrap(trainers.Handler()), i.noteCertificate)
 	err := g.Wait()
 	i.pool.Close()
 	return err
--- /dev/null
+++ b/internal/operator/drain.go
@@ -0,0 +1,65 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"github.com/amaranthfold/amaranthfold/core/record"
+)
+
+// DrainRequest takes new work from a target, or gives it back.
+type DrainRequest struct {
+	Target string `json:"target"`
+	Undo   bool   `json:"undo"`
+	Actor  string `json:"actor"`
+}
+
+// DrainStatus is a drained target as one instance sees it.
+type DrainStatus struct {
+	Target  string `json:"target"`
+	Since   int64  `json:"since"`   // log offset
+	MayStop bool   `json:"mayStop"` // no instance has a request there
+}
+
+var errNoTarget = errors.New("the request names no target")
+
+func (s *Server) drain(w http.ResponseWriter, r *http.Request) {
+	var req DrainRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	if req.Target == "" {
+		fail(w, http.StatusUnprocessableEntity, "invalid", errNoTarget)
+		return
+	}
+	offset, err := s.append(r.Context(), 0, record.TargetDrain{Target: req.Target, Undo: req.Undo, Actor: req.Actor})
+	if err != nil {
+		failAppend(w, err)
+		return
+	}
+	writeJSON(w, ApplyReply{Offset: offset})
+}
+
+func (s *Server) drains(w http.ResponseWriter, _ *http.Request) {
+	snapshot := s.Loop.Snapshot()
+	out := []DrainStatus{}
+	for id, since := range snapshot.Drains {
+		out = append(out, DrainStatus{id, int64(since), snapshot.MayStop(s.Clock.Now(), id)})
+	}
+	writeJSON(w, out)
+}
+
+// Drain takes new work from a target, or gives it back.
+func (c *Client) Drain(ctx context.Context, req DrainRequest) (ApplyReply, error) {
+	var out ApplyReply
+	err := c.call(ctx, http.MethodPost, "/operator/drain", req, &out)
+	return out, err
+}
+
+// Drains lists the drained targets.
+func (c *Client) Drains(ctx context.Context) ([]DrainStatus, error) {
+	var out []DrainStatus
+	err := c.call(ctx, http.MethodGet, "/operator/drain", nil, &out)
+	return out, err
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -144,6 +144,8 @@
 	mux.HandleFunc("POST /operator/keys/grant", s.grant)
 	mux.HandleFunc("POST /operator/keys/withdraw", s.withdraw)
 	mux.HandleFunc("GET /operator/events", s.events)
+	mux.HandleFunc("GET /operator/drain", s.drains)
+	mux.HandleFunc("POST /operator/drain", s.drain)
 	return s.authenticated(mux)
 }
 
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -1,6 +1,9 @@
 package settings
 
 import (
+	"fmt"
+	"time"
+
 	"github.com/amaranthfold/amaranthfold/internal/instance"
 	"github.com/amaranthfold/amaranthfold/internal/listener"
 )
@@ -52,6 +55,23 @@
 		{flag: "orders-url", env: "AMARANTH_ORDERS_URL", help: "platform's order interface (URL)", check: checkURL, store: func(c *instance.Config, v string) { c.OrdersURL = v }},
 		{flag: "usage-url", env: "AMARANTH_USAGE_URL", help: "platform's usage interface (URL)", check: checkURL, store: func(c *instance.Config, v string) { c.UsageURL = v }},
 		{flag: "weights-url", env: "AMARANTH_WEIGHTS_URL", help: "platform's weight store (URL)", check: checkURL, store: func(c *instance.Config, v string) { c.WeightsURL = v }},
+		{
+			flag: "drain-timeout", env: "AMARANTH_DRAIN_TIMEOUT", fallback: "5m", help: "longest wait for requests in flight at a planned stop (duration)",
+			check: checkDuration, store: storeDrainTimeout,
+		},
 		{env: "AMARANTH_OPERATOR_KEY", secret: true, help: "key that operators must show", store: func(c *instance.Config, v string) { c.OperatorKey = v }},
 	}
 }
+
+// checkDuration accepts a positive duration with a unit.
+func checkDuration(value string) error {
+	if d, err := time.ParseDuration(value); err != nil || d <= 0 {
+		return fmt.Errorf("is %q, want a positive duration with a unit such as 30s or 5m", value)
+	}
+	return nil
+}
+
+// storeDrainTimeout stores a value that checkDuration has accepted.
+func storeDrainTimeout(c *instance.Config, value string) {
+	c.DrainTimeout, _ = time.ParseDuration(value) // checked
+}
