Hosted: single partitions of the log that are down no longer stop jobs

A runner whose content partition was down could not store events, and its signs of life waited for them: after 1.5 s another instance claimed the job, which could not read the tasks from the same partition, and the runs of 1.7 s were lost. Submissions on such instances were refused. All instances went back and forth between the direct path and a peer several times a second (208 lines of one event). A planned stop that began while a save was on its way never offered its jobs, and neither did a stopping instance that was named as the runner of a new one.

Ruled out: the detour itself (no peer reaches a partition that is down), the claim's read to the end of the log (it succeeds: the control topic is served).

Change: texts and tasks go to any partition that takes them, without numbers, as a record is only found by the place that its writer tells; signs of life do not wait for texts; jobs are offered after a save that began after the stop and was quick, those that come later too; the direct path is given up only when it has served nothing for 300 ms.

Tests, failing before: four specs of internal/hosted.

--- a/internal/hosted/appender.go
+++ b/internal/hosted/appender.go
@@ -19,14 +19,56 @@
 	maxWaiting     = 4096                   // record groups; above it callers are refused
 )
 
-// appender writes to one partition. Record groups that wait while a call is on its
-// way go out together in the next one. A call without an answer is repeated under
-// its sequence number until its outcome is known, so nothing is appended twice.
-type appender struct {
+// writer makes the calls of an appender. A call that failed is made again with the
+// same records.
+type writer interface {
+	write(ctx context.Context, records [][]byte) (place, error)
+}
+
+// numberedWriter writes to one partition. A call without an answer is repeated under
+// its sequence number, so nothing is appended twice.
+type numberedWriter struct {
 	store     *platform.Store
 	topic     string
 	partition int
 	producer  string
+	sequence  int64
+}
+
+func (w *numberedWriter) write(ctx context.Context, records [][]byte) (place, error) {
+	pos, err := w.store.Append(ctx, w.topic, w.partition, platform.Producer{Name: w.producer, Sequence: w.sequence}, records)
+	if err != nil {
+		return place{}, err
+	}
+	w.sequence++
+	return place{w.partition, pos.Offset}, nil
+}
+
+// spreadWriter writes to any partition of a topic: the one that took the last
+// records, until it fails. Records that are appended twice do no harm there, as they
+// are only found by the place that their writer tells.
+type spreadWriter struct {
+	store      *platform.Store
+	topic      string
+	partition  int
+	partitions int
+}
+
+func (w *spreadWriter) write(ctx context.Context, records [][]byte) (place, error) {
+	pos, err := w.store.Append(ctx, w.topic, w.partition, platform.Producer{}, records)
+	if err != nil {
+		w.partition = (w.partition + 1) % w.partitions
+		return place{}, err
+	}
+	return place{w.partition, pos.Offset}, nil
+}
+
+// appender writes to a topic. Record groups that wait while a call is on its way go
+// out together in the next one. A call without an answer is repeated until its
+// outcome is known.
+type appender struct {
+	writer    writer
+	topic     string
 	callBytes int
 	queue     chan *pending
 	onResult  func(err error) // after each call
@@ -40,21 +82,18 @@
 }
 
 type appended struct {
-	offset int64 // of the first record
-	err    error
+	at  place // of the first record
+	err error
 }
 
-func newAppender(store *platform.Store, topic string, partition int, producer string, callBytes int, onResult func(error)) *appender {
-	return &appender{
-		store: store, topic: topic, partition: partition, producer: producer,
-		callBytes: callBytes, queue: make(chan *pending, maxWaiting), onResult: onResult,
-	}
+func newAppender(w writer, topic string, callBytes int, onResult func(error)) *appender {
+	return &appender{writer: w, topic: topic, callBytes: callBytes, queue: make(chan *pending, maxWaiting), onResult: onResult}
 }
 
-// append adds the records one after another and returns the first one's offset.
+// append adds the records one after another and returns the first one's place.
 // errNotSent tells that ctx ended before they were sent; ErrUnknown that it ended
 // before the outcome was known: they may have been appended, or may be yet.
-func (a *appender) append(ctx context.Context, records ...[]byte) (int64, error) {
+func (a *appender) append(ctx context.Context, records ...[]byte) (place, error) {
 	p := &pending{ctx: ctx, records: records, done: make(chan appended, 1)}
 	for _, r := range records {
 		p.bytes += len(r)
@@ -62,19 +101,19 @@
 	select {
 	case a.queue <- p:
 	default:
-		return 0, fmt.Errorf("%s: %w: %d record groups wait", a.topic, errNotSent, maxWaiting)
+		return place{}, fmt.Errorf("%s: %w: %d record groups wait", a.topic, errNotSent, maxWaiting)
 	}
 	select {
 	case r := <-p.done:
-		return r.offset, r.err
+		return r.at, r.err
 	case <-ctx.Done():
 	}
 	// The writer decides under the same context whether the records still leave.
 	select {
 	case r := <-p.done:
-		return r.offset, r.err
+		return r.at, r.err
 	case <-time.After(appendPauseMax):
-		return 0, fmt.Errorf("append to %s: %w", a.topic, platform.ErrUnknown)
+		return place{}, fmt.Errorf("append to %s: %w", a.topic, platform.ErrUnknown)
 	}
 }
 
@@ -93,7 +132,6 @@
 }
 
 func (a *appender) run(ctx context.Context) error {
-	sequence := int64(0)
 	var held *pending
 	for ctx.Err() == nil {
 		first := held
@@ -109,13 +147,10 @@
 		if len(batch) == 0 {
 			continue
 		}
-		offset, err := a.flush(ctx, sequence, batch)
-		if err == nil {
-			sequence++
-		}
+		at, err := a.flush(ctx, batch)
 		for _, p := range batch {
-			p.done <- appended{offset, err}
-			offset += int64(len(p.records))
+			p.done <- appended{at, err}
+			at.offset += int64(len(p.records))
 		}
 	}
 	return nil
@@ -128,7 +163,7 @@
 	for p := first; p != nil; {
 		switch {
 		case p.ctx.Err() != nil:
-			p.done <- appended{0, fmt.Errorf("append to %s: %w", a.topic, errNotSent)}
+			p.done <- appended{place{}, fmt.Errorf("append to %s: %w", a.topic, errNotSent)}
 		case len(batch) > 0 && size+p.bytes > a.callBytes:
 			return batch, p
 		default:
@@ -148,27 +183,27 @@
 const recordOverhead = 4
 
 // flush repeats one call until its outcome is known.
-func (a *appender) flush(ctx context.Context, sequence int64, batch []*pending) (int64, error) {
+func (a *appender) flush(ctx context.Context, batch []*pending) (place, error) {
 	var records [][]byte
 	for _, p := range batch {
 		records = append(records, p.records...)
 	}
 	pause, sent := appendPauseMin, false
 	for {
-		pos, err := a.store.Append(ctx, a.topic, a.partition, platform.Producer{Name: a.producer, Sequence: sequence}, records)
+		at, err := a.writer.write(ctx, records)
 		a.onResult(err)
 		if err == nil {
-			return pos.Offset, nil
+			return at, nil
 		}
 		sent = sent || errors.Is(err, platform.ErrUnknown)
 		if errors.Is(err, platform.ErrSuperseded) || errors.Is(err, platform.ErrConflict) {
-			return 0, err
+			return place{}, err
 		}
 		if !sent && allDone(batch) {
-			return 0, fmt.Errorf("%w: %w", errNotSent, err)
+			return place{}, fmt.Errorf("%w: %w", errNotSent, err)
 		}
 		if !clock.Pause(ctx, pause) {
-			return 0, fmt.Errorf("append to %s: %w", a.topic, platform.ErrUnknown)
+			return place{}, fmt.Errorf("append to %s: %w", a.topic, platform.ErrUnknown)
 		}
 		pause = min(2*pause, appendPauseMax)
 	}
--- a/internal/hosted/content.go
+++ b/internal/hosted/content.go
@@ -19,6 +19,7 @@
 	items map[place]*list.Element
 }
 
+// place is where a record of a topic is.
 type place struct {
 	partition int
 	offset    int64
@@ -64,13 +65,13 @@
 
 // store appends records of content and returns where each one is.
 func (n *Node) storeContent(ctx context.Context, records [][]byte) ([]job.Location, error) {
-	offset, err := n.content.append(ctx, records...)
+	first, err := n.content.append(ctx, records...)
 	if err != nil {
 		return nil, err
 	}
 	out := make([]job.Location, len(records))
 	for i, r := range records {
-		out[i] = job.Location{Partition: n.content.partition, Offset: offset + int64(i), Records: 1, Bytes: len(r)}
+		out[i] = job.Location{Partition: first.partition, Offset: first.offset + int64(i), Records: 1, Bytes: len(r)}
 		n.texts.put(out[i].Partition, out[i].Offset, r)
 	}
 	return out, nil
--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -20,8 +20,11 @@
 	// used: the usual answer takes 4 ms, a slow one 240.
 	probeInterval = 200 * time.Millisecond
 	probeTimeout  = 500 * time.Millisecond
-	// failuresToDetour in a row take the direct path out of use.
+	// failuresToDetour in a row take the direct path out of use, unless it has served
+	// another call within pathFresh: then single partitions of the log are down, and no
+	// peer reaches them either. Runners' beats make reads end more often than that.
 	failuresToDetour = 2
+	pathFresh        = 300 * time.Millisecond
 	// helpWindow is how long a peer's word that it cannot reach the log holds.
 	helpWindow = 2 * time.Second
 	// maxHelped bounds the calls that an instance makes for others at once.
@@ -44,6 +47,7 @@
 
 	mu       sync.Mutex
 	failures int                      // in a row, on the direct path
+	served   time.Duration            // when the direct path served a call last
 	broken   bool                     // the direct path is out of use
 	peer     string                   // that helps, IP and port
 	cannot   map[string]time.Duration // peers that did not help, and until when that holds
@@ -89,7 +93,7 @@
 	switch {
 	case failed:
 		d.failures++
-		if d.failures < failuresToDetour || d.broken {
+		if d.failures < failuresToDetour || d.broken || d.served > 0 && d.node.clock.Now()-d.served < pathFresh {
 			return
 		}
 		d.broken = true
@@ -99,7 +103,7 @@
 		default:
 		}
 	case err == nil:
-		d.failures = 0
+		d.failures, d.served = 0, d.node.clock.Now()
 	}
 }
 
@@ -156,7 +160,7 @@
 			return nil
 		}
 		d.mu.Lock()
-		d.broken, d.failures, d.peer = false, 0, ""
+		d.broken, d.failures, d.peer, d.served = false, 0, "", d.node.clock.Now()
 		clear(d.cannot)
 		d.mu.Unlock()
 		d.node.log("log detour", events.F("on", "false"))
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 	"github.com/onsi/gomega/gbytes"
 
+	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/hosted"
 	"github.com/amaranthfold/amaranthfold/internal/logline"
 	"github.com/amaranthfold/amaranthfold/internal/standin"
@@ -190,6 +191,26 @@
 	}
 }
 
+// downContent makes all partitions of texts and tasks refuse calls, or serve again.
+func (d *deployment) downContent(down bool) {
+	for part := range 4 {
+		d.store.SetDown("content", part, down)
+	}
+}
+
+// beats returns how many signs of life of runners the log holds.
+func (d *deployment) beats() int {
+	count := 0
+	for _, data := range d.store.Records("control", 0) {
+		r, err := job.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		if r.Progress != nil {
+			count++
+		}
+	}
+	return count
+}
+
 // kill ends the instance at once.
 func (i *instance) kill() {
 	i.cancel()
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -191,6 +191,66 @@
 		Expect(<-status).To(Equal(http.StatusAccepted))
 	})
 
+	It("are accepted and listed while some partitions of the log are down", func() {
+		d := newDeployment(2, 2)
+		for part := range 3 { // of four
+			d.store.SetDown("content", part, true)
+		}
+		events := tasks(4, 40)
+		for i, n := range d.nodes {
+			id := fmt.Sprintf("j%d", i)
+			Expect(n.call("POST", "/train/"+id, id, key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+			checkTexts(n.listedAll(id, 4), events)
+		}
+		Expect(d.logged()).NotTo(ContainSubstring("log detour"), "no peer reaches a partition that is down")
+	})
+
+	It("stay with their runner while it cannot store texts", func() {
+		d := newDeployment(1, 2)
+		Expect(d.nodes[0].call("POST", "/train/j", "j", key, hostplatform.Submission(1, map[string]int{"long": 100000})).status).To(Equal(http.StatusAccepted))
+		Eventually(d.logged, patience).Should(ContainSubstring("job taken"))
+		d.downContent(true)
+		Eventually(d.logged, patience).Should(MatchRegexp(`dependency lost.*content.append`))
+		beats := d.beats()
+		Eventually(d.beats, patience).Should(BeNumerically(">", beats+2))
+	})
+
+	It("are handed over in a planned stop that begins while texts cannot be stored", func() {
+		d := newDeployment(2, 2)
+		Expect(d.nodes[0].call("POST", "/train/j", "j", key, hostplatform.Submission(1, map[string]int{"long": 100000})).status).To(Equal(http.StatusAccepted))
+		Eventually(d.logged, patience).Should(ContainSubstring("job taken"))
+		d.downContent(true)
+		Eventually(d.logged, patience).Should(MatchRegexp(`dependency lost.*content.append`))
+		d.nodes[0].node.Stop()
+		Eventually(d.logged, patience).Should(ContainSubstring("instance stopping"))
+		d.downContent(false)
+		Eventually(d.logged, patience).Should(MatchRegexp(`job offered.*job="j"`))
+		Eventually(d.logged, patience).Should(MatchRegexp(`job taken.*instance="n1" job="j"`))
+	})
+
+	It("that come to a stopping instance are handed over too", func() {
+		d := newDeployment(2, 2)
+		d.acquaint() // n0 runs the model's jobs from now on
+		release := make(chan struct{})
+		for _, p := range d.plain { // holds n0 in its stop
+			p.Plain(func(http.ResponseWriter, *http.Request) bool { <-release; return false })
+		}
+		held := make(chan struct{})
+		go func() {
+			defer GinkgoRecover()
+			defer close(held)
+			d.nodes[0].call("POST", "/once/x", "r", key, nil)
+		}()
+		Eventually(func() int { return len(d.plain[0].Runs()) + len(d.plain[1].Runs()) }, patience).Should(Equal(1))
+		d.nodes[0].node.Stop()
+		Eventually(d.logged, patience).Should(ContainSubstring("instance stopping"))
+		Expect(d.nodes[1].call("POST", "/train/j", "j", key, hostplatform.Submission(1, map[string]int{"long": 100000})).status).To(Equal(http.StatusAccepted))
+		Eventually(d.logged, patience).Should(MatchRegexp(`job taken.*instance="n1" job="j"`))
+		Expect(d.logged()).To(Or(MatchRegexp(`job offered.*instance="n0" job="j"`), Not(MatchRegexp(`job taken.*instance="n0" job="j"`))))
+		close(release)
+		<-held
+	})
+
 	It("list what finished while the log was silent", func() {
 		d := newDeployment(2, 2)
 		events := tasks(4, 200)
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -106,9 +106,12 @@
 	if s.Cloud != "" {
 		n.cloud = platform.NewCloud(s.Cloud)
 	}
-	n.control = newAppender(n.store, controlTopic, 0, n.self, s.Store.CallBytes, n.appendResult("log"))
-	partition := int(hash.Mix(xxhash.Sum64String(s.Instance)) % uint64(s.Store.Partitions))
-	n.content = newAppender(n.store, contentTopic, partition, n.self, s.Store.CallBytes, n.appendResult("content"))
+	n.control = newAppender(&numberedWriter{store: n.store, topic: controlTopic, producer: n.self},
+		controlTopic, s.Store.CallBytes, n.appendResult("log"))
+	n.content = newAppender(&spreadWriter{
+		store: n.store, topic: contentTopic, partitions: s.Store.Partitions,
+		partition: int(hash.Mix(xxhash.Sum64String(s.Instance)) % uint64(s.Store.Partitions)),
+	}, contentTopic, s.Store.CallBytes, n.appendResult("content"))
 	n.plain = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, Base: ejectBase, Max: ejectMax, Share: ejectShare})
 	n.runner = newRunner(n)
 	n.lister = newLister(n)
--- a/internal/hosted/runner.go
+++ b/internal/hosted/runner.go
@@ -33,7 +33,7 @@
 	beatAt  time.Duration
 	// orderedAt is when the newest known order to an engine was read.
 	orderedAt time.Duration
-	saving    chan struct{} // holds a token while no save is on its way
+	saves     saveState
 
 	mu       sync.Mutex
 	accepted map[string]acceptedJob // tasks of jobs that this instance accepted
@@ -60,6 +60,7 @@
 	failures []int  // server errors that the log will have counted
 	term     int64
 	loading  bool
+	offered  bool // handed over, and not claimed yet
 }
 
 // loadedJob brings what a job's tasks need to run.
@@ -75,10 +76,9 @@
 	r := &runner{
 		node: n, machine: assign.New(assign.DefaultLimits()), jobs: map[string]*ownJob{},
 		cancels: map[int64]context.CancelFunc{}, texts: map[int64]*taskText{}, base: map[int64]int64{},
-		ends: make(chan runEnd, 64), loads: make(chan loadedJob, 4), saving: make(chan struct{}, 1),
+		ends: make(chan runEnd, 64), loads: make(chan loadedJob, 4), saves: saveState{ends: make(chan bool)},
 		accepted: map[string]acceptedJob{}, partial: map[string]partialText{},
 	}
-	r.saving <- struct{}{}
 	return r
 }
 
@@ -116,7 +116,6 @@
 func (r *runner) run(ctx context.Context) error {
 	ticker := time.NewTimer(reviewInterval)
 	defer ticker.Stop()
-	handedOver := false
 	stopping := r.node.stopping
 	for {
 		changed := r.node.board.wait()
@@ -135,11 +134,12 @@
 			r.loaded(l)
 		case <-stopping:
 			stopping = nil
-			handedOver = true
 			r.handOver(ctx)
+		case stored := <-r.saves.ends:
+			r.saved(ctx, stored)
 		case <-ticker.C:
 			r.review()
-			r.beat(ctx, handedOver)
+			r.beat(ctx)
 			ticker.Reset(r.interval())
 		}
 	}
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -39,6 +39,7 @@
 	parts   map[string]*partition
 	changed chan struct{}
 	fault   Fault
+	down    map[string]bool // partitions that refuse every call, as "topic/part"
 	appends int
 	release chan struct{} // closed when silence ends
 }
@@ -70,7 +71,7 @@
 
 // NewStore returns an empty log.
 func NewStore() *Store {
-	return &Store{parts: map[string]*partition{}, changed: make(chan struct{}), release: make(chan struct{})}
+	return &Store{parts: map[string]*partition{}, down: map[string]bool{}, changed: make(chan struct{}), release: make(chan struct{})}
 }
 
 // SetFault changes what the store does from now on.
@@ -84,6 +85,13 @@
 	s.fault = f
 }
 
+// SetDown makes a partition refuse every call, or serve again.
+func (s *Store) SetDown(topic string, part int, down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down[topic+"/"+strconv.Itoa(part)] = down
+}
+
 // Appends returns how many appends have taken effect.
 func (s *Store) Appends() int {
 	s.mu.Lock()
@@ -160,6 +168,9 @@
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	fault, release := s.fault, s.release
+	if s.down[r.URL.Query().Get("topic")+"/"+r.URL.Query().Get("part")] {
+		fault = Refusing
+	}
 	s.mu.Unlock()
 	switch fault {
 	case Refusing:
