Hosted: more engines are ordered only where jobs are nearly late

Change: a service is short of targets where tasks waited for slots and their job took, or has taken, 0.8 of the time until its results are due (core/size).

Tests: core/size, core/job.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -18,6 +18,9 @@
 
 	// Heard is when this reader last saw a record of the runner, by its own clock.
 	Heard time.Duration
+	// Seen is when this reader learned of the job, Closed when it learned that nothing
+	// of it runs any more; zero: the job is open.
+	Seen, Closed time.Duration
 	// Confirmed tells that the runner has shown that it runs the job.
 	Confirmed bool
 	// Shortage is the longest that any of its tasks was told to have waited for a slot.
@@ -59,13 +62,6 @@
 	return out
 }
 
-// Window is the usage of one window.
-type Window struct {
-	Counts   map[string]map[string]int64 // by writer, then account
-	Sealed   map[string]int64            // nil: not sealed
-	Reported bool
-}
-
 // State is the fold of the log. It is not safe for concurrent use.
 type State struct {
 	Jobs    map[string]*Job
@@ -130,7 +126,7 @@
 	case r.Listed != nil:
 		return s.list(now, r.Writer, *r.Listed)
 	case r.Ended != nil:
-		return s.end(*r.Ended)
+		return s.end(now, *r.Ended)
 	case r.Lease != nil:
 		return s.lease(Offset(offset), *r.Lease) == fold.Accepted
 	case r.Counted != nil:
@@ -185,7 +181,7 @@
 		return false
 	}
 	j := &Job{
-		Submitted: *r.Submitted, SubmittedAt: r.At, Heard: now,
+		Submitted: *r.Submitted, SubmittedAt: r.At, Heard: now, Seen: now,
 		Status: make([]TaskStatus, len(r.Submitted.Tasks)), index: make(map[string]int, len(r.Submitted.Tasks)),
 	}
 	s.Jobs[j.Job] = j
@@ -298,6 +294,9 @@
 		if e.Task < 0 || e.Task >= len(j.Status) || j.Status[e.Task].Listed {
 			continue
 		}
+		if len(j.Results)+1 == len(j.Tasks) {
+			j.close(now)
+		}
 		j.Status[e.Task].Listed, j.Status[e.Task].Position = true, len(j.Results)
 		j.Results = append(j.Results, e)
 		changed = true
@@ -305,15 +304,31 @@
 	return changed
 }
 
-func (s *State) end(e Ended) bool {
+func (s *State) end(now time.Duration, e Ended) bool {
 	j := s.Jobs[e.Job]
 	if j == nil || j.Ended {
 		return false
 	}
+	j.close(now)
 	j.Ended = true
 	return true
 }
 
+// close notes the end of the last run of an open job.
+func (j *Job) close(now time.Duration) {
+	if j.Open() {
+		j.Closed = now
+	}
+}
+
+// Took returns how long the job was open, by this reader's clock, until now at most.
+func (j *Job) Took(now time.Duration) time.Duration {
+	if j.Open() {
+		return now - j.Seen
+	}
+	return j.Closed - j.Seen
+}
+
 // lease folds a lease record and tells what became of it.
 func (s *State) lease(at record.Offset, l Lease) fold.Verdict {
 	current := s.Leases[l.Body.Name]
@@ -330,44 +345,6 @@
 	return fold.Accepted
 }
 
-func (s *State) window(id int64) *Window {
-	w := s.Windows[id]
-	if w == nil {
-		w = &Window{Counts: map[string]map[string]int64{}}
-		s.Windows[id] = w
-	}
-	return w
-}
-
-func (s *State) count(writer string, c Counted) bool {
-	w := s.window(c.Window)
-	w.Counts[writer] = c.Counts
-	return w.Sealed == nil
-}
-
-func (s *State) seal(l Sealed) bool {
-	w := s.window(l.Window)
-	if w.Sealed != nil {
-		return false
-	}
-	w.Sealed = l.Counts
-	if w.Sealed == nil {
-		w.Sealed = map[string]int64{}
-	}
-	return true
-}
-
-// Total returns the window's requests by account, over all writers.
-func (w *Window) Total() map[string]int64 {
-	out := map[string]int64{}
-	for _, counts := range w.Counts {
-		for account, n := range counts {
-			out[account] += n
-		}
-	}
-	return out
-}
-
 // Prune forgets jobs that nobody may ask for any more, and old windows. statusFor
 // is how long results stay readable after a submission; wall is Unix milliseconds.
 func (s *State) Prune(wall int64, statusFor time.Duration, oldestWindow int64) {
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -150,6 +150,17 @@
 		Expect(found).To(BeFalse())
 	})
 
+	It("tells how long a job was open, whether it was ended or all was listed", func() {
+		s, _ := replay(submitted("j", "n1", "x"), submitted("k", "n1", "x"),
+			listed("j", "n1", job.Entry{Task: 0, Completed: true}),
+			job.Record{Ended: &job.Ended{Job: "j"}},
+			job.Record{Ended: &job.Ended{Job: "k"}})
+		Expect(s.Jobs["j"].Took(time.Minute)).To(Equal(2*time.Second), "the end closes nothing any more")
+		Expect(s.Jobs["k"].Took(time.Minute)).To(Equal(3 * time.Second))
+		s, _ = replay(submitted("j", "n1", "x"))
+		Expect(s.Jobs["j"].Took(time.Minute)).To(Equal(time.Minute))
+	})
+
 	It("forgets jobs after their time, open ones later", func() {
 		s, _ := replay(submitted("open", "n1", "x"), submitted("done", "n1", "y"), listed("done", "n1", job.Entry{}))
 		statusFor := 100 * time.Second
--- a/core/size/size.go
+++ b/core/size/size.go
@@ -4,6 +4,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Demand is what a service's targets have to do.
@@ -12,6 +13,22 @@
 	Slots int // tasks that one target runs at once
 }
 
+// Thresholds of Short.
+const (
+	// shortageLimit is how long a task may wait for a slot: it then ends noticeably
+	// later. A burst of short tasks waits less at usual load.
+	shortageLimit = 700 * time.Millisecond
+	// lateShare of the time until its results are due is what a job takes at most
+	// without need for more targets; the rest is left for the loss of one.
+	lateShare = 0.8
+)
+
+// Short reports whether a job calls for more targets: its tasks waited for slots, and
+// it took (or has taken until now) nearly as long as it may.
+func Short(waited, took, due time.Duration) bool {
+	return waited > shortageLimit && took > time.Duration(lateShare*float64(due))
+}
+
 // Bounds limit the targets in each data centre.
 type Bounds struct {
 	Min, Max int
--- a/core/size/size_test.go
+++ b/core/size/size_test.go
@@ -1,6 +1,8 @@
 package size_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -20,3 +22,15 @@
 		Entry("at the bounds", 1000, map[string]int{"a": 9}, map[string]int{"a": 4, "b": 4, "c": 4}),
 	)
 })
+
+var _ = Describe("Need of targets", func() {
+	const due = 10 * time.Second
+	DescribeTable("is seen where tasks wait and jobs are nearly late",
+		func(waited, took time.Duration, short bool) {
+			Expect(size.Short(waited, took, due)).To(Equal(short))
+		},
+		Entry("nobody waits", time.Duration(0), 9*time.Second, false),
+		Entry("tasks wait, and their jobs are in time", 3*time.Second, 5*time.Second, false),
+		Entry("tasks wait, and their jobs are late", 3*time.Second, 9*time.Second, true),
+	)
+})
--- a/internal/hosted/scaling.go
+++ b/internal/hosted/scaling.go
@@ -16,9 +16,6 @@
 	// scaleInterval bounds how often the number of targets is looked at; a new one
 	// takes seconds to start.
 	scaleInterval = time.Second
-	// shortageLimit is how long a task may wait for a slot before more engines are
-	// worth their price: it then ends noticeably later.
-	shortageLimit = 700 * time.Millisecond
 )
 
 // scaling orders targets for the services that may be scaled.
@@ -36,7 +33,7 @@
 type peak struct {
 	tasks int
 	at    time.Duration
-	short time.Duration // when tasks last waited too long; zero: never
+	short time.Duration // when a job last called for more targets; zero: never
 }
 
 func newScaling(n *Node) *scaling {
@@ -79,11 +76,16 @@
 	n.board.do(ctx, func() {
 		for _, j := range n.board.state.Jobs {
 			route, known := view.Catalog.Route(j.Route)
-			if !known || !j.Open() || len(route.Split) == 0 {
+			if !known || len(route.Split) == 0 || !j.Open() && now-j.Closed > peakWindow {
 				continue
 			}
-			tasks[route.Split[0].Service] += len(j.Tasks) - len(j.Results)
-			short[route.Split[0].Service] = short[route.Split[0].Service] || j.Shortage > shortageLimit
+			service := route.Split[0].Service
+			short[service] = short[service] || size.Short(j.Shortage, j.Took(now), route.ResultsDue)
+			left := 0
+			if j.Open() {
+				left = len(j.Tasks) - len(j.Results)
+			}
+			tasks[service] += left
 		}
 	})
 	for service, count := range tasks {
