Assign: faster engines first, and long runs move to them when they have room

Pauses for loads of weights were taken for slowness.

Ruled out: waits for a slot (eight tasks of ten start within 25 ms).

Change: the score of an engine falls with its pace; runs of 2 s or more leave engines 1.15 times the usual pace when faster ones have room; the time between events is not measured across a load.

Tests, failing before: two specs of core/assign.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -23,6 +23,8 @@
 	Load       time.Duration // an engine that was ordered to load weights refuses for so long
 	SlowFactor float64       // an engine this much slower than the median loses its runs
 	MinRun     time.Duration // a run is not moved for slowness before
+	LagFactor  float64       // an engine this much slower loses runs of LongRun to faster ones
+	LongRun    time.Duration // a run that lasted so long may be one of the last of its job
 }
 
 // DefaultLimits returns the limits in use.
@@ -34,6 +36,8 @@
 		Load:       time.Second,             // a load takes 0.9 s
 		SlowFactor: 1.8,                     // speeds of a service's engines differ by less
 		MinRun:     400 * time.Millisecond,  // ten events at the usual 41 ms
+		LagFactor:  1.15,                    // between the speeds of a service's engines: 1 and 1.3
+		LongRun:    2 * time.Second,         // nine tasks of ten end before
 	}
 }
 
@@ -122,6 +126,7 @@
 	running int
 	until   time.Duration // gets nothing before
 	pace    float64       // seconds between events, smoothed; zero: unknown
+	paused  time.Duration // when its runs paused last, for a load of weights
 	groups  map[string]int
 }
 
@@ -134,12 +139,14 @@
 	byTask  map[Key]*run
 	engines map[string]*engine
 	nextRun int64
+	typical map[string]float64 // median pace of a service's engines; zero: unknown
 }
 
 // New returns a machine without tasks and engines.
 func New(l Limits) *Machine {
 	return &Machine{
 		limits: l, tasks: map[Key]*Task{}, runs: map[int64]*run{}, byTask: map[Key]*run{}, engines: map[string]*engine{},
+		typical: map[string]float64{},
 	}
 }
 
@@ -148,11 +155,13 @@
 	seen := make(map[string]bool, len(list))
 	for _, e := range list {
 		seen[e.ID] = true
-		if known := m.engines[e.ID]; known != nil {
-			known.Engine = e
-			continue
+		known := m.engines[e.ID]
+		if known == nil {
+			known = &engine{groups: map[string]int{}}
+			m.engines[e.ID] = known
 		}
-		m.engines[e.ID] = &engine{Engine: e, groups: map[string]int{}}
+		known.Engine = e
+		known.paused = max(known.paused, e.Ordered)
 	}
 	for id, e := range m.engines {
 		if !seen[id] {
@@ -198,9 +207,10 @@
 	if r == nil || events <= r.events {
 		return
 	}
-	if r.events > 0 {
-		gap := (last - r.last).Seconds() / float64(events-r.events)
-		m.engines[r.engine].observe(gap)
+	e := m.engines[r.engine]
+	loaded := e.paused > 0 && last > e.paused && r.last < e.paused+m.limits.Load
+	if r.events > 0 && !loaded { // a pause says nothing of the engine's speed
+		e.observe((last - r.last).Seconds() / float64(events-r.events))
 	}
 	r.events, r.last = events, last
 }
@@ -273,6 +283,7 @@
 
 // Next returns the runs to start now.
 func (m *Machine) Next(now time.Duration) []Start {
+	m.comparePaces()
 	var out []Start
 	rest := m.waiting[:0]
 	full := map[class]bool{}
@@ -332,6 +343,7 @@
 	versionBonus = 0.2 // newer weights keep results valid for the next step
 	avoidMalus   = 2.0 // the engine that the task has just left
 	slowMalus    = 1.5 // an engine well above the usual pace
+	paceMalus    = 2.0 // for each whole pace above the usual one: slower engines come last while half of the others' slots are free
 )
 
 func (m *Machine) score(e *engine, t *Task) float64 {
@@ -348,7 +360,7 @@
 	if m.slow(e) {
 		s -= slowMalus
 	}
-	return s
+	return s - paceMalus*max(0, m.relativePace(e)-1)
 }
 
 // sorted returns the engines' ids in a fixed order.
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -136,6 +136,63 @@
 		Expect(m.Finished(time.Second, stops[0].Run, assign.Canceled, 5)).To(BeFalse(), "the run is the task's no more")
 	})
 
+	It("prefers faster engines, and does not take a pause for slowness", func() {
+		list := []assign.Engine{engine("e1", 4, 2), engine("e2", 4, 2), engine("e3", 4, 2), engine("e4", 4, 2)}
+		m.SetEngines(list)
+		for i := range 4 {
+			m.Add(task(i, 1))
+		}
+		pace := map[string]time.Duration{"e1": 52 * ms, "e2": 40 * ms, "e3": 40 * ms, "e4": 40 * ms}
+		starts := m.Next(0)
+		for _, s := range starts {
+			for n := int64(1); n <= 5; n++ {
+				m.Progress(s.Run, n, time.Duration(n)*pace[s.Engine])
+			}
+		}
+		list[1].Ordered, list[1].Loading = 250*ms, "m"
+		m.SetEngines(list)
+		list[1] = engine("e2", 4, 3) // loaded
+		m.SetEngines(list)
+		for _, s := range starts {
+			if s.Engine == "e2" {
+				m.Progress(s.Run, 6, 1100*ms)
+			}
+			m.Finished(1200*ms, s.Run, assign.Completed, 6)
+		}
+		for i := range 6 {
+			m.Add(task(10+i, 1))
+		}
+		_, engines := started(m.Next(1500 * ms))
+		Expect(engines).To(HaveLen(6))
+		Expect(engines).NotTo(ContainElement("e1"))
+		Expect(engines).To(ContainElement("e2"))
+	})
+
+	It("moves long runs to faster engines once these have room", func() {
+		m.SetEngines([]assign.Engine{engine("e1", 1, 2), engine("e2", 1, 2), engine("e3", 1, 2), engine("e4", 1, 2)})
+		for i := range 4 {
+			m.Add(task(i, 1))
+		}
+		starts := m.Next(0)
+		for i, s := range starts {
+			pace := 40 * ms
+			if i == 0 {
+				pace = 52 * ms
+			}
+			for n := int64(1); time.Duration(n)*pace <= 2200*ms; n++ {
+				m.Progress(s.Run, n, time.Duration(n)*pace)
+			}
+		}
+		Expect(m.Review(2200*ms)).To(BeEmpty(), "nobody has room")
+		m.Finished(2200*ms, starts[1].Run, assign.Completed, 55)
+		stops := m.Review(2200 * ms)
+		Expect(stops).To(HaveLen(1))
+		Expect(stops[0].Run).To(Equal(starts[0].Run))
+		m.Moved(2200*ms, stops[0].Run, 42)
+		_, engines := started(m.Next(2200 * ms))
+		Expect(engines).To(Equal([]string{starts[1].Engine}))
+	})
+
 	It("moves runs off an engine that is ordered to load their model, while there is room", func() {
 		m.SetEngines([]assign.Engine{engine("e1", 2, 2)})
 		m.Add(task(0, 1))
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -6,43 +6,67 @@
 	"time"
 )
 
-// slow reports whether the engine's pace is well above the median of its service.
-func (m *Machine) slow(e *engine) bool {
-	if e.pace == 0 {
-		return false
+// minCompared is how many engines of a service must have shown their pace: a median
+// of fewer says little.
+const minCompared = 3
+
+// usualPace is up to which relative pace an engine counts as one of the faster half.
+const usualPace = 1.07
+
+// comparePaces finds the usual pace of each service's engines.
+func (m *Machine) comparePaces() {
+	clear(m.typical)
+	paces := map[string][]float64{}
+	for _, e := range m.engines {
+		if e.pace > 0 {
+			paces[e.Service] = append(paces[e.Service], e.pace)
+		}
 	}
-	var paces []float64
-	for _, other := range m.engines {
-		if other.Service == e.Service && other.pace > 0 {
-			paces = append(paces, other.pace)
+	for service, list := range paces {
+		if len(list) >= minCompared {
+			slices.Sort(list)
+			m.typical[service] = list[len(list)/2]
 		}
 	}
-	if len(paces) < 3 { // a median of fewer says little
-		return false
+}
+
+// relativePace returns how many times the usual time an engine takes for an event; 1
+// where that is not known.
+func (m *Machine) relativePace(e *engine) float64 {
+	usual := m.typical[e.Service]
+	if e.pace == 0 || usual == 0 {
+		return 1
 	}
-	slices.Sort(paces)
-	return e.pace > m.limits.SlowFactor*paces[len(paces)/2]
+	return e.pace / usual
 }
 
+// slow reports whether the engine's pace is well above the median of its service.
+func (m *Machine) slow(e *engine) bool { return m.relativePace(e) > m.limits.SlowFactor }
+
 // Review returns the runs that go on elsewhere: those without an event for too
 // long, and those of engines that are slow or load weights, while another engine
 // has room.
 func (m *Machine) Review(now time.Duration) []Stop {
+	m.comparePaces()
 	var out []Stop
-	room := map[class]int{}
+	type goal struct {
+		class
+		pace float64 // of the engines to go to, at most
+	}
+	room := map[goal]int{}
 	for _, r := range m.ordered() {
-		reason := m.reason(now, r)
+		reason, pace := m.reason(now, r)
 		if reason == "" {
 			continue
 		}
-		c := r.task.class()
-		if _, known := room[c]; !known {
-			room[c] = m.room(now, r.task)
+		g := goal{r.task.class(), pace}
+		if _, known := room[g]; !known {
+			room[g] = m.room(now, r.task, pace)
 		}
-		if room[c] <= 0 {
+		if room[g] <= 0 {
 			continue
 		}
-		room[c]--
+		room[g]--
 		out = append(out, Stop{r.id, r.task.Key, r.engine, reason})
 	}
 	return out
@@ -57,30 +81,34 @@
 	return runs
 }
 
-// room counts the free slots of engines that are not slow.
-func (m *Machine) room(now time.Duration, t *Task) int {
+// room counts the free slots of engines up to a relative pace.
+func (m *Machine) room(now time.Duration, t *Task, pace float64) int {
 	n := 0
 	for _, e := range m.engines {
-		if m.usable(now, e, t) && !m.slow(e) {
+		if m.usable(now, e, t) && m.relativePace(e) <= pace {
 			n += e.Slots - e.running
 		}
 	}
 	return n
 }
 
-func (m *Machine) reason(now time.Duration, r *run) string {
+// reason returns why a run should go on elsewhere, empty for none, and the largest
+// relative pace of the engines to go to.
+func (m *Machine) reason(now time.Duration, r *run) (reason string, pace float64) {
 	e := m.engines[r.engine]
 	switch {
 	case r.events == 0 && now-r.started > m.limits.FirstEvent:
-		return "no first event"
+		return "no first event", m.limits.SlowFactor
 	case r.events > 0 && now-r.last > m.limits.Stall:
-		return "stalled"
+		return "stalled", m.limits.SlowFactor
 	case now-r.started > m.limits.MinRun && r.events > 0 && m.slow(e):
-		return "slow engine"
+		return "slow engine", m.limits.SlowFactor
 	case e.Loading == r.task.Model && r.started < e.Ordered && now < e.Ordered+m.limits.Load:
-		return "engine loads weights" // its runs pause meanwhile
+		return "engine loads weights", m.limits.SlowFactor // its runs pause meanwhile
+	case now-r.started > m.limits.LongRun && r.events > 0 && m.relativePace(e) > m.limits.LagFactor:
+		return "faster engines are free", usualPace
 	default:
-		return ""
+		return "", 0
 	}
 }
 
@@ -91,7 +119,7 @@
 		return
 	}
 	m.release(r)
-	if m.reason(now, r) != "" {
+	if reason, _ := m.reason(now, r); reason != "" {
 		m.engines[r.engine].until = max(m.engines[r.engine].until, now+m.limits.Backoff)
 	}
 	r.task.Events, r.task.avoid, r.task.Since = kept, r.engine, now
