Hosted: requests without a body are not repeated by the HTTP client

Cause: net/http sends GET, HEAD, OPTIONS and TRACE, and whatever carries an Idempotency-Key, again by itself when a kept connection breaks off and the body is known to be empty. A non-idempotent GET on such a connection ran twice. Ruled out: requests with a body (they have no GetBody). The listed spec of internal/caller tells where its streams ran when it fails. Test, failing before (2 runs, now 1): internal/hosted "without a body".

--- a/internal/caller/move_test.go
+++ b/internal/caller/move_test.go
@@ -58,7 +58,17 @@
 				running += vanishing[id].Running()
 			}
 			return running
-		}).WithTimeout(generous).Should(BeNumerically(">", 2), "no stream runs on a cheap target")
+		}).WithTimeout(generous).Should(BeNumerically(">", 2), func() string {
+			seen := map[string]int{}
+			for id, e := range box.Engines() {
+				for _, r := range e.Seen() {
+					if strings.Contains(r.Body, `"moved `) {
+						seen[id]++
+					}
+				}
+			}
+			return fmt.Sprintf("no stream runs on a cheap target of %v; requests by engine: %v", cheap, seen)
+		})
 		time.Sleep(200 * time.Millisecond) // some tokens, for a KV cache to move
 		box.Orders.Reclaim("portmore", 2*time.Second)
 		wg.Wait()
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -330,6 +330,30 @@
 		Entry("not idempotent", "/once/x", http.StatusBadGateway, 1),
 	)
 
+	It("without a body are not sent again by the HTTP client either", func() {
+		d := newDeployment(1, 1)
+		var calls atomic.Int64
+		count := func(abort bool) {
+			for _, p := range d.plain {
+				p.Plain(func(http.ResponseWriter, *http.Request) bool {
+					calls.Add(1)
+					if abort {
+						panic(http.ErrAbortHandler) // it ran on a kept connection, and its answer is lost
+					}
+					return false
+				})
+			}
+		}
+		count(false)
+		for range 8 { // connections to both targets are kept
+			Expect(d.nodes[0].call("GET", "/once/x", "r", key, nil).status).To(Equal(http.StatusOK))
+		}
+		count(true)
+		calls.Store(0)
+		Expect(d.nodes[0].call("GET", "/once/x", "r", key, nil).status).To(Equal(http.StatusBadGateway))
+		Expect(calls.Load()).To(Equal(int64(1)))
+	})
+
 	It("that fail at one target go to another one, and its failure is passed on if that fails too", func() {
 		d := newDeployment(1, 1)
 		var failures atomic.Int64
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -233,12 +233,9 @@
 	req := &http.Request{
 		Method: c.r.Method, URL: requestURL(t.target.Address, c.r), Host: c.r.Host,
 		Header:        platform.Forward(c.r.Header, t.target.ID, c.account, deadline-n.clock.Now()),
-		Body:          io.NopCloser(bytes.NewReader(c.body)),
+		Body:          sentOnce(c.r.Method, c.r.Header, c.body),
 		ContentLength: int64(len(c.body)),
 	}
-	if len(c.body) == 0 {
-		req.Body = http.NoBody
-	}
 	res, err := n.targets.Do(req.WithContext(ctx))
 	if err != nil {
 		t.err = err
@@ -265,6 +262,21 @@
 	}
 }
 
+// sentOnce returns a request body that keeps net/http from sending the request again
+// by itself on another connection: it does so with requests that it takes for
+// repeatable, where it knows the body to be empty.
+func sentOnce(method string, header http.Header, body []byte) io.ReadCloser {
+	repeated := header.Get("Idempotency-Key") != "" || header.Get("X-Idempotency-Key") != ""
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		repeated = true
+	}
+	if len(body) == 0 && !repeated {
+		return http.NoBody // other bodies would make it chunked
+	}
+	return io.NopCloser(bytes.NewReader(body))
+}
+
 // requestURL keeps the path and query as the caller wrote them.
 func requestURL(address string, r *http.Request) *url.URL {
 	u := &url.URL{Scheme: "http", Host: address}
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -52,15 +51,13 @@
 func (n *Node) runTask(ctx context.Context, r taskRun) runEnd {
 	end := runEnd{run: r.id, key: r.key, engine: r.target.ID, outcome: assign.Broken}
 	kept := r.text.begin(r.id)
+	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.left, kept)
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: r.target.Address, Opaque: r.task.Path}, Host: r.host,
-		Header:        platform.TaskHeader(r.task, r.target.ID, r.account, r.left, kept),
-		Body:          io.NopCloser(bytes.NewReader(r.task.Body)),
+		Header:        header,
+		Body:          sentOnce(http.MethodPost, header, r.task.Body),
 		ContentLength: int64(len(r.task.Body)),
 	}
-	if len(r.task.Body) == 0 {
-		req.Body = http.NoBody
-	}
 	res, err := n.targets.Do(req.WithContext(ctx))
 	if err != nil {
 		end.err = err
