Hosted: requests wait at a young instance until it knows where they go

Ruled out: readiness (the balancer uses instances that are not ready where all are). The soak takes single partitions of the log down. Tests, failing before: internal/hosted "wait at an instance that has just started"; "get a refusal from an instance that learns nothing".

--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -156,8 +156,12 @@
 func (p ports) listen(_, address string) (net.Listener, error) { return p[address], nil }
 
 // start starts an instance and adds it to the deployment.
-func (d *deployment) start(seed int) *instance {
+func (d *deployment) start(seed int) *instance { return d.startBehind(seed, hostplatform.Healthy) }
+
+// startBehind starts an instance whose way to the log has the fault.
+func (d *deployment) startBehind(seed int, fault hostplatform.Fault) *instance {
 	door := hostplatform.NewDoor(d.store)
+	door.SetFault(fault)
 	server, err := standin.Serve(door)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(server.Close)
--- a/internal/hosted/front.go
+++ b/internal/hosted/front.go
@@ -76,7 +76,7 @@
 
 func (n *Node) serveCall(w http.ResponseWriter, r *http.Request) {
 	c := &call{Call: platform.DecodeCall(r), w: w, r: r, view: n.board.view.Load(), started: n.clock.Now()}
-	if c.view.Catalog == nil {
+	if !n.awaitKnowledge(c) {
 		n.refuse(c, "no configuration is known yet")
 		return
 	}
@@ -110,6 +110,31 @@
 	}
 }
 
+// awaitKnowledge waits at an instance that has just started until it knows the
+// configuration and the targets: for a third of the caller's time at most, so that
+// another instance can still be asked, and not once the instance counts as cut off. It
+// reports whether the configuration is known.
+func (n *Node) awaitKnowledge(c *call) bool {
+	limit := silenceLimit
+	if c.TimeLeft > 0 {
+		limit = min(limit, c.TimeLeft/3)
+	}
+	ctx, cancel := n.until(c, c.started+limit)
+	defer cancel()
+	for {
+		changed := n.board.wait()
+		c.view = n.board.view.Load()
+		if c.view.Catalog != nil && len(c.view.Targets) > 0 {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return c.view.Catalog != nil
+		}
+	}
+}
+
 // readBody reads the whole body, and answers where that fails.
 func (n *Node) readBody(c *call) bool {
 	limit := c.view.Catalog.Limits.BodyBytes
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -330,6 +330,27 @@
 		Entry("not idempotent", "/once/x", http.StatusBadGateway, 1),
 	)
 
+	It("wait at an instance that has just started until it knows where they go", func() {
+		d := newDeployment(1, 1)
+		young := d.startBehind(1, hostplatform.Refusing)
+		status := make(chan int, 1)
+		go func() {
+			defer GinkgoRecover()
+			status <- young.callWithin(time.Minute, "POST", "/confirm/x", "r", key, []byte("x")).status
+		}()
+		Eventually(d.logged, patience).Should(MatchRegexp(`dependency lost.*instance="n1".*keyed.op`))
+		young.door.SetFault(hostplatform.Healthy)
+		Eventually(status, patience).Should(Receive(Equal(http.StatusOK)))
+	})
+
+	It("get a refusal from an instance that learns nothing", func() {
+		d := newDeployment(1, 1)
+		young := d.startBehind(1, hostplatform.Refusing)
+		a := young.callWithin(300*time.Millisecond, "POST", "/confirm/x", "r", key, []byte("x"))
+		Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	})
+
 	It("without a body are not sent again by the HTTP client either", func() {
 		d := newDeployment(1, 1)
 		var calls atomic.Int64
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -11,6 +11,9 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
+// logPartitions is how many partitions the settings of the processes give the log.
+const logPartitions = 4
+
 // inject carries out the plan and waits until each fault has ended.
 func (w *world) inject(ctx context.Context) {
 	began := time.Now()
@@ -56,6 +59,10 @@
 		w.store.SetFault(faults[f.how%len(faults)])
 		pause(ctx, f.span)
 		w.store.SetFault(hostplatform.Healthy)
+	case partitionDown:
+		w.store.SetDown("content", f.how%logPartitions, true)
+		pause(ctx, f.span)
+		w.store.SetDown("content", f.how%logPartitions, false)
 	case storeForgets:
 		w.store.Forget(platform.OperatorTopic)
 		w.store.Forget(platform.RegistryTopic)
@@ -113,6 +120,9 @@
 // heal ends all faults.
 func (w *world) heal() {
 	w.store.SetFault(hostplatform.Healthy)
+	for part := range logPartitions {
+		w.store.SetDown("content", part, false)
+	}
 	for _, t := range w.targets {
 		t.link.set(passing)
 		t.engine.SetSilent(false)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -17,6 +17,7 @@
 	stopInstance                   // SIGTERM, and a start once it has ended
 	storeLink                      // one instance's way to the log
 	storeDown                      // the log for everyone
+	partitionDown                  // one partition of tasks and texts
 	storeForgets                   // the history of the platform's own topics
 	targetLink                     // everyone's way to one target
 	engineSilent                   // one engine makes no more events
@@ -27,7 +28,7 @@
 )
 
 var kindNames = [...]string{
-	"kill", "pause", "stop", "store link", "store down", "store forgets", "target link",
+	"kill", "pause", "stop", "store link", "store down", "partition down", "store forgets", "target link",
 	"engine silent", "engine torn", "key change", "named version",
 }
 
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -52,7 +52,7 @@
 require-fence = true
 [platform]
 address = %q
-parts = 4
+parts = %d
 record-bytes = 262144
 call-bytes = 2097152
 retention-s = 300
@@ -73,7 +73,7 @@
 	}
 	p.settings = filepath.Join(cfg.Dir, p.name+".toml")
 	p.logPath = filepath.Join(cfg.Dir, p.name+".log")
-	text := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.front, p.health, store.address(), cloud)
+	text := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.front, p.health, store.address(), logPartitions, cloud)
 	return p, writeFile(p.settings, text)
 }
 
