Hosted: a runner that is cut from the log finds a peer before others claim its jobs

Cause: after a silent cut the first append timed out at 0.7 s, the second failure came up to 0.7 s later, and the direct path was probed for 0.5 s before a peer was looked for: 2 s, while others claim jobs after 1.5 s. Ruled out: a longer silence before claims; every killed runner would cost it. Tests: core/assign "does not move long runs for a single pause", failing before; the specs of the silent log cover the detour.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -215,14 +215,18 @@
 	r.events, r.last = events, last
 }
 
-// observe smooths the time between events over the last few.
+// observe smooths the time between events. A single pause may change it by little: a
+// run that is moved for it alone loses more than it gains.
 func (e *engine) observe(gap float64) {
-	const weight = 0.3 // of the newest figure: three to four figures decide
+	const (
+		weight = 0.12 // of the newest figure: eight figures decide, of all runs of the engine
+		limit  = 2.0  // times the smoothed one that a figure counts at most
+	)
 	if e.pace == 0 {
 		e.pace = gap
 		return
 	}
-	e.pace += weight * (gap - e.pace)
+	e.pace += weight * (min(gap, limit*e.pace) - e.pace)
 }
 
 // Finished notes the end of a run. kept is the number of the task's last event
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -168,6 +168,24 @@
 		Expect(engines).To(ContainElement("e2"))
 	})
 
+	It("does not move long runs for a single pause", func() {
+		m.SetEngines([]assign.Engine{engine("e1", 1, 2), engine("e2", 1, 2), engine("e3", 1, 2), engine("e4", 1, 2)})
+		for i := range 3 {
+			m.Add(task(i, 1))
+		}
+		for i, s := range m.Next(0) {
+			for n := int64(1); n <= 50; n++ {
+				m.Progress(s.Run, n, time.Duration(n)*40*ms)
+			}
+			if i == 0 {
+				m.Progress(s.Run, 52, 2400*ms)
+			} else {
+				m.Progress(s.Run, 60, 2400*ms)
+			}
+		}
+		Expect(m.Review(2450 * ms)).To(BeEmpty())
+	})
+
 	It("moves long runs to faster engines once these have room", func() {
 		m.SetEngines([]assign.Engine{engine("e1", 1, 2), engine("e2", 1, 2), engine("e3", 1, 2), engine("e4", 1, 2)})
 		for i := range 4 {
--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -150,11 +150,13 @@
 		}
 		reached := false
 		for !reached && clock.Pause(ctx, d.node.jitter(probeInterval)) {
-			if reached = d.probe(ctx, d.direct, d.store); reached {
-				break
+			var group sync.WaitGroup // a silent path costs the whole timeout of its probe
+			group.Go(func() { d.findPeer(ctx) })
+			reached = d.probe(ctx, d.direct, d.store)
+			group.Wait()
+			if !reached {
+				clock.Pause(ctx, probeInterval)
 			}
-			d.findPeer(ctx)
-			clock.Pause(ctx, probeInterval)
 		}
 		if !reached { // the instance has been stopped
 			return nil
