Hosted: a stopping instance is given no further jobs

It offered the job 0.17 s later, the log fell silent 0.1 s after that, and the runs of 5.5 s ended with the process before anybody could claim them. Ruled out: the claims (they were put off while the log was silent, as they should) and the stored events (nothing was stored in those 0.25 s). Change: a stopping instance says so in the log; readers then give the model's next job to the accepting instance. A stopping instance that accepts one leaves it to whoever claims it. Tests, failing before: internal/hosted "are not given to a runner that stops", core/job "gives a stopping runner no further jobs".

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -60,6 +60,7 @@
 	Reported  *Reported  `cbor:"11,keyasint,omitempty"`
 	Ordered   *Ordered   `cbor:"12,keyasint,omitempty"`
 	Started   *Started   `cbor:"13,keyasint,omitempty"`
+	Leaving   *Leaving   `cbor:"14,keyasint,omitempty"`
 }
 
 // Submitted accepts a job. The first one of an id counts.
@@ -174,6 +175,9 @@
 	Since    int64  `cbor:"3,keyasint"` // start of the process, Unix milliseconds
 }
 
+// Leaving announces that the writer's process stops: no further jobs are given to it.
+type Leaving struct{}
+
 // Encode encodes a record.
 func Encode(r Record) ([]byte, error) {
 	data, err := cbor.Marshal(r)
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -141,6 +141,8 @@
 		return true
 	case r.Started != nil:
 		return s.start(r.Writer, *r.Started)
+	case r.Leaving != nil:
+		return s.leave(r.Writer)
 	default:
 		return false
 	}
@@ -176,6 +178,19 @@
 	return true
 }
 
+// leave forgets that an incarnation runs the jobs of models. It keeps those that it
+// has until others claim them.
+func (s *State) leave(writer string) bool {
+	left := false
+	for model, r := range s.Runners {
+		if r.Name == writer {
+			delete(s.Runners, model)
+			left = true
+		}
+	}
+	return left
+}
+
 func (s *State) submit(now time.Duration, r Record) bool {
 	if s.Jobs[r.Submitted.Job] != nil {
 		return false
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -88,6 +88,14 @@
 		Expect(s.Runners["m"].Name).To(Equal("n2"))
 	})
 
+	It("gives a stopping runner no further jobs, and leaves it those that it has", func() {
+		s, verdicts := replay(submitted("j", "n1", "x"), job.Record{Writer: "n2", Leaving: &job.Leaving{}},
+			job.Record{Writer: "n1", Leaving: &job.Leaving{}})
+		Expect(verdicts).To(Equal([]bool{true, false, true}))
+		Expect(s.Runners).To(BeEmpty())
+		Expect(s.Jobs["j"].Runner).To(Equal("n1"))
+	})
+
 	It("counts server errors over all runners", func() {
 		s, _ := replay(submitted("j", "n1", "x"),
 			job.Record{Writer: "n1", Progress: &job.Progress{Job: "j", Failed: []int{0}}},
--- a/internal/hosted/handover.go
+++ b/internal/hosted/handover.go
@@ -105,6 +105,7 @@
 
 // handOver begins to hand all jobs over, those that come later too.
 func (r *runner) handOver(ctx context.Context) {
+	r.node.postRecord(job.Record{Leaving: &job.Leaving{}})
 	r.saves.handing, r.saves.since = true, r.node.clock.Now()
 	r.save(ctx)
 }
--- a/internal/hosted/hosted_test.go
+++ b/internal/hosted/hosted_test.go
@@ -251,6 +251,25 @@
 		<-held
 	})
 
+	It("are not given to a runner that stops", func() {
+		d := newDeployment(2, 2)
+		d.acquaint() // n0 runs the model's jobs from now on
+		d.nodes[0].node.Stop()
+		leaving := func() bool {
+			for _, data := range d.store.Records("control", 0) {
+				if r, err := job.Decode(data); err == nil && r.Leaving != nil {
+					return true
+				}
+			}
+			return false
+		}
+		Eventually(leaving, patience).Should(BeTrue())
+		Expect(d.nodes[1].call("GET", "/lots/none?after=0", "r", key, nil).status).To(Equal(http.StatusNotFound), "n1 has read the log to its end")
+		Expect(d.nodes[1].call("POST", "/train/j", "j", key, hostplatform.Submission(1, map[string]int{"long": 100000})).status).To(Equal(http.StatusAccepted))
+		Eventually(d.logged, patience).Should(MatchRegexp(`job taken.*instance="n1" job="j"`))
+		Expect(d.logged()).NotTo(MatchRegexp(`job taken.*instance="n0" job="j"`))
+	})
+
 	It("list what finished while the log was silent", func() {
 		d := newDeployment(2, 2)
 		events := tasks(4, 200)
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -86,9 +86,13 @@
 const runnerFresh = 3 * time.Second
 
 // runnerOf returns who is to run a job of the model: the runner of the last one,
-// whose connections to the engines are open, or this instance.
+// whose connections to the engines are open, or this instance. A stopping instance
+// leaves it to whoever claims it.
 func (n *Node) runnerOf(ctx context.Context, model string) string {
 	runner := n.self
+	if n.isStopping() {
+		runner = ""
+	}
 	n.board.do(ctx, func() {
 		last := n.board.state.Runners[model]
 		if last.Name != "" && n.clock.Now()-last.Heard < runnerFresh {
