Job: a restart forgets an earlier runner by the same function as a stop

Cause: on the last read, the fold of a start deleted an incarnation from the runners of models by a loop that leave now has; explain listed an event that cannot match, as its line carries no time. Change: one function for both; the entry is gone. Behaviour is the same. Tests: core/job and internal/hosted under -race, internal/ctl: pass.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -164,11 +164,7 @@
 			j.Runner = ""
 		}
 	}
-	for model, r := range s.Runners {
-		if r.Name == known.Incarnation {
-			delete(s.Runners, model)
-		}
-	}
+	s.leave(known.Incarnation)
 	for name, l := range s.Leases {
 		if l.Holder == known.Incarnation {
 			l.Holder = ""
--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -28,7 +28,7 @@
 var circumstances = map[string]bool{
 	"instance started": true, "instance stopping": true, "instance stopped": true, "readiness changed": true,
 	"dependency lost": true, "dependency regained": true, "log detour": true, "log through peer": true,
-	"config applied": true, "duty holder": true, "duty superseded": true, "log.dropped": true,
+	"config applied": true, "duty holder": true, "duty superseded": true,
 }
 
 func explainCommand() *command {
