--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -42,6 +42,7 @@
 func commands() []*command {
 	return []*command{
 		checkCommand(), applyCommand(), keysCommand(), statusCommand(), timelineCommand(), reportCommand(), capacityCommand(), soakCommand(), drainCommand(),
+		explainCommand(), settingsCommand(),
 		sandboxCommand(), demoCommand(), versionCommand(),
 	}
 }
--- /dev/null
+++ b/internal/ctl/explain.go
@@ -0,0 +1,170 @@
+package ctl
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/integrii/flaggy"
+
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// maxLogLine bounds a line of a log, in bytes: errors carry at most a few hundred.
+const maxLogLine = 1 << 20
+
+// aboutID are the fields that hold the id of a request, a job, a usage window or a
+// target.
+var aboutID = []string{"request", "job", "window", "target"}
+
+// circumstances are events that change what an instance can do or believes,
+// whatever the request.
+var circumstances = map[string]bool{
+	"instance started": true, "instance stopping": true, "instance stopped": true, "readiness changed": true,
+	"dependency lost": true, "dependency regained": true, "log detour": true, "log through peer": true,
+	"config applied": true, "duty holder": true, "duty superseded": true, "log.dropped": true,
+}
+
+func explainCommand() *command {
+	var id, logs string
+	around := 2 * time.Second
+	return &command{
+		name: "explain", summary: "Prints the log lines of one request, job, usage window or target in the order of their times.",
+		example: "amaranthctl explain --id 9c41d07be2a35f68 logs/",
+		setup: func(sub *flaggy.Subcommand) {
+			sub.String(&id, "", "id", "the id of a request or job, the number of a window, or a target")
+			sub.Duration(&around, "", "around", "how long before and after it the circumstances of its instances are shown")
+			sub.AddPositionalValue(&logs, "LOGS", 1, true, "a log, or a directory with the logs of all instances")
+		},
+		run: func(_ context.Context, env *Env) error {
+			if id == "" || around < 0 {
+				return usagef("--id is needed, and --around must not be negative")
+			}
+			paths, err := logFiles(logs)
+			if err != nil {
+				return err
+			}
+			return explain(env, id, around, paths)
+		},
+	}
+}
+
+func explain(env *Env, id string, around time.Duration, paths []string) error {
+	var lines []events.Line
+	var errs []error
+	for _, path := range paths {
+		found, unread, err := readLog(path)
+		if err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		if unread > 0 {
+			fmt.Fprintf(env.Err, "%s: %d lines are no events\n", path, unread)
+		}
+		lines = append(lines, found...)
+	}
+	if len(errs) > 0 {
+		return errors.Join(errs...)
+	}
+	slices.SortStableFunc(lines, func(a, b events.Line) int { return a.Time.Compare(b.Time) })
+	shown := selectLines(lines, id, around)
+	if len(shown) == 0 {
+		return fmt.Errorf("no line tells of %q: its instance was killed, or its lines were dropped (see log.dropped)", id)
+	}
+	for _, l := range shown {
+		fmt.Fprintln(env.Out, l.Text)
+	}
+	return nil
+}
+
+// logFiles returns the files of a directory, or the file itself.
+func logFiles(path string) ([]string, error) {
+	info, err := os.Stat(path)
+	if err != nil || !info.IsDir() {
+		return []string{path}, err
+	}
+	entries, err := os.ReadDir(path)
+	if err != nil {
+		return nil, err
+	}
+	var paths []string
+	for _, e := range entries {
+		if e.Type().IsRegular() {
+			paths = append(paths, filepath.Join(path, e.Name()))
+		}
+	}
+	return paths, nil
+}
+
+// readLog returns the events of a log, and how many of its lines are none.
+func readLog(path string) (lines []events.Line, unread int, err error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer file.Close()
+	scanner := bufio.NewScanner(file)
+	scanner.Buffer(nil, maxLogLine)
+	for scanner.Scan() {
+		l, err := events.ParseLine(scanner.Text())
+		if err != nil {
+			unread++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, 0, fmt.Errorf("%s: %w", path, err)
+	}
+	return lines, unread, nil
+}
+
+// selectLines returns the lines about the id, and the circumstances of the instances
+// that wrote them, from around before the first to around after the last.
+func selectLines(lines []events.Line, id string, around time.Duration) []events.Line {
+	about := func(l events.Line) bool {
+		return slices.ContainsFunc(aboutID, func(field string) bool { return l.Fields[field] == id })
+	}
+	involved := map[string]bool{}
+	var from, to time.Time
+	for _, l := range lines {
+		if about(l) {
+			if len(involved) == 0 {
+				from = l.Time
+			}
+			to = l.Time
+			involved[l.Instance] = true
+		}
+	}
+	var out []events.Line
+	for _, l := range lines {
+		near := len(involved) > 0 && !l.Time.Before(from.Add(-around)) && !l.Time.After(to.Add(around))
+		if about(l) || near && involved[l.Instance] && circumstances[l.Event] {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+func settingsCommand() *command {
+	var path string
+	return &command{
+		name: "settings", summary: "Checks the settings file of a hosted instance and prints all findings.",
+		example: "amaranthctl settings /etc/amaranthfold/settings.toml",
+		setup:   func(sub *flaggy.Subcommand) { sub.AddPositionalValue(&path, "FILE", 1, true, "settings file") },
+		run: func(_ context.Context, env *Env) error {
+			s, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(env.Out, "settings of instance %q in %q are valid\n", s.Instance, s.DataCentre)
+			return nil
+		},
+	}
+}
--- a/internal/events/events_test.go
+++ b/internal/events/events_test.go
@@ -22,6 +22,29 @@
 		Expect(out.String()).To(MatchRegexp(`^time=\S+ level=info event="lease taken" instance="entry-1" lease="a \\"b\\"\\nc"\n$`))
 	})
 
+	It("writes lines that can be read again", func() {
+		var out bytes.Buffer
+		r := events.New("n1", &out, time.Now)
+		r.Record("run broken", events.F("error", "a \"quoted\" = text\n\xff"), events.F("job", ""))
+		l, err := events.ParseLine("  12.5 collector " + out.String())
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Event).To(Equal("run broken"))
+		Expect(l.Instance).To(Equal("n1"))
+		Expect(l.Fields).To(HaveKeyWithValue("error", "a \"quoted\" = text\n\xff"))
+		Expect(l.Fields).To(HaveKeyWithValue("job", ""))
+		Expect(l.Fields).To(HaveKeyWithValue("level", "info"))
+		Expect(l.Time).NotTo(BeZero())
+	})
+
+	DescribeTable("names lines that are no events", func(line, why string) {
+		_, err := events.ParseLine(line)
+		Expect(err).To(MatchError(ContainSubstring(why)))
+	},
+		Entry("no time", "panic: out of luck", "no time"),
+		Entry("another time", "time=noon event=\"x\"", "noon"),
+		Entry("no value", "time=2026-01-02T03:04:05Z event", `no value of "event"`),
+	)
+
 	It("keeps a bounded number of events and tells how many are lost", func() {
 		r := events.New("entry-1", nil, fixed)
 		const total = 20000
--- a/internal/hosted/front.go
+++ b/internal/hosted/front.go
@@ -32,6 +32,7 @@
 	view    *View
 	route   *catalog.Route
 	account string
+	job     string // that the call is about, empty for other requests
 	body    []byte
 	started time.Duration
 }
@@ -48,7 +49,7 @@
 	if status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable {
 		n.metrics.failed.Inc()
 	}
-	n.log("request answered", events.F("request", c.ID), events.F("method", c.r.Method), events.F("path", c.r.URL.Path),
+	n.log("request answered", events.F("request", c.ID), events.F("job", c.job), events.F("method", c.r.Method), events.F("path", c.r.URL.Path),
 		events.F("status", fmt.Sprint(status)), events.F("reason", reason), events.F("config", c.configVersion()),
 		events.F("config_age", n.silentFor(&n.board.heardOperator).Round(time.Millisecond).String()),
 		events.F("took", (n.clock.Now()-c.started).Round(time.Millisecond).String()))
@@ -80,6 +81,7 @@
 		return
 	}
 	about, isJobCall, err := platform.DecodeJobCall(r)
+	c.job = about.Job
 	route, found := c.view.Catalog.Match(r.Host, r.URL.Path)
 	isJobCall = isJobCall && !found && c.view.Catalog.Serves(r.Host, catalog.Batch)
 	if !found && !isJobCall {
