Reward calls: a task with a score request is listed with its score

Cause: submissions carry a request for each item that returns its score, and a result is complete only with it. Ruled out: a client of its own for the calls: they go through the attempts of plain requests (choice, ejection, hedge, outcomes), which now take a request that need not come from a caller. Re-using the score of an earlier job: its request may differ, so a completed output that comes again is scored again. Change: core/score orders the calls and bounds them; core/job keeps complete outputs that wait for a score and counts the server errors over all runners; the scorer makes the calls. Targets that say in a response that they leave get no new requests.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -5,6 +5,9 @@
 // because the registry was unavailable do not mean that their targets have stopped. A grace
 // period therefore follows each outage: removals within it take effect only at its end, and a
 // target that registers again by then stays in the directory without interruption.
+//
+// A target that leaves may say so in its responses before its entry does, or while the registry
+// is unavailable. SetLeaving then keeps that start of the target from being ready.
 package directory
 
 import (
@@ -33,12 +36,13 @@
 	expiresAt   map[string]time.Duration // when entries removed within a grace period expire, by id
 	gracePeriod time.Duration            // how long after an outage removals are delayed
 	graceUntil  time.Duration            // end of the latest grace period
+	leaving     map[string]int64         // StartedAt of the targets that have said that they leave, by id
 }
 
 // New returns an empty directory. gracePeriod is how long the entry of a running target may be
 // missing after an outage of the registry.
 func New(gracePeriod time.Duration) *Directory {
-	return &Directory{targets: map[string]Target{}, expiresAt: map[string]time.Duration{}, gracePeriod: gracePeriod}
+	return &Directory{targets: map[string]Target{}, expiresAt: map[string]time.Duration{}, gracePeriod: gracePeriod, leaving: map[string]int64{}}
 }
 
 // RegistryRestored starts a grace period at now, when the registry responds again after an
@@ -53,9 +57,26 @@
 		return
 	}
 	delete(d.expiresAt, t.ID)
+	if startedAt, leaving := d.leaving[t.ID]; leaving && startedAt < t.StartedAt {
+		delete(d.leaving, t.ID)
+	}
 	d.targets[t.ID] = t
 }
 
+// SetLeaving records that the target with the id, started at startedAt, has said that it
+// leaves: Targets returns it as not ready from now on. It reports whether that is a change. A
+// later start of the target is not affected.
+func (d *Directory) SetLeaving(id string, startedAt int64) bool {
+	if d.targets[id].StartedAt > startedAt {
+		return false // the entry is of a later start
+	}
+	if recorded, leaving := d.leaving[id]; leaving && recorded >= startedAt {
+		return false
+	}
+	d.leaving[id] = startedAt
+	return true
+}
+
 // Remove removes the entry with the id. Within a grace period the entry stays until Expire
 // removes it at the end of the period.
 func (d *Directory) Remove(now time.Duration, id string) {
@@ -96,6 +117,9 @@
 func (d *Directory) Targets() []Target {
 	out := make([]Target, 0, len(d.targets))
 	for _, t := range d.targets {
+		if _, leaving := d.leaving[t.ID]; leaving {
+			t.Ready = false
+		}
 		out = append(out, t)
 	}
 	slices.SortFunc(out, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -39,6 +39,21 @@
 		Expect(d.Targets()).To(HaveLen(1))
 	})
 
+	It("keeps a target that has said that it leaves from being ready, until it starts again", func() {
+		Expect(d.SetLeaving("a", 10)).To(BeTrue())
+		Expect(d.SetLeaving("a", 10)).To(BeFalse(), "it is known already")
+		Expect(d.Targets()[0].Ready).To(BeFalse())
+		d.Put(directory.Target{ID: "a", HeartbeatSeq: 6, StartedAt: 10, Ready: true})
+		Expect(d.Targets()[0].Ready).To(BeFalse(), "a later heartbeat of the same start")
+		d.Remove(time.Second, "a")
+		d.Put(directory.Target{ID: "a", HeartbeatSeq: 7, StartedAt: 10, Ready: true})
+		Expect(d.Targets()[0].Ready).To(BeFalse(), "its entry lapsed and is back")
+		d.Put(directory.Target{ID: "a", HeartbeatSeq: 1, StartedAt: 11, Ready: true})
+		Expect(d.Targets()[0].Ready).To(BeTrue())
+		Expect(d.SetLeaving("a", 10)).To(BeFalse(), "a late response of the earlier start")
+		Expect(d.Targets()[0].Ready).To(BeTrue())
+	})
+
 	DescribeTable("ignores an entry older than the stored one",
 		func(t directory.Target, kept bool) {
 			t.ID = "a"
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -32,6 +32,16 @@
 	Group      string            `cbor:"5,keyasint"`
 	MaxTokens  int64             `cbor:"6,keyasint"` // prompt and largest possible output
 	LengthHint int64             `cbor:"7,keyasint"` // estimated output tokens; zero: none
+	Scorer     *ScoreRequest     `cbor:"8,keyasint,omitempty"`
+}
+
+// ScoreRequest is the request that returns the score of a task's complete output. A task
+// that has one is completed only with its score.
+type ScoreRequest struct {
+	ID   string `cbor:"1,keyasint"`
+	Host string `cbor:"2,keyasint"` // with Path selects the route
+	Path string `cbor:"3,keyasint"`
+	Body []byte `cbor:"4,keyasint"`
 }
 
 // Submission is a job as its trainer submits it.
@@ -113,6 +123,24 @@
 	// MaxSlotWait is the longest current wait of a task of the runner for a free slot, in
 	// milliseconds.
 	MaxSlotWait int64 `cbor:"5,keyasint,omitempty"`
+	// Unscored contains the outputs that became complete and wait for their scores.
+	Unscored []CompleteOutput `cbor:"6,keyasint,omitempty"`
+	// ScoreFailures contains the server errors of score calls since the last record.
+	ScoreFailures []ScoreFailure `cbor:"7,keyasint,omitempty"`
+}
+
+// CompleteOutput is the complete output of a task, stored in the content topic. Versions are
+// the weight versions that generated it, in ascending order.
+type CompleteOutput struct {
+	Task     int      `cbor:"1,keyasint"`
+	Versions []int64  `cbor:"2,keyasint"`
+	Location Location `cbor:"3,keyasint"`
+}
+
+// ScoreFailure counts server errors of the score calls of a task.
+type ScoreFailure struct {
+	Task  int `cbor:"1,keyasint"`
+	Count int `cbor:"2,keyasint"`
 }
 
 // Chunk is a contiguous range of a task's output events that is stored in the content topic:
@@ -140,6 +168,7 @@
 	Completed bool     `cbor:"2,keyasint"` // false: given up; the output may be partial
 	Versions  []int64  `cbor:"3,keyasint"`
 	Location  Location `cbor:"4,keyasint"` // of the output; no records: the output is empty
+	Score     string   `cbor:"5,keyasint,omitempty"`
 }
 
 // Ended ends a job: none of its tasks runs any more, also those without a result.
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -38,6 +38,10 @@
 	Position    int  // index of the result in Results, if listed
 	Failures    int  // server errors over all runners
 	Chunks      []Chunk
+	// Unscored is the first complete output that was stored, nil if there is none. A task
+	// that has one needs no further run, only its score.
+	Unscored      *CompleteOutput
+	ScoreFailures int // server errors of score calls over all runners
 }
 
 // Open reports whether tasks of the job may still run.
@@ -49,21 +53,6 @@
 	return i, ok
 }
 
-// ContiguousChunks returns the stored chunks from event 1 on without a gap, up to the first
-// chunk with a version older than minVersion.
-func (s *TaskStatus) ContiguousChunks(minVersion int64) []Chunk {
-	var out []Chunk
-	next := int64(1)
-	for _, c := range s.Chunks {
-		if c.First != next || len(c.Versions) == 0 || c.Versions[0] < minVersion {
-			continue
-		}
-		out = append(out, c)
-		next = c.Last + 1
-	}
-	return out
-}
-
 // State is the state after applying the log up to a record. It is not safe for concurrent use.
 type State struct {
 	Jobs       map[string]*Job
@@ -207,45 +196,12 @@
 	}
 	for i, t := range j.Tasks {
 		j.taskIndex[t.ID] = i
-		s.inheritChunks(j, i)
+		s.inheritOutput(j, i)
 		s.tasks[taskKey{j.Account, t.ID}] = jobTask{j.Job, i}
 	}
 	return true
 }
 
-// inheritChunks marks a task as resubmitted if a previous job of the account has it, and
-// copies that job's chunks of the task if the model and the route are the same.
-func (s *State) inheritChunks(j *Job, task int) {
-	latest, found := s.tasks[taskKey{j.Account, j.Tasks[task].ID}]
-	if !found || s.Jobs[latest.job] == nil {
-		return
-	}
-	previous := s.Jobs[latest.job]
-	j.Status[task].Resubmitted = true
-	if previous.Model != j.Model || previous.Route != j.Route {
-		return
-	}
-	j.Status[task].Chunks = previous.Status[latest.task].Chunks
-}
-
-// EarlierResult returns a completed result of the task from another job of the same account,
-// model and route.
-func (s *State) EarlierResult(j *Job, task int) (Result, bool) {
-	for _, other := range s.Jobs {
-		if other == j || other.Account != j.Account || other.Model != j.Model || other.Route != j.Route {
-			continue
-		}
-		i, ok := other.taskIndex[j.Tasks[task].ID]
-		if !ok || !other.Status[i].Listed {
-			continue
-		}
-		if result := other.Results[other.Status[i].Position]; result.Completed {
-			return result, true
-		}
-	}
-	return Result{}, false
-}
-
 func (s *State) applyClaimed(now time.Duration, c Claimed) bool {
 	j := s.Jobs[c.Job]
 	if j == nil || c.Term != j.Term+1 {
@@ -273,6 +229,16 @@
 			j.Status[c.Task].appendChunk(c)
 		}
 	}
+	for _, o := range p.Unscored {
+		if o.Task >= 0 && o.Task < len(j.Status) && j.Status[o.Task].Unscored == nil {
+			j.Status[o.Task].Unscored = &o
+		}
+	}
+	for _, f := range p.ScoreFailures {
+		if f.Task >= 0 && f.Task < len(j.Status) {
+			j.Status[f.Task].ScoreFailures += f.Count
+		}
+	}
 	return true
 }
 
@@ -287,22 +253,6 @@
 	}
 }
 
-// appendChunk appends a chunk that continues the stored ones without a gap. A chunk that
-// starts with event 1 replaces all stored ones; any other is ignored.
-// Invariant: the chunks of a task are contiguous.
-func (s *TaskStatus) appendChunk(c Chunk) {
-	last := int64(0)
-	if n := len(s.Chunks); n > 0 {
-		last = s.Chunks[n-1].Last
-	}
-	switch c.First {
-	case last + 1:
-		s.Chunks = append(s.Chunks[:len(s.Chunks):len(s.Chunks)], c) // append copies: later jobs share the old slice
-	case 1:
-		s.Chunks = []Chunk{c}
-	}
-}
-
 // applyListed adds the first result of each task. It returns false if it adds none.
 func (s *State) applyListed(now time.Duration, writer string, listed Listed) bool {
 	j := s.Jobs[listed.Job]
--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -15,8 +15,7 @@
 // uses it; the goroutines of the attempts send to results.
 type requestAttempts struct {
 	instance *Instance
-	request  *callerRequest
-	service  string
+	request  *plainRequest
 	deadline time.Duration
 
 	tried           map[string]bool  // targets of earlier attempts; not chosen again
@@ -25,31 +24,34 @@
 	running         int
 	countedAttempts int // limited by MaxAttempts; without those that got no connection
 	startedAttempts int // all attempts, for logs and metrics
+	serverErrors    int // attempts whose target responded with status 500
 	// best is the result to respond with: an attempt with a response, else one that may have
 	// run, else one that did not run.
 	best *attemptResult
 }
 
 // runAttempts sends the request to targets until one responds, no further attempt is
-// allowed, or ctx ends. It returns the best result, nil if there is none, and the number
-// of attempts. Attempts that are still in flight end with ctx.
-func (in *Instance) runAttempts(ctx context.Context, c *callerRequest, deadline time.Duration) (best *attemptResult, attempts int) {
+// allowed, or ctx ends. The best result is nil if there is none. Attempts that are still in
+// flight end with ctx.
+func (in *Instance) runAttempts(ctx context.Context, p *plainRequest, deadline time.Duration) *requestAttempts {
 	a := &requestAttempts{
-		instance: in, request: c, service: c.route.Pick(in.rand64()), deadline: deadline,
-		tried: map[string]bool{}, results: make(chan *attemptResult, c.route.MaxAttempts+1),
+		instance: in, request: p, deadline: deadline,
+		tried: map[string]bool{}, results: make(chan *attemptResult, p.maxAttempts+1),
 	}
-	return a.run(ctx), a.startedAttempts
+	a.run(ctx)
+	return a
 }
 
-func (a *requestAttempts) run(ctx context.Context) *attemptResult {
+// run runs the attempts and sets best.
+func (a *requestAttempts) run(ctx context.Context) {
 	for {
 		if a.running == 0 && !a.start(ctx) {
 			if !a.allTargetsRefused() {
-				return a.best
+				return
 			}
 			clear(a.tried) // every target refused; one may get a free slot soon
 			if !clock.Sleep(ctx, allRefusedBackoff) {
-				return a.best
+				return
 			}
 			continue
 		}
@@ -62,11 +64,11 @@
 			if a.best == nil {
 				a.best = &attemptResult{target: a.lastTarget, outcome: retry.Unknown, err: ctx.Err()}
 			}
-			return a.best
+			return
 		case r := <-a.results:
 			if final := a.handleResult(r); final {
 				stop()
-				return a.best
+				return
 			}
 		}
 		stop()
@@ -77,11 +79,11 @@
 // or every ready target was tried.
 func (a *requestAttempts) start(ctx context.Context) bool {
 	in := a.instance
-	if a.countedAttempts >= a.request.route.MaxAttempts {
+	if a.countedAttempts >= a.request.maxAttempts {
 		return false
 	}
 	view := in.stateLoop.view.Load()
-	target, found := in.plainTargets.choose(in.clock.Now(), view, a.service, in.cfg.Settings.DataCentre, a.tried, in.rand64())
+	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, a.tried, in.rand64())
 	if !found {
 		return false
 	}
@@ -90,7 +92,7 @@
 	a.countedAttempts++
 	a.startedAttempts++
 	go func() {
-		a.results <- in.sendAttempt(ctx, a.request, target, a.deadline, countReadyTargets(view, a.service))
+		a.results <- in.sendAttempt(ctx, a.request, target, a.deadline, countReadyTargets(view, a.request.service))
 	}()
 	return true
 }
@@ -98,7 +100,7 @@
 // allTargetsRefused reports whether no target has run the request, so that all of them
 // may be tried again.
 func (a *requestAttempts) allTargetsRefused() bool {
-	return len(a.tried) > 0 && a.countedAttempts < a.request.route.MaxAttempts && (a.best == nil || a.best.outcome == retry.NotRun)
+	return len(a.tried) > 0 && a.countedAttempts < a.request.maxAttempts && (a.best == nil || a.best.outcome == retry.NotRun)
 }
 
 // hedgeTimer returns a channel that fires when the request is to be hedged, that is sent
@@ -106,10 +108,10 @@
 // timer. The channel is nil unless the request is idempotent, its only attempt so far is
 // in flight and MaxAttempts allows another.
 func (a *requestAttempts) hedgeTimer() (<-chan time.Time, func()) {
-	if a.request.route.Kind != catalog.Idempotent || a.running != 1 || a.countedAttempts >= a.request.route.MaxAttempts || a.startedAttempts > 1 {
+	if a.request.kind != catalog.Idempotent || a.running != 1 || a.countedAttempts >= a.request.maxAttempts || a.startedAttempts > 1 {
 		return nil, func() {}
 	}
-	timer := time.NewTimer(max(hedgeDelayMin, time.Duration(hedgeDelayFraction*float64(a.request.route.TargetLatency))))
+	timer := time.NewTimer(max(hedgeDelayMin, time.Duration(hedgeDelayFraction*float64(a.request.targetLatency))))
 	return timer.C, func() { timer.Stop() }
 }
 
@@ -123,15 +125,18 @@
 	if a.best == nil || r.outcome != retry.NotRun && !a.best.hasResponse() || r.hasResponse() {
 		a.best = r
 	}
-	idempotent := a.request.route.Kind == catalog.Idempotent
+	if r.hasResponse() && r.status == http.StatusInternalServerError {
+		a.serverErrors++
+	}
+	idempotent := a.request.kind == catalog.Idempotent
 	switch {
 	case r.hasResponse() && (r.status < http.StatusInternalServerError || !idempotent):
 		return true
 	case r.hasResponse(): // status 5xx: another target may succeed, else this response is used
-		return a.running == 0 && a.countedAttempts >= a.request.route.MaxAttempts
+		return a.running == 0 && a.countedAttempts >= a.request.maxAttempts
 	case !retry.Allowed(r.outcome, idempotent):
 		return true
 	default:
-		return a.running == 0 && a.countedAttempts >= a.request.route.MaxAttempts
+		return a.running == 0 && a.countedAttempts >= a.request.maxAttempts
 	}
 }
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -44,6 +44,10 @@
 		in.respondAccepted(c, len(sub.Tasks), "known")
 		return
 	}
+	if err := checkScorers(c.view.Catalog, sub.Tasks); err != nil {
+		in.deny(c, http.StatusBadRequest, err.Error())
+		return
+	}
 	records, err := job.EncodeTasks(sub.Tasks, in.cfg.Settings.Store.RecordBytes/2)
 	if err != nil {
 		in.respond(c, http.StatusBadRequest, err.Error())
@@ -281,7 +285,7 @@
 	}
 	results := make([]platform.Result, len(entries))
 	for i, e := range entries {
-		results[i] = platform.Result{ID: ids[i], Completed: e.Completed, Output: outputs[i], Versions: e.Versions}
+		results[i] = platform.Result{ID: ids[i], Completed: e.Completed, Output: outputs[i], Versions: e.Versions, Score: e.Score}
 	}
 	body, err := platform.EncodeResults(total, jobRequest.After, results)
 	if err != nil {
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -24,8 +24,13 @@
 	output    []byte
 	versions  []int64
 	location  *job.Location // of the output; nil: not stored yet
+	scoring   *scoring      // nil: the task is listed without a score, or its scoring has ended
+	score     string
 }
 
+// needsScore reports whether the result is to be scored before it is listed.
+func (r *taskResult) needsScore() bool { return r.completed && r.scoring != nil }
+
 // resultWriter stores outputs and records results in the log. Results that are queued
 // during a write are written together in the next one.
 type resultWriter struct {
@@ -65,7 +70,8 @@
 }
 
 // writeBatch stores the outputs, then records the results, so that the output of every
-// recorded result can be read.
+// recorded result can be read. Results that need a score go to the scorer instead: their
+// stored outputs are recorded, so that another runner needs to score them only.
 func (w *resultWriter) writeBatch(ctx context.Context, batch []taskResult) {
 	in := w.instance
 	var records [][]byte
@@ -82,24 +88,39 @@
 			return
 		}
 	}
-	byJob := map[string]*job.Listed{}
+	listed, unscored := map[string]*job.Listed{}, map[string]*job.Progress{}
 	var jobIDs []string
 	for _, r := range batch {
-		result := job.Result{Task: r.task, Completed: r.completed, Versions: r.versions}
-		switch {
-		case r.location != nil:
-			result.Location = *r.location
-		case len(r.output) > 0:
-			result.Location, locations = locations[0], locations[1:]
+		alreadyStored := r.location != nil
+		if !alreadyStored {
+			r.location = &job.Location{}
+			if len(r.output) > 0 {
+				*r.location, locations = locations[0], locations[1:]
+			}
+		}
+		if r.needsScore() {
+			in.scorer.add(r)
+			if alreadyStored {
+				continue
+			}
+			if unscored[r.job] == nil {
+				unscored[r.job] = &job.Progress{Job: r.job, Term: r.scoring.term}
+			}
+			unscored[r.job].Unscored = append(unscored[r.job].Unscored, job.CompleteOutput{Task: r.task, Versions: r.versions, Location: *r.location})
+			continue
 		}
-		if byJob[r.job] == nil {
-			byJob[r.job] = &job.Listed{Job: r.job}
+		if listed[r.job] == nil {
+			listed[r.job] = &job.Listed{Job: r.job}
 			jobIDs = append(jobIDs, r.job)
 		}
-		byJob[r.job].Results = append(byJob[r.job].Results, result)
+		listed[r.job].Results = append(listed[r.job].Results,
+			job.Result{Task: r.task, Completed: r.completed, Versions: r.versions, Location: *r.location, Score: r.score})
+	}
+	for _, p := range unscored {
+		in.appendRecordAsync(job.Record{Progress: p})
 	}
 	for _, id := range jobIDs {
-		data, err := in.encodeRecord(job.Record{Listed: byJob[id]})
+		data, err := in.encodeRecord(job.Record{Listed: listed[id]})
 		if err != nil {
 			in.log("record unencodable", events.F("error", err.Error()))
 			continue
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -13,6 +13,9 @@
 	runs, runsBroken, runsMoved   *metrics.Counter
 	taskTime                      *metrics.Histogram
 	orders, reports               *metrics.Counter
+
+	scored, scoreRetries, unscorable *metrics.Counter
+	scoreTime                        *metrics.Histogram
 }
 
 func newMetricSet() *metricSet {
@@ -34,5 +37,10 @@
 		taskTime:    set.NewHistogram("amaranth_hosted_task_seconds"),
 		orders:      set.NewCounter("amaranth_hosted_weight_orders_total"),
 		reports:     set.NewCounter("amaranth_hosted_usage_reports_total"),
+
+		scored:       set.NewCounter(`amaranth_hosted_score_calls_total{outcome="scored"}`),
+		scoreRetries: set.NewCounter(`amaranth_hosted_score_calls_total{outcome="retry"}`),
+		unscorable:   set.NewCounter(`amaranth_hosted_score_calls_total{outcome="given up"}`),
+		scoreTime:    set.NewHistogram("amaranth_hosted_score_seconds"),
 	}
 }
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -73,6 +73,7 @@
 	plainTargets *plainTargets
 	runner       *runner
 	resultWriter *resultWriter
+	scorer       *scorer
 	controller   *controller
 	usageCounter *usageCounter
 	stopping     chan struct{} // closed by Stop
@@ -120,6 +121,7 @@
 	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
 	in.runner = newRunner(in)
 	in.resultWriter = newResultWriter(in)
+	in.scorer = newScorer(in)
 	in.controller = newController(in)
 	in.usageCounter = newUsageCounter(in)
 	return in
@@ -150,7 +152,7 @@
 		in.stateLoop.run, in.controlLog.run, in.contentLog.run,
 		in.followLog, in.watchOperator, in.watchRegistry,
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers, in.logTransport.run, in.announce,
-		in.runner.run, in.resultWriter.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
+		in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
 	} {
 		group.Go(func() error { return f(ctx) })
 	}
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -109,6 +109,31 @@
 	return p.health.RecordFailure(now, t.Service, t.ID, readyTargets, jitter)
 }
 
+// plainRequest is a request to a plain service: a caller's, or one of the service itself.
+type plainRequest struct {
+	id      string
+	method  string
+	host    string
+	header  http.Header                   // without those that each attempt sets
+	url     func(address string) *url.URL // at a target's address
+	body    []byte
+	account string // empty: none
+	service string
+	kind    catalog.Kind
+	// maxAttempts is the maximum number of targets that the request is sent to.
+	maxAttempts   int
+	targetLatency time.Duration
+}
+
+// plainRequest returns the request to the target that serves the caller's request.
+func (c *callerRequest) plainRequest(service string) *plainRequest {
+	return &plainRequest{
+		id: c.ID, method: c.r.Method, host: c.r.Host, header: c.r.Header, body: c.body, account: c.account, service: service,
+		url:  func(address string) *url.URL { return requestURL(address, c.r) },
+		kind: c.route.Kind, maxAttempts: c.route.MaxAttempts, targetLatency: c.route.TargetLatency,
+	}
+}
+
 // attemptResult is the result of one attempt.
 type attemptResult struct {
 	target         directory.Target
@@ -132,7 +157,8 @@
 	deadline := c.deadline()
 	ctx, cancel := in.withDeadline(c, deadline)
 	defer cancel()
-	best, attempts := in.runAttempts(ctx, c, deadline)
+	attempted := in.runAttempts(ctx, c.plainRequest(c.route.Pick(in.rand64())), deadline)
+	best, attempts := attempted.best, attempted.startedAttempts
 	took := in.clock.Now() - c.started
 	in.metrics.requestTime.Update(took.Seconds())
 	if attempts > 1 {
@@ -213,13 +239,13 @@
 // sendAttempt sends the request to one target, returns the result and releases the
 // target. An attempt that was canceled, as the caller has disconnected or another attempt
 // has responded, does not count as a failure of the target.
-func (in *Instance) sendAttempt(ctx context.Context, c *callerRequest, target directory.Target, deadline time.Duration, readyTargets int) *attemptResult {
+func (in *Instance) sendAttempt(ctx context.Context, p *plainRequest, target directory.Target, deadline time.Duration, readyTargets int) *attemptResult {
 	r := &attemptResult{target: target, outcome: retry.NotRun}
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
 	})
-	in.roundTrip(ctx, c, r, deadline)
+	in.roundTrip(ctx, p, r, deadline)
 	if r.err != nil {
 		r.outcome = retry.Unknown
 		if !connected {
@@ -233,7 +259,7 @@
 		in.log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.err)))
 	}
 	if !r.hasResponse() {
-		in.log("request attempt failed", events.F("request", c.ID), events.F("target", target.ID),
+		in.log("request attempt failed", events.F("request", p.id), events.F("target", target.ID),
 			events.F("outcome", r.outcome.String()), events.F("status", fmt.Sprint(r.status)), events.F("error", fmt.Sprint(r.err)))
 	}
 	return r
@@ -242,12 +268,12 @@
 // roundTrip sends the request to r's target and sets the other fields of r from the
 // response. It sets r.err for a response that belongs to another request, lacks the
 // target's signature or has a content encoding.
-func (in *Instance) roundTrip(ctx context.Context, c *callerRequest, r *attemptResult, deadline time.Duration) {
+func (in *Instance) roundTrip(ctx context.Context, p *plainRequest, r *attemptResult, deadline time.Duration) {
 	req := &http.Request{
-		Method: c.r.Method, URL: requestURL(r.target.Address, c.r), Host: c.r.Host,
-		Header:        platform.ForwardedHeader(c.r.Header, r.target.ID, c.account, deadline-in.clock.Now()),
-		Body:          nonReplayableBody(c.r.Method, c.r.Header, c.body),
-		ContentLength: int64(len(c.body)),
+		Method: p.method, URL: p.url(r.target.Address), Host: p.host,
+		Header:        platform.ForwardedHeader(p.header, r.target.ID, p.account, deadline-in.clock.Now()),
+		Body:          nonReplayableBody(p.method, p.header, p.body),
+		ContentLength: int64(len(p.body)),
 	}
 	res, err := in.targetClient.Do(req.WithContext(ctx))
 	if err != nil {
@@ -255,14 +281,15 @@
 		return
 	}
 	r.status, r.header, r.platformHeader = res.StatusCode, res.Header, platform.DecodeResponseHeader(res)
-	if r.platformHeader.RequestID != c.ID && r.platformHeader.RequestID != "" || r.platformHeader.RequestID == "" && !r.platformHeader.NotRun {
+	in.noteLeaving(ctx, r.target, r.platformHeader)
+	if r.platformHeader.RequestID != p.id && r.platformHeader.RequestID != "" || r.platformHeader.RequestID == "" && !r.platformHeader.NotRun {
 		// This closes the connection, as the body is unread: later responses on it may belong
 		// to other requests too.
 		_ = res.Body.Close()
 		r.err = fmt.Errorf("%w: %q", errRequestIDMismatch, r.platformHeader.RequestID)
 		return
 	}
-	if c.route.Kind == catalog.Stream && res.StatusCode == http.StatusOK {
+	if p.kind == catalog.Stream && res.StatusCode == http.StatusOK {
 		r.stream = res.Body
 		return
 	}
@@ -270,7 +297,7 @@
 	r.body, r.err = io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
 	switch {
 	case r.err != nil:
-	case res.StatusCode/100 == 2 && !r.platformHeader.Signed:
+	case res.StatusCode/100 == 2 && r.platformHeader.Signature == "":
 		r.err = errors.New("the answer is not signed")
 	case res.Header.Get("Content-Encoding") != "":
 		r.err = errors.New("the answer is encoded, which nobody asked for")
--- a/internal/hosted/progress.go
+++ b/internal/hosted/progress.go
@@ -54,7 +54,7 @@
 				continue
 			}
 			e, found := r.instance.stateLoop.state.EarlierResult(snapshot.job, i)
-			if found && versionsAllowed(snapshot.job, e.Versions) {
+			if found && snapshot.job.AllowsVersions(e.Versions) {
 				location := e.Location
 				out = append(out, taskResult{job: snapshot.job.Job, task: i, id: snapshot.job.Tasks[i].ID, completed: true, versions: e.Versions, location: &location})
 			}
@@ -63,12 +63,6 @@
 	return out
 }
 
-// versionsAllowed reports whether the job accepts an output that these weight versions
-// generated. versions is in ascending order.
-func versionsAllowed(j *job.Job, versions []int64) bool {
-	return len(versions) > 0 && versions[0] >= j.MinVersion && (!j.SingleVersion || len(versions) == 1)
-}
-
 // loadOutput returns the stored part of a task's output. If it cannot be read, loadOutput
 // returns an empty output: the task then starts from its first event.
 func (r *runner) loadOutput(ctx context.Context, snapshot jobSnapshot, i int) *taskOutput {
@@ -117,7 +111,7 @@
 		key := j.job.Account + "/" + j.job.Tasks[i].ID
 		p, found := r.partialOutputs[key]
 		delete(r.partialOutputs, key)
-		if !found || !versionsAllowed(j.job, p.output.versions) {
+		if !found || !j.job.AllowsVersions(p.output.versions) {
 			continue
 		}
 		if last, _ := p.output.progress(); last > j.outputs[i].lastEvent {
@@ -125,8 +119,7 @@
 		}
 	}
 	for _, res := range loaded.reused {
-		j.recorded[res.task] = true
-		r.instance.resultWriter.queue <- res
+		r.completeTask(j, res, 0)
 	}
 	if len(loaded.reused) > 0 {
 		r.instance.log("job results reused", events.F("job", loaded.id), events.F("results", fmt.Sprint(len(loaded.reused))))
--- a/internal/hosted/runner.go
+++ b/internal/hosted/runner.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/score"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 )
 
@@ -272,6 +273,8 @@
 			j.recorded[i] = true
 			r.stopTask(key)
 		case j.recorded[i]:
+		case status[i].Unscored != nil && j.job.AllowsVersions(status[i].Unscored.Versions):
+			r.useStoredOutput(id, j, i, *status[i].Unscored, status[i].ScoreFailures)
 		case !routeFound, status[i].Failures >= j.job.MaxAttempts, j.job.Retention > 0 && age > j.job.Retention:
 			r.giveUpTask(id, j, i)
 		case !r.scheduler.Has(key) && status[i].Failures >= j.failures[i]:
@@ -294,6 +297,40 @@
 	})
 }
 
+// useStoredOutput completes a task with an output that an earlier runner or run has stored.
+func (r *runner) useStoredOutput(id string, j *claimedJob, i int, o job.CompleteOutput, scoreFailures int) {
+	r.stopTask(assign.Key{Job: id, Task: i})
+	r.completeTask(j, taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, versions: o.Versions, location: &o.Location}, scoreFailures)
+}
+
+// completeTask queues the result of a task with a complete output. The task needs no further
+// run. If it has a score request, it is scored before it is listed.
+func (r *runner) completeTask(j *claimedJob, result taskResult, scoreFailures int) {
+	i := result.task
+	j.recorded[i] = true
+	if request := j.tasks[i].Scorer; request != nil {
+		result.scoring = &scoring{
+			request: request, job: j.job, term: j.term, failures: scoreFailures, completedAt: r.instance.clock.Now(),
+			item: score.Item{
+				Key: score.Key{Job: result.job, Task: i}, Group: j.job.Tasks[i].Group,
+				Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Incomplete: j.incompleteOf(j.job.Tasks[i].Group),
+			},
+		}
+	}
+	r.instance.resultWriter.queue <- result
+}
+
+// incompleteOf returns the number of tasks of a group whose output is not complete.
+func (j *claimedJob) incompleteOf(group int) int {
+	n := 0
+	for i, t := range j.job.Tasks {
+		if t.Group == group && !j.recorded[i] {
+			n++
+		}
+	}
+	return n
+}
+
 // giveUpTask records a task as not completed, with the output received so far.
 func (r *runner) giveUpTask(id string, j *claimedJob, i int) {
 	j.recorded[i] = true
@@ -339,5 +376,6 @@
 		}
 	}
 	delete(r.jobs, id)
+	r.instance.scorer.removeJob(id)
 	r.instance.log("job left", events.F("job", id))
 }
--- a/internal/hosted/runs.go
+++ b/internal/hosted/runs.go
@@ -78,11 +78,10 @@
 		j.failures[i]++
 		in.appendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: j.term, Failed: []int{i}}})
 	case end.outcome == assign.Completed:
-		j.recorded[i] = true
 		in.metrics.listed.Inc()
 		output, versions, _ := j.outputs[i].snapshot()
 		in.metrics.taskTime.Update(float64(in.clock.Wall().UnixMilli()-j.job.SubmittedAt) / 1000)
-		in.resultWriter.queue <- taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, output: output, versions: versions}
+		r.completeTask(j, taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, output: output, versions: versions}, 0)
 	}
 }
 
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -66,6 +66,7 @@
 	}
 	defer res.Body.Close()
 	response := platform.DecodeResponseHeader(res)
+	in.noteLeaving(ctx, r.target, response)
 	switch {
 	case response.RequestID != r.task.ID && !response.NotRun:
 		end.err = fmt.Errorf("%w: %q", errRequestIDMismatch, response.RequestID)
@@ -75,7 +76,7 @@
 		end.unprocessable, end.err = true, errors.New("the engine reports that the task can never be processed")
 	case res.StatusCode == http.StatusInternalServerError:
 		end.serverError, end.err = true, errors.New("the engine responded with a server error")
-	case res.StatusCode != http.StatusOK || !response.Signed:
+	case res.StatusCode != http.StatusOK || response.Signature == "":
 		end.err = fmt.Errorf("%w: status %d", errNotStream, res.StatusCode)
 	default:
 		end.outcome, end.err = in.readEvents(res.Body, r, response.Version)
--- a/internal/standin/hostplatform/documents.go
+++ b/internal/standin/hostplatform/documents.go
@@ -8,7 +8,7 @@
 
 // Config returns the configuration that an operator would publish for a deployment with
 // an engine service ("models", with model m), a plain service ("desk"), one account
-// ("acme") and three routes.
+// ("acme") and four routes, of which score is public.
 func Config(version int64, host string, keys []string) map[string]any {
 	route := func(name, kind, service string, timeoutMS, targetLatencyMS int) map[string]any {
 		return map[string]any{
@@ -18,10 +18,12 @@
 	}
 	train := route("train", "rollout", "models", 10000, 400)
 	train["max-attempts"], train["retention-s"], train["result-due-ms"] = 3, 600.0, 7500
+	score := route("score", "idempotent", "desk", 1500, 150)
+	score["max-attempts"], score["public"] = 4, true
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			route("confirm", "idempotent", "desk", 4000, 300), route("once", "non_idempotent", "desk", 4000, 300), train,
+			route("confirm", "idempotent", "desk", 4000, 300), route("once", "non_idempotent", "desk", 4000, 300), train, score,
 		},
 		"services": []map[string]any{{"name": "models", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "desk"}},
 		"limits":   map[string]any{"max-body-bytes": 1 << 20},
@@ -32,6 +34,18 @@
 // Submission returns the body of a job submission. events holds the number of events
 // that each task generates, by task id.
 func Submission(minVersion int64, events map[string]int) []byte {
+	return ScoredSubmission(minVersion, events, "", "")
+}
+
+// ScoredSubmission is Submission with a score request for each task at the host and path, if
+// the path is not empty. The id of the request is that of the task with the prefix "score-".
+func ScoredSubmission(minVersion int64, events map[string]int, host, path string) []byte {
+	type scorer struct {
+		ID   string `json:"id"`
+		Host string `json:"host"`
+		Path string `json:"path"`
+		Body []byte `json:"body"`
+	}
 	type item struct {
 		ID      string            `json:"id"`
 		Path    string            `json:"path"`
@@ -39,6 +53,7 @@
 		Body    []byte            `json:"body"`
 		Tokens  int               `json:"tokens"`
 		Group   string            `json:"group"`
+		Scorer  *scorer           `json:"scorer,omitempty"`
 	}
 	ids := make([]string, 0, len(events))
 	for id := range events {
@@ -48,7 +63,11 @@
 	var items []item
 	for _, id := range ids {
 		headers := map[string]string{"Model": "m", "Token-Usage": fmt.Sprintf("10,%d", events[id])}
-		items = append(items, item{id, "/train/x/" + id, headers, []byte("body of " + id), events[id], "g"})
+		it := item{ID: id, Path: "/train/x/" + id, Headers: headers, Body: []byte("body of " + id), Tokens: events[id], Group: "g"}
+		if path != "" {
+			it.Scorer = &scorer{"score-" + id, host, path, []byte("score body of " + id)}
+		}
+		items = append(items, it)
 	}
 	data, err := json.Marshal(map[string]any{"step": 1, "model": "m", "min-version": minVersion, "group-count": 1, "items": items})
 	if err != nil {
@@ -66,5 +85,6 @@
 		State    string  `json:"state"`
 		Text     string  `json:"text"`
 		Versions []int64 `json:"versions"`
+		Score    string  `json:"score"`
 	} `json:"results"`
 }
