Lease: no turns between two instances within a lease duration

Cause: where the platform does not check fencing numbers, holders must not act in the order A, B, A inside a lease. A restarted instance frees the lease of its earlier incarnation at once; if B claims it, and is stopped, A could claim it back within the duration. Ruled out: an overlap of orders, which the model check already covers with a receiver that checks nothing. Change: the machine knows its earlier incarnations and waits a duration and the drift margin from the other's claim before it claims back. The model check also fails on turns; a benchmark explores five ticks with a stop.

--- a/core/lease/explore_test.go
+++ b/core/lease/explore_test.go
@@ -70,6 +70,9 @@
 	readCount     int8 // records read
 	sentCount     int8 // appends sent
 	inFlightUntil int8 // tick until which one of its orders may be in flight
+	lastOrder     int8 // latest tick at which it may have sent an order
+	sentOrder     bool // it may have sent an order
+	tookTurn      bool // another instance may have sent an order since its latest one
 	fast          bool // has a fast clock
 }
 
@@ -88,7 +91,7 @@
 // are sorted, as their order does not matter.
 type key struct {
 	counters  [5]int8
-	instances [maxInstances][14]int8
+	instances [maxInstances][16]int8
 	log       [maxLog]appendOp
 	pending   [maxPending]appendOp
 }
@@ -101,7 +104,7 @@
 	for p := range s.instances {
 		inst := &s.instances[p]
 		m := &inst.machine
-		k.instances[p] = [14]int8{
+		k.instances[p] = [16]int8{
 			inst.readCount, inst.sentCount, max(inst.inFlightUntil, s.now), boolToInt8(inst.fast), boolToInt8(m.hasPending), boolToInt8(m.steppingDown),
 			int8(m.observedAt), int8(m.sentAt), int8(m.expiresAt), int8(m.releaseAt), int8(m.current.LastOffset),
 			int8(m.current.Term), int8(m.pendingID[1]),
@@ -109,6 +112,10 @@
 		if m.current.Holder != "" {
 			k.instances[p][13] = int8(m.current.Holder[1])
 		}
+		if inst.tookTurn { // else the time of its latest order does not matter
+			k.instances[p][14] = max(inst.lastOrder, s.now-termTicks) + 1
+		}
+		k.instances[p][15] = boolToInt8(inst.sentOrder)
 	}
 	return k
 }
@@ -176,7 +183,9 @@
 }
 
 // explore visits every reachable system state and stops at the first one in which an
-// instance holds the lease while an order of another may be in flight.
+// instance holds the lease while an order of another may be in flight, or has sent an order
+// less than a lease duration ago that another instance's order followed. The receiver of the
+// orders checks no fencing numbers.
 func (e *explorer) explore() {
 	e.seen, e.applied = map[key]struct{}{}, map[[maxLog]appendOp][]appliedRecord{}
 	var stack []systemState
@@ -214,6 +223,21 @@
 			}
 		}
 		s.instances[p].inFlightUntil = s.now + flightTicks
+		if s.instances[p].tookTurn && s.now-s.instances[p].lastOrder < termTicks {
+			e.violation = fmt.Sprintf("at tick %d instance %d takes turns within a lease duration: its last order was sent at tick %d",
+				s.now, p, s.instances[p].lastOrder)
+		}
+		s.sendOrder(p, s.now)
+	}
+}
+
+// sendOrder records that instance p may send an order at the tick.
+func (s *systemState) sendOrder(p int, at int8) {
+	s.instances[p].lastOrder, s.instances[p].sentOrder, s.instances[p].tookTurn = at, true, false
+	for q := range s.instances {
+		if q != p && s.instances[q].sentOrder {
+			s.instances[q].tookTurn = true
+		}
 	}
 }
 
@@ -223,6 +247,7 @@
 	for p := range e.bounds.procs {
 		if _, held := s.instances[p].machine.HeldFor(s.clock(p), e.orderFlight()); held {
 			s.instances[p].inFlightUntil = s.now + 1 + flightTicks
+			s.sendOrder(p, s.now+1)
 		}
 	}
 	s.now++
@@ -363,6 +388,7 @@
 	for _, bound := range []bounds{
 		{procs: 2, ticks: 5, log: 4, duplicates: 1},
 		{procs: 3, ticks: 4, log: 3},
+		{procs: 2, ticks: 5, log: 5, stepDowns: 1}, // the second steps down for the first
 	} {
 		b.Run(fmt.Sprintf("%+v", bound), func(b *testing.B) {
 			for range b.N {
@@ -371,6 +397,9 @@
 				if e.violation != "" {
 					b.Fatal(e.violation)
 				}
+				if len(e.seen) >= maxStates {
+					b.Fatal("the exploration is not complete")
+				}
 				b.ReportMetric(float64(len(e.seen)), "states")
 			}
 		})
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -54,6 +54,13 @@
 	expiresAt  time.Duration // end of the lease as granted to this instance; zero: not granted
 	claimDelay time.Duration // additional wait before a claim
 
+	// The machine does not claim back a lease that another instance has taken over from an
+	// earlier incarnation of this instance less than a duration ago.
+	incarnationOf func(holder string) bool // nil: earlier incarnations are not recognized
+	lastHolder    string                   // latest holder, also after a release
+	displaced     bool                     // another instance took over from an earlier incarnation
+	displacedAt   time.Duration            // when that was read
+
 	claimsStopped bool          // StopClaiming was called
 	steppingDown  bool          // StepDown was called
 	releaseAt     time.Duration // earliest release after StepDown: calls under the lease have ended
@@ -66,6 +73,16 @@
 	return &Machine{name: name, self: self, timing: timing, observedAt: now}
 }
 
+// SetIncarnations makes the machine recognize the holders that are incarnations of this
+// instance: incarnationOf reports whether a holder is one. Where nobody checks fencing numbers,
+// two instances must not take turns within a lease duration. An instance that restarts releases
+// the lease of its earlier incarnation at once, and another one may claim it and release it as
+// soon; the machine then waits a duration and the drift margin from the other's claim before it
+// claims the lease back.
+func (m *Machine) SetIncarnations(incarnationOf func(holder string) bool) {
+	m.incarnationOf = incarnationOf
+}
+
 // Observe applies a lease record that was read from the log, with its verdict and the lease
 // after it. If the record is the accepted pending record of this instance, the lease lasts for
 // its duration from the time when the record was sent.
@@ -78,6 +95,12 @@
 		return
 	}
 	m.current, m.observedAt = state, now
+	if state.Holder != "" {
+		if m.isIncarnation(m.lastHolder) && !m.isIncarnation(state.Holder) {
+			m.displaced, m.displacedAt = true, now
+		}
+		m.lastHolder = state.Holder
+	}
 	if state.Holder != m.self {
 		m.expiresAt = 0
 		return
@@ -87,6 +110,11 @@
 	}
 }
 
+// isIncarnation reports whether the holder is this instance or an earlier incarnation of it.
+func (m *Machine) isIncarnation(holder string) bool {
+	return holder == m.self || m.incarnationOf != nil && holder != "" && m.incarnationOf(holder)
+}
+
 // Restore sets the lease to its state in a checkpoint, as if its last record was read at now.
 // The instance does not hold it until one of its records is read back.
 func (m *Machine) Restore(now time.Duration, state fold.Lease) {
@@ -173,6 +201,9 @@
 	if m.expiresAt > now || m.claimsStopped {
 		return false
 	}
+	if m.displaced && now-m.displacedAt < m.timing.Duration+m.timing.DriftMargin {
+		return false
+	}
 	if m.current.Holder == "" && m.current.LastOffset > 0 {
 		return now-m.observedAt >= m.claimDelay
 	}
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -1,6 +1,7 @@
 package lease_test
 
 import (
+	"strings"
 	"time"
 
 	"github.com/google/uuid"
@@ -92,4 +93,27 @@
 		Expect(lease.OrdersLeaseName(by, "north")).To(Equal(want))
 	},
 		Entry(nil, config.ShardByDeployment, "deployment"), Entry(nil, config.ShardByDataCentre, "deployment/north"))
+
+	It("does not take turns with another instance within a lease duration, also over a restart", func() {
+		m := lease.NewMachine("l", "a/2", timing, 0)
+		m.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, "a/") })
+		read := func(now time.Duration, holder string, offset record.Offset) {
+			m.Observe(now, uuid.UUID{byte(100 + offset)}, fold.Accepted,
+				fold.Lease{Holder: holder, Term: offset, LastOffset: offset, Duration: int64(timing.Duration)})
+		}
+		read(0, "a/1", 1)
+		read(0, "", 2) // a restarts
+		read(time.Second, "b/1", 3)
+		read(2*time.Second, "", 4) // b stops
+		Expect(m.Tick(8*time.Second-1, idGenerator())).To(BeNil())
+		Expect(m.Tick(8*time.Second, idGenerator())).NotTo(BeNil())
+	})
+
+	It("claims a lease that its earlier incarnation has released if no other instance held it since", func() {
+		m := lease.NewMachine("l", "a/2", timing, 0)
+		m.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, "a/") })
+		m.Observe(0, uuid.UUID{101}, fold.Accepted, fold.Lease{Holder: "a/1", Term: 1, LastOffset: 1, Duration: int64(timing.Duration)})
+		m.Observe(0, uuid.UUID{102}, fold.Accepted, fold.Lease{Term: 1, LastOffset: 2, Duration: int64(timing.Duration)})
+		Expect(m.Tick(time.Second, idGenerator())).NotTo(BeNil())
+	})
 })
--- a/internal/hosted/duty.go
+++ b/internal/hosted/duty.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -45,6 +46,7 @@
 		Duration: in.cfg.Settings.LeaseTerm, DriftMargin: driftMargin,
 	}, in.clock.Now())
 	c.lease.SetClaimDelay(in.jitter(leaseClaimJitter))
+	c.lease.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, in.cfg.Settings.Instance+"/") })
 	return c
 }
 
