Follow loops: idle instances pause between reads of the topics

Cause: each long poll ends with the next record, so reads are instances times batches. Ruled out: readers that pass records on to others: the records of a topic are small, the number of calls is what grows, and a pause needs no further path that can fail. Change: core/pace: instances that run jobs, hold the lease or serve a request about a job read as before; the others share a twentieth of the platform's read rate for each topic and get several batches with each read. An instance's own append ends its pause.

--- a/internal/hosted/appender.go
+++ b/internal/hosted/appender.go
@@ -73,6 +73,8 @@
 	callBytes int // largest total size of the records in one call
 	queue     chan *pendingAppend
 	onResult  func(err error) // called after each call to the log, with nil on success
+	// onAppended is nil, or called after each successful call.
+	onAppended func()
 }
 
 // pendingAppend is a queued append. Its records are sent in one call and stay contiguous.
@@ -201,6 +203,9 @@
 		position, err := a.writer.write(ctx, records)
 		a.onResult(err)
 		if err == nil {
+			if a.onAppended != nil {
+				a.onAppended()
+			}
 			return position, nil
 		}
 		maybeAppended = maybeAppended || errors.Is(err, platform.ErrOutcomeUnknown)
--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -23,8 +23,8 @@
 	// failoverThreshold is the number of consecutive failures after which the calls fail
 	// over to a peer. They do not if a call has succeeded on the direct path within
 	// recentSuccessWindow: then only some partitions of the log are down, for the peers too.
-	// While the direct path works, calls succeed more often than that, as the records of
-	// runners' heartbeats end the long polls.
+	// While the direct path works, calls succeed more often than that and the pause between
+	// reads, as the records of runners' heartbeats end the long polls.
 	failoverThreshold   = 2
 	recentSuccessWindow = 300 * time.Millisecond
 	// failedPeerTTL is how long a peer is not tried again after a call or probe through it
@@ -102,7 +102,7 @@
 	switch {
 	case failed:
 		t.failures++
-		if t.failures < failoverThreshold || t.directDown || t.lastSuccess > 0 && t.instance.clock.Now()-t.lastSuccess < recentSuccessWindow {
+		if t.failures < failoverThreshold || t.directDown || t.lastSuccess > 0 && t.instance.clock.Now()-t.lastSuccess < recentSuccessWindow+t.instance.followPause() {
 			return
 		}
 		t.directDown = true
--- a/internal/hosted/duty.go
+++ b/internal/hosted/duty.go
@@ -36,6 +36,7 @@
 	instance       *Instance
 	lease          *lease.Machine
 	supersededTerm atomic.Int64 // latest term that the platform or a target has rejected
+	holdsLease     atomic.Bool  // as of the last check, for other goroutines
 	weightUpdater  *weightUpdater
 	scaler         *scaler
 }
@@ -85,7 +86,9 @@
 	in := c.instance
 	return clock.Every(ctx, controllerInterval, func() {
 		c.updateLease(ctx)
-		if _, held := c.holder(ctx); held {
+		_, held := c.holder(ctx)
+		c.holdsLease.Store(held)
+		if held {
 			in.reportUsage(ctx)
 			c.weightUpdater.step(ctx)
 			c.scaler.step(ctx)
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -63,14 +63,17 @@
 			in.stateLoop.do(ctx, func() { in.stateLoop.nextOffset = trimmed.OldestOffset })
 		case err != nil:
 			in.dependencyLost("log", err)
-			clock.Sleep(ctx, readRetryDelay)
+			clock.Sleep(ctx, max(readRetryDelay, in.followPause()))
 		default:
 			in.dependencyRegained("log")
-			if in.sinceLastRead(&in.stateLoop.lastLogRead) > pollWait+pollDelayMargin {
+			if in.sinceLastRead(&in.stateLoop.lastLogRead) > pollWait+pollDelayMargin+in.followPause() {
 				in.stateLoop.logContinuousSince.Store(int64(in.clock.Now()))
 			}
 			in.markRead(&in.stateLoop.lastLogRead)
 			in.applyBatch(ctx, batch)
+			if in.stateLoop.caughtUp.Load() && len(batch.Records) > 0 {
+				in.pauseFollowing(ctx)
+			}
 		}
 	}
 	return nil
@@ -110,6 +113,7 @@
 			in.onRecord(offset, now, r, accepted)
 		}
 		in.stateLoop.sharedNextOffset.Store(in.stateLoop.nextOffset)
+		in.pace.instances.Store(int32(len(in.stateLoop.state.Instances)))
 		if in.stateLoop.nextOffset >= batch.EndOffset {
 			in.stateLoop.caughtUp.Store(true)
 		}
@@ -124,7 +128,7 @@
 type keyedTopic struct {
 	topic        string
 	lastRead     *atomic.Int64                                 // set at each reply
-	pollInterval time.Duration                                 // between reads
+	pollInterval time.Duration                                 // shortest time between reads; zero: one read follows the other
 	put          func(now time.Duration, e platform.Entry)     // called with each entry
 	retain       func(now time.Duration, keys map[string]bool) // nil, or called with all keys of the topic
 	outage       func(now time.Duration)                       // nil, or called after an outage
@@ -143,7 +147,7 @@
 		}
 		if err != nil {
 			in.dependencyLost(k.topic, err)
-			clock.Sleep(ctx, readRetryDelay)
+			clock.Sleep(ctx, max(readRetryDelay, in.followPause()))
 			continue
 		}
 		in.dependencyRegained(k.topic)
@@ -158,7 +162,7 @@
 			})
 		}
 		if k.pollInterval > 0 {
-			clock.Sleep(ctx, k.pollInterval)
+			clock.Sleep(ctx, max(k.pollInterval, in.followPause()))
 		}
 	}
 	return nil
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -160,6 +160,7 @@
 func (in *Instance) serveJobRequest(c *callerRequest, jobRequest platform.JobRequest) {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.Wait+readTimeout)
 	defer cancel()
+	defer in.pace.beginJobRequest()()
 	found, err := in.findJob(ctx, c, jobRequest.Job)
 	switch {
 	case err != nil:
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -67,6 +67,7 @@
 	targetClient *http.Client
 
 	stateLoop    *stateLoop
+	pace         *followPace
 	controlLog   *appender // appends to the control topic
 	contentLog   *appender // appends to the content topic
 	contentCache *contentCache
@@ -103,6 +104,7 @@
 		metrics:      newMetricSet(),
 		targetClient: &http.Client{Transport: platform.NewTargetTransport(idleConnsPerTarget), CheckRedirect: noRedirect},
 		stateLoop:    newStateLoop(rejoinTimeout),
+		pace:         newFollowPace(),
 		contentCache: newContentCache(s.MemoryBytes / contentCacheDivisor),
 		stopping:     make(chan struct{}),
 	}
@@ -114,6 +116,7 @@
 	}
 	in.controlLog = newAppender(&idempotentWriter{store: in.store, topic: controlTopic, producer: in.self},
 		controlTopic, s.Store.CallBytes, in.trackAppends("log"))
+	in.controlLog.onAppended = in.pace.expectRecords
 	in.contentLog = newAppender(&failoverWriter{
 		store: in.store, topic: contentTopic, partitions: s.Store.Partitions,
 		partition: int(hash.Mix(xxhash.Sum64String(s.Instance)) % uint64(s.Store.Partitions)),
--- a/internal/hosted/runner.go
+++ b/internal/hosted/runner.go
@@ -225,6 +225,9 @@
 	wasIdle := r.openJobs == 0
 	r.openJobs = len(r.jobs)
 	r.mu.Unlock()
+	if len(r.jobs) > 0 {
+		in.pace.ranJobsAt.Store(int64(in.clock.Now()))
+	}
 	return wasIdle && len(r.jobs) > 0
 }
 
