--- a/internal/ctl/explain.go
+++ b/internal/ctl/explain.go
@@ -20,9 +20,9 @@
 // events are far shorter: their error texts have at most a few hundred bytes.
 const maxLogLine = 1 << 20
 
-// idFields are the event fields that hold the id of a request or job, the number of a
+// idFields are the event fields that hold the id of a request, job or task, the number of a
 // usage window or the name of a target.
-var idFields = []string{"request", "job", "window", "target"}
+var idFields = []string{"request", "job", "task", "window", "target"}
 
 // contextEvents are the names of events that concern an instance and not a single request:
 // they change what the instance can do, or its view of the deployment. "log detour" is
--- a/internal/hosted/progress.go
+++ b/internal/hosted/progress.go
@@ -77,7 +77,7 @@
 	}
 	parts, err := r.instance.loadContent(ctx, locations)
 	if err != nil {
-		r.instance.log("text unreadable", events.F("job", snapshot.job.Job), events.F("task", fmt.Sprint(i)), events.F("error", err.Error()))
+		r.instance.log("text unreadable", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID), events.F("error", err.Error()))
 		return t
 	}
 	for k, c := range chunks {
--- a/internal/hosted/runs.go
+++ b/internal/hosted/runs.go
@@ -64,7 +64,7 @@
 	r.cancelRun(end.run)
 	if end.outcome == assign.Broken || end.outcome == assign.Stale {
 		in.metrics.runsBroken.Inc()
-		in.log("run broken", events.F("job", end.key.Job), events.F("task", fmt.Sprint(end.key.Task)),
+		in.log("run broken", events.F("job", end.key.Job), events.F("task", end.taskID),
 			events.F("target", end.engine), events.F("events", fmt.Sprint(lastEvent)), events.F("error", fmt.Sprint(end.err)))
 	}
 	if !current || j == nil {
@@ -99,7 +99,7 @@
 		r.cancelRun(s.Run)
 		r.scheduler.Requeue(now, s.Run, lastEvent)
 		r.instance.metrics.runsMoved.Inc()
-		r.instance.log("run moved", events.F("job", s.Task.Job), events.F("task", fmt.Sprint(s.Task.Task)),
+		r.instance.log("run moved", events.F("job", s.Task.Job), events.F("task", r.jobs[s.Task.Job].job.Tasks[s.Task.Task].ID),
 			events.F("target", s.Engine), events.F("events", fmt.Sprint(lastEvent)), events.F("reason", s.Reason))
 	}
 }
--- a/internal/hosted/scorer_test.go
+++ b/internal/hosted/scorer_test.go
@@ -71,17 +71,13 @@
 var _ = Describe("Tasks with a score request", func() {
 	It("are listed with the signature of the response to their score call", func() {
 		d := newDeployment(2, 2)
-		d.handlePlain(func(w http.ResponseWriter, r *http.Request) bool {
-			signed(w, "signature of "+r.Header.Get("Request-Id"))
-			return true
-		})
 		events := tasks(8, 4)
 		Expect(d.submitScored("j", events).status).To(Equal(http.StatusAccepted))
 		for _, in := range d.instances {
 			page := in.awaitResults("j", 8)
 			checkOutputs(page, events)
 			for _, r := range page.Results {
-				Expect(r.Score).To(Equal("signature of score-" + r.ID))
+				Expect(r.Score).To(Equal(hostplatform.Signature("score-" + r.ID)))
 			}
 		}
 		Expect(d.scoreCalls()).To(HaveLen(8))
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -19,6 +19,7 @@
 type runEnd struct {
 	run           int64
 	key           assign.Key
+	taskID        string
 	engine        string
 	outcome       assign.Outcome
 	serverError   bool // the engine responded with status 500
@@ -50,7 +51,7 @@
 // runTask runs the task at the engine until the stream ends, and adds its events to the
 // output.
 func (in *Instance) runTask(ctx context.Context, r taskRun) runEnd {
-	end := runEnd{run: r.id, key: r.key, engine: r.target.ID, outcome: assign.Broken}
+	end := runEnd{run: r.id, key: r.key, taskID: r.task.ID, engine: r.target.ID, outcome: assign.Broken}
 	lastEvent := r.output.setActiveRun(r.id)
 	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.remaining, lastEvent)
 	req := &http.Request{
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -46,9 +46,9 @@
 	case pauseInstance:
 		p.signal(syscall.SIGSTOP)
 		sleep(ctx, f.duration)
-		p.signal(syscall.SIGCONT)
+		e.resume(p)
 	case stopInstance:
-		p.signal(syscall.SIGCONT) // a process under SIGSTOP does not handle SIGTERM
+		e.resume(p) // a process under SIGSTOP does not handle SIGTERM
 		if exited := p.signal(syscall.SIGTERM); exited != nil {
 			<-exited
 		}
@@ -143,7 +143,7 @@
 		t.engine.AbortAfterEvents(0)
 	}
 	for _, p := range e.instances {
-		p.signal(syscall.SIGCONT)
+		e.resume(p)
 		p.logProxy.setMode(forwarding)
 		e.restart(p)
 	}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,7 @@
 // jobState is what the trainer has received for a job.
 type jobState struct {
 	events   map[string]int // number of events by task
+	scored   bool           // the tasks have a score request
 	accepted bool
 	refused  int      // attempts with status 503 or 429
 	attempts int      // to submit the job
@@ -134,11 +136,14 @@
 // submit sends a job, with up to three attempts at successive instances, and reads its
 // results once it is accepted.
 func (l *load) submit(id string, events map[string]int, firstInstance int) {
-	j := &jobState{events: events}
+	j := &jobState{events: events, scored: l.env.cfg.Seed%2 == 0}
 	l.mu.Lock()
 	l.jobs[id] = j
 	l.mu.Unlock()
 	body := hostplatform.Submission(1, events)
+	if j.scored {
+		body = hostplatform.ScoredSubmission(1, events, routeHost, "/score/x")
+	}
 	for i := range 3 {
 		status, _ := l.send(firstInstance+i, http.MethodPost, "/train/"+id, id, l.env.key(), body)
 		l.mu.Lock()
@@ -191,6 +196,8 @@
 		switch {
 		case i < len(j.results) && j.results[i] != r.ID:
 			l.env.recordViolation("job %s: the result at position %d was %s and is now %s", id, i, j.results[i], r.ID)
+		case j.scored && r.Score != hostplatform.Signature("score-"+r.ID):
+			l.env.recordViolation("job %s: task %s has the score %q", id, r.ID, r.Score)
 		case r.State != "completed" || r.Text != hostplatform.Output(r.ID, j.events[r.ID]):
 			l.env.recordViolation("job %s: task %s is %s with an output of %d bytes", id, r.ID, r.State, len(r.Text))
 		}
@@ -224,10 +231,14 @@
 // got it must not have run at a target. If all attempts to submit a job were refused, no
 // target may have run any of its tasks.
 func (e *environment) check(l *load) {
-	runs, accounts := map[string]int{}, map[string]bool{}
+	runs, accounts, scoreAccounts := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, t := range e.targets {
 		for _, r := range t.engine.Runs() {
 			runs[r.ID]++
+			if strings.HasPrefix(r.Path, "/score/") {
+				scoreAccounts[r.Account] = true
+				continue
+			}
 			accounts[r.Account] = true
 		}
 		for _, violation := range t.engine.Violations() {
@@ -242,6 +253,11 @@
 			e.recordViolation("a request ran for account %q", account)
 		}
 	}
+	for account := range scoreAccounts {
+		if account != "" {
+			e.recordViolation("a score request ran for account %q", account)
+		}
+	}
 	for id, status := range l.statuses {
 		var n int
 		_, err := fmt.Sscanf(id, "call-%d", &n)
@@ -261,7 +277,7 @@
 			continue
 		}
 		for task := range j.events {
-			if runs[task] > 0 {
+			if runs[task]+runs["score-"+task] > 0 {
 				e.recordViolation("every attempt to submit job %s was refused, but its task %s ran", id, task)
 			}
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -32,6 +32,8 @@
 	exited chan struct{} // closed when the current process has exited
 }
 
+const leaseTerm = 3 * time.Second
+
 // settingsFormat is the template of an instance's settings file.
 const settingsFormat = `node = %q
 zone = "a"
@@ -47,7 +49,7 @@
 [bounds]
 grace-s = 8
 contact-ms = 3000
-lease-ms = 3000
+lease-ms = %d
 window-s = 2
 usage-late-s = 6
 status-s = 120
@@ -57,6 +59,7 @@
 parts = %d
 record-bytes = 262144
 call-bytes = 2097152
+reads-per-s = 2000
 retention-s = 300
 [cloud]
 address = %q
@@ -77,7 +80,7 @@
 	}
 	p.settingsPath = filepath.Join(cfg.Dir, p.name+".toml")
 	p.logPath = filepath.Join(cfg.Dir, p.name+".log")
-	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, logProxy.address(), logPartitions, cloudAddress)
+	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, leaseTerm.Milliseconds(), logProxy.address(), logPartitions, cloudAddress)
 	return p, writeFile(p.settingsPath, settings)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/internal/standin"
@@ -64,7 +65,8 @@
 	started   time.Time
 
 	mu            sync.Mutex
-	keys          []string // of the client account, oldest first
+	resumedAt     time.Time // when a paused process or a link was last resumed
+	keys          []string  // of the client account, oldest first
 	configVersion int64
 	weightVersion int64
 	violations    []string
@@ -119,6 +121,9 @@
 	if err != nil {
 		return err
 	}
+	if e.cfg.Seed%2 == 1 {
+		e.cloud.LeaveUnchecked(leaseTerm, e.justResumed)
+	}
 	cloudAddress, err := e.serve(e.cloud)
 	if err != nil {
 		return err
@@ -150,6 +155,24 @@
 	return nil
 }
 
+// thawGrace is how long after a pause a call may arrive that was checked before it.
+const thawGrace = 300 * time.Millisecond
+
+// justResumed reports whether a paused process was resumed within thawGrace.
+func (e *environment) justResumed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Since(e.resumedAt) < thawGrace
+}
+
+// resume continues a paused process.
+func (e *environment) resume(p *process) {
+	e.mu.Lock()
+	e.resumedAt = time.Now()
+	e.mu.Unlock()
+	p.signal(syscall.SIGCONT)
+}
+
 // serve starts a stand-in and returns its address.
 func (e *environment) serve(handler http.Handler) (string, error) {
 	server, err := standin.Serve(handler)
--- a/internal/standin/hostplatform/cloud.go
+++ b/internal/standin/hostplatform/cloud.go
@@ -6,14 +6,20 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"time"
 
 	"github.com/amaranthfold/amaranthfold/internal/standin"
 )
 
 // Cloud serves the /usage call of the platform's cloud interface. It accepts usage
-// reports whose fencing number is not stale.
+// reports whose fencing number is not stale. After LeaveUnchecked it accepts them all.
 type Cloud struct {
 	mu             sync.Mutex
+	unchecked      bool
+	leaseTerm      time.Duration
+	excused        func() bool
+	lastCall       map[string]time.Time // by holder
+	tookTurn       map[string]bool      // holders after whose last call another holder has called
 	highestFencing int64
 	holders        map[int64]string           // lease holders by fencing number
 	reportedCounts map[int64]map[string]int64 // requests by window, then by account
@@ -22,7 +28,31 @@
 
 // NewCloud returns a Cloud that has received no reports.
 func NewCloud() *Cloud {
-	return &Cloud{holders: map[int64]string{}, reportedCounts: map[int64]map[string]int64{}}
+	return &Cloud{holders: map[int64]string{}, reportedCounts: map[int64]map[string]int64{}, lastCall: map[string]time.Time{}, tookTurn: map[string]bool{}}
+}
+
+// LeaveUnchecked makes the platform accept stale fencing numbers. A call with one is then a
+// violation, and so are two holders that take turns within leaseTerm, unless excused reports
+// that the call may have been on its way for longer.
+func (c *Cloud) LeaveUnchecked(leaseTerm time.Duration, excused func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.unchecked, c.leaseTerm, c.excused = true, leaseTerm, excused
+}
+
+// checkTurn records violations by a call that the platform does not check.
+func (c *Cloud) checkTurn(holder string, fencing int64) {
+	now := time.Now()
+	if fencing < c.highestFencing && !c.excused() {
+		c.violations = append(c.violations, fmt.Sprintf("%s called with the fencing number %d after %d", holder, fencing, c.highestFencing))
+	}
+	if since := now.Sub(c.lastCall[holder]); c.tookTurn[holder] && since < c.leaseTerm && !c.excused() {
+		c.violations = append(c.violations, fmt.Sprintf("%s took turns with another holder within %s", holder, since))
+	}
+	for other := range c.lastCall {
+		c.tookTurn[other] = c.tookTurn[other] || other != holder
+	}
+	c.lastCall[holder], c.tookTurn[holder] = now, false
 }
 
 // Violations returns descriptions of calls that must never happen: two lease holders
@@ -72,11 +102,13 @@
 		c.violations = append(c.violations, fmt.Sprintf("%s and %s both used the fencing number %d", previous, holder, fencing))
 	}
 	c.holders[fencing] = holder
-	if fencing < c.highestFencing {
+	if c.unchecked {
+		c.checkTurn(holder, fencing)
+	} else if fencing < c.highestFencing {
 		http.Error(w, "fenced", http.StatusConflict)
 		return
 	}
-	c.highestFencing = fencing
+	c.highestFencing = max(c.highestFencing, fencing)
 	if previous, repeated := c.reportedCounts[report.Window]; repeated && !maps.Equal(previous, report.Counts) {
 		c.violations = append(c.violations, fmt.Sprintf("window %d was reported with %v and %v", report.Window, previous, report.Counts))
 	}
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -208,7 +208,7 @@
 		if handler != nil && handler(w, r) {
 			return
 		}
-		w.Header().Set("Server-Stamp", "s")
+		w.Header().Set("Server-Stamp", Signature(id))
 		_, _ = w.Write(append([]byte(e.ID+":"), body...)) // the caller may have disconnected
 		return
 	}
@@ -229,6 +229,9 @@
 	e.stream(w, r, id)
 }
 
+// Signature returns the signature of the response to a plain request.
+func Signature(requestID string) string { return "signature of " + requestID }
+
 func (e *Engine) acquireSlot() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
