Follow loops: reads sized and repeated for instances that all start at once

Change: core/pace: pages of 64 KB at first, halved by a failure and doubled by a fast response; failed reads are repeated ever later, with jitter. The configuration and the registry are read before the log, as plain requests need nothing else.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -8,6 +8,13 @@
 // instance that needs the records at once reads without a pause. The others share a fixed
 // part of the platform's read rate and get several batches with each read.
 //
+// When all machines come back at once, every instance reads the whole log at the same
+// moment: 304 instances that ask for 0.7 MB each wait 2.7 s for a platform that sends 80 MB a
+// second, longer than any of them waits for a response. If each then asked again for
+// everything, the platform would send responses that nobody waits for, and no instance would
+// ever get one. So reads ask for little at first (Reader) and failed ones are repeated ever
+// later (Reader.RetryDelay).
+//
 // The package has no clock and no I/O.
 package pace
 
@@ -31,3 +38,51 @@
 	pause := time.Duration(float64(instances) / (idleShare * readsPerSecond) * float64(time.Second))
 	return min(pause, maxPause)
 }
+
+const (
+	minPageBytes   = 4 << 10
+	firstPageBytes = 64 << 10
+	maxPageBytes   = 1 << 20
+	fastRead       = 100 * time.Millisecond // a page that takes less leaves room for a larger one
+	minRetryDelay  = 50 * time.Millisecond  // about twelve times the log's response time of 4 ms
+)
+
+// Reader sizes and repeats the reads of one topic. It halves the page after a failure and
+// doubles it after a fast response. It is not safe for concurrent use.
+type Reader struct {
+	page     int
+	failures int // consecutive
+}
+
+// NewReader returns the reader of an instance that has just started.
+func NewReader() *Reader { return &Reader{page: firstPageBytes} }
+
+// PageBytes returns how much the next read may return.
+func (r *Reader) PageBytes() int { return r.page }
+
+// Succeeded records a read that took so long, without the time for which it waited for
+// records.
+func (r *Reader) Succeeded(took time.Duration) {
+	r.failures = 0
+	if took < fastRead {
+		r.page = min(2*r.page, maxPageBytes)
+	}
+}
+
+// Failed records a failed read.
+func (r *Reader) Failed() {
+	r.failures++
+	r.page = max(r.page/2, minPageBytes)
+}
+
+// RetryDelay returns how long to wait before a failed read is repeated. It doubles with each
+// failure, up to the pause of an idle instance, and up to maxPause while the number of
+// instances is not known. jitter, from 0 to 1, spreads the delay from half to one and a half.
+func (r *Reader) RetryDelay(instances int, readsPerSecond, jitter float64) time.Duration {
+	longest := max(minRetryDelay, Pause(instances, readsPerSecond, false))
+	if instances == 0 {
+		longest = maxPause
+	}
+	delay := min(minRetryDelay<<min(max(r.failures-1, 0), 10), longest)
+	return time.Duration((0.5 + jitter) * float64(delay))
+}
--- a/internal/hosted/content.go
+++ b/internal/hosted/content.go
@@ -109,7 +109,7 @@
 			next++
 		}
 	}
-	batch, err := in.store.Read(ctx, contentTopic, first.Partition, first.Offset, min(bytes, pollBytes), 0)
+	batch, err := in.store.Read(ctx, contentTopic, first.Partition, first.Offset, min(bytes, contentReadBytes), 0)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/pace"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/platform"
@@ -18,11 +19,13 @@
 	controlTopic = "control" // applied by every instance: small records only
 	contentTopic = "content" // tasks and outputs, read on demand
 
-	pollWait             = time.Second            // of one long poll; without a reply it fails after this and the store's read margin
-	pollBytes            = 1 << 20                // approximate limit of one read
-	retryPollWait        = 200 * time.Millisecond // while reads fail: a short poll detects the end of an outage soon
-	readRetryDelay       = 50 * time.Millisecond  // about twelve times the log's response time of 4 ms
-	registryPollInterval = 60 * time.Millisecond  // between reads of the registry: at most 16 a second
+	pollWait         = time.Second            // of one long poll; without a reply it fails after this and the store's read margin
+	contentReadBytes = 1 << 20                // approximate limit of one read of the content topic
+	retryPollWait    = 200 * time.Millisecond // while reads fail: a short poll detects the end of an outage soon
+	// firstViewWait is how long an instance that has started reads the configuration and the
+	// registry before the log: with them alone it serves plain requests.
+	firstViewWait        = time.Second
+	registryPollInterval = 60 * time.Millisecond // between reads of the registry: at most 16 a second
 	// rejoinTimeout is how long after an outage of the registry the entry of a running
 	// target may be missing: about 2 s by the platform's documentation.
 	rejoinTimeout = 2200 * time.Millisecond
@@ -54,8 +57,11 @@
 
 // followLog reads the control topic and applies its records until ctx ends.
 func (in *Instance) followLog(ctx context.Context) error {
+	in.awaitFirstView(ctx)
+	reader := pace.NewReader()
 	for ctx.Err() == nil {
-		batch, err := in.store.Read(ctx, controlTopic, 0, in.stateLoop.nextOffset, pollBytes, in.logPollWait())
+		started, wait := in.clock.Now(), in.logPollWait()
+		batch, err := in.store.Read(ctx, controlTopic, 0, in.stateLoop.nextOffset, reader.PageBytes(), wait)
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
@@ -63,9 +69,10 @@
 			in.stateLoop.do(ctx, func() { in.stateLoop.nextOffset = trimmed.OldestOffset })
 		case err != nil:
 			in.dependencyLost("log", err)
-			clock.Sleep(ctx, max(readRetryDelay, in.followPause()))
+			in.pauseAfterFailure(ctx, reader)
 		default:
 			in.dependencyRegained("log")
+			in.readSucceeded(reader, started, wait)
 			if in.sinceLastRead(&in.stateLoop.lastLogRead) > pollWait+pollDelayMargin+in.followPause() {
 				in.stateLoop.logContinuousSince.Store(int64(in.clock.Now()))
 			}
@@ -79,6 +86,40 @@
 	return nil
 }
 
+// awaitFirstView waits until the configuration and the registry have been read, for
+// firstViewWait at most.
+func (in *Instance) awaitFirstView(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstViewWait)
+	defer cancel()
+	for {
+		changed := in.stateLoop.nextChange()
+		if in.stateLoop.view.Load().Catalog != nil && in.stateLoop.lastRegistryRead.Load() != 0 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// readSucceeded records a read that may have waited for records for the duration wait.
+func (in *Instance) readSucceeded(reader *pace.Reader, started, wait time.Duration) {
+	took := in.clock.Now() - started
+	if wait > 0 {
+		took = wait // it is not known how much of it was spent waiting for records
+	}
+	reader.Succeeded(took)
+}
+
+// pauseAfterFailure waits before a failed read is repeated.
+func (in *Instance) pauseAfterFailure(ctx context.Context, reader *pace.Reader) {
+	reader.Failed()
+	instances := int(in.pace.instances.Load())
+	clock.Sleep(ctx, reader.RetryDelay(instances, in.cfg.Settings.Store.ReadsPerSecond, float64(in.rand64()%1000)/1000))
+}
+
 // logPollWait returns how long a read of the control topic may wait for records: zero
 // until the log has been read to its end.
 func (in *Instance) logPollWait() time.Duration {
@@ -136,21 +177,22 @@
 
 // followKeyed reads the latest entry of each key, then further entries until ctx ends.
 func (in *Instance) followKeyed(ctx context.Context, k keyedTopic) error {
-	next := int64(-1)
+	next, reader := int64(-1), pace.NewReader()
 	for ctx.Err() == nil {
 		var entries []platform.Entry
 		var err error
 		if next < 0 {
 			entries, next, err = in.readLatest(ctx, k)
 		} else {
-			entries, next, err = in.readKeyed(ctx, k, next)
+			entries, next, err = in.readKeyed(ctx, k, next, reader.PageBytes())
 		}
 		if err != nil {
 			in.dependencyLost(k.topic, err)
-			clock.Sleep(ctx, max(readRetryDelay, in.followPause()))
+			in.pauseAfterFailure(ctx, reader)
 			continue
 		}
 		in.dependencyRegained(k.topic)
+		reader.Succeeded(pollWait) // these topics are small: a larger page gains nothing
 		if in.markRead(k.lastRead) && k.outage != nil {
 			in.stateLoop.do(ctx, func() { k.outage(in.clock.Now()) })
 		}
@@ -186,8 +228,8 @@
 
 // readKeyed returns the entries from an offset on and the offset after them. If the topic
 // was trimmed beyond the offset, it returns the latest entry of each key.
-func (in *Instance) readKeyed(ctx context.Context, k keyedTopic, next int64) ([]platform.Entry, int64, error) {
-	batch, err := in.store.Read(ctx, k.topic, 0, next, pollBytes, in.pollWaitFor(k.topic))
+func (in *Instance) readKeyed(ctx context.Context, k keyedTopic, next int64, maxBytes int) ([]platform.Entry, int64, error) {
+	batch, err := in.store.Read(ctx, k.topic, 0, next, maxBytes, in.pollWaitFor(k.topic))
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		in.log("topic trimmed", events.F("topic", k.topic), events.F("from", fmt.Sprint(next)))
