Follow loops: no pause before the end of the log; claims spread over many instances

An instance whose reads had failed asked for 4 KB a page, and as reads at the end of the log never enlarged it, it read 4 KB and paused 0.37 s: it fell behind for good and answered from an old state. Change: the page grows after every fast response; an instance pauses only at the end of the log; an idle instance reads the log to its end before it serves a request about a job. The random delay of claims grows with the number of instances.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -60,8 +60,8 @@
 // PageBytes returns how much the next read may return.
 func (r *Reader) PageBytes() int { return r.page }
 
-// Succeeded records a read that took so long, without the time for which it waited for
-// records.
+// Succeeded records a read that took so long. A read that waited for records does not enlarge
+// the page.
 func (r *Reader) Succeeded(took time.Duration) {
 	r.failures = 0
 	if took < fastRead {
@@ -86,3 +86,18 @@
 	delay := min(minRetryDelay<<min(max(r.failures-1, 0), 10), longest)
 	return time.Duration((0.5 + jitter) * float64(delay))
 }
+
+const (
+	// spreadInstances is the number of instances for which a base delay is long enough.
+	spreadInstances = 10
+	maxSpread       = 1200 * time.Millisecond
+)
+
+// Spread returns the longest random delay of an instance before it does what one of all
+// instances has to do, as claiming a job without a runner. An instance that has read the
+// claim of another one does not claim. The delay grows with the number of instances, so that
+// the first one comes as early and as few others come before they have read its claim:
+// of 304 instances that draw from 60 ms, 75 would claim each of a dozen jobs within 15 ms.
+func Spread(base time.Duration, instances int) time.Duration {
+	return max(base, min(base*time.Duration(instances)/spreadInstances, maxSpread))
+}
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -1,6 +1,8 @@
 package pace_test
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -120,6 +122,21 @@
 })
 
 var _ = Describe("Reader", func() {
+	It("asks for more again after a failure once responses are fast", func() {
+		r := pace.NewReader()
+		for range 10 {
+			r.Failed()
+		}
+		Expect(r.PageBytes()).To(Equal(4 << 10))
+		for range 10 {
+			r.Succeeded(10 * time.Millisecond)
+		}
+		Expect(r.PageBytes()).To(Equal(1 << 20))
+		r.Failed()
+		r.Succeeded(time.Second)
+		Expect(r.PageBytes()).To(Equal(512 << 10))
+	})
+
 	It("repeats failed reads ever later, up to the pause of an idle instance", func() {
 		r := pace.NewReader()
 		for _, want := range []time.Duration{50, 90, 90} {
@@ -132,3 +149,34 @@
 		Expect(r.RetryDelay(295, 16000, 0)).To(Equal(25 * time.Millisecond))
 	})
 })
+
+var _ = Describe("Spread", func() {
+	// All instances see at the same moment that a job has no runner. A claim shows to the
+	// others 15 ms after it was sent.
+	DescribeTable("keeps the first claim early and the further ones few",
+		func(instances int) {
+			const base, visible = 60 * time.Millisecond, 15 * time.Millisecond
+			longest := pace.Spread(base, instances)
+			random := rand.New(rand.NewPCG(1, 2))
+			claims, first := 0, time.Duration(0)
+			for range 100 {
+				delays := make([]time.Duration, instances)
+				for i := range delays {
+					delays[i] = time.Duration(random.Int64N(int64(longest)))
+				}
+				earliest := slices.Min(delays)
+				first += earliest / 100
+				for _, d := range delays {
+					if d < earliest+visible {
+						claims++
+					}
+				}
+			}
+			Expect(claims).To(BeNumerically("<", 600), "of 100 jobs")
+			Expect(first).To(BeNumerically("<", 20*time.Millisecond))
+		},
+		Entry("9 instances", 9),
+		Entry("67 instances", 67),
+		Entry("304 instances", 304),
+	)
+})
--- a/internal/hosted/claims.go
+++ b/internal/hosted/claims.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/pace"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 )
@@ -18,8 +19,8 @@
 	// confirmTimeout is how long a new runner may take to confirm that it runs the job:
 	// two appends to a slow log.
 	confirmTimeout = 700 * time.Millisecond
-	// claimJitter is the longest random delay of a claim. It keeps the instances from
-	// claiming a job all at once.
+	// claimJitter is the longest random delay of a claim on a small deployment. It keeps the
+	// instances from claiming a job all at once.
 	claimJitter = 300 * time.Millisecond
 	// handoverClaimJitter is that delay for jobs without a runner. It is shorter, as such a
 	// job may have no runs until it is claimed.
@@ -95,7 +96,7 @@
 	}
 	for id := range jitters {
 		if _, planned := claimAt[id]; !planned {
-			claimAt[id] = now + in.jitter(jitters[id])
+			claimAt[id] = now + in.jitter(pace.Spread(jitters[id], int(in.pace.instances.Load())))
 		}
 	}
 	slices.SortFunc(due, func(a, b job.Claimed) int { return int(a.Term - b.Term) })
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -60,8 +60,8 @@
 	in.awaitFirstView(ctx)
 	reader := pace.NewReader()
 	for ctx.Err() == nil {
-		started, wait := in.clock.Now(), in.logPollWait()
-		batch, err := in.store.Read(ctx, controlTopic, 0, in.stateLoop.nextOffset, reader.PageBytes(), wait)
+		started := in.clock.Now()
+		batch, err := in.store.Read(ctx, controlTopic, 0, in.stateLoop.nextOffset, reader.PageBytes(), in.logPollWait())
 		var trimmed *platform.TrimmedError
 		switch {
 		case errors.As(err, &trimmed):
@@ -72,14 +72,14 @@
 			in.pauseAfterFailure(ctx, reader)
 		default:
 			in.dependencyRegained("log")
-			in.readSucceeded(reader, started, wait)
+			reader.Succeeded(in.clock.Now() - started)
 			if in.sinceLastRead(&in.stateLoop.lastLogRead) > pollWait+pollDelayMargin+in.followPause() {
 				in.stateLoop.logContinuousSince.Store(int64(in.clock.Now()))
 			}
 			in.markRead(&in.stateLoop.lastLogRead)
 			in.applyBatch(ctx, batch)
-			if in.stateLoop.caughtUp.Load() && len(batch.Records) > 0 {
-				in.pauseFollowing(ctx)
+			if len(batch.Records) > 0 && in.stateLoop.nextOffset >= batch.EndOffset {
+				in.pauseFollowing(ctx) // only at the end of the log: an instance must not fall behind
 			}
 		}
 	}
@@ -104,15 +104,6 @@
 	}
 }
 
-// readSucceeded records a read that may have waited for records for the duration wait.
-func (in *Instance) readSucceeded(reader *pace.Reader, started, wait time.Duration) {
-	took := in.clock.Now() - started
-	if wait > 0 {
-		took = wait // it is not known how much of it was spent waiting for records
-	}
-	reader.Succeeded(took)
-}
-
 // pauseAfterFailure waits before a failed read is repeated.
 func (in *Instance) pauseAfterFailure(ctx context.Context, reader *pace.Reader) {
 	reader.Failed()
@@ -179,6 +170,7 @@
 func (in *Instance) followKeyed(ctx context.Context, k keyedTopic) error {
 	next, reader := int64(-1), pace.NewReader()
 	for ctx.Err() == nil {
+		started := in.clock.Now()
 		var entries []platform.Entry
 		var err error
 		if next < 0 {
@@ -192,7 +184,7 @@
 			continue
 		}
 		in.dependencyRegained(k.topic)
-		reader.Succeeded(pollWait) // these topics are small: a larger page gains nothing
+		reader.Succeeded(in.clock.Now() - started)
 		if in.markRead(k.lastRead) && k.outage != nil {
 			in.stateLoop.do(ctx, func() { k.outage(in.clock.Now()) })
 		}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -160,8 +160,12 @@
 func (in *Instance) serveJobRequest(c *callerRequest, jobRequest platform.JobRequest) {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.Wait+readTimeout)
 	defer cancel()
+	idle := !in.busy()
 	defer in.pace.beginJobRequest()()
 	found, err := in.findJob(ctx, c, jobRequest.Job)
+	if found && idle {
+		in.readLatestRecords(ctx)
+	}
 	switch {
 	case err != nil:
 		in.refuse(c, "the log is out of reach: "+err.Error())
@@ -188,6 +192,15 @@
 	return in.hasJob(ctx, c, id), nil
 }
 
+// readLatestRecords reads the log to its end at an instance that reads it with pauses, so
+// that callers see results as soon as at a busy one. If the log is out of reach, the request
+// is served from what was read before.
+func (in *Instance) readLatestRecords(ctx context.Context) {
+	if err := in.catchUp(ctx); err != nil {
+		in.log("log not read to its end", events.F("error", err.Error()))
+	}
+}
+
 // catchUp returns once every record that the log contains at the call has been applied.
 func (in *Instance) catchUp(ctx context.Context) error {
 	var next int64
