Peers: a certificate without a name is refused

Cause: the check of a peer's certificate took an empty common name for a connection without TLS, so any certificate of the CA that has no name could speak for every instance. Change: the certificate that was presented is kept as such, with its name. Measured: the new entry of the table fails before and passes after.

--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -66,11 +66,11 @@
 	defer conn.Close()
 	ctx, stop := withHelloTimeout(ctx, conn, helloTimeout)
 	defer stop()
-	name, err := certificateName(ctx, conn)
+	presented, err := peerCertificate(ctx, conn)
 	if err != nil {
 		return
 	}
-	_ = srv.ServeOne(withCertificateName(ctx, name), withTimeouts(conn)) // after a rejected or failed session, only the connection must be closed
+	_ = srv.ServeOne(withCertificate(ctx, presented), withTimeouts(conn)) // after a rejected or failed session, only the connection must be closed
 }
 
 // serviceDescription describes the service's only method to drpc.
@@ -107,7 +107,7 @@
 	if first.Kind != KindHello || hello.Deployment != s.deployment {
 		return fmt.Errorf("%w: %q", errWrongDeployment, hello.Deployment)
 	}
-	if err := checkCertificateName(stream.Context(), hello.ID); err != nil {
+	if err := checkCertificate(stream.Context(), hello.ID); err != nil {
 		return err
 	}
 	helloReceived(stream.Context())
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -12,39 +12,43 @@
 // instance id in its Hello.
 var errCertificateName = errors.New("peer's certificate belongs to another instance")
 
-type certificateNameKey struct{}
+// certificate is the certificate that a peer has presented.
+type certificate struct {
+	presented bool // false: the connection has no TLS, or the peer no certificate
+	name      string
+}
+
+type certificateKey struct{}
 
-// withCertificateName returns a context with the name in the peer's certificate, empty
-// without TLS.
-func withCertificateName(ctx context.Context, name string) context.Context {
-	return context.WithValue(ctx, certificateNameKey{}, name)
+func withCertificate(ctx context.Context, c certificate) context.Context {
+	return context.WithValue(ctx, certificateKey{}, c)
 }
 
-// certificateName completes the handshake of a TLS connection and returns the
-// common name of the peer's certificate. Without TLS or a certificate it is empty.
-func certificateName(ctx context.Context, conn net.Conn) (string, error) {
+// peerCertificate completes the handshake of a TLS connection and returns the certificate
+// that the peer has presented.
+func peerCertificate(ctx context.Context, conn net.Conn) (certificate, error) {
 	tlsConn, ok := conn.(*tls.Conn)
 	if !ok {
-		return "", nil
+		return certificate{}, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	if err := tlsConn.HandshakeContext(ctx); err != nil {
-		return "", fmt.Errorf("handshake with %s: %w", conn.RemoteAddr(), err)
+		return certificate{}, fmt.Errorf("handshake with %s: %w", conn.RemoteAddr(), err)
 	}
 	certificates := tlsConn.ConnectionState().PeerCertificates
 	if len(certificates) == 0 {
-		return "", nil
+		return certificate{}, nil
 	}
-	return certificates[0].Subject.CommonName, nil
+	return certificate{presented: true, name: certificates[0].Subject.CommonName}, nil
 }
 
-// checkCertificateName returns an error if ctx has a certificate name other than id. It
-// returns nil if the name is empty.
-func checkCertificateName(ctx context.Context, id string) error {
-	name, _ := ctx.Value(certificateNameKey{}).(string)
-	if name != "" && name != id {
-		return fmt.Errorf("%w: certificate name %q, hello id %q", errCertificateName, name, id)
+// checkCertificate returns an error if the peer has presented a certificate that is not for
+// id, also if it has no name.
+func checkCertificate(ctx context.Context, id string) error {
+	c, _ := ctx.Value(certificateKey{}).(certificate)
+	if c.presented && c.name != id {
+		return fmt.Errorf("%w: certificate name %q, hello id %q", errCertificateName, c.name, id)
 	}
 	return nil
 }
--- a/internal/peer/tls_test.go
+++ b/internal/peer/tls_test.go
@@ -70,6 +70,7 @@
 			Expect(err).To(HaveOccurred())
 		},
 		Entry("a peer with another instance's certificate", func() peer.Dialer { return dialAs(ca, "entry-2") }),
+		Entry("a peer whose certificate has no name", func() peer.Dialer { return dialAs(ca, "") }),
 		Entry("a peer without TLS", func() peer.Dialer { return peer.DialPlain }),
 		Entry("a peer with a certificate of another CA", func() peer.Dialer {
 			otherCA, err := certtest.NewCA(GinkgoT().TempDir())
