Targets that name a limit of requests are logged

No line told whether an instance knows the limit that a target names, so nobody could say whether limits are unknown, used by every instance in full, or exceeded by attempts that are not counted.

Reads the header in platform/, keeps the limit in core/directory until the target answers a later request without it, and logs when it is named, lifted or unreadable. A response that was sent before the limit was named does not lift it. Nothing keeps to the limit yet.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -7,7 +7,8 @@
 // target that registers again by then stays in the directory without interruption.
 //
 // A target that leaves may say so in its responses before its entry does, or while the registry
-// is unavailable. SetLeaving then keeps that start of the target from being ready.
+// is unavailable. SetLeaving then keeps that start of the target from being ready. A target may
+// also name in its responses a limit of the rate of requests; see SetLimit.
 package directory
 
 import (
@@ -28,6 +29,8 @@
 	Models       map[string]int64 // weight versions by model
 	StartedAt    int64            // start of the process, Unix milliseconds; zero: unknown
 	ReclaimedIn  time.Duration    // time until the target is reclaimed; zero: unknown
+	Limited      bool             // the target takes RequestLimit at most
+	RequestLimit float64          // requests a second, of all instances together
 }
 
 // Directory holds the targets. It is not safe for concurrent use.
@@ -37,12 +40,16 @@
 	gracePeriod time.Duration            // how long after an outage removals are delayed
 	graceUntil  time.Duration            // end of the latest grace period
 	leaving     map[string]int64         // StartedAt of the targets that have said that they leave, by id
+	limits      map[string]limit         // named by the targets, by id
 }
 
 // New returns an empty directory. gracePeriod is how long the entry of a running target may be
 // missing after an outage of the registry.
 func New(gracePeriod time.Duration) *Directory {
-	return &Directory{targets: map[string]Target{}, expiresAt: map[string]time.Duration{}, gracePeriod: gracePeriod, leaving: map[string]int64{}}
+	return &Directory{
+		targets: map[string]Target{}, expiresAt: map[string]time.Duration{}, gracePeriod: gracePeriod,
+		leaving: map[string]int64{}, limits: map[string]limit{},
+	}
 }
 
 // RegistryRestored starts a grace period at now, when the registry responds again after an
@@ -102,6 +109,7 @@
 // Expire removes the entries that were removed within a grace period that has ended and that
 // were not stored again. It reports whether there were any.
 func (d *Directory) Expire(now time.Duration) bool {
+	d.pruneLimits(now)
 	removed := false
 	for id, until := range d.expiresAt {
 		if now >= until {
@@ -120,6 +128,9 @@
 		if _, leaving := d.leaving[t.ID]; leaving {
 			t.Ready = false
 		}
+		if l, limited := d.limits[t.ID]; limited && l.startedAt == t.StartedAt {
+			t.Limited, t.RequestLimit = true, l.perSecond
+		}
 		out = append(out, t)
 	}
 	slices.SortFunc(out, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -65,4 +65,40 @@
 		Entry("the next heartbeat", directory.Target{HeartbeatSeq: 6, StartedAt: 10}, false),
 		Entry("a new start, whose heartbeats count from one again", directory.Target{HeartbeatSeq: 1, StartedAt: 11}, false),
 	)
+
+	Describe("a limit that a target names", func() {
+		limit := func() (bool, float64) {
+			t := d.Targets()[0]
+			return t.Limited, t.RequestLimit
+		}
+
+		It("holds until the target answers without it a request sent later", func() {
+			Expect(d.SetLimit(10*time.Second, "a", 10, 1.5)).To(BeTrue())
+			Expect(d.SetLimit(11*time.Second, "a", 10, 1.5)).To(BeFalse(), "it is known already")
+			limited, perSecond := limit()
+			Expect(limited).To(BeTrue())
+			Expect(perSecond).To(Equal(1.5))
+			Expect(d.LiftLimit("a", 10, 10500*time.Millisecond)).To(BeFalse(), "a response that was overtaken")
+			Expect(d.LiftLimit("a", 10, 11500*time.Millisecond)).To(BeTrue())
+			limited, _ = limit()
+			Expect(limited).To(BeFalse())
+		})
+
+		It("does not hold for a later start of the target", func() {
+			d.SetLimit(time.Second, "a", 10, 1.5)
+			d.Put(directory.Target{ID: "a", StartedAt: 20})
+			limited, _ := limit()
+			Expect(limited).To(BeFalse())
+			Expect(d.SetLimit(2*time.Second, "a", 10, 1.5)).To(BeFalse(), "a late response of the earlier start")
+		})
+
+		It("holds while the entry is missing for a short time", func() {
+			d.SetLimit(time.Second, "a", 10, 1.5)
+			d.Remove(2*time.Second, "a")
+			d.Expire(30 * time.Second)
+			d.Put(directory.Target{ID: "a", HeartbeatSeq: 9, StartedAt: 10})
+			limited, _ := limit()
+			Expect(limited).To(BeTrue())
+		})
+	})
 })
--- a/internal/hosted/board.go
+++ b/internal/hosted/board.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -14,10 +16,19 @@
 // immutable.
 type View struct {
 	Catalog         *catalog.Catalog // nil: none has been read yet
-	Targets         []directory.Target
+	Targets         []directory.Target // sorted by id
 	DesiredVersions map[string]int64 // published weight version by model
 }
 
+// target returns the target with the id.
+func (v *View) target(id string) (directory.Target, bool) {
+	i, found := slices.BinarySearchFunc(v.Targets, id, func(t directory.Target, id string) int { return strings.Compare(t.ID, id) })
+	if !found {
+		return directory.Target{}, false
+	}
+	return v.Targets[i], true
+}
+
 // stateLoop owns the state after applying the log, the targets and the configuration.
 // Only the goroutine of run, the state goroutine, accesses the fields up to functions.
 // Other goroutines send it functions to run and read the published view.
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/pace"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
@@ -289,17 +288,3 @@
 		outage: func(now time.Duration) { in.stateLoop.targets.RegistryRestored(now) },
 	})
 }
-
-// noteLeaving keeps requests from a target that has said in a response that it leaves. Its
-// entry in the registry may say so later, or not at all while the registry is unavailable.
-func (in *Instance) noteLeaving(ctx context.Context, t directory.Target, h platform.ResponseHeader) {
-	if !h.Leaving {
-		return
-	}
-	in.stateLoop.do(ctx, func() {
-		if in.stateLoop.targets.SetLeaving(t.ID, t.StartedAt) {
-			in.log("target leaving", events.F("target", t.ID))
-			in.stateLoop.publish()
-		}
-	})
-}
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -13,6 +13,7 @@
 	runs, runsBroken, runsMoved   *metrics.Counter
 	taskTime                      *metrics.Histogram
 	orders, reports               *metrics.Counter
+	limitsNamed                   *metrics.Counter
 
 	scored, scoreRetries, unscorable *metrics.Counter
 	scoreTime                        *metrics.Histogram
@@ -37,6 +38,7 @@
 		taskTime:    set.NewHistogram("amaranth_hosted_task_seconds"),
 		orders:      set.NewCounter("amaranth_hosted_weight_orders_total"),
 		reports:     set.NewCounter("amaranth_hosted_usage_reports_total"),
+		limitsNamed: set.NewCounter("amaranth_hosted_target_limits_named_total"),
 
 		scored:       set.NewCounter(`amaranth_hosted_score_calls_total{outcome="scored"}`),
 		scoreRetries: set.NewCounter(`amaranth_hosted_score_calls_total{outcome="retry"}`),
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -275,13 +275,14 @@
 		Body:          nonReplayableBody(p.method, p.header, p.body),
 		ContentLength: int64(len(p.body)),
 	}
+	sentAt := in.clock.Now()
 	res, err := in.targetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		r.err = err
 		return
 	}
 	r.status, r.header, r.platformHeader = res.StatusCode, res.Header, platform.DecodeResponseHeader(res)
-	in.noteLeaving(ctx, r.target, r.platformHeader)
+	in.noteResponse(ctx, r.target, r.platformHeader, p.id, sentAt)
 	if r.platformHeader.RequestID != p.id && r.platformHeader.RequestID != "" || r.platformHeader.RequestID == "" && !r.platformHeader.NotRun {
 		// This closes the connection, as the body is unread: later responses on it may belong
 		// to other requests too.
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -60,6 +60,7 @@
 		Body:          nonReplayableBody(http.MethodPost, header, r.task.Body),
 		ContentLength: int64(len(r.task.Body)),
 	}
+	sentAt := in.clock.Now()
 	res, err := in.targetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		end.err = err
@@ -67,7 +68,7 @@
 	}
 	defer res.Body.Close()
 	response := platform.DecodeResponseHeader(res)
-	in.noteLeaving(ctx, r.target, response)
+	in.noteResponse(ctx, r.target, response, r.task.ID, sentAt)
 	switch {
 	case response.RequestID != r.task.ID && !response.NotRun:
 		end.err = fmt.Errorf("%w: %q", errRequestIDMismatch, response.RequestID)
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -31,6 +31,8 @@
 	plainHandler    func(w http.ResponseWriter, r *http.Request) bool
 	eventInterval   time.Duration
 	violations      []string
+	limit           float64     // requests a second that responses name as the limit; zero: none
+	arrivals        []time.Time // of all requests
 }
 
 // Run is one request that the engine began to run: a stream for a task, or a plain
@@ -90,6 +92,22 @@
 	e.plainHandler = f
 }
 
+// SetRequestLimit makes the engine name a limit of requests a second in its responses. Zero
+// ends that.
+func (e *Engine) SetRequestLimit(perSecond float64) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = perSecond
+}
+
+// Arrivals returns the times of all requests, also those that the engine did not run, oldest
+// first.
+func (e *Engine) Arrivals() []time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]time.Time(nil), e.arrivals...)
+}
+
 // Runs returns the requests that the engine began to run, oldest first.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
@@ -138,6 +156,12 @@
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, time.Now())
+	if e.limit > 0 {
+		w.Header().Set("Server-Limit", strconv.FormatFloat(e.limit, 'f', -1, 64))
+	}
+	e.mu.Unlock()
 	switch r.URL.Path {
 	case "/report":
 		e.report(w)
