Requests to a target stay within the limit that it names

The next instance grants a small share while the first does not answer. Requests that find no allowance within half of the target latency are refused at once as not run.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -94,6 +94,8 @@
 	Versions      map[string]int64 // weight versions by model
 	LoadOrderedAt time.Duration    // time of the latest order to load weights; zero: none
 	LoadingModel  string           // model of that order
+	// Limited is set for an engine that limits the rate of its requests: a run needs a permit.
+	Limited bool
 	// Serves lists the models whose next job the engine can run. Of these models one is the
 	// engine's home model.
 	Serves []string
@@ -147,6 +149,7 @@
 	lastLoadOrderedAt time.Duration  // latest LoadOrderedAt so far; a load pauses the runs
 	runsByGroup       map[string]int // numbers of runs
 	homeModel         string         // empty: none
+	permits           permits        // used while Limited
 }
 
 // Scheduler assigns the tasks of one instance. It is not safe for concurrent use.
@@ -324,27 +327,37 @@
 }
 
 // Assign assigns waiting tasks to engines with free slots, in start order, and returns the runs
-// that the caller must start.
+// that the caller must start. A task whose best engine limits its requests waits for a permit
+// (PermitsWanted), so that the longest tasks get the engines that are used least.
 func (s *Scheduler) Assign(now time.Duration) []Start {
 	s.updateMedians()
 	var out []Start
 	stillWaiting := s.waiting[:0]
 	noEngine := map[class]bool{}
+	for _, e := range s.engines {
+		e.permits.wanted = 0
+	}
 	for _, t := range s.waiting {
 		if t.notBefore > now || noEngine[t.class()] {
 			stillWaiting = append(stillWaiting, t)
 			continue
 		}
 		e := s.pickEngine(now, t)
-		if e == nil {
+		switch {
+		case e == nil:
 			noEngine[t.class()] = true
 			stillWaiting = append(stillWaiting, t)
 			continue
+		case !e.permitted(now):
+			e.permits.wanted++
+			stillWaiting = append(stillWaiting, t)
+			continue
 		}
 		s.nextRun++
 		r := &run{id: s.nextRun, task: t, engine: e.ID, started: now, lastEventAt: now}
 		s.runs[r.id], s.runByTask[t.Key] = r, r
 		e.running++
+		e.usePermit()
 		e.runsByGroup[t.Group]++
 		t.runs++
 		out = append(out, Start{r.id, t.Key, e.ID, t.ResumeAfter})
--- a/core/assign/place.go
+++ b/core/assign/place.go
@@ -11,7 +11,8 @@
 	"github.com/amaranthfold/amaranthfold/core/hash"
 )
 
-// canRun reports whether a run of the task may start on the engine now.
+// canRun reports whether a run of the task may start on the engine now, or once there is a
+// permit for it.
 func (s *Scheduler) canRun(now time.Duration, e *engine, t *Task) bool {
 	if !e.Ready || e.Service != t.Service || e.running >= e.Slots || now < e.backoffUntil {
 		return false
@@ -27,7 +28,7 @@
 	var best *engine
 	var bestScore float64
 	for _, e := range s.preferred(t.Model) {
-		if !s.canRun(now, e, t) {
+		if !s.canRun(now, e, t) || !e.permitted(now) && !e.mayPermit(now) {
 			continue
 		}
 		if score := s.score(e, t); best == nil || score > bestScore {
@@ -54,7 +55,7 @@
 
 // score rates an engine for a task: the higher, the better.
 func (s *Scheduler) score(e *engine, t *Task) float64 {
-	score := -float64(e.running) / float64(max(1, e.Slots))
+	score := -float64(e.running+e.permits.wanted) / float64(max(1, e.Slots))
 	if e.runsByGroup[t.Group] > 0 {
 		score += groupBonus
 	}
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -53,6 +53,7 @@
 	type destination struct {
 		class
 		maxSlowdown float64 // highest slowdown of an engine to move to
+		limited     bool    // engines that limit their requests count, too
 	}
 	slotsLeft := map[destination]int{}
 	for _, r := range s.runsByID() {
@@ -60,9 +61,10 @@
 		if reason == "" {
 			continue
 		}
-		dest := destination{r.task.class(), maxSlowdown}
+		// A run that makes progress is not worth a permit.
+		dest := destination{r.task.class(), maxSlowdown, s.stuck(now, r) != ""}
 		if _, counted := slotsLeft[dest]; !counted {
-			slotsLeft[dest] = s.freeSlots(now, r.task, maxSlowdown)
+			slotsLeft[dest] = s.freeSlots(now, r.task, maxSlowdown, dest.limited)
 		}
 		if slotsLeft[dest] <= 0 {
 			continue
@@ -84,11 +86,12 @@
 }
 
 // freeSlots counts the free slots of the engines that can run the task and whose slowdown is
-// at most maxSlowdown.
-func (s *Scheduler) freeSlots(now time.Duration, t *Task, maxSlowdown float64) int {
+// at most maxSlowdown. Engines that limit their requests count only if limited is set, and
+// then whether there is a permit or not.
+func (s *Scheduler) freeSlots(now time.Duration, t *Task, maxSlowdown float64, limited bool) int {
 	n := 0
 	for _, e := range s.engines {
-		if s.canRun(now, e, t) && s.slowdown(e) <= maxSlowdown {
+		if (!e.Limited || limited) && s.canRun(now, e, t) && s.slowdown(e) <= maxSlowdown {
 			n += e.Slots - e.running
 		}
 	}
@@ -99,11 +102,9 @@
 // engine to move to. The reason is empty if the run should not move.
 func (s *Scheduler) moveReason(now time.Duration, r *run) (reason string, maxSlowdown float64) {
 	e := s.engines[r.engine]
-	switch {
-	case r.events == 0 && now-r.started > s.limits.FirstEventTimeout:
-		return "no first event", s.limits.SlowFactor
-	case r.events > 0 && now-r.lastEventAt > s.limits.StallTimeout:
-		return "stalled", s.limits.SlowFactor
+	switch reason := s.stuck(now, r); {
+	case reason != "":
+		return reason, s.limits.SlowFactor
 	case now-r.started > s.limits.MinRunAge && r.events > 0 && s.slow(e):
 		return "slow engine", s.limits.SlowFactor
 	case e.LoadingModel == r.task.Model && r.started < e.LoadOrderedAt && now < e.LoadOrderedAt+s.limits.LoadTime:
@@ -115,6 +116,18 @@
 	}
 }
 
+// stuck returns why a run counts as one that makes no progress, empty if it does not.
+func (s *Scheduler) stuck(now time.Duration, r *run) string {
+	switch {
+	case r.events == 0 && now-r.started > s.limits.FirstEventTimeout:
+		return "no first event"
+	case r.events > 0 && now-r.lastEventAt > s.limits.StallTimeout:
+		return "stalled"
+	default:
+		return ""
+	}
+}
+
 // Requeue releases a run's slot and makes its task wait again. kept is the number of the last
 // event that is kept: the next run resumes after it. If the run still has a reason to move,
 // its engine gets no run until the backoff has passed.
--- /dev/null
+++ b/internal/hosted/allowance.go
@@ -0,0 +1,291 @@
+package hosted
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/allowance"
+	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+)
+
+const (
+	allowancePath = "/allowance"
+	// allowanceTimeout bounds a call to another instance for an allowance, which takes some
+	// milliseconds. A second call must fit into the latency that callers expect.
+	allowanceTimeout = 100 * time.Millisecond
+	// allowanceCalls is how many instances are asked for one allowance.
+	allowanceCalls = 2
+	// allowanceWaitFraction is the fraction of the target latency for which a request waits
+	// for its turn at a limited target: the rest suffices for the attempt.
+	allowanceWaitFraction = 0.5
+	allowanceIdleConns    = 2 // to each instance
+	allowanceIdleTimeout  = 30 * time.Second
+)
+
+// allowances obtains allowances for requests to targets that limit their rate, and grants
+// those for the targets that this instance owns; see core/allowance. It is safe for
+// concurrent use.
+type allowances struct {
+	instance *Instance
+	client   *http.Client
+	peers    atomic.Pointer[peerSet]
+
+	mu      sync.Mutex
+	granter *allowance.Granter
+	owners  *allowance.Owners
+}
+
+// peerSet holds the known instances, this one included.
+type peerSet struct {
+	names     []string          // sorted
+	addresses map[string]string // listeners for other instances, by name
+}
+
+func newAllowances(in *Instance) *allowances {
+	a := &allowances{
+		instance: in, granter: allowance.NewGranter(), owners: allowance.NewOwners(),
+		client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: allowanceTimeout}).DialContext,
+			MaxIdleConnsPerHost: allowanceIdleConns, IdleConnTimeout: allowanceIdleTimeout, DisableCompression: true,
+		}},
+	}
+	a.peers.Store(&peerSet{names: []string{in.cfg.Settings.Instance}})
+	return a
+}
+
+// updatePeers replaces the known instances by those of the log. It runs on the state
+// goroutine.
+func (a *allowances) updatePeers() {
+	addresses := map[string]string{a.instance.cfg.Settings.Instance: ""}
+	for name, i := range a.instance.stateLoop.state.Instances {
+		if i.PeerAddress != "" {
+			addresses[name] = i.PeerAddress
+		}
+	}
+	a.peers.Store(&peerSet{slices.Sorted(maps.Keys(addresses)), addresses})
+}
+
+var errNoOwner = errors.New("no instance that grants requests to the target can be reached")
+
+// take obtains an allowance of the target's owner for count requests. maxDelay is the longest
+// wait to accept. It fails with errNoOwner.
+func (a *allowances) take(ctx context.Context, t directory.Target, count int, maxDelay time.Duration) (allowance.Grant, error) {
+	return a.ask(ctx, allowance.Request{Target: t.ID, PerSecond: t.RequestLimit, Count: count, MaxDelay: maxDelay})
+}
+
+// spend counts a request that is sent to the target in any case, if the target is limited. It
+// does not wait for the owner.
+func (a *allowances) spend(ctx context.Context, t directory.Target) {
+	if !t.Limited {
+		return
+	}
+	go func() {
+		if _, err := a.ask(ctx, allowance.Request{Target: t.ID, PerSecond: t.RequestLimit, Count: 1, Must: true}); err != nil {
+			a.instance.log("allowance not counted", events.F("target", t.ID), events.F("error", err.Error()))
+		}
+	}()
+}
+
+// ask sends the request to the target's owner, and to the next instance if that one does not
+// answer.
+func (a *allowances) ask(ctx context.Context, r allowance.Request) (allowance.Grant, error) {
+	in := a.instance
+	peers := a.peers.Load()
+	err := errNoOwner
+	for range allowanceCalls {
+		a.mu.Lock()
+		owner, found := a.owners.For(in.clock.Now(), r.Target, peers.names)
+		a.mu.Unlock()
+		if !found {
+			break
+		}
+		r.Share = owner.Share
+		var grant allowance.Grant
+		if owner.Instance == in.cfg.Settings.Instance {
+			grant = a.grant(r)
+		} else {
+			var callErr error
+			if grant, callErr = a.call(ctx, peers.addresses[owner.Instance], r); callErr != nil {
+				if ctx.Err() != nil {
+					return allowance.Grant{}, ctx.Err()
+				}
+				a.ownerFailed(owner.Instance, callErr)
+				err = fmt.Errorf("%w: %s: %w", errNoOwner, owner.Instance, callErr)
+				continue
+			}
+			a.ownerAnswered(owner.Instance)
+		}
+		in.metrics.allowancesGranted.Add(grant.Count)
+		in.metrics.allowancesDenied.Add(r.Count - grant.Count)
+		return grant, nil
+	}
+	in.metrics.allowancesUnanswered.Inc()
+	return allowance.Grant{}, err
+}
+
+func (a *allowances) ownerFailed(name string, err error) {
+	a.mu.Lock()
+	a.owners.Failed(a.instance.clock.Now(), name)
+	a.mu.Unlock()
+	a.instance.dependencyLost("allowance."+name, err)
+}
+
+func (a *allowances) ownerAnswered(name string) {
+	a.mu.Lock()
+	failedBefore := a.owners.Answered(name)
+	a.mu.Unlock()
+	if failedBefore {
+		a.instance.dependencyRegained("allowance." + name)
+	}
+}
+
+// grant grants a request as the target's owner.
+func (a *allowances) grant(r allowance.Request) allowance.Grant {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.granter.Take(a.instance.clock.Now(), r)
+}
+
+// call sends the request to the instance with the peer address.
+func (a *allowances) call(ctx context.Context, address string, r allowance.Request) (allowance.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, allowanceTimeout)
+	defer cancel()
+	data, err := json.Marshal(r)
+	if err != nil {
+		return allowance.Grant{}, fmt.Errorf("encode a request for an allowance: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+allowancePath, bytes.NewReader(data))
+	if err != nil {
+		return allowance.Grant{}, err
+	}
+	req.GetBody = nil // a repeated request would be granted twice
+	res, err := a.client.Do(req)
+	if err != nil {
+		return allowance.Grant{}, err
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return allowance.Grant{}, fmt.Errorf("status %d", res.StatusCode)
+	}
+	var grant allowance.Grant
+	if err := json.NewDecoder(res.Body).Decode(&grant); err != nil {
+		return allowance.Grant{}, fmt.Errorf("decode an allowance: %w", err)
+	}
+	return grant, nil
+}
+
+// serve answers another instance's request for an allowance.
+func (a *allowances) serve(w http.ResponseWriter, r *http.Request) {
+	var request allowance.Request
+	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.Target == "" || request.Count < 1 {
+		http.Error(w, "not a request for an allowance", http.StatusBadRequest)
+		return
+	}
+	data, err := json.Marshal(a.grant(request))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	_, _ = w.Write(data) // an instance that has disconnected asks another one
+}
+
+// noAllowanceError is the error of an attempt at a limited target that was not sent.
+type noAllowanceError struct {
+	target     string
+	perSecond  float64       // the target's limit
+	retryAfter time.Duration // until a further request may be granted; zero: unknown
+	err        error         // the owner was not asked; nil: it denied the request
+}
+
+// Error implements error.
+func (e *noAllowanceError) Error() string {
+	if e.err != nil {
+		return fmt.Sprintf("target %s takes %g requests a second: %v", e.target, e.perSecond, e.err)
+	}
+	return fmt.Sprintf("target %s takes %g requests a second, the next one in %s", e.target, e.perSecond, e.retryAfter)
+}
+
+// Unwrap returns the cause.
+func (e *noAllowanceError) Unwrap() error { return e.err }
+
+// awaitAllowance waits until a plain request may be sent to a target, if the target limits
+// its rate. It fails with a *noAllowanceError if that would take too long.
+func (in *Instance) awaitAllowance(ctx context.Context, p *plainRequest, id string) error {
+	t, found := in.stateLoop.view.Load().target(id)
+	if !found || !t.Limited {
+		return nil
+	}
+	grant, err := in.allowances.take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.targetLatency)))
+	if err != nil || grant.Count == 0 {
+		return &noAllowanceError{t.ID, t.RequestLimit, grant.RetryAfter, err}
+	}
+	if grant.Delay > 0 && !clock.Sleep(ctx, grant.Delay) {
+		return &noAllowanceError{t.ID, t.RequestLimit, 0, ctx.Err()}
+	}
+	return nil
+}
+
+// peerHandler serves the other instances.
+func (in *Instance) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(allowancePath, in.allowances.serve)
+	mux.HandleFunc("/", in.logTransport.relay)
+	return mux
+}
+
+// servePeers serves the other instances: it grants requests to targets that limit their rate,
+// and relays calls to the log for instances that cannot reach it.
+func (in *Instance) servePeers(ctx context.Context) error {
+	if in.cfg.Settings.Peers == "" {
+		return nil
+	}
+	return in.serve(ctx, in.cfg.Settings.Peers, in.peerHandler(), nil)
+}
+
+// obtainPermits asks for permits to start runs on engines that limit their rate, and passes
+// the replies to the runner's goroutine.
+func (r *runner) obtainPermits(ctx context.Context) {
+	in := r.instance
+	view := in.stateLoop.view.Load()
+	for _, wanted := range r.scheduler.PermitsWanted() {
+		t, _ := view.target(wanted.Engine)
+		go func() {
+			reply := permitReply{engine: wanted.Engine}
+			grant, err := in.allowances.take(ctx, t, wanted.Count, 0)
+			if err != nil {
+				grant.RetryAfter = reviewInterval
+			}
+			reply.count, reply.retryAfter = grant.Count, grant.RetryAfter
+			select {
+			case r.permits <- reply:
+			case <-ctx.Done():
+			}
+		}()
+	}
+}
+
+// permitReply is the reply to a request for permits.
+type permitReply struct {
+	engine     string
+	count      int
+	retryAfter time.Duration
+}
+
+// limitedRetryAfter returns the Retry-After for a request that found no limited target with
+// an allowance: the time until the first one grants a request, spread over as long again, so
+// that the callers do not return at once.
+func (in *Instance) limitedRetryAfter(earliest time.Duration) time.Duration {
+	return max(retryAfter, earliest+in.jitter(earliest))
+}
--- /dev/null
+++ b/internal/hosted/allowance_test.go
@@ -0,0 +1,160 @@
+package hosted_test
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+)
+
+// The platform counts requests in windows of limitWindow and allows limitTolerance times the
+// limit, and limitSlack requests.
+const (
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
+)
+
+// mostIn returns the largest number of arrivals within a window of the length.
+func mostIn(arrivals []time.Time, window time.Duration) int {
+	most, first := 0, 0
+	for i := range arrivals {
+		for arrivals[i].Sub(arrivals[first]) >= window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// checkLimit checks the arrivals at a target that names a limit, but for the first request of
+// each instance, which learns the limit from its response.
+func (d *deployment) checkLimit(e *hostplatform.Engine, perSecond float64) {
+	GinkgoHelper()
+	allowed := int(limitTolerance*perSecond*limitWindow.Seconds()) + limitSlack + len(d.instances)
+	Expect(mostIn(e.Arrivals(), limitWindow)).To(BeNumerically("<=", allowed), "requests to target %s in %s", e.ID, limitWindow)
+}
+
+// callAll sends plain requests through all instances in turn at the interval, and returns the
+// responses by request id.
+func (d *deployment) callAll(count int, interval time.Duration) map[string]response {
+	var mu sync.Mutex
+	responses := map[string]response{}
+	var group sync.WaitGroup
+	for n := range count {
+		group.Go(func() {
+			defer GinkgoRecover()
+			id := fmt.Sprint("r", n)
+			res := d.instances[n%len(d.instances)].call(http.MethodPost, "/confirm/x", id, key, []byte(id))
+			mu.Lock()
+			defer mu.Unlock()
+			responses[id] = res
+		})
+		time.Sleep(interval)
+	}
+	group.Wait()
+	return responses
+}
+
+var _ = Describe("A target that names a limit of requests a second", func() {
+	It("is not sent several times its limit by all instances together", func() {
+		const limit = 4.0
+		d := newDeployment(3, 1)
+		d.awaitAnnouncements()
+		for _, p := range d.plain {
+			p.SetRequestLimit(limit)
+		}
+		responses := d.callAll(240, 15*time.Millisecond)
+		ran := map[string]bool{}
+		for _, p := range d.plain {
+			d.checkLimit(p, limit)
+			for _, r := range p.Runs() {
+				ran[r.ID] = true
+			}
+		}
+		served := 0
+		for id, res := range responses {
+			if res.status == http.StatusOK {
+				served++
+				continue
+			}
+			Expect(res.status).To(Equal(http.StatusServiceUnavailable))
+			Expect(ran).NotTo(HaveKey(id), "a request that was refused as not run")
+			seconds, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(seconds).To(BeNumerically(">", 0))
+		}
+		Expect(served).To(BeNumerically(">", 0))
+		Expect(d.logged()).To(ContainSubstring("target limit named"))
+	})
+
+	It("is not sent several times its limit in runs of a job's tasks", func() {
+		const limit = 10.0
+		d := newDeployment(2, 1)
+		d.awaitAnnouncements()
+		d.engines[0].SetRequestLimit(limit)
+		events := tasks(75, 2)
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		checkOutputs(d.instances[1].awaitResults("j", 75), events)
+		d.checkLimit(d.engines[0], limit)
+	})
+
+	It("is not sent several times its limit in score calls", func() {
+		const limit = 2.0
+		d := newDeployment(2, 2)
+		d.awaitAnnouncements()
+		for _, p := range d.plain {
+			p.SetRequestLimit(limit)
+		}
+		events := tasks(44, 2)
+		Expect(d.submitScored("j", events).status).To(Equal(http.StatusAccepted))
+		d.instances[1].awaitResults("j", 44)
+		for _, p := range d.plain {
+			d.checkLimit(p, limit)
+		}
+	})
+
+	It("gets requests as before once its responses name no limit", func() {
+		d := newDeployment(2, 1)
+		d.awaitAnnouncements()
+		for _, p := range d.plain {
+			p.SetRequestLimit(5)
+		}
+		d.callAll(20, 5*time.Millisecond)
+		for _, p := range d.plain {
+			p.SetRequestLimit(0)
+		}
+		Eventually(func() int {
+			served := 0
+			for _, res := range d.callAll(20, 0) {
+				if res.status == http.StatusOK {
+					served++
+				}
+			}
+			return served
+		}, eventuallyTimeout).Should(Equal(20))
+		Expect(d.logged()).To(ContainSubstring("target limit lifted"))
+	})
+
+	It("gets requests of the other instances after the one that grants them is killed", func() {
+		const limit = 4.0
+		d := newDeployment(3, 1)
+		d.awaitAnnouncements()
+		for _, p := range d.plain {
+			p.SetRequestLimit(limit)
+		}
+		d.callAll(30, 5*time.Millisecond)
+		for _, in := range d.instances[:2] {
+			in.kill()
+		}
+		Eventually(func() int {
+			return d.instances[2].call(http.MethodPost, "/confirm/x", "after", key, nil).status
+		}, eventuallyTimeout).Should(Equal(http.StatusOK))
+	})
+})
--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"maps"
 	"net/http"
 	"time"
 
@@ -25,6 +27,9 @@
 	countedAttempts int // limited by MaxAttempts; without those that got no connection
 	startedAttempts int // all attempts, for logs and metrics
 	serverErrors    int // attempts whose target responded with status 500
+	heldBack        int // attempts that were not sent, as their targets limit the rate of requests
+	// allowedIn is the time until the first of these targets takes a request; zero: unknown.
+	allowedIn time.Duration
 	// best is the result to respond with: an attempt with a response, else one that may have
 	// run, else one that did not run.
 	best *attemptResult
@@ -45,8 +50,8 @@
 // run runs the attempts and sets best.
 func (a *requestAttempts) run(ctx context.Context) {
 	for {
-		if a.running == 0 && !a.start(ctx) {
-			if !a.allTargetsRefused() {
+		if a.running == 0 && !a.start(ctx, false) {
+			if a.heldBack > 0 || !a.allTargetsRefused() {
 				return
 			}
 			clear(a.tried) // every target refused; one may get a free slot soon
@@ -58,7 +63,7 @@
 		hedge, stop := a.hedgeTimer()
 		select {
 		case <-hedge:
-			a.start(ctx)
+			a.start(ctx, true)
 		case <-ctx.Done():
 			stop()
 			if a.best == nil {
@@ -76,14 +81,18 @@
 }
 
 // start sends the request to one more target. It reports false if MaxAttempts is reached
-// or every ready target was tried.
-func (a *requestAttempts) start(ctx context.Context) bool {
+// or every ready target was tried. A hedge is not sent to a target that limits its rate.
+func (a *requestAttempts) start(ctx context.Context, hedge bool) bool {
 	in := a.instance
 	if a.countedAttempts >= a.request.maxAttempts {
 		return false
 	}
 	view := in.stateLoop.view.Load()
-	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, a.tried, in.rand64())
+	excluded := a.tried
+	if hedge {
+		excluded = a.withLimited(view)
+	}
+	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, excluded, in.rand64())
 	if !found {
 		return false
 	}
@@ -97,6 +106,17 @@
 	return true
 }
 
+// withLimited returns the tried targets and those that limit the rate of their requests.
+func (a *requestAttempts) withLimited(view *View) map[string]bool {
+	excluded := maps.Clone(a.tried)
+	for i := range view.Targets {
+		if view.Targets[i].Limited {
+			excluded[view.Targets[i].ID] = true
+		}
+	}
+	return excluded
+}
+
 // allTargetsRefused reports whether no target has run the request, so that all of them
 // may be tried again.
 func (a *requestAttempts) allTargetsRefused() bool {
@@ -120,7 +140,14 @@
 func (a *requestAttempts) handleResult(r *attemptResult) (final bool) {
 	a.running--
 	if r.outcome == retry.NotRun && r.err != nil {
-		a.countedAttempts-- // it never got a connection
+		a.countedAttempts-- // it was not sent
+	}
+	var noAllowance *noAllowanceError
+	if errors.As(r.err, &noAllowance) {
+		a.heldBack++
+		if a.allowedIn == 0 || noAllowance.retryAfter < a.allowedIn {
+			a.allowedIn = noAllowance.retryAfter
+		}
 	}
 	if a.best == nil || r.outcome != retry.NotRun && !a.best.hasResponse() || r.hasResponse() {
 		a.best = r
--- a/internal/hosted/board.go
+++ b/internal/hosted/board.go
@@ -15,9 +15,9 @@
 // View is a snapshot of the deployment for goroutines that serve requests. It is
 // immutable.
 type View struct {
-	Catalog         *catalog.Catalog // nil: none has been read yet
+	Catalog         *catalog.Catalog   // nil: none has been read yet
 	Targets         []directory.Target // sorted by id
-	DesiredVersions map[string]int64 // published weight version by model
+	DesiredVersions map[string]int64   // published weight version by model
 }
 
 // target returns the target with the id.
--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -234,14 +234,6 @@
 	t.instance.log("log through peer", events.F("peer", peer))
 }
 
-// servePeers serves the instances that cannot reach the log and relays their calls to it.
-func (in *Instance) servePeers(ctx context.Context) error {
-	if in.cfg.Settings.Peers == "" {
-		return nil
-	}
-	return in.serve(ctx, in.cfg.Settings.Peers, http.HandlerFunc(in.logTransport.relay), nil)
-}
-
 // relay sends a peer's call to the log on the direct path, and the log's response to the
 // peer.
 func (t *logTransport) relay(w http.ResponseWriter, r *http.Request) {
--- a/internal/hosted/duty.go
+++ b/internal/hosted/duty.go
@@ -71,6 +71,7 @@
 			in.log("duty holder", events.F("holder", after.Holder), events.F("term", fmt.Sprint(after.Term)))
 		}
 	case r.InstanceStarted != nil && accepted: // may have released the lease of an earlier incarnation
+		in.allowances.updatePeers()
 		if current := in.stateLoop.state.Leases[controllerLeaseName]; current != in.controller.lease.Current() {
 			in.controller.lease.Observe(now, record.ID{}, fold.Accepted, current)
 		}
--- a/internal/hosted/front.go
+++ b/internal/hosted/front.go
@@ -40,9 +40,12 @@
 
 // refuse responds with status 503 and Retry-After to a request that has not run and will
 // not run.
-func (in *Instance) refuse(c *callerRequest, reason string) {
+func (in *Instance) refuse(c *callerRequest, reason string) { in.refuseFor(c, retryAfter, reason) }
+
+// refuseFor is refuse with a Retry-After of its own.
+func (in *Instance) refuseFor(c *callerRequest, delay time.Duration, reason string) {
 	in.metrics.refused.Inc()
-	platform.SetOwnResponseHeader(c.w.Header(), c.ID, retryAfter)
+	platform.SetOwnResponseHeader(c.w.Header(), c.ID, delay)
 	in.respond(c, http.StatusServiceUnavailable, reason)
 }
 
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -15,6 +15,8 @@
 	orders, reports               *metrics.Counter
 	limitsNamed                   *metrics.Counter
 
+	allowancesGranted, allowancesDenied, allowancesUnanswered *metrics.Counter
+
 	scored, scoreRetries, unscorable *metrics.Counter
 	scoreTime                        *metrics.Histogram
 }
@@ -40,6 +42,10 @@
 		reports:     set.NewCounter("amaranth_hosted_usage_reports_total"),
 		limitsNamed: set.NewCounter("amaranth_hosted_target_limits_named_total"),
 
+		allowancesGranted:    set.NewCounter(`amaranth_hosted_allowances_total{outcome="granted"}`),
+		allowancesDenied:     set.NewCounter(`amaranth_hosted_allowances_total{outcome="denied"}`),
+		allowancesUnanswered: set.NewCounter(`amaranth_hosted_allowances_total{outcome="unanswered"}`),
+
 		scored:       set.NewCounter(`amaranth_hosted_score_calls_total{outcome="scored"}`),
 		scoreRetries: set.NewCounter(`amaranth_hosted_score_calls_total{outcome="retry"}`),
 		unscorable:   set.NewCounter(`amaranth_hosted_score_calls_total{outcome="given up"}`),
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -72,6 +72,7 @@
 	contentLog   *appender // appends to the content topic
 	contentCache *contentCache
 	plainTargets *plainTargets
+	allowances   *allowances
 	runner       *runner
 	resultWriter *resultWriter
 	scorer       *scorer
@@ -122,6 +123,7 @@
 		partition: int(hash.Mix(xxhash.Sum64String(s.Instance)) % uint64(s.Store.Partitions)),
 	}, contentTopic, s.Store.CallBytes, in.trackAppends("content"))
 	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
+	in.allowances = newAllowances(in)
 	in.runner = newRunner(in)
 	in.resultWriter = newResultWriter(in)
 	in.scorer = newScorer(in)
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -67,6 +67,9 @@
 		if p.lastUsed[service] == t.ID {
 			rank -= openConnectionBonus
 		}
+		if t.Limited {
+			rank += limitedPenalty
+		}
 		if best.ID != "" && rank >= bestRank || !p.health.Allow(now, t.ID) {
 			continue
 		}
@@ -91,16 +94,30 @@
 const (
 	localDataCentreBonus = 0.08 // target in the local data centre
 	openConnectionBonus  = 0.07 // target used last, to which a connection is open
+	limitedPenalty       = 1.0  // target that limits its rate: as if all its slots were in use
 )
 
+// withdraw ends a request to a target that choose returned, which was not sent.
+func (p *plainTargets) withdraw(t directory.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endRequest(t.ID)
+	p.health.CancelProbe(t.ID)
+}
+
+// endRequest is called with mu held.
+func (p *plainTargets) endRequest(target string) {
+	if p.inFlight[target]--; p.inFlight[target] <= 0 {
+		delete(p.inFlight, target)
+	}
+}
+
 // release ends a request to a target that choose returned, and records its success or
 // failure. It reports whether the failure ejects the target.
 func (p *plainTargets) release(now time.Duration, t directory.Target, readyTargets int, ok bool, jitter float64) (ejected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.inFlight[t.ID]--; p.inFlight[t.ID] <= 0 {
-		delete(p.inFlight, t.ID)
-	}
+	p.endRequest(t.ID)
 	if ok {
 		p.health.RecordSuccess(t.ID)
 		return false
@@ -172,6 +189,8 @@
 		in.forwardResponse(c, best, attempts, took)
 	case c.r.Context().Err() != nil:
 		in.log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
+	case attempted.heldBack > 0 && best.outcome == retry.NotRun:
+		in.refuseFor(c, in.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
 	case best == nil || best.outcome == retry.NotRun:
 		in.refuse(c, "no target took the request")
 	case ctx.Err() != nil:
@@ -237,10 +256,17 @@
 var errRequestIDMismatch = errors.New("the answer belongs to another request")
 
 // sendAttempt sends the request to one target, returns the result and releases the
-// target. An attempt that was canceled, as the caller has disconnected or another attempt
+// target. It does not send it if the target limits its rate and grants no allowance soon. An
+// attempt that was canceled, as the caller has disconnected or another attempt
 // has responded, does not count as a failure of the target.
 func (in *Instance) sendAttempt(ctx context.Context, p *plainRequest, target directory.Target, deadline time.Duration, readyTargets int) *attemptResult {
 	r := &attemptResult{target: target, outcome: retry.NotRun}
+	if err := in.awaitAllowance(ctx, p, target.ID); err != nil {
+		in.plainTargets.withdraw(target)
+		r.err = err
+		in.log("request held back", events.F("request", p.id), events.F("target", target.ID), events.F("error", err.Error()))
+		return r
+	}
 	connected := false
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected = true },
--- a/internal/hosted/runner.go
+++ b/internal/hosted/runner.go
@@ -32,6 +32,7 @@
 	startEvents   map[int64]int64              // events that the output had when the run started, by run
 	runEnds       chan runEnd
 	loadedJobs    chan loadedJob
+	permits       chan permitReply
 	lastHeartbeat time.Duration
 	latestOrderAt time.Duration // when the latest load order to an engine was read
 	saves         saveState
@@ -78,7 +79,7 @@
 	r := &runner{
 		instance: in, scheduler: assign.New(assign.DefaultLimits()), jobs: map[string]*claimedJob{},
 		cancels: map[int64]context.CancelFunc{}, outputs: map[int64]*taskOutput{}, startEvents: map[int64]int64{},
-		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), saves: saveState{results: make(chan bool)},
+		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16), saves: saveState{results: make(chan bool)},
 		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
 	}
 	return r
@@ -137,6 +138,8 @@
 			r.drainRunEnds()
 		case l := <-r.loadedJobs:
 			r.onLoaded(l)
+		case p := <-r.permits:
+			r.scheduler.SetPermits(r.instance.clock.Now(), p.engine, p.count, p.retryAfter)
 		case <-stopping:
 			stopping = nil
 			r.handOver(ctx)
@@ -250,7 +253,7 @@
 		if len(t.Models) == 0 {
 			continue
 		}
-		e := assign.Engine{ID: t.ID, Service: t.Service, Slots: t.Slots, Ready: t.Ready, Versions: t.Models}
+		e := assign.Engine{ID: t.ID, Service: t.Service, Slots: t.Slots, Ready: t.Ready, Limited: t.Limited, Versions: t.Models}
 		if o, ordered := orders[t.ID]; ordered && t.Models[o.Model] < o.Version {
 			e.LoadOrderedAt, e.LoadingModel = o.ReadAt, o.Model
 		}
--- a/internal/hosted/runs.go
+++ b/internal/hosted/runs.go
@@ -11,11 +11,13 @@
 	"github.com/amaranthfold/amaranthfold/internal/events"
 )
 
-// startRuns starts the runs that the scheduler has assigned to engines.
+// startRuns starts the runs that the scheduler has assigned to engines, and asks for permits
+// for the others.
 func (r *runner) startRuns(ctx context.Context) {
 	in := r.instance
 	now := in.clock.Now()
 	starts := r.scheduler.Assign(now)
+	r.obtainPermits(ctx)
 	if len(starts) == 0 {
 		return
 	}
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -124,6 +124,7 @@
 // checkOrder queries the target about an overdue order. It removes the order unless the
 // target is executing it or does not respond.
 func (w *weightUpdater) checkOrder(ctx context.Context, t directory.Target, o *sentOrder) {
+	w.instance.allowances.spend(ctx, t)
 	targetReport, err := platform.ReadTargetReport(ctx, w.instance.targetClient, t.Address)
 	o.checkAt = w.instance.clock.Now() + unknownOrderDelay
 	switch {
@@ -146,6 +147,7 @@
 	in := w.instance
 	sequence, found := w.sequences[t.ID]
 	if !found || sequence.startedAt != t.StartedAt {
+		in.allowances.spend(ctx, t)
 		targetReport, err := platform.ReadTargetReport(ctx, in.targetClient, t.Address)
 		if err != nil {
 			in.log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
@@ -161,6 +163,7 @@
 		return
 	}
 	in.appendRecordAsync(job.Record{LoadOrdered: &job.LoadOrdered{Target: t.ID, Model: o.Model, Version: o.Version}})
+	in.allowances.spend(ctx, t)
 	callCtx, cancel := context.WithTimeout(ctx, in.controller.callTimeout())
 	defer cancel()
 	hadVersion, err := platform.SendVersionOrder(callCtx, in.targetClient, holder, platform.VersionOrder{
