--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -23,7 +23,8 @@
 	Service      string
 	Address      string // IP and port
 	DataCentre   string
-	Slots        int // maximum number of concurrent requests
+	Software     string // version of its program, not of its weights
+	Slots        int    // maximum number of concurrent requests
 	Ready        bool
 	HeartbeatSeq int64            // sequence number of the heartbeat that wrote the entry
 	Models       map[string]int64 // weight versions by model
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -11,6 +11,7 @@
 
 	jobs, listed, givenUp, claims *metrics.Counter
 	runs, runsBroken, runsMoved   *metrics.Counter
+	runsResumed                   *metrics.Counter
 	taskTime                      *metrics.Histogram
 	orders, reports               *metrics.Counter
 	limitsNamed                   *metrics.Counter
@@ -37,6 +38,7 @@
 		runs:        set.NewCounter("amaranth_hosted_runs_total"),
 		runsBroken:  set.NewCounter("amaranth_hosted_runs_broken_total"),
 		runsMoved:   set.NewCounter("amaranth_hosted_runs_moved_total"),
+		runsResumed: set.NewCounter("amaranth_hosted_runs_resumed_total"),
 		taskTime:    set.NewHistogram("amaranth_hosted_task_seconds"),
 		orders:      set.NewCounter("amaranth_hosted_weight_orders_total"),
 		reports:     set.NewCounter("amaranth_hosted_usage_reports_total"),
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -202,7 +202,7 @@
 
 func (in *Instance) forwardResponse(c *callerRequest, r *attemptResult, attempts int, took time.Duration) {
 	in.log("request passed", events.F("request", c.ID), events.F("route", c.route.Name), events.F("target", r.target.ID),
-		events.F("status", fmt.Sprint(r.status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
+		events.F("software", r.target.Software), events.F("status", fmt.Sprint(r.status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
 		events.F("took", took.Round(time.Millisecond).String()))
 	platform.CopyResponseHeader(c.w.Header(), r.header)
 	if r.stream != nil {
--- a/internal/hosted/runs.go
+++ b/internal/hosted/runs.go
@@ -30,6 +30,11 @@
 		runCtx, cancel := context.WithCancel(ctx)
 		r.cancels[s.Run], r.outputs[s.Run], r.startEvents[s.Run] = cancel, j.outputs[s.Task.Task], s.ResumeAfter
 		in.metrics.runs.Inc()
+		if s.ResumeAfter > 0 {
+			in.metrics.runsResumed.Inc()
+			in.log("run resumed", events.F("job", s.Task.Job), events.F("task", j.job.Tasks[s.Task.Task].ID), events.F("target", s.Engine),
+				events.F("software", targets[s.Engine].Software), events.F("events", fmt.Sprint(s.ResumeAfter)))
+		}
 		remaining := time.Duration(j.job.SubmittedAt+j.job.Retention-in.clock.Wall().UnixMilli()) * time.Millisecond
 		run := taskRun{
 			id: s.Run, key: s.Task, task: &j.tasks[s.Task.Task], output: j.outputs[s.Task.Task], host: j.job.Host,
