Streams go on only at the software version that began them

Ruled out: that only takeovers by another instance, or only streams of callers, are wrong; the logged resumes of one instance show both versions within milliseconds.

Change: kept events carry the version that made them, in the runner's memory and in the log's parts; the fold ignores a part of another version; core/assign resumes a task at an engine of its version and starts it over when none is left or when waiting takes longer than generating the events again.

The four specs "A stream that began at a target of one software version" failed on: outputs of tasks mixed after broken runs and after a takeover, a caller's stream with 4 of 30 events of the newer version, and status 200 where 503 is right. They pass now.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -68,7 +68,7 @@
 	// trainer waits for it in any case.
 	Resubmitted  bool
 	Submitted    time.Duration // time of its job's submission; breaks ties, the earlier starts first
-	ResumeAfter  int64         // number of the last event kept from earlier runs
+	Kept         Kept          // of earlier runs
 	WaitingSince time.Duration // when it began to wait for an engine
 
 	notBefore   time.Duration // earliest start of the next run
@@ -76,19 +76,11 @@
 	runs        int           // runs started
 }
 
-// class is what a task requires of an engine: tasks of one class can run on the same
-// engines.
-type class struct {
-	service, model string
-	minVersion     int64
-}
-
-func (t *Task) class() class { return class{t.Service, t.Model, t.MinVersion} }
-
 // Engine is a target that runs tasks. Slots is the maximum number of concurrent runs.
 type Engine struct {
 	ID            string
 	Service       string
+	Software      string // version of its program, not of its weights
 	Slots         int
 	Ready         bool
 	Versions      map[string]int64 // weight versions by model
@@ -106,7 +98,7 @@
 	Run         int64
 	Task        Key
 	Engine      string
-	ResumeAfter int64 // number of the last event kept: the run resumes after it
+	ResumeAfter int64 // number of the last event kept: the run resumes after it; zero: it starts from the first
 }
 
 // Stop asks the caller to end a run. RunsToMove leaves the run assigned until the caller calls
@@ -266,17 +258,17 @@
 	e.eventInterval += weight * (min(interval, maxFactor*e.eventInterval) - e.eventInterval)
 }
 
-// Finish records the end of a run. kept is the number of the last event that is kept:
-// later runs of the task resume after it. Finish returns false and changes nothing if the
-// run was requeued or dropped before.
-func (s *Scheduler) Finish(now time.Duration, id int64, outcome Outcome, kept int64) bool {
+// Finish records the end of a run and which events are kept: later runs of the task resume
+// after them. Finish returns false and changes nothing if the run was requeued or dropped
+// before.
+func (s *Scheduler) Finish(now time.Duration, id int64, outcome Outcome, kept Kept) bool {
 	r := s.runs[id]
 	if r == nil {
 		return false
 	}
 	s.release(r)
 	t := r.task
-	t.ResumeAfter = kept
+	t.Kept = kept
 	switch outcome {
 	case Completed, Canceled:
 		delete(s.tasks, t.Key)
@@ -338,14 +330,15 @@
 		e.permits.wanted = 0
 	}
 	for _, t := range s.waiting {
-		if t.notBefore > now || noEngine[t.class()] {
+		required := s.class(now, t)
+		if t.notBefore > now || noEngine[required] {
 			stillWaiting = append(stillWaiting, t)
 			continue
 		}
-		e := s.pickEngine(now, t)
+		e := s.pickEngine(now, t, required)
 		switch {
 		case e == nil:
-			noEngine[t.class()] = true
+			noEngine[required] = true
 			stillWaiting = append(stillWaiting, t)
 			continue
 		case !e.permitted(now):
@@ -360,7 +353,11 @@
 		e.usePermit()
 		e.runsByGroup[t.Group]++
 		t.runs++
-		out = append(out, Start{r.id, t.Key, e.ID, t.ResumeAfter})
+		start := Start{Run: r.id, Task: t.Key, Engine: e.ID}
+		if t.resumes(e) {
+			start.ResumeAfter = t.Kept.Events
+		}
+		out = append(out, start)
 	}
 	clear(s.waiting[len(stillWaiting):])
 	s.waiting = stillWaiting
--- a/core/assign/assign_test.go
+++ b/core/assign/assign_test.go
@@ -97,7 +97,7 @@
 		scheduler.SetEngines([]assign.Engine{engine("e1", 4, 2), engine("e2", 4, 2)})
 		scheduler.Add(task(0, 1))
 		first := scheduler.Assign(0)[0]
-		Expect(scheduler.Finish(50*ms, first.Run, assign.Broken, 7)).To(BeTrue())
+		Expect(scheduler.Finish(50*ms, first.Run, assign.Broken, assign.Kept{Events: 7})).To(BeTrue())
 		second := scheduler.Assign(50 * ms)
 		Expect(second).To(HaveLen(1))
 		Expect(second[0].Engine).NotTo(Equal(first.Engine))
@@ -107,7 +107,7 @@
 	It("starts no run on an engine that refused one until the backoff has passed", func() {
 		scheduler.SetEngines([]assign.Engine{engine("e1", 4, 2)})
 		scheduler.Add(task(0, 1))
-		scheduler.Finish(0, scheduler.Assign(0)[0].Run, assign.NotRun, 0)
+		scheduler.Finish(0, scheduler.Assign(0)[0].Run, assign.NotRun, assign.Kept{Events: 0})
 		Expect(scheduler.Assign(100 * ms)).To(BeEmpty())
 		Expect(scheduler.Assign(200 * ms)).To(HaveLen(1))
 	})
@@ -136,11 +136,11 @@
 		stops := scheduler.RunsToMove(900 * ms)
 		Expect(stops).To(HaveLen(1))
 		Expect(stops[0].Run).To(Equal(starts[1].Run))
-		scheduler.Requeue(900*ms, stops[0].Run, 5)
+		scheduler.Requeue(900*ms, stops[0].Run, assign.Kept{Events: 5})
 		restarted := scheduler.Assign(900 * ms)
 		Expect(restarted).To(HaveLen(1))
 		Expect(restarted[0].Engine).To(Equal("e4"))
-		Expect(scheduler.Finish(time.Second, stops[0].Run, assign.Canceled, 5)).To(BeFalse(), "the run is no longer assigned")
+		Expect(scheduler.Finish(time.Second, stops[0].Run, assign.Canceled, assign.Kept{Events: 5})).To(BeFalse(), "the run is no longer assigned")
 	})
 
 	It("prefers faster engines and does not count a pause for loading weights as slowness", func() {
@@ -164,7 +164,7 @@
 			if s.Engine == "e2" {
 				scheduler.Progress(s.Run, 6, 1100*ms)
 			}
-			scheduler.Finish(1200*ms, s.Run, assign.Completed, 6)
+			scheduler.Finish(1200*ms, s.Run, assign.Completed, assign.Kept{Events: 6})
 		}
 		for i := range 6 {
 			scheduler.Add(task(10+i, 1))
@@ -200,11 +200,11 @@
 		starts := scheduler.Assign(0)
 		advance(scheduler, starts, 2200*ms, map[int]time.Duration{0: 52 * ms})
 		Expect(scheduler.RunsToMove(2200*ms)).To(BeEmpty(), "no engine has a free slot")
-		scheduler.Finish(2200*ms, starts[1].Run, assign.Completed, 55)
+		scheduler.Finish(2200*ms, starts[1].Run, assign.Completed, assign.Kept{Events: 55})
 		stops := scheduler.RunsToMove(2200 * ms)
 		Expect(stops).To(HaveLen(1))
 		Expect(stops[0].Run).To(Equal(starts[0].Run))
-		scheduler.Requeue(2200*ms, stops[0].Run, 42)
+		scheduler.Requeue(2200*ms, stops[0].Run, assign.Kept{Events: 42})
 		_, engines := started(scheduler.Assign(2200 * ms))
 		Expect(engines).To(Equal([]string{starts[1].Engine}))
 	})
@@ -253,7 +253,7 @@
 		scheduler.Add(task(0, 1))
 		start := scheduler.Assign(0)[0]
 		scheduler.SetEngines(nil)
-		Expect(scheduler.Finish(10*ms, start.Run, assign.Broken, 3)).To(BeTrue())
+		Expect(scheduler.Finish(10*ms, start.Run, assign.Broken, assign.Kept{Events: 3})).To(BeTrue())
 		scheduler.SetEngines([]assign.Engine{engine("e2", 1, 2)})
 		Expect(scheduler.Assign(10 * ms)).To(HaveLen(1))
 	})
--- a/core/assign/place.go
+++ b/core/assign/place.go
@@ -11,24 +11,25 @@
 	"github.com/amaranthfold/amaranthfold/core/hash"
 )
 
-// canRun reports whether a run of the task may start on the engine now, or once there is a
-// permit for it.
-func (s *Scheduler) canRun(now time.Duration, e *engine, t *Task) bool {
-	if !e.Ready || e.Service != t.Service || e.running >= e.Slots || now < e.backoffUntil {
+// canRun reports whether a run of a task of the class may start on the engine now, or once
+// there is a permit for it.
+func (s *Scheduler) canRun(now time.Duration, e *engine, c class) bool {
+	if !e.Ready || e.Service != c.service || e.running >= e.Slots || now < e.backoffUntil {
 		return false
 	}
-	if e.Versions[t.Model] < t.MinVersion {
+	if e.Versions[c.model] < c.minVersion || c.resumes && e.Software != c.software {
 		return false
 	}
-	return e.LoadingModel != t.Model || now >= e.LoadOrderedAt+s.limits.LoadTime
+	return e.LoadingModel != c.model || now >= e.LoadOrderedAt+s.limits.LoadTime
 }
 
-// pickEngine returns the engine with the highest score that can run the task, nil for none.
-func (s *Scheduler) pickEngine(now time.Duration, t *Task) *engine {
+// pickEngine returns the engine with the highest score that can run the task, which is of the
+// class c, nil for none.
+func (s *Scheduler) pickEngine(now time.Duration, t *Task, c class) *engine {
 	var best *engine
 	var bestScore float64
 	for _, e := range s.preferred(t.Model) {
-		if !s.canRun(now, e, t) || !e.permitted(now) && !e.mayPermit(now) {
+		if !s.canRun(now, e, c) || !e.permitted(now) && !e.mayPermit(now) {
 			continue
 		}
 		if score := s.score(e, t); best == nil || score > bestScore {
@@ -48,6 +49,8 @@
 	versionBonus = 0.2 // for weights newer than required: results are still valid for the next step
 	avoidPenalty = 2.0 // for the engine of the task's last run
 	slowPenalty  = 1.5 // for an engine with a slowdown above SlowFactor
+	// startOverPenalty is for an engine on which the task would lose its kept events.
+	startOverPenalty = 3.0
 	// slowdownPenalty is per unit of slowdown above 1: at a slowdown of 1.3 other engines are
 	// preferred until their utilization is higher by 0.6.
 	slowdownPenalty = 2.0
@@ -71,6 +74,9 @@
 	if s.slow(e) {
 		score -= slowPenalty
 	}
+	if t.Kept.Events > 0 && !t.resumes(e) {
+		score -= startOverPenalty
+	}
 	return score - slowdownPenalty*max(0, s.slowdown(e)-1)
 }
 
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -62,9 +62,9 @@
 			continue
 		}
 		// A run that makes progress is not worth a permit.
-		dest := destination{r.task.class(), maxSlowdown, s.stuck(now, r) != ""}
+		dest := destination{s.classToMove(now, r), maxSlowdown, s.stuck(now, r) != ""}
 		if _, counted := slotsLeft[dest]; !counted {
-			slotsLeft[dest] = s.freeSlots(now, r.task, maxSlowdown, dest.limited)
+			slotsLeft[dest] = s.freeSlots(now, dest.class, maxSlowdown, dest.limited)
 		}
 		if slotsLeft[dest] <= 0 {
 			continue
@@ -85,13 +85,13 @@
 	return runs
 }
 
-// freeSlots counts the free slots of the engines that can run the task and whose slowdown is
-// at most maxSlowdown. Engines that limit their requests count only if limited is set, and
+// freeSlots counts the free slots of the engines that can run a task of the class and whose
+// slowdown is at most maxSlowdown. Engines that limit their requests count only if limited is set, and
 // then whether there is a permit or not.
-func (s *Scheduler) freeSlots(now time.Duration, t *Task, maxSlowdown float64, limited bool) int {
+func (s *Scheduler) freeSlots(now time.Duration, c class, maxSlowdown float64, limited bool) int {
 	n := 0
 	for _, e := range s.engines {
-		if (!e.Limited || limited) && s.canRun(now, e, t) && s.slowdown(e) <= maxSlowdown {
+		if (!e.Limited || limited) && s.canRun(now, e, c) && s.slowdown(e) <= maxSlowdown {
 			n += e.Slots - e.running
 		}
 	}
@@ -128,10 +128,10 @@
 	}
 }
 
-// Requeue releases a run's slot and makes its task wait again. kept is the number of the last
-// event that is kept: the next run resumes after it. If the run still has a reason to move,
-// its engine gets no run until the backoff has passed.
-func (s *Scheduler) Requeue(now time.Duration, id, kept int64) {
+// Requeue releases a run's slot and makes its task wait again. The next run resumes after the
+// kept events. If the run still has a reason to move, its engine gets no run until the backoff
+// has passed.
+func (s *Scheduler) Requeue(now time.Duration, id int64, kept Kept) {
 	r := s.runs[id]
 	if r == nil {
 		return
@@ -140,7 +140,7 @@
 	if reason, _ := s.moveReason(now, r); reason != "" {
 		s.engines[r.engine].backoffUntil = max(s.engines[r.engine].backoffUntil, now+s.limits.Backoff)
 	}
-	r.task.ResumeAfter, r.task.avoidEngine, r.task.WaitingSince = kept, r.engine, now
+	r.task.Kept, r.task.avoidEngine, r.task.WaitingSince = kept, r.engine, now
 	s.enqueue(r.task)
 }
 
--- a/core/job/output.go
+++ b/core/job/output.go
@@ -17,17 +17,17 @@
 
 // appendChunk appends a chunk that continues the stored ones without a gap. A chunk that
 // starts with event 1 replaces all stored ones; any other is ignored.
-// Invariant: the chunks of a task are contiguous.
+// Invariant: the chunks of a task are contiguous and of one software version.
 func (s *TaskStatus) appendChunk(c Chunk) {
-	last := int64(0)
-	if n := len(s.Chunks); n > 0 {
-		last = s.Chunks[n-1].Last
+	if c.First == 1 {
+		s.Chunks = []Chunk{c}
+		return
 	}
-	switch c.First {
-	case last + 1:
+	if len(s.Chunks) == 0 {
+		return
+	}
+	if latest := s.Chunks[len(s.Chunks)-1]; c.First == latest.Last+1 && c.Software == latest.Software {
 		s.Chunks = append(s.Chunks[:len(s.Chunks):len(s.Chunks)], c) // append copies: later jobs share the old slice
-	case 1:
-		s.Chunks = []Chunk{c}
 	}
 }
 
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -78,6 +78,7 @@
 	LoadOrdered     *LoadOrdered     `cbor:"12,keyasint,omitempty"`
 	InstanceStarted *InstanceStarted `cbor:"13,keyasint,omitempty"`
 	InstanceLeaving *InstanceLeaving `cbor:"14,keyasint,omitempty"`
+	StreamStarted   *StreamStarted   `cbor:"15,keyasint,omitempty"`
 }
 
 // Submitted submits a job. The first one of a job's id is accepted, later ones are rejected.
@@ -145,13 +146,14 @@
 
 // Chunk is a contiguous range of a task's output events that is stored in the content topic:
 // the numbers First to Last, counted from 1. Versions are the weight versions that generated
-// them, in ascending order.
+// them, in ascending order. Events of different software versions do not fit together.
 type Chunk struct {
 	Task     int      `cbor:"1,keyasint"`
 	First    int64    `cbor:"2,keyasint"`
 	Last     int64    `cbor:"3,keyasint"`
 	Versions []int64  `cbor:"4,keyasint"`
 	Location Location `cbor:"5,keyasint"`
+	Software string   `cbor:"6,keyasint,omitempty"` // version of the target's program
 }
 
 // Listed contains results of a job's tasks. The first result of a task is accepted, later ones
@@ -217,6 +219,13 @@
 	StartedAt   int64  `cbor:"3,keyasint"` // start of the process, Unix milliseconds
 }
 
+// StreamStarted records which software version began a caller's stream. The first one of a
+// request is accepted.
+type StreamStarted struct {
+	Request  string `cbor:"1,keyasint"` // of the caller's attempt that brought the first event
+	Software string `cbor:"2,keyasint"` // version of the target's program
+}
+
 // InstanceLeaving announces that the writer's process is stopping: it gets no further jobs.
 type InstanceLeaving struct{}
 
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -63,7 +63,8 @@
 	Instances map[string]Instance // by name
 	Runners   map[string]Runner   // latest runner of a job of the model, by model
 
-	tasks map[taskKey]jobTask // position of each task in the latest job that has it
+	tasks   map[taskKey]jobTask // position of each task in the latest job that has it
+	streams streams
 }
 
 // LoadOrder is an announced load of weights and when it was read, by the reader's clock.
@@ -100,6 +101,7 @@
 	return &State{
 		Jobs: map[string]*Job{}, Leases: map[string]fold.Lease{}, Windows: map[int64]*Window{},
 		LoadOrders: map[string]LoadOrder{}, Instances: map[string]Instance{}, Runners: map[string]Runner{}, tasks: map[taskKey]jobTask{},
+		streams: streams{software: map[string]string{}},
 	}
 }
 
@@ -135,6 +137,8 @@
 		return true
 	case r.InstanceStarted != nil:
 		return s.applyStarted(r.Writer, *r.InstanceStarted)
+	case r.StreamStarted != nil:
+		return s.applyStreamStarted(now, *r.StreamStarted)
 	case r.InstanceLeaving != nil:
 		return s.removeRunner(r.Writer)
 	default:
--- /dev/null
+++ b/core/job/streams_test.go
@@ -0,0 +1,57 @@
+package job_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/job"
+)
+
+var _ = Describe("Software versions", func() {
+	var s *job.State
+	BeforeEach(func() { s = job.NewState() })
+
+	started := func(at time.Duration, id, software string) bool {
+		return s.Apply(0, at, job.Record{StreamStarted: &job.StreamStarted{Request: id, Software: software}})
+	}
+
+	It("that begin streams are known by the first record of the request", func() {
+		Expect(started(0, "r", "v1")).To(BeTrue())
+		Expect(started(time.Second, "r", "v2")).To(BeFalse())
+		software, known := s.StreamSoftware("r")
+		Expect(known).To(BeTrue())
+		Expect(software).To(Equal("v1"))
+		_, known = s.StreamSoftware("other")
+		Expect(known).To(BeFalse())
+	})
+
+	It("that begin streams are forgotten when they can no longer be taken up", func() {
+		for i := range 1000 {
+			started(time.Duration(i)*time.Second, fmt.Sprint(i), "v1")
+		}
+		_, known := s.StreamSoftware("900")
+		Expect(known).To(BeTrue())
+		_, known = s.StreamSoftware("800")
+		Expect(known).To(BeFalse())
+	})
+
+	It("of a task's stored events are never mixed", func() {
+		s.Apply(0, 0, job.Record{Writer: "n1", Submitted: &job.Submitted{Job: "j", Account: "a", Tasks: []job.TaskRef{{ID: "t"}}, Runner: "n1"}})
+		for _, c := range []job.Chunk{
+			{First: 1, Last: 8, Versions: []int64{1}, Software: "v1"},
+			{First: 9, Last: 12, Versions: []int64{1}, Software: "v2"}, // of another runner
+			{First: 9, Last: 16, Versions: []int64{1}, Software: "v1"},
+			{First: 1, Last: 8, Versions: []int64{1}, Software: "v2"}, // started over
+			{First: 17, Last: 20, Versions: []int64{1}, Software: "v1"},
+			{First: 9, Last: 10, Versions: []int64{1}, Software: "v1"},
+		} {
+			s.Apply(0, 0, job.Record{Writer: "n1", Progress: &job.Progress{Job: "j", Chunks: []job.Chunk{c}}})
+		}
+		chunks := s.Jobs["j"].Status[0].ContiguousChunks(0)
+		Expect(chunks).To(HaveLen(1))
+		Expect(chunks[0].Software).To(Equal("v2"))
+	})
+})
--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -88,11 +88,7 @@
 		return false
 	}
 	view := in.stateLoop.view.Load()
-	excluded := a.tried
-	if hedge {
-		excluded = a.withLimited(view)
-	}
-	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, excluded, in.rand64())
+	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, a.excluded(view, hedge), in.rand64())
 	if !found {
 		return false
 	}
@@ -106,12 +102,18 @@
 	return true
 }
 
-// withLimited returns the tried targets and those that limit the rate of their requests.
-func (a *requestAttempts) withLimited(view *View) map[string]bool {
+// excluded returns the targets that must not get the next attempt: the tried ones, those of
+// another software version than the request needs, and for a hedge those that limit the rate
+// of their requests.
+func (a *requestAttempts) excluded(view *View, hedge bool) map[string]bool {
+	if !hedge && a.request.software == nil {
+		return a.tried
+	}
 	excluded := maps.Clone(a.tried)
 	for i := range view.Targets {
-		if view.Targets[i].Limited {
-			excluded[view.Targets[i].ID] = true
+		t := &view.Targets[i]
+		if hedge && t.Limited || a.request.software != nil && t.Software != *a.request.software {
+			excluded[t.ID] = true
 		}
 	}
 	return excluded
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -59,6 +60,11 @@
 func address(server *standin.Server) string { return strings.TrimPrefix(server.URL, "http://") }
 
 func newDeployment(instanceCount, engineCount int) *deployment {
+	return newMixedDeployment(instanceCount, slices.Repeat([]string{hostplatform.FirstSoftware}, engineCount)...)
+}
+
+// newMixedDeployment returns a deployment with an engine of each software version.
+func newMixedDeployment(instanceCount int, software ...string) *deployment {
 	d := &deployment{
 		store: hostplatform.NewStore(), cloud: hostplatform.NewCloud(), logs: gbytes.NewBuffer(),
 		entries: map[string]func() map[string]any{}, stopped: make(chan struct{}),
@@ -67,11 +73,11 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(cloud.Close)
 	d.cloudAddress = address(cloud)
-	for i := range engineCount {
-		d.engines = append(d.engines, d.addTarget(fmt.Sprintf("e%d", i), "models", 8))
+	for i, version := range software {
+		d.engines = append(d.engines, d.addTarget(fmt.Sprintf("e%d", i), "models", 8, version))
 	}
 	for i := range 2 {
-		d.plain = append(d.plain, d.addTarget(fmt.Sprintf("p%d", i), "desk", 6))
+		d.plain = append(d.plain, d.addTarget(fmt.Sprintf("p%d", i), "desk", 6, hostplatform.FirstSoftware))
 	}
 	d.configure(key)
 	go d.writeHeartbeats()
@@ -99,8 +105,9 @@
 
 // addTarget starts a stand-in target and registers it: an engine for model m, or without
 // models for the plain service desk.
-func (d *deployment) addTarget(id, service string, slots int) *hostplatform.Engine {
+func (d *deployment) addTarget(id, service string, slots int, software string) *hostplatform.Engine {
 	e := hostplatform.NewEngine(id, "m", slots)
+	e.SetSoftware(software)
 	server, err := standin.Serve(e)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(server.Close)
@@ -122,6 +129,30 @@
 	d.store.Put(platform.RegistryTopic, id, entry())
 }
 
+// remove removes a target's registry entry, and returns a function that registers it again.
+// Running instances have read the removal when remove returns.
+func (d *deployment) remove(id string) (restore func()) {
+	d.mu.Lock()
+	entry := d.entries[id]
+	delete(d.entries, id)
+	d.mu.Unlock()
+	before := strings.Count(d.logged(), "target removed")
+	d.store.Put(platform.RegistryTopic, id, nil)
+	Eventually(func() int { return strings.Count(d.logged(), "target removed") - before }, eventuallyTimeout).Should(Equal(d.running()))
+	return func() { d.register(id, entry) }
+}
+
+// running returns the number of instances that were not killed.
+func (d *deployment) running() int {
+	n := 0
+	for _, in := range d.instances {
+		if len(in.done) == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // writeHeartbeats writes the targets' registry entries every 50 ms.
 func (d *deployment) writeHeartbeats() {
 	for {
--- a/internal/hosted/handover.go
+++ b/internal/hosted/handover.go
@@ -64,8 +64,9 @@
 			if j.recorded[i] || j.job.SingleVersion {
 				continue
 			}
-			if first, last, data, versions := j.outputs[i].takeUnsaved(minEvents); last > 0 {
-				p.Chunks = append(p.Chunks, job.Chunk{Task: i, First: first, Last: last, Versions: versions})
+			if chunk, data, found := j.outputs[i].takeUnsaved(minEvents); found {
+				chunk.Task = i
+				p.Chunks = append(p.Chunks, chunk)
 				outputs = append(outputs, data)
 			}
 		}
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -140,6 +140,7 @@
 	// maxAttempts is the maximum number of targets that the request is sent to.
 	maxAttempts   int
 	targetLatency time.Duration
+	software      *string // the targets must have this software version; nil: any
 }
 
 // plainRequest returns the request to the target that serves the caller's request.
@@ -174,7 +175,14 @@
 	deadline := c.deadline()
 	ctx, cancel := in.withDeadline(c, deadline)
 	defer cancel()
-	attempted := in.runAttempts(ctx, c.plainRequest(c.route.Pick(in.rand64())), deadline)
+	software, err := in.softwareFor(ctx, c)
+	if err != nil {
+		in.refuse(c, err.Error())
+		return
+	}
+	request := c.plainRequest(c.route.Pick(in.rand64()))
+	request.software = software
+	attempted := in.runAttempts(ctx, request, deadline)
 	best, attempts := attempted.best, attempted.startedAttempts
 	took := in.clock.Now() - c.started
 	in.metrics.requestTime.Update(took.Seconds())
@@ -206,6 +214,7 @@
 		events.F("took", took.Round(time.Millisecond).String()))
 	platform.CopyResponseHeader(c.w.Header(), r.header)
 	if r.stream != nil {
+		in.recordStream(c, r)
 		in.forwardStream(c, r)
 		return
 	}
--- a/internal/hosted/progress.go
+++ b/internal/hosted/progress.go
@@ -85,7 +85,7 @@
 			t.data = append(t.data, '\n')
 		}
 		t.data = append(t.data, parts[k]...)
-		t.lastEvent = c.Last
+		t.lastEvent, t.software = c.Last, c.Software
 		for _, v := range c.Versions {
 			t.versions = withVersion(t.versions, v)
 		}
@@ -114,7 +114,7 @@
 		if !found || !j.job.AllowsVersions(p.output.versions) {
 			continue
 		}
-		if last, _ := p.output.progress(); last > j.outputs[i].lastEvent {
+		if p.output.kept().Events > j.outputs[i].lastEvent {
 			j.outputs[i] = p.output
 		}
 	}
--- a/internal/hosted/runner.go
+++ b/internal/hosted/runner.go
@@ -29,7 +29,6 @@
 	jobs          map[string]*claimedJob
 	cancels       map[int64]context.CancelFunc // by run
 	outputs       map[int64]*taskOutput        // of the task, by run
-	startEvents   map[int64]int64              // events that the output had when the run started, by run
 	runEnds       chan runEnd
 	loadedJobs    chan loadedJob
 	permits       chan permitReply
@@ -78,7 +77,7 @@
 func newRunner(in *Instance) *runner {
 	r := &runner{
 		instance: in, scheduler: assign.New(assign.DefaultLimits()), jobs: map[string]*claimedJob{},
-		cancels: map[int64]context.CancelFunc{}, outputs: map[int64]*taskOutput{}, startEvents: map[int64]int64{},
+		cancels: map[int64]context.CancelFunc{}, outputs: map[int64]*taskOutput{},
 		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16), saves: saveState{results: make(chan bool)},
 		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
 	}
@@ -253,7 +252,7 @@
 		if len(t.Models) == 0 {
 			continue
 		}
-		e := assign.Engine{ID: t.ID, Service: t.Service, Slots: t.Slots, Ready: t.Ready, Limited: t.Limited, Versions: t.Models}
+		e := assign.Engine{ID: t.ID, Service: t.Service, Slots: t.Slots, Ready: t.Ready, Limited: t.Limited, Software: t.Software, Versions: t.Models}
 		if o, ordered := orders[t.ID]; ordered && t.Models[o.Model] < o.Version {
 			e.LoadOrderedAt, e.LoadingModel = o.ReadAt, o.Model
 		}
@@ -304,11 +303,10 @@
 	if length == 0 {
 		length = t.MaxTokens
 	}
-	last, _ := j.outputs[i].progress()
 	r.scheduler.Add(assign.Task{
 		Key: assign.Key{Job: j.job.Job, Task: i}, Service: service, Model: j.job.Model, MinVersion: j.job.MinVersion,
 		Group: j.job.Job + "/" + fmt.Sprint(j.job.Tasks[i].Group), ExpectedTokens: length, Resubmitted: status.Resubmitted,
-		Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, ResumeAfter: last, WaitingSince: r.instance.clock.Now(),
+		Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Kept: j.outputs[i].kept(), WaitingSince: r.instance.clock.Now(),
 	})
 }
 
@@ -369,7 +367,6 @@
 	}
 	delete(r.cancels, run)
 	delete(r.outputs, run)
-	delete(r.startEvents, run)
 }
 
 // dropJob removes a job and cancels all its runs. The outputs of its unfinished tasks are
@@ -381,7 +378,7 @@
 		scheduled := r.scheduler.Has(key)
 		r.stopTask(key)
 		if scheduled && !j.recorded[i] {
-			j.outputs[i].setActiveRun(0) // ignores further events of the canceled run
+			j.outputs[i].stopRun()
 			r.partialOutputs[j.job.Account+"/"+j.job.Tasks[i].ID] = partialOutput{j.outputs[i], now}
 		}
 	}
--- a/internal/hosted/runs.go
+++ b/internal/hosted/runs.go
@@ -28,7 +28,7 @@
 	for _, s := range starts {
 		j := r.jobs[s.Task.Job]
 		runCtx, cancel := context.WithCancel(ctx)
-		r.cancels[s.Run], r.outputs[s.Run], r.startEvents[s.Run] = cancel, j.outputs[s.Task.Task], s.ResumeAfter
+		r.cancels[s.Run], r.outputs[s.Run] = cancel, j.outputs[s.Task.Task]
 		in.metrics.runs.Inc()
 		if s.ResumeAfter > 0 {
 			in.metrics.runsResumed.Inc()
@@ -57,9 +57,9 @@
 func (r *runner) onRunEnd(end runEnd) {
 	in := r.instance
 	j := r.jobs[end.key.Job]
-	lastEvent := int64(0)
+	var kept assign.Kept
 	if j != nil {
-		lastEvent, _ = j.outputs[end.key.Task].progress()
+		kept = j.outputs[end.key.Task].kept()
 	}
 	outcome := end.outcome
 	if end.unprocessable || end.serverError {
@@ -67,12 +67,12 @@
 		// it again when the failure record has been applied.
 		outcome = assign.Canceled
 	}
-	current := r.scheduler.Finish(in.clock.Now(), end.run, outcome, lastEvent)
+	current := r.scheduler.Finish(in.clock.Now(), end.run, outcome, kept)
 	r.cancelRun(end.run)
 	if end.outcome == assign.Broken || end.outcome == assign.Stale {
 		in.metrics.runsBroken.Inc()
 		in.log("run broken", events.F("job", end.key.Job), events.F("task", end.taskID),
-			events.F("target", end.engine), events.F("events", fmt.Sprint(lastEvent)), events.F("error", fmt.Sprint(end.err)))
+			events.F("target", end.engine), events.F("events", fmt.Sprint(kept.Events)), events.F("error", fmt.Sprint(end.err)))
 	}
 	if !current || j == nil {
 		return
@@ -97,16 +97,17 @@
 func (r *runner) reviewRuns() {
 	now := r.instance.clock.Now()
 	for run, output := range r.outputs {
-		last, at := output.progress()
-		r.scheduler.Progress(run, last-r.startEvents[run], at)
+		added, at := output.runProgress()
+		r.scheduler.Progress(run, added, at)
 	}
 	for _, s := range r.scheduler.RunsToMove(now) {
-		lastEvent, _ := r.outputs[s.Run].progress()
-		r.outputs[s.Run].setActiveRun(0)
+		output := r.outputs[s.Run]
+		output.stopRun()
+		kept := output.kept()
 		r.cancelRun(s.Run)
-		r.scheduler.Requeue(now, s.Run, lastEvent)
+		r.scheduler.Requeue(now, s.Run, kept)
 		r.instance.metrics.runsMoved.Inc()
 		r.instance.log("run moved", events.F("job", s.Task.Job), events.F("task", r.jobs[s.Task.Job].job.Tasks[s.Task.Task].ID),
-			events.F("target", s.Engine), events.F("events", fmt.Sprint(lastEvent)), events.F("reason", s.Reason))
+			events.F("target", s.Engine), events.F("events", fmt.Sprint(kept.Events)), events.F("reason", s.Reason))
 	}
 }
--- /dev/null
+++ b/internal/hosted/software_test.go
@@ -0,0 +1,159 @@
+package hosted_test
+
+import (
+	"bufio"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+)
+
+const (
+	oldSoftware = hostplatform.FirstSoftware
+	newSoftware = "v2"
+)
+
+// talk sends a request for a stream of events with the id. With resumes, it takes up the
+// stream of that request after the event lastEvent. It returns the status, the data of the
+// complete events and whether the stream ended as complete.
+func (i *testInstance) talk(id string, total int, resumes string, lastEvent int) (status int, events []string, complete bool) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+i.frontAddress+"/talk/x", nil)
+	Expect(err).NotTo(HaveOccurred())
+	req.Host, req.Close = host, true
+	req.Header.Set("Request-Id", id)
+	req.Header.Set("Credential", key)
+	req.Header.Set("Token-Usage", fmt.Sprintf("10,%d", total))
+	if resumes != "" {
+		req.Header.Set("Resumes", resumes)
+		req.Header.Set("Last-Event-Id", fmt.Sprint(lastEvent))
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, nil, false
+	}
+	defer res.Body.Close()
+	lines := bufio.NewScanner(res.Body)
+	data := ""
+	for lines.Scan() {
+		switch value, found := strings.CutPrefix(lines.Text(), "data: "); {
+		case found:
+			data = value
+		case lines.Text() == "" && data != "":
+			events, data = append(events, data), ""
+		}
+	}
+	return res.StatusCode, events, lines.Err() == nil && len(events) == total-lastEvent
+}
+
+// storedChunks returns the number of parts of unfinished outputs in the log.
+func (d *deployment) storedChunks() int {
+	n := 0
+	for _, data := range d.store.Records("control", 0) {
+		r, err := job.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		if r.Progress != nil {
+			n += len(r.Progress.Chunks)
+		}
+	}
+	return n
+}
+
+// checkSoftware checks that each result is the complete output of one software version.
+func checkSoftware(p hostplatform.ResultsPage, events map[string]int) {
+	GinkgoHelper()
+	Expect(p.Results).To(HaveLen(len(events)))
+	for _, r := range p.Results {
+		Expect(r.State).To(Equal("completed"))
+		Expect(r.Text).To(BeElementOf(
+			hostplatform.OutputOf(oldSoftware, r.ID, events[r.ID]), hostplatform.OutputOf(newSoftware, r.ID, events[r.ID]),
+		), "output of %s", r.ID)
+	}
+}
+
+var _ = Describe("A stream that began at a target of one software version", func() {
+	var d *deployment
+	BeforeEach(func() { d = newMixedDeployment(2, oldSoftware, newSoftware) })
+
+	It("holds no events of another version when runs of a task break", func() {
+		for _, e := range d.engines {
+			e.AbortAfterEvents(5)
+		}
+		events := tasks(12, 23)
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		checkSoftware(d.instances[1].awaitResults("j", 12), events)
+		Expect(d.logged()).To(ContainSubstring("run resumed"))
+	})
+
+	It("holds no events of another version when an instance takes over the stored events of a killed one", func() {
+		restore := d.remove("e1")
+		events := tasks(4, 400)
+		d.engines[0].SetEventInterval(20 * time.Millisecond) // eight seconds for a task
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		Eventually(d.storedChunks, eventuallyTimeout).Should(BeNumerically(">=", 4))
+		d.instances[0].kill()
+		d.remove("e0")
+		restore()
+		checkSoftware(d.instances[1].awaitResults("j", 4), events)
+		for _, r := range d.engines[1].Runs() {
+			Expect(r.From).To(BeZero(), "a run at the other version that goes on after kept events")
+		}
+	})
+
+	It("is taken up by callers through any instance at a target of its version only", func() {
+		const total = 30
+		for _, e := range d.engines {
+			e.AbortAfterEvents(4)
+		}
+		began := map[string][]string{}
+		var mu sync.Mutex
+		var group sync.WaitGroup
+		for n := range 12 { // at the same time, so that both engines get some
+			group.Go(func() {
+				defer GinkgoRecover()
+				id := fmt.Sprint("first-", n)
+				status, events, complete := d.instances[0].talk(id, total, "", 0)
+				Expect(status).To(Equal(http.StatusOK))
+				Expect(complete).To(BeFalse())
+				mu.Lock()
+				defer mu.Unlock()
+				began[id] = events
+			})
+		}
+		group.Wait()
+		for _, e := range d.engines {
+			e.AbortAfterEvents(0)
+			Expect(e.Runs()).NotTo(BeEmpty())
+		}
+		for id, events := range began {
+			status, further, complete := d.instances[1].talk("again-"+id, total, id, len(events))
+			Expect(status).To(Equal(http.StatusOK))
+			Expect(complete).To(BeTrue())
+			ofNewer := strings.Count(strings.Join(append(events, further...), "\n"), newSoftware)
+			Expect(ofNewer).To(BeElementOf(0, total), "events of the newer version in the stream of %s", id)
+		}
+	})
+
+	It("is refused at once as not run when no target of its version is left, or when its version is unknown", func() {
+		const total = 30
+		d.engines[0].AbortAfterEvents(4)
+		restore := d.remove("e1")
+		Eventually(func() int { _, events, _ := d.instances[0].talk("first", total, "", 0); return len(events) }, eventuallyTimeout).Should(Equal(4))
+		d.remove("e0")
+		restore()
+		Eventually(func() int { status, _, _ := d.instances[1].talk("new", total, "", 0); return status }, eventuallyTimeout).Should(Equal(http.StatusOK))
+		for id, resumes := range map[string]string{"again": "first", "strange": "never seen"} {
+			status, _, _ := d.instances[1].talk(id, total, resumes, 4)
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+		}
+		for _, r := range d.engines[1].Runs() {
+			Expect(r.ID).NotTo(BeElementOf("again", "strange"))
+		}
+	})
+})
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -52,7 +52,7 @@
 // output.
 func (in *Instance) runTask(ctx context.Context, r taskRun) runEnd {
 	end := runEnd{run: r.id, key: r.key, taskID: r.task.ID, engine: r.target.ID, outcome: assign.Broken}
-	lastEvent := r.output.setActiveRun(r.id)
+	lastEvent := r.output.startRun(r.id, r.target.Software)
 	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.remaining, lastEvent)
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: r.target.Address, Opaque: r.task.Path}, Host: r.host,
--- /dev/null
+++ b/internal/hosted/takeup.go
@@ -0,0 +1,57 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+)
+
+// takeUpReadTimeout bounds the read of the log for the record of a stream that a caller takes
+// up.
+const takeUpReadTimeout = 400 * time.Millisecond
+
+var errStreamUnknown = errors.New("it is not known which software version began the stream")
+
+// recordStream records in the log which software version begins a caller's stream, so that
+// every instance can send the rest of the stream to that version. It does not wait for the
+// log: a stream whose record is lost cannot be taken up.
+func (in *Instance) recordStream(c *callerRequest, r *attemptResult) {
+	if !c.route.Resumable || c.TakesUpStream {
+		return
+	}
+	in.appendRecordAsync(job.Record{StreamStarted: &job.StreamStarted{Request: c.ID, Software: r.target.Software}})
+}
+
+// softwareFor returns the software version that the request is restricted to, as it takes up
+// a stream. It returns nil for any other request, and errStreamUnknown if no instance has
+// recorded the beginning of the stream.
+func (in *Instance) softwareFor(ctx context.Context, c *callerRequest) (*string, error) {
+	if c.route.Kind != catalog.Stream || !c.TakesUpStream {
+		return nil, nil
+	}
+	software, known := in.streamSoftware(ctx, c.Resumes)
+	if !known && c.Resumes != "" {
+		ctx, cancel := context.WithTimeout(ctx, takeUpReadTimeout)
+		defer cancel()
+		if err := in.catchUp(ctx); err != nil {
+			return nil, fmt.Errorf("%w: read the log: %w", errStreamUnknown, err)
+		}
+		software, known = in.streamSoftware(ctx, c.Resumes)
+	}
+	if !known {
+		return nil, errStreamUnknown
+	}
+	in.metrics.streamsTakenUp.Inc()
+	in.log("stream taken up", events.F("request", c.ID), events.F("resumes", c.Resumes), events.F("software", software))
+	return &software, nil
+}
+
+func (in *Instance) streamSoftware(ctx context.Context, request string) (software string, known bool) {
+	in.stateLoop.do(ctx, func() { software, known = in.stateLoop.state.StreamSoftware(request) })
+	return software, known
+}
--- a/internal/hosted/text.go
+++ b/internal/hosted/text.go
@@ -4,40 +4,67 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/assign"
+	"github.com/amaranthfold/amaranthfold/core/job"
 )
 
 // taskOutput is the output of a task as far as it was received: events that are numbered
-// from 1 without a gap. It is safe for concurrent use.
+// from 1 without a gap, all of one software version. It is safe for concurrent use.
 type taskOutput struct {
 	mu          sync.Mutex
 	data        []byte        // of all events, joined by line feeds
 	lastEvent   int64         // number of the last event; zero: none
 	versions    []int64       // weight versions that generated the events, ascending
 	lastEventAt time.Duration // arrival of the last event
+	software    string        // software version of the engines that generated the events
 	activeRun   int64         // run that may add events; zero: none
+	// activeSoftware is the version of the active run's engine. If it is another one than that
+	// of the events, they are replaced by the run's first event.
+	activeSoftware string
+	runEvents      int64 // added by the active run
 
 	// The part of the output that takeUnsaved has returned or that was loaded from the log.
 	savedLastEvent int64 // number of its last event
 	savedBytes     int
 }
 
-// setActiveRun makes run the only run that may add events, and returns the number of the
-// last event.
-func (t *taskOutput) setActiveRun(run int64) int64 {
+// startRun makes run, at an engine with the software version, the only run that may add
+// events. It returns the number of the event after which the run resumes, zero if it starts
+// from the first event.
+func (t *taskOutput) startRun(run int64, software string) (resumeAfter int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.activeRun = run
+	t.activeRun, t.activeSoftware, t.runEvents = run, software, 0
+	if t.software != software {
+		return 0
+	}
 	return t.lastEvent
 }
 
+// stopRun ignores further events of the active run.
+func (t *taskOutput) stopRun() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.activeRun = 0
+}
+
 // addEvent appends an event of a run. It reports false if the run is not the active one
 // or the number is not the next in sequence.
 func (t *taskOutput) addEvent(run, number int64, event []byte, version int64, now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.activeRun != run || number != t.lastEvent+1 {
+	if t.activeRun != run {
 		return false
 	}
+	if t.software != t.activeSoftware && number == 1 {
+		t.discard()
+		t.software = t.activeSoftware
+	}
+	if t.software != t.activeSoftware || number != t.lastEvent+1 {
+		return false
+	}
+	t.runEvents++
 	if t.lastEvent > 0 {
 		t.data = append(t.data, '\n')
 	}
@@ -51,6 +78,11 @@
 func (t *taskOutput) reset() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.discard()
+}
+
+// discard is called with mu held.
+func (t *taskOutput) discard() {
 	t.data, t.lastEvent, t.versions, t.savedLastEvent, t.savedBytes = nil, 0, nil, 0, 0
 }
 
@@ -64,11 +96,19 @@
 	return versions
 }
 
-// progress returns the number of the last event and when it was added.
-func (t *taskOutput) progress() (last int64, at time.Duration) {
+// runProgress returns how many events the active run has added and when the last event was
+// added.
+func (t *taskOutput) runProgress() (added int64, at time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.runEvents, t.lastEventAt
+}
+
+// kept returns the events that a later run can go on after.
+func (t *taskOutput) kept() assign.Kept {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lastEvent, t.lastEventAt
+	return assign.Kept{Events: t.lastEvent, Software: t.software}
 }
 
 // snapshot returns copies of the data and the versions, and the number of the last event.
@@ -78,21 +118,21 @@
 	return slices.Clone(t.data), slices.Clone(t.versions), t.lastEvent
 }
 
-// takeUnsaved returns the events that no earlier call has returned: their numbers, first
-// to last, and their data, and the weight versions of the output. If there are fewer than
-// minEvents, it returns none and last is zero.
-func (t *taskOutput) takeUnsaved(minEvents int64) (first, last int64, data []byte, versions []int64) {
+// takeUnsaved returns the events that no earlier call has returned, as a chunk without its
+// task and location, and their data. The chunk has the weight versions of the whole output.
+// If there are fewer than minEvents, it reports false.
+func (t *taskOutput) takeUnsaved(minEvents int64) (chunk job.Chunk, data []byte, found bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.lastEvent-t.savedLastEvent < minEvents || t.lastEvent == t.savedLastEvent {
-		return 0, 0, nil, nil
+		return job.Chunk{}, nil, false
 	}
 	from := t.savedBytes
 	if t.savedLastEvent > 0 {
 		from++ // the line feed between the parts
 	}
-	first, last = t.savedLastEvent+1, t.lastEvent
-	data, versions = slices.Clone(t.data[from:]), slices.Clone(t.versions)
+	chunk = job.Chunk{First: t.savedLastEvent + 1, Last: t.lastEvent, Versions: slices.Clone(t.versions), Software: t.software}
+	data = slices.Clone(t.data[from:])
 	t.savedLastEvent, t.savedBytes = t.lastEvent, len(t.data)
-	return first, last, data, versions
+	return chunk, data, true
 }
--- a/internal/standin/hostplatform/documents.go
+++ b/internal/standin/hostplatform/documents.go
@@ -8,7 +8,8 @@
 
 // Config returns the configuration that an operator would publish for a deployment with
 // an engine service ("models", with model m), a plain service ("desk"), one account
-// ("acme") and four routes, of which score is public.
+// ("acme") and five routes, of which score is public. The route talk carries streams of
+// callers, which may be taken up.
 func Config(version int64, host string, keys []string) map[string]any {
 	route := func(name, kind, service string, timeoutMS, targetLatencyMS int) map[string]any {
 		return map[string]any{
@@ -18,12 +19,14 @@
 	}
 	train := route("train", "rollout", "models", 10000, 400)
 	train["max-attempts"], train["retention-s"], train["result-due-ms"] = 3, 600.0, 7500
+	talk := route("talk", "non_idempotent", "models", 10000, 400)
+	talk["stream"], talk["resumable"] = true, true
 	score := route("score", "idempotent", "desk", 1500, 150)
 	score["max-attempts"], score["public"] = 4, true
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			route("confirm", "idempotent", "desk", 4000, 300), route("once", "non_idempotent", "desk", 4000, 300), train, score,
+			route("confirm", "idempotent", "desk", 4000, 300), route("once", "non_idempotent", "desk", 4000, 300), train, score, talk,
 		},
 		"services": []map[string]any{{"name": "models", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}}, {"name": "desk"}},
 		"limits":   map[string]any{"max-body-bytes": 1 << 20},
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -19,6 +19,7 @@
 	Slots int // streams that can run at once
 
 	mu              sync.Mutex
+	software        string // version of the program, in the registry entry and in the events
 	version         int64
 	sequence        int64
 	highestFencing  int64
@@ -48,7 +49,7 @@
 // NewEngine returns an engine at weight version 1.
 func NewEngine(id, model string, slots int) *Engine {
 	return &Engine{
-		ID: id, Model: model, Slots: slots, version: 1, eventInterval: 2 * time.Millisecond,
+		ID: id, Model: model, Slots: slots, software: FirstSoftware, version: 1, eventInterval: 2 * time.Millisecond,
 		statusByRequest: map[string]int{}, holders: map[int64]string{},
 	}
 }
@@ -92,6 +93,16 @@
 	e.plainHandler = f
 }
 
+// FirstSoftware is the software version that engines have unless another one is set.
+const FirstSoftware = "v1"
+
+// SetSoftware sets the software version. The data of the engine's events depends on it.
+func (e *Engine) SetSoftware(version string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.software = version
+}
+
 // SetRequestLimit makes the engine name a limit of requests a second in its responses. Zero
 // ends that.
 func (e *Engine) SetRequestLimit(perSecond float64) {
@@ -136,7 +147,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
-		"service": service, "address": address, "zone": dataCentre, "version": "v1", "slots": e.Slots, "state": state,
+		"service": service, "address": address, "zone": dataCentre, "version": e.software, "slots": e.Slots, "state": state,
 		"models":   []map[string]any{{"name": e.Model, "version": e.version, "adapters": []string{}}},
 		"sequence": 100 + e.version, "born": 1,
 	}
@@ -144,15 +155,23 @@
 
 // Output returns the complete output of a task with n events, numbered from 1: the data of
 // the events, joined by line breaks.
-func Output(id string, n int) string {
+func Output(id string, n int) string { return OutputOf(FirstSoftware, id, n) }
+
+// OutputOf is Output for engines with the software version.
+func OutputOf(software, id string, n int) string {
 	lines := make([]string, n)
 	for i := range lines {
-		lines[i] = eventData(id, int64(i+1))
+		lines[i] = eventData(software, id, int64(i+1))
 	}
 	return strings.Join(lines, "\n")
 }
 
-func eventData(id string, number int64) string { return fmt.Sprintf("%s-%d", id, number) }
+func eventData(software, id string, number int64) string {
+	if software == FirstSoftware {
+		return fmt.Sprintf("%s-%d", id, number)
+	}
+	return fmt.Sprintf("%s-%d-%s", id, number, software)
+}
 
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -305,7 +324,7 @@
 	flusher := http.NewResponseController(w)
 	for n := from + 1; n <= total; n++ {
 		e.mu.Lock()
-		abortAfter, stalled, current, interval := e.abortAfter, e.stalled, e.version, e.eventInterval
+		abortAfter, stalled, current, interval, software := e.abortAfter, e.stalled, e.version, e.eventInterval, e.software
 		e.mu.Unlock()
 		if stalled {
 			<-r.Context().Done()
@@ -320,7 +339,7 @@
 			_ = flusher.Flush()                   // the connection is aborted anyway
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n))
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(software, id, n))
 		if flusher.Flush() != nil {
 			return
 		}
