Runs that start over at another software version are logged

A run that loses kept events to another version of the software was told from a first run by no line. "run starts over" names both versions and the events lost; a counter beside it.

--- a/internal/hosted/runs.go
+++ b/internal/hosted/runs.go
@@ -30,11 +30,7 @@
 		runCtx, cancel := context.WithCancel(ctx)
 		r.cancels[s.Run], r.outputs[s.Run] = cancel, j.outputs[s.Task.Task]
 		in.metrics.runs.Inc()
-		if s.ResumeAfter > 0 {
-			in.metrics.runsResumed.Inc()
-			in.log("run resumed", events.F("job", s.Task.Job), events.F("task", j.job.Tasks[s.Task.Task].ID), events.F("target", s.Engine),
-				events.F("software", targets[s.Engine].Software), events.F("events", fmt.Sprint(s.ResumeAfter)))
-		}
+		r.logResume(j, s, targets[s.Engine].Software)
 		remaining := time.Duration(j.job.SubmittedAt+j.job.Retention-in.clock.Wall().UnixMilli()) * time.Millisecond
 		run := taskRun{
 			id: s.Run, key: s.Task, task: &j.tasks[s.Task.Task], output: j.outputs[s.Task.Task], host: j.job.Host,
@@ -51,6 +47,22 @@
 	}
 }
 
+// logResume logs a run that goes on after kept events, or loses them because its engine has
+// another software version.
+func (r *runner) logResume(j *claimedJob, s assign.Start, software string) {
+	kept := j.outputs[s.Task.Task].kept()
+	if kept.Events == 0 {
+		return
+	}
+	event, counter := "run resumed", r.instance.metrics.runsResumed
+	if s.ResumeAfter == 0 {
+		event, counter = "run starts over", r.instance.metrics.runsStartedOver
+	}
+	counter.Inc()
+	r.instance.log(event, events.F("job", s.Task.Job), events.F("task", j.job.Tasks[s.Task.Task].ID), events.F("target", s.Engine),
+		events.F("software", software), events.F("events", fmt.Sprint(kept.Events)), events.F("made_by", kept.Software))
+}
+
 // onRunEnd handles the end of a run. It records the result of a completed task or a
 // server error, and gives up an unprocessable task. After any other end, the scheduler
 // decides whether the task runs again.
