--- a/internal/hosted/allowance.go
+++ b/internal/hosted/allowance.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 const (
@@ -30,7 +31,8 @@
 	// allowanceWaitFraction is the fraction of the target latency for which a request waits
 	// for its turn at a limited target: the rest suffices for the attempt.
 	allowanceWaitFraction = 0.5
-	allowanceIdleConns    = 2 // to each instance
+	maxAllowanceBytes     = 4 << 10 // limit of a call's body
+	allowanceIdleConns    = 2       // to each instance
 	allowanceIdleTimeout  = 30 * time.Second
 )
 
@@ -180,7 +182,11 @@
 		return allowance.Grant{}, fmt.Errorf("status %d", res.StatusCode)
 	}
 	var grant allowance.Grant
-	if err := json.NewDecoder(res.Body).Decode(&grant); err != nil {
+	body, err := platform.ReadBody(res.Body, maxAllowanceBytes)
+	if err != nil {
+		return allowance.Grant{}, err
+	}
+	if err := json.Unmarshal(body, &grant); err != nil {
 		return allowance.Grant{}, fmt.Errorf("decode an allowance: %w", err)
 	}
 	return grant, nil
@@ -189,7 +195,7 @@
 // serve answers another instance's request for an allowance.
 func (a *allowances) serve(w http.ResponseWriter, r *http.Request) {
 	var request allowance.Request
-	if err := json.NewDecoder(r.Body).Decode(&request); err != nil || request.Target == "" || request.Count < 1 {
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAllowanceBytes)).Decode(&request); err != nil || request.Target == "" || request.Count < 1 {
 		http.Error(w, "not a request for an allowance", http.StatusBadRequest)
 		return
 	}
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -28,7 +28,10 @@
 	// allRefusedBackoff is the delay before a request that every target refused is sent
 	// again.
 	allRefusedBackoff = 30 * time.Millisecond
-	maxResponseBytes  = 32 << 20 // of a body that is read into memory
+	// Limits of a response body that is read into memory, in bytes and as a fraction of the
+	// instance's memory.
+	maxResponseBytes          = 32 << 20
+	maxResponseMemoryFraction = 1.0 / 16
 )
 
 // plainTargets chooses the targets of requests to plain services. It is safe for
@@ -330,7 +333,7 @@
 		return
 	}
 	defer res.Body.Close()
-	r.body, r.err = io.ReadAll(io.LimitReader(res.Body, maxResponseBytes))
+	r.body, r.err = platform.ReadBody(res.Body, in.maxResponseBytes())
 	switch {
 	case r.err != nil:
 	case res.StatusCode/100 == 2 && r.platformHeader.Signature == "":
@@ -340,6 +343,11 @@
 	}
 }
 
+// maxResponseBytes returns the limit of a response body that is read into memory.
+func (in *Instance) maxResponseBytes() int64 {
+	return min(maxResponseBytes, int64(maxResponseMemoryFraction*float64(in.cfg.Settings.MemoryBytes)))
+}
+
 // nonReplayableBody returns a request body that keeps net/http from sending the request
 // again on another connection. net/http does so for a request without a body that it
 // considers idempotent, by the method or an idempotency key.
