An instance that does not know the others yet grants itself no requests

An instance that has started serves plain requests once it has read the configuration and the registry. Until it has read the log it knows no other instance, took itself for the owner of every target and granted itself the whole limit of each: with the log's control topic down, 59 of 60 requests went to a target that takes 20 a second from all instances. It sends none to limited targets now until the log is read to its end.

Also: an engine that has left the registry is not asked for at its owner with an empty name, which counted as a failure of the owner.

The spec "is sent nothing more by an instance that does not know the other ones yet" failed before (59 arrivals where 1 is right).

--- a/internal/hosted/allowance.go
+++ b/internal/hosted/allowance.go
@@ -104,6 +104,10 @@
 // answer.
 func (a *allowances) ask(ctx context.Context, r allowance.Request) (allowance.Grant, error) {
 	in := a.instance
+	if !in.stateLoop.caughtUp.Load() { // the other instances are not known yet
+		in.metrics.allowancesUnanswered.Inc()
+		return allowance.Grant{}, errNoOwner
+	}
 	peers := a.peers.Load()
 	err := errNoOwner
 	for range allowanceCalls {
@@ -266,16 +270,18 @@
 	in := r.instance
 	view := in.stateLoop.view.Load()
 	for _, wanted := range r.scheduler.PermitsWanted() {
-		t, _ := view.target(wanted.Engine)
+		t, found := view.target(wanted.Engine)
+		if !found {
+			r.scheduler.SetPermits(in.clock.Now(), wanted.Engine, 0, 0)
+			continue
+		}
 		go func() {
-			reply := permitReply{engine: wanted.Engine}
 			grant, err := in.allowances.take(ctx, t, wanted.Count, 0)
 			if err != nil {
 				grant.RetryAfter = reviewInterval
 			}
-			reply.count, reply.retryAfter = grant.Count, grant.RetryAfter
 			select {
-			case r.permits <- reply:
+			case r.permits <- permitReply{wanted.Engine, grant.Count, grant.RetryAfter}:
 			case <-ctx.Done():
 			}
 		}()
--- a/internal/hosted/allowance_test.go
+++ b/internal/hosted/allowance_test.go
@@ -157,4 +157,22 @@
 			return d.instances[2].call(http.MethodPost, "/confirm/x", "after", key, nil).status
 		}, eventuallyTimeout).Should(Equal(http.StatusOK))
 	})
+
+	It("is sent nothing more by an instance that does not know the other ones yet", func() {
+		d := newDeployment(1, 1)
+		for _, p := range d.plain {
+			p.SetRequestLimit(20)
+		}
+		d.store.SetPartitionDown("control", 0, true) // new instances read the configuration and the registry only
+		young := d.start(1)
+		for n := range 60 {
+			young.call(http.MethodPost, "/confirm/x", fmt.Sprint("r", n), key, nil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, p := range d.plain {
+			Expect(p.Arrivals()).To(HaveLen(1), "the request that learns the limit")
+		}
+		d.store.SetPartitionDown("control", 0, false)
+		Eventually(func() int { return young.call(http.MethodPost, "/confirm/x", "late", key, nil).status }, eventuallyTimeout).Should(Equal(http.StatusOK))
+	})
 })
