Soak: targets name limits, two software versions, callers' streams

Targets have two versions now, one of which adds its name to each event; a fault makes a target name 1 to 3 requests a second; callers take up broken streams at the next instance.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -36,8 +36,6 @@
 // applyFault starts one fault, ends it after its duration and returns.
 func (e *environment) applyFault(ctx context.Context, f fault) {
 	p := e.instances[f.index%len(e.instances)]
-	t := e.targets[f.index%len(e.targets)]
-	engine := e.engines()[f.index%e.cfg.Engines].engine
 	switch f.kind {
 	case killInstance:
 		p.kill()
@@ -71,6 +69,20 @@
 	case trimTopics:
 		e.logStore.TrimTopic(platform.OperatorTopic)
 		e.logStore.TrimTopic(platform.RegistryTopic)
+	case keyRotation:
+		e.rotateKey(ctx)
+	case newWeightVersion:
+		e.announceVersion()
+	default:
+		e.applyTargetFault(ctx, f)
+	}
+}
+
+// applyTargetFault is applyFault for the faults of a target.
+func (e *environment) applyTargetFault(ctx context.Context, f fault) {
+	t := e.targets[f.index%len(e.targets)]
+	engine := e.engines()[f.index%e.cfg.Engines].engine
+	switch f.kind {
 	case targetProxyFault:
 		// Any mode except forwarding, as for logProxyFault.
 		t.proxy.setMode(proxyMode(1 + f.variant%int(resetting)))
@@ -84,10 +96,8 @@
 		engine.AbortAfterEvents(1 + f.variant%9)
 		sleep(ctx, f.duration)
 		engine.AbortAfterEvents(0)
-	case keyRotation:
-		e.rotateKey(ctx)
-	case newWeightVersion:
-		e.announceVersion()
+	case targetLimit:
+		e.limitTarget(ctx, t, float64(1+f.variant%3), f.duration)
 	}
 }
 
--- /dev/null
+++ b/internal/soak/limit.go
@@ -0,0 +1,67 @@
+package soak
+
+import (
+	"context"
+	"time"
+)
+
+// The platform counts the requests to a target that names a limit in windows of limitWindow,
+// and allows limitTolerance times the limit and limitSlack requests.
+const (
+	limitWindow    = 4 * time.Second
+	limitTolerance = 1.5
+	limitSlack     = 5
+	// limitLearnTime is how long the instances may take to learn a limit.
+	limitLearnTime = time.Second
+)
+
+// limitPeriod is a time in which a target named a limit.
+type limitPeriod struct {
+	target    *target
+	perSecond float64
+	from, to  time.Time
+}
+
+// limitTarget makes a target name a limit for the duration, unless it names one already.
+func (e *environment) limitTarget(ctx context.Context, t *target, perSecond float64, duration time.Duration) {
+	e.mu.Lock()
+	limited := t.limited
+	t.limited = true
+	e.mu.Unlock()
+	if limited {
+		return
+	}
+	period := limitPeriod{target: t, perSecond: perSecond, from: time.Now()}
+	t.engine.SetRequestLimit(perSecond)
+	sleep(ctx, duration)
+	period.to = time.Now()
+	t.engine.SetRequestLimit(0)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	t.limited = false
+	e.limitPeriods = append(e.limitPeriods, period)
+}
+
+// checkLimits records a violation for each target that got more requests than it may while
+// it named a limit. An instance that learns the limit late or starts again sends one request
+// without an allowance.
+func (e *environment) checkLimits() {
+	for _, p := range e.limitPeriods {
+		var arrivals []time.Time
+		for _, at := range p.target.engine.Arrivals() {
+			if at.After(p.from.Add(limitLearnTime)) && at.Before(p.to) {
+				arrivals = append(arrivals, at)
+			}
+		}
+		most, first := 0, 0
+		for i := range arrivals {
+			for arrivals[i].Sub(arrivals[first]) >= limitWindow {
+				first++
+			}
+			most = max(most, i-first+1)
+		}
+		if allowed := int(limitTolerance*p.perSecond*limitWindow.Seconds()) + limitSlack + len(e.instances); most > allowed {
+			e.recordViolation("target %s named a limit of %g requests a second and got %d in %s, allowed %d", p.target.engine.ID, p.perSecond, most, limitWindow, allowed)
+		}
+	}
+}
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -62,6 +63,8 @@
 	defer jobs.Stop()
 	requests := time.NewTicker(requestInterval)
 	defer requests.Stop()
+	streams := time.NewTicker(talkInterval)
+	defer streams.Stop()
 	elapsed := time.After(l.env.cfg.Duration)
 	for n := 0; ; n++ {
 		select {
@@ -74,6 +77,9 @@
 			id, events := fmt.Sprintf("job-%d", n), l.randomTasks(n)
 			firstInstance := l.random.IntN(len(l.env.instances))
 			wg.Go(func() { l.submit(id, events, firstInstance) })
+		case <-streams.C:
+			id, instance := fmt.Sprintf("talk-%d", n), l.random.IntN(len(l.env.instances))
+			wg.Go(func() { l.talk(id, instance) })
 		case <-requests.C:
 			id, nonIdempotent := fmt.Sprintf("call-%d", n), n%2 == 0
 			instance := l.random.IntN(len(l.env.instances))
@@ -198,7 +204,7 @@
 			l.env.recordViolation("job %s: the result at position %d was %s and is now %s", id, i, j.results[i], r.ID)
 		case j.scored && r.Score != hostplatform.Signature("score-"+r.ID):
 			l.env.recordViolation("job %s: task %s has the score %q", id, r.ID, r.Score)
-		case r.State != "completed" || r.Text != hostplatform.Output(r.ID, j.events[r.ID]):
+		case r.State != "completed" || !isOutput(r.Text, r.ID, j.events[r.ID]):
 			l.env.recordViolation("job %s: task %s is %s with an output of %d bytes", id, r.ID, r.State, len(r.Text))
 		}
 		if i >= len(j.results) {
@@ -208,6 +214,11 @@
 	return len(j.results) == len(j.events)
 }
 
+// isOutput reports whether text is the complete output of a task by one software version.
+func isOutput(text, id string, events int) bool {
+	return slices.ContainsFunc(softwareVersions, func(v string) bool { return text == hostplatform.OutputOf(v, id, events) })
+}
+
 // waitForJobs waits until every accepted job is complete. A job that is not complete
 // within the settle timeout counts as a violation. Its caller waits for run to return
 // first, as it reads the jobs without the lock.
@@ -231,6 +242,7 @@
 // got it must not have run at a target. If all attempts to submit a job were refused, no
 // target may have run any of its tasks.
 func (e *environment) check(l *load) {
+	e.checkLimits()
 	runs, accounts, scoreAccounts := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, t := range e.targets {
 		for _, r := range t.engine.Runs() {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -24,13 +24,14 @@
 	engineAborts                      // one engine aborts its streams after 1 to 9 events
 	keyRotation                       // a key is added and the older ones are withdrawn
 	newWeightVersion                  // the trainer publishes a weight version
+	targetLimit                       // one target names a limit of 1 to 3 requests a second
 	numFaultKinds
 )
 
 // faultKindNames are the names that the run prints, by kind.
 var faultKindNames = [...]string{
 	"kill", "pause", "stop", "log proxy", "log fault", "partition down", "topics trimmed", "target proxy",
-	"engine stalled", "engine aborts", "key rotation", "new weight version",
+	"engine stalled", "engine aborts", "key rotation", "new weight version", "target limit",
 }
 
 // fault is one fault of a run. start counts from the start of the load.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,6 +4,9 @@
 // direction or reset connections, by signals to the processes, and by the fault switches
 // of the stand-ins for the log and the engines.
 //
+// Callers' streams and the tasks of jobs must hold events of one software version, and targets
+// that name a limit must not get more requests than they may.
+//
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
 // results, requests and faults, and every broken promise. The seed fixes the faults and
 // the load, but not the scheduling of the processes, so the same seed may not repeat a
@@ -70,14 +73,16 @@
 	configVersion int64
 	weightVersion int64
 	violations    []string
+	limitPeriods  []limitPeriod
 	report        Report
 }
 
 // target is an engine or a target of the plain service, reached through a proxy. The same
 // stand-in serves both kinds.
 type target struct {
-	engine *hostplatform.Engine
-	proxy  *faultProxy
+	engine  *hostplatform.Engine
+	proxy   *faultProxy
+	limited bool // names a limit; guarded by the environment's mu
 }
 
 // Run executes one seeded run. It fails when the environment cannot be set up; broken
@@ -115,7 +120,8 @@
 }
 
 // setUp starts the platform, the targets and the proxies and prepares the instances. The
-// first cfg.Engines targets run the model, the others serve plain requests.
+// first cfg.Engines targets run the model, the others serve plain requests. Targets have two
+// software versions.
 func (e *environment) setUp() error {
 	logAddress, err := e.serve(e.logStore)
 	if err != nil {
@@ -130,6 +136,7 @@
 	}
 	for i := range e.cfg.Engines + plainTargets {
 		engine := hostplatform.NewEngine(fmt.Sprintf("t%d", i), "m", slotsPerTarget)
+		engine.SetSoftware(softwareVersions[i%len(softwareVersions)])
 		address, err := e.serve(engine)
 		if err != nil {
 			return err
@@ -138,7 +145,7 @@
 		if err != nil {
 			return err
 		}
-		e.targets = append(e.targets, &target{engine, proxy})
+		e.targets = append(e.targets, &target{engine: engine, proxy: proxy})
 	}
 	e.writeConfig()
 	for i := range e.cfg.Instances {
