--- a/internal/hosted/allowance_test.go
+++ b/internal/hosted/allowance_test.go
@@ -13,32 +13,18 @@
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
 )
 
-// The platform counts requests in windows of limitWindow and allows limitTolerance times the
-// limit, and limitSlack requests.
-const (
-	limitWindow    = 4 * time.Second
-	limitTolerance = 1.5
-	limitSlack     = 5
-)
-
-// mostIn returns the largest number of arrivals within a window of the length.
-func mostIn(arrivals []time.Time, window time.Duration) int {
-	most, first := 0, 0
-	for i := range arrivals {
-		for arrivals[i].Sub(arrivals[first]) >= window {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
-// checkLimit checks the arrivals at a target that names a limit, but for the first request of
-// each instance, which learns the limit from its response.
+// checkLimit checks the requests that arrived at a target that names a limit.
 func (d *deployment) checkLimit(e *hostplatform.Engine, perSecond float64) {
 	GinkgoHelper()
-	allowed := int(limitTolerance*perSecond*limitWindow.Seconds()) + limitSlack + len(d.instances)
-	Expect(mostIn(e.Arrivals(), limitWindow)).To(BeNumerically("<=", allowed), "requests to target %s in %s", e.ID, limitWindow)
+	most, allowed := e.CheckLimit(perSecond, len(d.instances), time.Time{}, time.Now())
+	Expect(most).To(BeNumerically("<=", allowed), "requests to target %s in a window", e.ID)
+}
+
+// limitPlain makes the plain targets name a limit.
+func (d *deployment) limitPlain(perSecond float64) {
+	for _, p := range d.plain {
+		p.SetRequestLimit(perSecond)
+	}
 }
 
 // callAll sends plain requests through all instances in turn at the interval, and returns the
@@ -67,9 +53,7 @@
 		const limit = 4.0
 		d := newDeployment(3, 1)
 		d.awaitAnnouncements()
-		for _, p := range d.plain {
-			p.SetRequestLimit(limit)
-		}
+		d.limitPlain(limit)
 		responses := d.callAll(240, 15*time.Millisecond)
 		ran := map[string]bool{}
 		for _, p := range d.plain {
@@ -109,9 +93,7 @@
 		const limit = 2.0
 		d := newDeployment(2, 2)
 		d.awaitAnnouncements()
-		for _, p := range d.plain {
-			p.SetRequestLimit(limit)
-		}
+		d.limitPlain(limit)
 		events := tasks(44, 2)
 		Expect(d.submitScored("j", events).status).To(Equal(http.StatusAccepted))
 		d.instances[1].awaitResults("j", 44)
@@ -123,13 +105,9 @@
 	It("gets requests as before once its responses name no limit", func() {
 		d := newDeployment(2, 1)
 		d.awaitAnnouncements()
-		for _, p := range d.plain {
-			p.SetRequestLimit(5)
-		}
+		d.limitPlain(5)
 		d.callAll(20, 5*time.Millisecond)
-		for _, p := range d.plain {
-			p.SetRequestLimit(0)
-		}
+		d.limitPlain(0)
 		Eventually(func() int {
 			served := 0
 			for _, res := range d.callAll(20, 0) {
@@ -146,9 +124,7 @@
 		const limit = 4.0
 		d := newDeployment(3, 1)
 		d.awaitAnnouncements()
-		for _, p := range d.plain {
-			p.SetRequestLimit(limit)
-		}
+		d.limitPlain(limit)
 		d.callAll(30, 5*time.Millisecond)
 		for _, in := range d.instances[:2] {
 			in.kill()
@@ -160,9 +136,7 @@
 
 	It("is sent nothing more by an instance that does not know the other ones yet", func() {
 		d := newDeployment(1, 1)
-		for _, p := range d.plain {
-			p.SetRequestLimit(20)
-		}
+		d.limitPlain(20)
 		d.store.SetPartitionDown("control", 0, true) // new instances read the configuration and the registry only
 		young := d.start(1)
 		for n := range 60 {
--- a/internal/hosted/software_test.go
+++ b/internal/hosted/software_test.go
@@ -1,10 +1,8 @@
 package hosted_test
 
 import (
-	"bufio"
 	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
@@ -21,35 +19,11 @@
 )
 
 // talk sends a request for a stream of events with the id. With resumes, it takes up the
-// stream of that request after the event lastEvent. It returns the status, the data of the
-// complete events and whether the stream ended as complete.
+// stream of that request after the event lastEvent.
 func (i *testInstance) talk(id string, total int, resumes string, lastEvent int) (status int, events []string, complete bool) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+i.frontAddress+"/talk/x", nil)
-	Expect(err).NotTo(HaveOccurred())
-	req.Host, req.Close = host, true
-	req.Header.Set("Request-Id", id)
-	req.Header.Set("Credential", key)
-	req.Header.Set("Token-Usage", fmt.Sprintf("10,%d", total))
-	if resumes != "" {
-		req.Header.Set("Resumes", resumes)
-		req.Header.Set("Last-Event-Id", fmt.Sprint(lastEvent))
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, nil, false
-	}
-	defer res.Body.Close()
-	lines := bufio.NewScanner(res.Body)
-	data := ""
-	for lines.Scan() {
-		switch value, found := strings.CutPrefix(lines.Text(), "data: "); {
-		case found:
-			data = value
-		case lines.Text() == "" && data != "":
-			events, data = append(events, data), ""
-		}
-	}
-	return res.StatusCode, events, lines.Err() == nil && len(events) == total-lastEvent
+	return hostplatform.ReceiveStream(http.DefaultClient, hostplatform.StreamRequest{
+		Front: i.frontAddress, Host: host, Key: key, ID: id, Total: total, Resumes: resumes, LastEvent: lastEvent,
+	})
 }
 
 // storedChunks returns the number of parts of unfinished outputs in the log.
@@ -135,8 +109,7 @@
 			status, further, complete := d.instances[1].talk("again-"+id, total, id, len(events))
 			Expect(status).To(Equal(http.StatusOK))
 			Expect(complete).To(BeTrue())
-			ofNewer := strings.Count(strings.Join(append(events, further...), "\n"), newSoftware)
-			Expect(ofNewer).To(BeElementOf(0, total), "events of the newer version in the stream of %s", id)
+			Expect(hostplatform.IsOutputOfOne([]string{oldSoftware, newSoftware}, append(events, further...))).To(BeTrue(), "stream of %s", id)
 		}
 	})
 
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -5,15 +5,8 @@
 	"time"
 )
 
-// The platform counts the requests to a target that names a limit in windows of limitWindow,
-// and allows limitTolerance times the limit and limitSlack requests.
-const (
-	limitWindow    = 4 * time.Second
-	limitTolerance = 1.5
-	limitSlack     = 5
-	// limitLearnTime is how long the instances may take to learn a limit.
-	limitLearnTime = time.Second
-)
+// limitLearnTime is how long the instances may take to learn a limit.
+const limitLearnTime = time.Second
 
 // limitPeriod is a time in which a target named a limit.
 type limitPeriod struct {
@@ -47,21 +40,9 @@
 // without an allowance.
 func (e *environment) checkLimits() {
 	for _, p := range e.limitPeriods {
-		var arrivals []time.Time
-		for _, at := range p.target.engine.Arrivals() {
-			if at.After(p.from.Add(limitLearnTime)) && at.Before(p.to) {
-				arrivals = append(arrivals, at)
-			}
-		}
-		most, first := 0, 0
-		for i := range arrivals {
-			for arrivals[i].Sub(arrivals[first]) >= limitWindow {
-				first++
-			}
-			most = max(most, i-first+1)
-		}
-		if allowed := int(limitTolerance*p.perSecond*limitWindow.Seconds()) + limitSlack + len(e.instances); most > allowed {
-			e.recordViolation("target %s named a limit of %g requests a second and got %d in %s, allowed %d", p.target.engine.ID, p.perSecond, most, limitWindow, allowed)
+		engine := p.target.engine
+		if most, allowed := engine.CheckLimit(p.perSecond, len(e.instances), p.from.Add(limitLearnTime), p.to); most > allowed {
+			e.recordViolation("target %s named a limit of %g requests a second and got %d in a window, allowed %d", engine.ID, p.perSecond, most, allowed)
 		}
 	}
 }
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -103,22 +103,6 @@
 	e.software = version
 }
 
-// SetRequestLimit makes the engine name a limit of requests a second in its responses. Zero
-// ends that.
-func (e *Engine) SetRequestLimit(perSecond float64) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.limit = perSecond
-}
-
-// Arrivals returns the times of all requests, also those that the engine did not run, oldest
-// first.
-func (e *Engine) Arrivals() []time.Time {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return append([]time.Time(nil), e.arrivals...)
-}
-
 // Runs returns the requests that the engine began to run, oldest first.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
