--- a/internal/hosted/allowance.go
+++ b/internal/hosted/allowance.go
@@ -16,7 +16,6 @@
 
 	"github.com/amaranthfold/amaranthfold/core/allowance"
 	"github.com/amaranthfold/amaranthfold/core/directory"
-	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -27,13 +26,10 @@
 	// milliseconds. A second call must fit into the latency that callers expect.
 	allowanceTimeout = 100 * time.Millisecond
 	// allowanceCalls is how many instances are asked for one allowance.
-	allowanceCalls = 2
-	// allowanceWaitFraction is the fraction of the target latency for which a request waits
-	// for its turn at a limited target: the rest suffices for the attempt.
-	allowanceWaitFraction = 0.5
-	maxAllowanceBytes     = 4 << 10 // limit of a call's body
-	allowanceIdleConns    = 2       // to each instance
-	allowanceIdleTimeout  = 30 * time.Second
+	allowanceCalls       = 2
+	maxAllowanceBytes    = 4 << 10 // limit of a call's body
+	allowanceIdleConns   = 2       // to each instance
+	allowanceIdleTimeout = 30 * time.Second
 )
 
 // allowances obtains allowances for requests to targets that limit their rate, and grants
@@ -210,94 +206,3 @@
 	}
 	_, _ = w.Write(data) // an instance that has disconnected asks another one
 }
-
-// noAllowanceError is the error of an attempt at a limited target that was not sent.
-type noAllowanceError struct {
-	target     string
-	perSecond  float64       // the target's limit
-	retryAfter time.Duration // until a further request may be granted; zero: unknown
-	err        error         // the owner was not asked; nil: it denied the request
-}
-
-// Error implements error.
-func (e *noAllowanceError) Error() string {
-	if e.err != nil {
-		return fmt.Sprintf("target %s takes %g requests a second: %v", e.target, e.perSecond, e.err)
-	}
-	return fmt.Sprintf("target %s takes %g requests a second, the next one in %s", e.target, e.perSecond, e.retryAfter)
-}
-
-// Unwrap returns the cause.
-func (e *noAllowanceError) Unwrap() error { return e.err }
-
-// awaitAllowance waits until a plain request may be sent to a target, if the target limits
-// its rate. It fails with a *noAllowanceError if that would take too long.
-func (in *Instance) awaitAllowance(ctx context.Context, p *plainRequest, id string) error {
-	t, found := in.stateLoop.view.Load().target(id)
-	if !found || !t.Limited {
-		return nil
-	}
-	grant, err := in.allowances.take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.targetLatency)))
-	if err != nil || grant.Count == 0 {
-		return &noAllowanceError{t.ID, t.RequestLimit, grant.RetryAfter, err}
-	}
-	if grant.Delay > 0 && !clock.Sleep(ctx, grant.Delay) {
-		return &noAllowanceError{t.ID, t.RequestLimit, 0, ctx.Err()}
-	}
-	return nil
-}
-
-// peerHandler serves the other instances.
-func (in *Instance) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(allowancePath, in.allowances.serve)
-	mux.HandleFunc("/", in.logTransport.relay)
-	return mux
-}
-
-// servePeers serves the other instances: it grants requests to targets that limit their rate,
-// and relays calls to the log for instances that cannot reach it.
-func (in *Instance) servePeers(ctx context.Context) error {
-	if in.cfg.Settings.Peers == "" {
-		return nil
-	}
-	return in.serve(ctx, in.cfg.Settings.Peers, in.peerHandler(), nil)
-}
-
-// obtainPermits asks for permits to start runs on engines that limit their rate, and passes
-// the replies to the runner's goroutine.
-func (r *runner) obtainPermits(ctx context.Context) {
-	in := r.instance
-	view := in.stateLoop.view.Load()
-	for _, wanted := range r.scheduler.PermitsWanted() {
-		t, found := view.target(wanted.Engine)
-		if !found {
-			r.scheduler.SetPermits(in.clock.Now(), wanted.Engine, 0, 0)
-			continue
-		}
-		go func() {
-			grant, err := in.allowances.take(ctx, t, wanted.Count, 0)
-			if err != nil {
-				grant.RetryAfter = reviewInterval
-			}
-			select {
-			case r.permits <- permitReply{wanted.Engine, grant.Count, grant.RetryAfter}:
-			case <-ctx.Done():
-			}
-		}()
-	}
-}
-
-// permitReply is the reply to a request for permits.
-type permitReply struct {
-	engine     string
-	count      int
-	retryAfter time.Duration
-}
-
-// limitedRetryAfter returns the Retry-After for a request that found no limited target with
-// an allowance: the time until the first one grants a request, spread over as long again, so
-// that the callers do not return at once.
-func (in *Instance) limitedRetryAfter(earliest time.Duration) time.Duration {
-	return max(retryAfter, earliest+in.jitter(earliest))
-}
--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -268,3 +268,20 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// peerHandler serves the other instances.
+func (in *Instance) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(allowancePath, in.allowances.serve)
+	mux.HandleFunc("/", in.logTransport.relay)
+	return mux
+}
+
+// servePeers serves the other instances: it grants requests to targets that limit their rate,
+// and relays calls to the log for instances that cannot reach it.
+func (in *Instance) servePeers(ctx context.Context) error {
+	if in.cfg.Settings.Peers == "" {
+		return nil
+	}
+	return in.serve(ctx, in.cfg.Settings.Peers, in.peerHandler(), nil)
+}
--- /dev/null
+++ b/internal/hosted/holdback.go
@@ -0,0 +1,56 @@
+package hosted
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+)
+
+// allowanceWaitFraction is the fraction of the target latency for which a request waits for
+// its turn at a limited target: the rest suffices for the attempt.
+const allowanceWaitFraction = 0.5
+
+// noAllowanceError is the error of an attempt at a limited target that was not sent.
+type noAllowanceError struct {
+	target     string
+	perSecond  float64       // the target's limit
+	retryAfter time.Duration // until a further request may be granted; zero: unknown
+	err        error         // the owner was not asked; nil: it denied the request
+}
+
+// Error implements error.
+func (e *noAllowanceError) Error() string {
+	if e.err != nil {
+		return fmt.Sprintf("target %s takes %g requests a second: %v", e.target, e.perSecond, e.err)
+	}
+	return fmt.Sprintf("target %s takes %g requests a second, the next one in %s", e.target, e.perSecond, e.retryAfter)
+}
+
+// Unwrap returns the cause.
+func (e *noAllowanceError) Unwrap() error { return e.err }
+
+// awaitAllowance waits until a plain request may be sent to a target, if the target limits
+// its rate. It fails with a *noAllowanceError if that would take too long.
+func (in *Instance) awaitAllowance(ctx context.Context, p *plainRequest, id string) error {
+	t, found := in.stateLoop.view.Load().target(id)
+	if !found || !t.Limited {
+		return nil
+	}
+	grant, err := in.allowances.take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.targetLatency)))
+	if err != nil || grant.Count == 0 {
+		return &noAllowanceError{t.ID, t.RequestLimit, grant.RetryAfter, err}
+	}
+	if grant.Delay > 0 && !clock.Sleep(ctx, grant.Delay) {
+		return &noAllowanceError{t.ID, t.RequestLimit, 0, ctx.Err()}
+	}
+	return nil
+}
+
+// limitedRetryAfter returns the Retry-After for a request that found no limited target with
+// an allowance: the time until the first one grants a request, spread over as long again, so
+// that the callers do not return at once.
+func (in *Instance) limitedRetryAfter(earliest time.Duration) time.Duration {
+	return max(retryAfter, earliest+in.jitter(earliest))
+}
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -48,8 +48,8 @@
 }
 
 // choose returns a ready target of the service that is not in tried: the one with the
-// fewest requests in flight per slot, with a preference for the local data centre and for
-// the target used last. An ejected target is returned only if there is no other. release
+// fewest requests in flight per slot, with a preference for targets without a limit of
+// requests, for the local data centre and for the target used last. An ejected target is returned only if there is no other. release
 // must follow.
 func (p *plainTargets) choose(now time.Duration, view *View, service, dataCentre string, tried map[string]bool, random uint64) (directory.Target, bool) {
 	p.mu.Lock()
@@ -333,7 +333,7 @@
 		return
 	}
 	defer res.Body.Close()
-	r.body, r.err = platform.ReadBody(res.Body, in.maxResponseBytes())
+	r.body, r.err = platform.ReadBody(res.Body, in.responseLimit())
 	switch {
 	case r.err != nil:
 	case res.StatusCode/100 == 2 && r.platformHeader.Signature == "":
@@ -343,8 +343,8 @@
 	}
 }
 
-// maxResponseBytes returns the limit of a response body that is read into memory.
-func (in *Instance) maxResponseBytes() int64 {
+// responseLimit returns the limit in bytes of a response body that is read into memory.
+func (in *Instance) responseLimit() int64 {
 	return min(maxResponseBytes, int64(maxResponseMemoryFraction*float64(in.cfg.Settings.MemoryBytes)))
 }
 
