A caller's stream is passed on only with the target's signature

A response with status 200 to a request for a stream was passed on without a look at its signature or encoding, which plain responses need: bytes that are no answer of the target could reach a caller as a success.

Both are checked on the head of every response now, before the body is read. The spec "A caller's stream is not passed on as a success without the target's signature" failed before (200 where 502 is right).

--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -328,19 +328,18 @@
 		r.err = fmt.Errorf("%w: %q", errRequestIDMismatch, r.platformHeader.RequestID)
 		return
 	}
-	if p.kind == catalog.Stream && res.StatusCode == http.StatusOK {
-		r.stream = res.Body
-		return
-	}
-	defer res.Body.Close()
-	r.body, r.err = platform.ReadBody(res.Body, in.responseLimit())
 	switch {
-	case r.err != nil:
 	case res.StatusCode/100 == 2 && r.platformHeader.Signature == "":
 		r.err = errors.New("the answer is not signed")
 	case res.Header.Get("Content-Encoding") != "":
 		r.err = errors.New("the answer is encoded, which nobody asked for")
+	case p.kind == catalog.Stream && res.StatusCode == http.StatusOK:
+		r.stream = res.Body
+		return
+	default:
+		r.body, r.err = platform.ReadBody(res.Body, in.responseLimit())
 	}
+	_ = res.Body.Close() // its content is read, or not used
 }
 
 // responseLimit returns the limit in bytes of a response body that is read into memory.
--- a/internal/hosted/software_test.go
+++ b/internal/hosted/software_test.go
@@ -130,3 +130,16 @@
 		}
 	})
 })
+
+var _ = Describe("A caller's stream", func() {
+	It("is not passed on as a success without the target's signature", func() {
+		d := newDeployment(1, 1)
+		for _, e := range d.engines {
+			e.SetPlainHandler(func(w http.ResponseWriter, _ *http.Request) bool {
+				_, _ = w.Write([]byte("id: 1\ndata: x\n\n"))
+				return true
+			})
+		}
+		Expect(d.instances[0].call(http.MethodPost, "/talk/x", "unsigned", key, nil).status).To(Equal(http.StatusBadGateway))
+	})
+})
