--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -86,8 +86,8 @@
 }
 
 // freeSlots counts the free slots of the engines that can run a task of the class and whose
-// slowdown is at most maxSlowdown. Engines that limit their requests count only if limited is set, and
-// then whether there is a permit or not.
+// slowdown is at most maxSlowdown. Engines that limit their requests count only if limited is
+// set, and then whether there is a permit or not.
 func (s *Scheduler) freeSlots(now time.Duration, c class, maxSlowdown float64, limited bool) int {
 	n := 0
 	for _, e := range s.engines {
