A run that starts over and brings no event does not complete the old output

A run at another software version starts from the first event, and the kept events stay until that arrives. A stream that ended without any event counted as complete, with the kept part of the other version as its output: a task could be listed with a cut output.

Such a run counts as broken and the task runs again. A resumed run without further events still completes the output.

--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -45,6 +45,7 @@
 	errStale          = errors.New("the engine's weights are older than the job allows")
 	errVersionChanged = errors.New("the weights changed within an output that allows one version")
 	errEventGap       = errors.New("event is not the next in sequence")
+	errNoEvents       = errors.New("the stream ended before its first event")
 	errNotStream      = errors.New("the engine did not respond with a stream")
 )
 
@@ -104,6 +105,9 @@
 			return assign.Stale, fmt.Errorf("%w: %d, oldest %d", errStale, version, r.minVersion)
 		}
 		e, err := reader.Next()
+		if errors.Is(err, io.EOF) && !r.output.startedOver() {
+			return assign.Broken, errNoEvents // the output holds events of another version
+		}
 		if errors.Is(err, io.EOF) {
 			return assign.Completed, nil
 		}
--- a/internal/hosted/text.go
+++ b/internal/hosted/text.go
@@ -49,6 +49,14 @@
 	t.activeRun = 0
 }
 
+// startedOver reports whether the active run has replaced the events of another software
+// version, if there were any.
+func (t *taskOutput) startedOver() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastEvent == 0 || t.software == t.activeSoftware
+}
+
 // addEvent appends an event of a run. It reports false if the run is not the active one
 // or the number is not the next in sequence.
 func (t *taskOutput) addEvent(run, number int64, event []byte, version int64, now time.Duration) bool {
