Targets that crash under a request are logged with the request's digest

The choice of plain targets moves to a file of its own, unchanged.

internal/hosted and internal/reference pass under -race.

--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -15,6 +15,7 @@
 	taskTime                      *metrics.Histogram
 	orders, reports               *metrics.Counter
 	limitsNamed, streamsTakenUp   *metrics.Counter
+	targetsCrashed                *metrics.Counter
 
 	allowancesGranted, allowancesDenied, allowancesUnanswered *metrics.Counter
 
@@ -44,6 +45,7 @@
 		orders:          set.NewCounter("amaranth_hosted_weight_orders_total"),
 		reports:         set.NewCounter("amaranth_hosted_usage_reports_total"),
 		streamsTakenUp:  set.NewCounter("amaranth_hosted_streams_taken_up_total"),
+		targetsCrashed:  set.NewCounter("amaranth_hosted_targets_crashed_total"),
 		limitsNamed:     set.NewCounter("amaranth_hosted_target_limits_named_total"),
 
 		allowancesGranted:    set.NewCounter(`amaranth_hosted_allowances_total{outcome="granted"}`),
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -66,22 +66,23 @@
 	cloud        *platform.Cloud
 	targetClient *http.Client
 
-	stateLoop    *stateLoop
-	pace         *followPace
-	controlLog   *appender // appends to the control topic
-	contentLog   *appender // appends to the content topic
-	contentCache *contentCache
-	plainTargets *plainTargets
-	allowances   *allowances
-	runner       *runner
-	resultWriter *resultWriter
-	scorer       *scorer
-	controller   *controller
-	usageCounter *usageCounter
-	stopping     chan struct{} // closed by Stop
-	stopOnce     sync.Once
-	dependencies dependencyStatus
-	logTransport *logTransport
+	stateLoop     *stateLoop
+	pace          *followPace
+	controlLog    *appender // appends to the control topic
+	contentLog    *appender // appends to the content topic
+	contentCache  *contentCache
+	plainTargets  *plainTargets
+	allowances    *allowances
+	crashDetector *crashDetector
+	runner        *runner
+	resultWriter  *resultWriter
+	scorer        *scorer
+	controller    *controller
+	usageCounter  *usageCounter
+	stopping      chan struct{} // closed by Stop
+	stopOnce      sync.Once
+	dependencies  dependencyStatus
+	logTransport  *logTransport
 
 	randomMu sync.Mutex
 	random   *rand.Rand
@@ -124,6 +125,7 @@
 	}, contentTopic, s.Store.CallBytes, in.trackAppends("content"))
 	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
 	in.allowances = newAllowances(in)
+	in.crashDetector = newCrashDetector(in)
 	in.runner = newRunner(in)
 	in.resultWriter = newResultWriter(in)
 	in.scorer = newScorer(in)
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -15,6 +15,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/core/poison"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/platform"
@@ -34,101 +35,6 @@
 	maxResponseMemoryFraction = 1.0 / 16
 )
 
-// plainTargets chooses the targets of requests to plain services. It is safe for
-// concurrent use.
-type plainTargets struct {
-	mu       sync.Mutex
-	health   *retry.OutlierDetector
-	inFlight map[string]int    // requests of this instance, by target
-	lastUsed map[string]string // target of the last request, by service
-}
-
-func newPlainTargets(l retry.EjectionLimits) *plainTargets {
-	return &plainTargets{health: retry.NewOutlierDetector(l), inFlight: map[string]int{}, lastUsed: map[string]string{}}
-}
-
-// choose returns a ready target of the service that is not in tried: the one with the
-// fewest requests in flight per slot, with a preference for targets without a limit of
-// requests, for the local data centre and for the target used last. An ejected target is returned only if there is no other. release
-// must follow.
-func (p *plainTargets) choose(now time.Duration, view *View, service, dataCentre string, tried map[string]bool, random uint64) (directory.Target, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var best, fallback directory.Target
-	bestRank := 0.0
-	offset := int(random % uint64(max(1, len(view.Targets))))
-	for i := range view.Targets {
-		t := view.Targets[(i+offset)%len(view.Targets)]
-		if t.Service != service || !t.Ready || tried[t.ID] {
-			continue
-		}
-		fallback = t
-		rank := 1 + float64(p.inFlight[t.ID])/float64(max(1, t.Slots))
-		if t.DataCentre == dataCentre {
-			rank -= localDataCentreBonus
-		}
-		if p.lastUsed[service] == t.ID {
-			rank -= openConnectionBonus
-		}
-		if t.Limited {
-			rank += limitedPenalty
-		}
-		if best.ID != "" && rank >= bestRank || !p.health.Allow(now, t.ID) {
-			continue
-		}
-		if best.ID != "" {
-			p.health.CancelProbe(best.ID)
-		}
-		best, bestRank = t, rank
-	}
-	if best.ID == "" {
-		best = fallback
-	}
-	if best.ID == "" {
-		return best, false
-	}
-	p.inFlight[best.ID]++
-	p.lastUsed[service] = best.ID
-	return best, true
-}
-
-// Preferences among targets, in requests in flight per slot. Their sum is less than one
-// request at a target of six slots.
-const (
-	localDataCentreBonus = 0.08 // target in the local data centre
-	openConnectionBonus  = 0.07 // target used last, to which a connection is open
-	limitedPenalty       = 1.0  // target that limits its rate: as if all its slots were in use
-)
-
-// withdraw ends a request to a target that choose returned, which was not sent.
-func (p *plainTargets) withdraw(t directory.Target) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.endRequest(t.ID)
-	p.health.CancelProbe(t.ID)
-}
-
-// endRequest is called with mu held.
-func (p *plainTargets) endRequest(target string) {
-	if p.inFlight[target]--; p.inFlight[target] <= 0 {
-		delete(p.inFlight, target)
-	}
-}
-
-// release ends a request to a target that choose returned, and records its success or
-// failure. It reports whether the failure ejects the target.
-func (p *plainTargets) release(now time.Duration, t directory.Target, readyTargets int, ok bool, jitter float64) (ejected bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.endRequest(t.ID)
-	if ok {
-		p.health.RecordSuccess(t.ID)
-		return false
-	}
-	p.health.Prune(now)
-	return p.health.RecordFailure(now, t.Service, t.ID, readyTargets, jitter)
-}
-
 // plainRequest is a request to a plain service: a caller's, or one of the service itself.
 type plainRequest struct {
 	id      string
@@ -144,6 +50,9 @@
 	maxAttempts   int
 	targetLatency time.Duration
 	software      *string // the targets must have this software version; nil: any
+	// digest returns the digest of a caller's request; nil: the request is one of the service
+	// itself, which crashes no target.
+	digest func() poison.Digest
 }
 
 // plainRequest returns the request to the target that serves the caller's request.
@@ -152,6 +61,9 @@
 		id: c.ID, method: c.r.Method, host: c.r.Host, header: c.r.Header, body: c.body, account: c.account, service: service,
 		url:  func(address string) *url.URL { return requestURL(address, c.r) },
 		kind: c.route.Kind, maxAttempts: c.route.MaxAttempts, targetLatency: c.route.TargetLatency,
+		digest: sync.OnceValue(func() poison.Digest {
+			return poison.DigestOf(c.account, c.r.Method, catalog.Hostname(c.r.Host), c.r.RequestURI, c.body)
+		}),
 	}
 }
 
@@ -165,6 +77,8 @@
 	body           []byte
 	stream         io.ReadCloser // replaces body for a response that is forwarded as it arrives
 	err            error
+	sentAt         time.Duration
+	brokenOff      bool // the connection broke off before the response was complete
 }
 
 // hasResponse reports whether the attempt has a response that may be forwarded: the
@@ -197,7 +111,7 @@
 	}
 	switch {
 	case best != nil && best.hasResponse():
-		in.forwardResponse(c, best, attempts, took)
+		in.forwardResponse(c, request, best, attempts, took)
 	case c.r.Context().Err() != nil:
 		in.log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
 	case attempted.heldBack > 0 && best.outcome == retry.NotRun:
@@ -211,14 +125,14 @@
 	}
 }
 
-func (in *Instance) forwardResponse(c *callerRequest, r *attemptResult, attempts int, took time.Duration) {
+func (in *Instance) forwardResponse(c *callerRequest, request *plainRequest, r *attemptResult, attempts int, took time.Duration) {
 	in.log("request passed", events.F("request", c.ID), events.F("route", c.route.Name), events.F("target", r.target.ID),
 		events.F("software", r.target.Software), events.F("status", fmt.Sprint(r.status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
 		events.F("took", took.Round(time.Millisecond).String()))
 	platform.CopyResponseHeader(c.w.Header(), r.header)
 	if r.stream != nil {
 		in.recordStream(c, r)
-		in.forwardStream(c, r)
+		in.forwardStream(c, request, r)
 		return
 	}
 	c.w.Header().Set("Content-Length", fmt.Sprint(len(r.body)))
@@ -228,7 +142,7 @@
 
 // forwardStream forwards a streamed body as it arrives. If the stream is interrupted, it
 // cuts the connection to the caller, so that the response does not look complete.
-func (in *Instance) forwardStream(c *callerRequest, r *attemptResult) {
+func (in *Instance) forwardStream(c *callerRequest, request *plainRequest, r *attemptResult) {
 	defer r.stream.Close()
 	c.w.Header().Del("Content-Length")
 	c.w.WriteHeader(r.status)
@@ -248,23 +162,13 @@
 			return
 		}
 		if err != nil {
+			in.crashDetector.requestLost(c.r.Context(), r.target, lostRequest{request.id, request.digest()}, r.sentAt)
 			in.log("request stream broken", events.F("request", c.ID), events.F("target", r.target.ID), events.F("error", err.Error()))
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
-// countReadyTargets returns the number of ready targets of the service.
-func countReadyTargets(view *View, service string) int {
-	count := 0
-	for i := range view.Targets {
-		if view.Targets[i].Service == service && view.Targets[i].Ready {
-			count++
-		}
-	}
-	return count
-}
-
 var errRequestIDMismatch = errors.New("the answer belongs to another request")
 
 // sendAttempt sends the request to one target, returns the result and releases the
@@ -296,6 +200,9 @@
 	if in.plainTargets.release(in.clock.Now(), target, readyTargets, ok, float64(in.rand64()%1000)/1000) {
 		in.log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.err)))
 	}
+	if r.outcome == retry.Unknown && r.brokenOff && p.digest != nil && ctx.Err() == nil {
+		in.crashDetector.requestLost(ctx, target, lostRequest{p.id, p.digest()}, r.sentAt)
+	}
 	if !r.hasResponse() {
 		in.log("request attempt failed", events.F("request", p.id), events.F("target", target.ID),
 			events.F("outcome", r.outcome.String()), events.F("status", fmt.Sprint(r.status)), events.F("error", fmt.Sprint(r.err)))
@@ -313,14 +220,14 @@
 		Body:          nonReplayableBody(p.method, p.header, p.body),
 		ContentLength: int64(len(p.body)),
 	}
-	sentAt := in.clock.Now()
+	r.sentAt = in.clock.Now()
 	res, err := in.targetClient.Do(req.WithContext(ctx))
 	if err != nil {
-		r.err = err
+		r.err, r.brokenOff = err, true
 		return
 	}
 	r.status, r.header, r.platformHeader = res.StatusCode, res.Header, platform.DecodeResponseHeader(res)
-	in.noteResponse(ctx, r.target, r.platformHeader, p.id, sentAt)
+	in.noteResponse(ctx, r.target, r.platformHeader, p.id, r.sentAt)
 	if r.platformHeader.RequestID != p.id && r.platformHeader.RequestID != "" || r.platformHeader.RequestID == "" && !r.platformHeader.NotRun {
 		// This closes the connection, as the body is unread: later responses on it may belong
 		// to other requests too.
@@ -338,6 +245,7 @@
 		return
 	default:
 		r.body, r.err = platform.ReadBody(res.Body, in.responseLimit())
+		r.brokenOff = r.err != nil
 	}
 	_ = res.Body.Close() // its content is read, or not used
 }
--- /dev/null
+++ b/internal/hosted/plain_targets.go
@@ -0,0 +1,115 @@
+package hosted
+
+import (
+	"sync"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/core/retry"
+)
+
+// plainTargets chooses the targets of requests to plain services. It is safe for
+// concurrent use.
+type plainTargets struct {
+	mu       sync.Mutex
+	health   *retry.OutlierDetector
+	inFlight map[string]int    // requests of this instance, by target
+	lastUsed map[string]string // target of the last request, by service
+}
+
+func newPlainTargets(l retry.EjectionLimits) *plainTargets {
+	return &plainTargets{health: retry.NewOutlierDetector(l), inFlight: map[string]int{}, lastUsed: map[string]string{}}
+}
+
+// choose returns a ready target of the service that is not in tried: the one with the
+// fewest requests in flight per slot, with a preference for targets without a limit of
+// requests, for the local data centre and for the target used last. An ejected target is returned only if there is no other. release
+// must follow.
+func (p *plainTargets) choose(now time.Duration, view *View, service, dataCentre string, tried map[string]bool, random uint64) (directory.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var best, fallback directory.Target
+	bestRank := 0.0
+	offset := int(random % uint64(max(1, len(view.Targets))))
+	for i := range view.Targets {
+		t := view.Targets[(i+offset)%len(view.Targets)]
+		if t.Service != service || !t.Ready || tried[t.ID] {
+			continue
+		}
+		fallback = t
+		rank := 1 + float64(p.inFlight[t.ID])/float64(max(1, t.Slots))
+		if t.DataCentre == dataCentre {
+			rank -= localDataCentreBonus
+		}
+		if p.lastUsed[service] == t.ID {
+			rank -= openConnectionBonus
+		}
+		if t.Limited {
+			rank += limitedPenalty
+		}
+		if best.ID != "" && rank >= bestRank || !p.health.Allow(now, t.ID) {
+			continue
+		}
+		if best.ID != "" {
+			p.health.CancelProbe(best.ID)
+		}
+		best, bestRank = t, rank
+	}
+	if best.ID == "" {
+		best = fallback
+	}
+	if best.ID == "" {
+		return best, false
+	}
+	p.inFlight[best.ID]++
+	p.lastUsed[service] = best.ID
+	return best, true
+}
+
+// Preferences among targets, in requests in flight per slot. Their sum is less than one
+// request at a target of six slots.
+const (
+	localDataCentreBonus = 0.08 // target in the local data centre
+	openConnectionBonus  = 0.07 // target used last, to which a connection is open
+	limitedPenalty       = 1.0  // target that limits its rate: as if all its slots were in use
+)
+
+// withdraw ends a request to a target that choose returned, which was not sent.
+func (p *plainTargets) withdraw(t directory.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endRequest(t.ID)
+	p.health.CancelProbe(t.ID)
+}
+
+// endRequest is called with mu held.
+func (p *plainTargets) endRequest(target string) {
+	if p.inFlight[target]--; p.inFlight[target] <= 0 {
+		delete(p.inFlight, target)
+	}
+}
+
+// release ends a request to a target that choose returned, and records its success or
+// failure. It reports whether the failure ejects the target.
+func (p *plainTargets) release(now time.Duration, t directory.Target, readyTargets int, ok bool, jitter float64) (ejected bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.endRequest(t.ID)
+	if ok {
+		p.health.RecordSuccess(t.ID)
+		return false
+	}
+	p.health.Prune(now)
+	return p.health.RecordFailure(now, t.Service, t.ID, readyTargets, jitter)
+}
+
+// countReadyTargets returns the number of ready targets of the service.
+func countReadyTargets(view *View, service string) int {
+	count := 0
+	for i := range view.Targets {
+		if view.Targets[i].Service == service && view.Targets[i].Ready {
+			count++
+		}
+	}
+	return count
+}
