--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -39,12 +39,13 @@
 	engines      []*hostplatform.Engine
 	plain        []*hostplatform.Engine
 	entries      map[string]func() map[string]any // registry entries by target
+	servers      map[string]*standin.Server       // by target
 	instances    []*testInstance
 	version      int64 // of the configuration
 	logs         *gbytes.Buffer
 	cloudAddress string
 	stopped      chan struct{} // ends writeHeartbeats
-	mu           sync.Mutex    // guards entries
+	mu           sync.Mutex    // guards entries and servers
 }
 
 // testInstance is an instance that reaches the log through its own fault proxy.
@@ -67,7 +68,7 @@
 func newMixedDeployment(instanceCount int, software ...string) *deployment {
 	d := &deployment{
 		store: hostplatform.NewStore(), cloud: hostplatform.NewCloud(), logs: gbytes.NewBuffer(),
-		entries: map[string]func() map[string]any{}, stopped: make(chan struct{}),
+		entries: map[string]func() map[string]any{}, servers: map[string]*standin.Server{}, stopped: make(chan struct{}),
 	}
 	cloud, err := standin.Serve(d.cloud)
 	Expect(err).NotTo(HaveOccurred())
@@ -112,6 +113,9 @@
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(server.Close)
 	addr := address(server)
+	d.mu.Lock()
+	d.servers[id] = server
+	d.mu.Unlock()
 	d.register(id, func() map[string]any {
 		entry := e.RegistryEntry(service, addr, "a", "ready")
 		if service == "desk" {
