A request that crashes its targets is not sent on after its third crash

Cause: attempts were counted per client attempt. Nothing held that targets had crashed under a request, so each repeat, with another request id, started from zero at every instance. Class: a fact about a request's content kept only with one of its attempts.

Evidence: the failing spec's log has one digest from each of three instances, four of its repeats at each; two crashes per repeat. That rules out hypothesis 2 (single instances remember) and 3 (one client attempt reaches too many).

A request that a target serves is cleared, crashes that a condemned request explains count against no other, and suspects run apart, so that innocent requests beside it are not taken with it. Tasks and score calls are never held.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -20,6 +20,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/amaranthfold/amaranthfold/core/poison"
 	"github.com/amaranthfold/amaranthfold/core/record"
 )
 
@@ -79,6 +80,9 @@
 	InstanceStarted *InstanceStarted `cbor:"13,keyasint,omitempty"`
 	InstanceLeaving *InstanceLeaving `cbor:"14,keyasint,omitempty"`
 	StreamStarted   *StreamStarted   `cbor:"15,keyasint,omitempty"`
+	TargetCrashed   *TargetCrashed   `cbor:"16,keyasint,omitempty"`
+	SuspectServed   *SuspectServed   `cbor:"17,keyasint,omitempty"`
+	Condemned       *Condemned       `cbor:"18,keyasint,omitempty"`
 }
 
 // Submitted submits a job. The first one of a job's id is accepted, later ones are rejected.
@@ -226,6 +230,31 @@
 	Software string `cbor:"2,keyasint"` // version of the target's program
 }
 
+// TargetCrashed reports that a target crashed while it ran requests of the writer's callers;
+// see core/poison. State does not use it, nor the two records after it.
+type TargetCrashed struct {
+	Target    string          `cbor:"1,keyasint"`
+	StartedAt int64           `cbor:"2,keyasint"` // of the target's process, Unix milliseconds
+	Requests  []poison.Digest `cbor:"3,keyasint"`
+}
+
+// SuspectServed reports that a target has served a request under which targets had crashed.
+type SuspectServed struct {
+	Request poison.Digest `cbor:"1,keyasint"`
+}
+
+// Condemned repeats which requests crash their targets, for instances that start when the
+// records of the crashes are no longer kept.
+type Condemned struct {
+	Requests []CondemnedRequest `cbor:"1,keyasint"`
+}
+
+// CondemnedRequest is a request that crashes its targets.
+type CondemnedRequest struct {
+	Digest         poison.Digest `cbor:"1,keyasint"`
+	SinceLastCrash int64         `cbor:"2,keyasint"` // milliseconds
+}
+
 // InstanceLeaving announces that the writer's process is stopping: it gets no further jobs.
 type InstanceLeaving struct{}
 
--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/core/poison"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 )
@@ -28,6 +29,8 @@
 	startedAttempts int // all attempts, for logs and metrics
 	serverErrors    int // attempts whose target responded with status 500
 	heldBack        int // attempts that were not sent, as their targets limit the rate of requests
+	// condemned is the verdict that ended the attempts; nil: none.
+	condemned *poison.Verdict
 	// allowedIn is the time until the first of these targets takes a request; zero: unknown.
 	allowedIn time.Duration
 	// best is the result to respond with: an attempt with a response, else one that may have
@@ -51,7 +54,7 @@
 func (a *requestAttempts) run(ctx context.Context) {
 	for {
 		if a.running == 0 && !a.start(ctx, false) {
-			if a.heldBack > 0 || !a.allTargetsRefused() {
+			if a.condemned != nil || a.heldBack > 0 || !a.allTargetsRefused() {
 				return
 			}
 			clear(a.tried) // every target refused; one may get a free slot soon
@@ -80,15 +83,24 @@
 	}
 }
 
-// start sends the request to one more target. It reports false if MaxAttempts is reached
-// or every ready target was tried. A hedge is not sent to a target that limits its rate.
+// start sends the request to one more target. It reports false if the request is condemned,
+// MaxAttempts is reached or every ready target was tried. A hedge is not sent to a target that limits its rate.
 func (a *requestAttempts) start(ctx context.Context, hedge bool) bool {
 	in := a.instance
 	if a.countedAttempts >= a.request.maxAttempts {
 		return false
 	}
+	verdict := in.poisonGuard.check(a.request)
+	if verdict.Condemned {
+		a.condemned = &verdict
+		return false
+	}
+	suspected := verdict.Crashes > 0
+	if suspected && hedge {
+		return false
+	}
 	view := in.stateLoop.view.Load()
-	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, a.excluded(view, hedge), in.rand64())
+	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, a.excluded(view, hedge), suspected, in.rand64())
 	if !found {
 		return false
 	}
@@ -97,7 +109,7 @@
 	a.countedAttempts++
 	a.startedAttempts++
 	go func() {
-		a.results <- in.sendAttempt(ctx, a.request, target, a.deadline, countReadyTargets(view, a.request.service))
+		a.results <- in.sendAttempt(ctx, a.request, target, suspected, a.deadline, countReadyTargets(view, a.request.service))
 	}()
 	return true
 }
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -101,7 +100,7 @@
 	requests := check.requests
 	d.mu.Unlock()
 	if crashed && known {
-		d.instance.targetCrashed(t, requests)
+		d.instance.poisonGuard.targetCrashed(t, requests)
 	}
 	select {
 	case <-check.settled:
@@ -163,12 +162,3 @@
 	_ = connection.Close() // nothing was sent
 	return nil
 }
-
-// targetCrashed records that the target crashed while it ran the requests.
-func (in *Instance) targetCrashed(t directory.Target, requests []lostRequest) {
-	in.metrics.targetsCrashed.Inc()
-	for _, r := range requests {
-		in.log("target crashed", events.F("request", r.id), events.F("digest", r.digest.String()), events.F("target", t.ID),
-			events.F("started_at", fmt.Sprint(t.StartedAt)), events.F("beside", fmt.Sprint(len(requests)-1)))
-	}
-}
--- a/internal/hosted/crashes_test.go
+++ b/internal/hosted/crashes_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 const (
@@ -21,31 +22,36 @@
 	crashesAllowed = 6
 )
 
-// crashes makes the plain targets crash under each request with poisonBody.
+// crashes makes plain targets crash under some of the requests that they run.
 type crashes struct {
 	deployment *deployment
+	crashes    func(hostplatform.Run) bool
 	count      atomic.Int64
 	started    atomic.Int64 // targets started in place of crashed ones
 }
 
-func (d *deployment) crashOnPoison() *crashes {
-	c := &crashes{deployment: d}
+// isPoison reports whether a request crashes the targets that run it.
+func isPoison(r hostplatform.Run) bool { return strings.HasPrefix(r.Body, poisonBody) }
+
+// crashOn makes the plain targets crash under the requests for which the function returns true.
+func (d *deployment) crashOn(f func(hostplatform.Run) bool) *crashes {
+	c := &crashes{deployment: d, crashes: f}
 	for _, p := range d.plain {
 		c.watch(p)
 	}
 	return c
 }
 
-// watch makes the target take 40 ms for a request, and crash at the end of one with poisonBody.
-// A new target is in place 300 ms later.
+// watch makes the target take 40 ms for a request, and crash at the end of some. A new target
+// is in place 300 ms later.
 func (c *crashes) watch(p *hostplatform.Engine) {
 	var once sync.Once
-	p.SetPlainHandler(func(w http.ResponseWriter, r *http.Request) bool {
+	p.SetPlainHandler(func(_ http.ResponseWriter, r *http.Request) bool {
 		time.Sleep(40 * time.Millisecond)
-		runs := p.Runs()
-		for _, run := range runs {
-			if run.ID == r.Header.Get("Request-Id") && strings.HasPrefix(run.Body, poisonBody) {
+		for _, run := range p.Runs() {
+			if run.ID == r.Header.Get("Request-Id") && c.crashes(run) {
 				once.Do(func() { c.crash(p.ID) })
+				panic(http.ErrAbortHandler)
 			}
 		}
 		return false
@@ -62,37 +68,113 @@
 	server.Close()
 	time.AfterFunc(300*time.Millisecond, func() {
 		defer GinkgoRecover()
-		d.store.Put("keyed.servers", id, nil)
+		d.store.Put(platform.RegistryTopic, id, nil)
 		p := d.addTarget(fmt.Sprint("r", c.started.Add(1)), "desk", 6, hostplatform.FirstSoftware)
-		d.mu.Lock()
-		d.plain = append(d.plain, p)
-		d.mu.Unlock()
 		c.watch(p)
 	})
 }
 
-// awaitPlainTarget waits until an instance serves plain requests again.
-func (i *testInstance) awaitPlainTarget(body string) {
+// awaitServed repeats a plain request until the instance serves it.
+func (i *testInstance) awaitServed(body string) {
 	GinkgoHelper()
 	Eventually(func() int {
 		return i.call(http.MethodPost, "/confirm/x", fmt.Sprint("wait-", time.Now().UnixNano()), key, []byte(body)).status
 	}, eventuallyTimeout).Should(Equal(http.StatusOK))
 }
 
+// sendPoison sends the request that crashes its targets, under another id each time.
+func (i *testInstance) sendPoison(id int) response {
+	return i.call(http.MethodPost, "/confirm/poison", fmt.Sprint("p", id), key, []byte(poisonBody))
+}
+
 var _ = Describe("A request that crashes the targets that run it", func() {
-	It("is not sent on after its third crash, at whatever instance it comes again", Label("known-red"), func() {
+	It("is not sent on after its third crash, at whatever instance it comes again", func() {
 		d := newDeployment(3, 1)
 		d.awaitAnnouncements()
-		c := d.crashOnPoison()
+		c := d.crashOn(isPoison)
 		for n := range 12 {
 			in := d.instances[n%len(d.instances)]
-			in.awaitPlainTarget(fmt.Sprint("innocent ", n))
-			res := in.call(http.MethodPost, "/confirm/poison", fmt.Sprint("p", n), key, []byte(poisonBody))
-			Expect(res.status).To(BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable))
+			in.awaitServed(fmt.Sprint("innocent ", n))
+			Expect(in.sendPoison(n).status).To(BeElementOf(http.StatusBadGateway, http.StatusServiceUnavailable))
 		}
 		Expect(c.count.Load()).To(BeNumerically("<=", crashesAllowed))
-		res := d.instances[0].call(http.MethodPost, "/confirm/poison", "last", key, []byte(poisonBody))
+		res := d.instances[0].sendPoison(12)
 		Expect(res.status).To(Equal(http.StatusServiceUnavailable))
 		Expect(res.header.Get("Retry-After")).NotTo(BeEmpty())
 	})
+
+	It("does not make its targets crash again at an instance that starts later, when the records of the crashes are gone", func() {
+		d := newDeployment(2, 1)
+		c := d.crashOn(isPoison)
+		for n := 0; !strings.Contains(d.logged(), "request condemned"); n++ {
+			d.instances[0].awaitServed(fmt.Sprint("innocent ", n))
+			d.instances[0].sendPoison(n)
+		}
+		crashed := c.count.Load()
+		d.store.TrimTopic("control")
+		before := strings.Count(d.logged(), "condemned requests announced")
+		Eventually(func() int { return strings.Count(d.logged(), "condemned requests announced") }, eventuallyTimeout).Should(BeNumerically(">", before))
+		young := d.start(2)
+		Eventually(young.isReady, eventuallyTimeout).Should(BeTrue())
+		young.awaitServed("innocent")
+		Expect(young.sendPoison(99).status).To(Equal(http.StatusServiceUnavailable))
+		Expect(c.count.Load()).To(Equal(crashed))
+	})
+
+	It("takes no innocent request with it that comes again beside it", func() {
+		d := newDeployment(3, 1)
+		d.awaitAnnouncements()
+		c := d.crashOn(isPoison)
+		var group sync.WaitGroup
+		for n := range 60 {
+			in := d.instances[n%len(d.instances)]
+			group.Go(func() {
+				defer GinkgoRecover()
+				in.call(http.MethodPost, "/confirm/same", fmt.Sprint("i", n), key, []byte("innocent"))
+			})
+			if n%4 == 0 {
+				group.Go(func() {
+					defer GinkgoRecover()
+					in.sendPoison(n)
+				})
+			}
+			time.Sleep(30 * time.Millisecond)
+		}
+		group.Wait()
+		Expect(c.count.Load()).To(BeNumerically("<=", crashesAllowed))
+		for _, in := range d.instances {
+			in.awaitServed("innocent")
+			Eventually(func() int {
+				return in.call(http.MethodPost, "/confirm/same", fmt.Sprint("after-", time.Now().UnixNano()), key, []byte("innocent")).status
+			}, eventuallyTimeout).Should(Equal(http.StatusOK))
+		}
+		Expect(strings.Count(d.logged(), "request condemned")).To(Equal(len(d.instances)))
+	})
+
+	It("is told from one whose connections break off at targets that live", func() {
+		d := newDeployment(1, 1)
+		d.handlePlain(func(_ http.ResponseWriter, r *http.Request) bool {
+			if strings.HasPrefix(r.URL.Path, "/confirm/poison") {
+				panic(http.ErrAbortHandler)
+			}
+			return false
+		})
+		for n := range 8 {
+			Expect(d.instances[0].sendPoison(n).status).To(Equal(http.StatusBadGateway))
+		}
+		Expect(d.logged()).NotTo(ContainSubstring("target crashed"))
+	})
+})
+
+var _ = Describe("A score call under which targets crash", func() {
+	It("is repeated until it has its score", func() {
+		d := newDeployment(2, 2)
+		d.awaitAnnouncements()
+		var calls atomic.Int64
+		c := d.crashOn(func(r hostplatform.Run) bool { return strings.HasPrefix(r.Path, "/score/") && calls.Add(1) <= 5 })
+		events := map[string]int{"t": 3}
+		Expect(d.submitScored("j", events).status).To(Equal(http.StatusAccepted))
+		checkOutputs(d.instances[1].awaitResults("j", 1), events)
+		Expect(c.count.Load()).To(BeNumerically(">", 3))
+	})
 })
--- a/internal/hosted/duty.go
+++ b/internal/hosted/duty.go
@@ -79,6 +79,8 @@
 		if desired := in.stateLoop.desiredVersions[r.Submitted.Model]; desired > 0 {
 			in.stateLoop.allowedStaleness[r.Submitted.Model] = max(0, desired-r.Submitted.MinVersion)
 		}
+	default:
+		in.poisonGuard.onRecord(r)
 	}
 }
 
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -210,7 +210,7 @@
 		Instance: fmt.Sprintf("n%d", number), DataCentre: "a", Front: listeners.reserve(), Readiness: listeners.reserve(), Peers: listeners.reserve(),
 		MemoryBytes: 512 << 20, Grace: 8 * time.Second, LeaseTerm: 900 * time.Millisecond,
 		UsageWindow: 500 * time.Millisecond, JobRetention: 120 * time.Second,
-		Store:        platform.StoreSettings{Address: address(server), Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20},
+		Store:        platform.StoreSettings{Address: address(server), Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, Retention: 2 * time.Second},
 		Cloud:        d.cloudAddress,
 		ReportsUsage: true,
 	}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -74,6 +74,7 @@
 	plainTargets  *plainTargets
 	allowances    *allowances
 	crashDetector *crashDetector
+	poisonGuard   *poisonGuard
 	runner        *runner
 	resultWriter  *resultWriter
 	scorer        *scorer
@@ -126,6 +127,7 @@
 	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
 	in.allowances = newAllowances(in)
 	in.crashDetector = newCrashDetector(in)
+	in.poisonGuard = newPoisonGuard(in)
 	in.runner = newRunner(in)
 	in.resultWriter = newResultWriter(in)
 	in.scorer = newScorer(in)
@@ -159,7 +161,7 @@
 		in.stateLoop.run, in.controlLog.run, in.contentLog.run,
 		in.followLog, in.watchOperator, in.watchRegistry,
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers, in.logTransport.run, in.announce,
-		in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
+		in.poisonGuard.run, in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
 	} {
 		group.Go(func() error { return f(ctx) })
 	}
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -99,6 +99,10 @@
 	}
 	request := c.plainRequest(c.route.Pick(in.rand64()))
 	request.software = software
+	if v := in.poisonGuard.check(request); v.Condemned {
+		in.refuseCondemned(c, v)
+		return
+	}
 	attempted := in.runAttempts(ctx, request, deadline)
 	best, attempts := attempted.best, attempted.startedAttempts
 	took := in.clock.Now() - c.started
@@ -116,6 +120,8 @@
 		in.log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
 	case attempted.heldBack > 0 && best.outcome == retry.NotRun:
 		in.refuseFor(c, in.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
+	case attempted.condemned != nil && (best == nil || best.outcome == retry.NotRun):
+		in.refuseCondemned(c, *attempted.condemned)
 	case best == nil || best.outcome == retry.NotRun:
 		in.refuse(c, "no target took the request")
 	case ctx.Err() != nil:
@@ -136,6 +142,9 @@
 		return
 	}
 	c.w.Header().Set("Content-Length", fmt.Sprint(len(r.body)))
+	if r.status < http.StatusInternalServerError {
+		in.poisonGuard.served(request)
+	}
 	c.w.WriteHeader(r.status)
 	_, _ = c.w.Write(r.body) // a caller that has disconnected needs no response
 }
@@ -159,6 +168,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
+			in.poisonGuard.served(request)
 			return
 		}
 		if err != nil {
@@ -175,10 +185,10 @@
 // target. It does not send it if the target limits its rate and grants no allowance soon. An
 // attempt that was canceled, as the caller has disconnected or another attempt
 // has responded, does not count as a failure of the target.
-func (in *Instance) sendAttempt(ctx context.Context, p *plainRequest, target directory.Target, deadline time.Duration, readyTargets int) *attemptResult {
+func (in *Instance) sendAttempt(ctx context.Context, p *plainRequest, target directory.Target, suspected bool, deadline time.Duration, readyTargets int) *attemptResult {
 	r := &attemptResult{target: target, outcome: retry.NotRun}
 	if err := in.awaitAllowance(ctx, p, target.ID); err != nil {
-		in.plainTargets.withdraw(target)
+		in.plainTargets.withdraw(target, suspected)
 		r.err = err
 		in.log("request held back", events.F("request", p.id), events.F("target", target.ID), events.F("error", err.Error()))
 		return r
@@ -197,7 +207,7 @@
 		r.outcome = retry.Ran
 	}
 	ok := r.err == nil || ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled)
-	if in.plainTargets.release(in.clock.Now(), target, readyTargets, ok, float64(in.rand64()%1000)/1000) {
+	if in.plainTargets.release(in.clock.Now(), target, suspected, readyTargets, ok, float64(in.rand64()%1000)/1000) {
 		in.log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.err)))
 	}
 	if r.outcome == retry.Unknown && r.brokenOff && p.digest != nil && ctx.Err() == nil {
--- a/internal/hosted/plain_targets.go
+++ b/internal/hosted/plain_targets.go
@@ -15,17 +15,20 @@
 	health   *retry.OutlierDetector
 	inFlight map[string]int    // requests of this instance, by target
 	lastUsed map[string]string // target of the last request, by service
+	suspects map[string]int    // requests in flight under which targets have crashed, by target
 }
 
 func newPlainTargets(l retry.EjectionLimits) *plainTargets {
-	return &plainTargets{health: retry.NewOutlierDetector(l), inFlight: map[string]int{}, lastUsed: map[string]string{}}
+	return &plainTargets{health: retry.NewOutlierDetector(l), inFlight: map[string]int{}, lastUsed: map[string]string{}, suspects: map[string]int{}}
 }
 
 // choose returns a ready target of the service that is not in tried: the one with the
 // fewest requests in flight per slot, with a preference for targets without a limit of
-// requests, for the local data centre and for the target used last. An ejected target is returned only if there is no other. release
-// must follow.
-func (p *plainTargets) choose(now time.Duration, view *View, service, dataCentre string, tried map[string]bool, random uint64) (directory.Target, bool) {
+// requests, for the local data centre and for the target used last. Requests under which targets
+// have crashed are kept apart from each other and from the rest, so that a further crash shows
+// which one causes it. An ejected target is returned only if there is no other. release must
+// follow.
+func (p *plainTargets) choose(now time.Duration, view *View, service, dataCentre string, tried map[string]bool, suspected bool, random uint64) (directory.Target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best, fallback directory.Target
@@ -47,6 +50,10 @@
 		if t.Limited {
 			rank += limitedPenalty
 		}
+		rank += suspectPenalty * float64(p.suspects[t.ID])
+		if suspected {
+			rank += suspectPenalty * float64(p.inFlight[t.ID])
+		}
 		if best.ID != "" && rank >= bestRank || !p.health.Allow(now, t.ID) {
 			continue
 		}
@@ -62,6 +69,9 @@
 		return best, false
 	}
 	p.inFlight[best.ID]++
+	if suspected {
+		p.suspects[best.ID]++
+	}
 	p.lastUsed[service] = best.ID
 	return best, true
 }
@@ -72,29 +82,37 @@
 	localDataCentreBonus = 0.08 // target in the local data centre
 	openConnectionBonus  = 0.07 // target used last, to which a connection is open
 	limitedPenalty       = 1.0  // target that limits its rate: as if all its slots were in use
+	suspectPenalty       = 2.0  // request that runs beside one under which targets have crashed
 )
 
 // withdraw ends a request to a target that choose returned, which was not sent.
-func (p *plainTargets) withdraw(t directory.Target) {
+func (p *plainTargets) withdraw(t directory.Target, suspected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.endRequest(t.ID)
+	p.endRequest(t.ID, suspected)
 	p.health.CancelProbe(t.ID)
 }
 
 // endRequest is called with mu held.
-func (p *plainTargets) endRequest(target string) {
-	if p.inFlight[target]--; p.inFlight[target] <= 0 {
-		delete(p.inFlight, target)
+func (p *plainTargets) endRequest(target string, suspected bool) {
+	decrement(p.inFlight, target)
+	if suspected {
+		decrement(p.suspects, target)
+	}
+}
+
+func decrement(counts map[string]int, target string) {
+	if counts[target]--; counts[target] <= 0 {
+		delete(counts, target)
 	}
 }
 
 // release ends a request to a target that choose returned, and records its success or
 // failure. It reports whether the failure ejects the target.
-func (p *plainTargets) release(now time.Duration, t directory.Target, readyTargets int, ok bool, jitter float64) (ejected bool) {
+func (p *plainTargets) release(now time.Duration, t directory.Target, suspected bool, readyTargets int, ok bool, jitter float64) (ejected bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.endRequest(t.ID)
+	p.endRequest(t.ID, suspected)
 	if ok {
 		p.health.RecordSuccess(t.ID)
 		return false
