--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -25,10 +25,12 @@
 	lastTarget      directory.Target // target of the last started attempt
 	results         chan *attemptResult
 	running         int
-	countedAttempts int // limited by MaxAttempts; without those that got no connection
-	startedAttempts int // all attempts, for logs and metrics
-	serverErrors    int // attempts whose target responded with status 500
-	heldBack        int // attempts that were not sent, as their targets limit the rate of requests
+	countedAttempts int           // limited by MaxAttempts; without those that got no connection
+	startedAttempts int           // all attempts, for logs and metrics
+	startedAt       time.Duration // of the first attempt
+	slow            bool          // the first attempt took long
+	serverErrors    int           // attempts whose target responded with status 500
+	heldBack        int           // attempts that were not sent, as their targets limit the rate of requests
 	// condemned is the verdict that ended the attempts; nil: none.
 	condemned *poison.Verdict
 	// allowedIn is the time until the first of these targets takes a request; zero: unknown.
@@ -52,6 +54,7 @@
 
 // run runs the attempts and sets best.
 func (a *requestAttempts) run(ctx context.Context) {
+	in := a.instance
 	for {
 		if a.running == 0 && !a.start(ctx, false) {
 			if a.condemned != nil || a.heldBack > 0 || !a.allTargetsRefused() {
@@ -63,10 +66,14 @@
 			}
 			continue
 		}
-		hedge, stop := a.hedgeTimer()
+		slow, stop := a.slowTimer()
 		select {
-		case <-hedge:
-			a.start(ctx, true)
+		case <-slow:
+			a.slow = true
+			in.links.quietSince(a.startedAt)
+			if a.mayHedge() {
+				a.start(ctx, true)
+			}
 		case <-ctx.Done():
 			stop()
 			if a.best == nil {
@@ -105,6 +112,9 @@
 		return false
 	}
 	a.tried[target.ID], a.lastTarget = true, target
+	if a.startedAttempts == 0 {
+		a.startedAt = in.clock.Now()
+	}
 	a.running++
 	a.countedAttempts++
 	a.startedAttempts++
@@ -137,18 +147,22 @@
 	return len(a.tried) > 0 && a.countedAttempts < a.request.maxAttempts && (a.best == nil || a.best.outcome == retry.NotRun)
 }
 
-// hedgeTimer returns a channel that fires when the request is to be hedged, that is sent
-// to a second target while the first attempt is in flight, and a function that stops the
-// timer. The channel is nil unless the request is idempotent, its only attempt so far is
-// in flight and MaxAttempts allows another.
-func (a *requestAttempts) hedgeTimer() (<-chan time.Time, func()) {
-	if a.request.kind != catalog.Idempotent || a.running != 1 || a.countedAttempts >= a.request.maxAttempts || a.startedAttempts > 1 {
+// slowTimer returns a channel that fires when the first attempt takes long, and a function
+// that stops the timer. The channel is nil if another attempt has started.
+func (a *requestAttempts) slowTimer() (<-chan time.Time, func()) {
+	if a.running != 1 || a.startedAttempts > 1 || a.slow {
 		return nil, func() {}
 	}
 	timer := time.NewTimer(max(hedgeDelayMin, time.Duration(hedgeDelayFraction*float64(a.request.targetLatency))))
 	return timer.C, func() { timer.Stop() }
 }
 
+// mayHedge reports whether a slow request may be sent to a second target while the first
+// attempt is in flight.
+func (a *requestAttempts) mayHedge() bool {
+	return a.request.kind == catalog.Idempotent && a.countedAttempts < a.request.maxAttempts
+}
+
 // handleResult updates a with the result of an attempt, and reports whether the request
 // ends with it.
 func (a *requestAttempts) handleResult(r *attemptResult) (final bool) {
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"sync"
 	"syscall"
 	"time"
@@ -18,9 +17,6 @@
 	// maxCrashDelay is the longest run of a request that counts as crashing its target: such a
 	// request does so as it begins to run.
 	maxCrashDelay = 2 * time.Second
-	// crashCheckTimeout bounds a connection attempt of a check. A target in the region accepts
-	// or refuses a connection within milliseconds.
-	crashCheckTimeout = 300 * time.Millisecond
 	// crashCheckInterval and crashCheckRounds bound how long a check goes on while no other
 	// target accepts a connection either: targets that crash are back after some seconds.
 	crashCheckInterval = 500 * time.Millisecond
@@ -112,53 +108,11 @@
 // probe reports whether the target has crashed, and whether that is known: not if no other
 // target accepts a connection.
 func (d *crashDetector) probe(ctx context.Context, t directory.Target) (crashed, known bool) {
-	if err := d.connect(ctx, t.Address); !errors.Is(err, syscall.ECONNREFUSED) {
-		return false, true // it accepts connections, or its machine is down or cut off
-	}
-	return true, d.anyAccepts(ctx, d.witnesses(t))
-}
-
-// witnesses returns the addresses of some other targets, chosen at random.
-func (d *crashDetector) witnesses(t directory.Target) []string {
-	targets := d.instance.stateLoop.view.Load().Targets
-	if len(targets) == 0 {
-		return nil
-	}
-	var addresses []string
-	offset := int(d.instance.rand64() % uint64(len(targets)))
-	for i := range targets {
-		other := targets[(i+offset)%len(targets)]
-		if other.Ready && other.Address != t.Address && len(addresses) < crashWitnesses {
-			addresses = append(addresses, other.Address)
-		}
-	}
-	return addresses
-}
-
-// anyAccepts reports whether one of the addresses accepts a connection.
-func (d *crashDetector) anyAccepts(ctx context.Context, addresses []string) bool {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	results := make(chan error, len(addresses))
-	for _, address := range addresses {
-		go func() { results <- d.connect(ctx, address) }()
-	}
-	for range addresses {
-		if <-results == nil {
-			return true
-		}
-	}
-	return false
-}
-
-// connect opens and closes a connection to the address.
-func (d *crashDetector) connect(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, crashCheckTimeout)
+	links := d.instance.links
+	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
 	defer cancel()
-	connection, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
-	if err != nil {
-		return err
+	if err := links.connect(ctx, t.Address); !errors.Is(err, syscall.ECONNREFUSED) {
+		return false, true // it accepts connections, or its machine is down or cut off
 	}
-	_ = connection.Close() // nothing was sent
-	return nil
+	return true, links.anyAccepts(ctx, links.witnesses(t.Address, crashWitnesses), linkCheckTimeout)
 }
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -52,6 +52,7 @@
 type testInstance struct {
 	instance         *hosted.Instance
 	logProxy         *hostplatform.FaultProxy
+	links            *targetLinks
 	frontAddress     string
 	readinessAddress string
 	cancel           context.CancelFunc
@@ -215,9 +216,12 @@
 		ReportsUsage: true,
 	}
 	logOutput := logline.New(d.logs)
-	instance := hosted.New(hosted.Config{Settings: settings, LogOutput: logOutput, Random: rand.New(rand.NewPCG(uint64(number), 1)), Listen: listeners.listen})
+	links := newTargetLinks()
+	instance := hosted.New(hosted.Config{
+		Settings: settings, LogOutput: logOutput, Random: rand.New(rand.NewPCG(uint64(number), 1)), Listen: listeners.listen, DialTarget: links.dial,
+	})
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testInstance{instance: instance, logProxy: logProxy, frontAddress: settings.Front, readinessAddress: settings.Readiness, cancel: cancel, done: make(chan error, 1)}
+	started := &testInstance{instance: instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, cancel: cancel, done: make(chan error, 1)}
 	go func() { started.done <- instance.Run(ctx) }()
 	d.instances = append(d.instances, started)
 	return started
--- /dev/null
+++ b/internal/hosted/links.go
@@ -0,0 +1,197 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+)
+
+const (
+	// A target in the region accepts or refuses a connection within milliseconds. A check starts
+	// with firstWitnesses targets, and needs the refusal or silence of linkWitnesses.
+	firstCheckTimeout = 100 * time.Millisecond
+	linkCheckTimeout  = 300 * time.Millisecond
+	firstWitnesses    = 2
+	linkWitnesses     = 8
+	// linkCheckInterval is the shortest time between two checks.
+	linkCheckInterval = 400 * time.Millisecond
+	// pauseMargin is how much later than its timeout a check may end. The process of a check
+	// that ends later was paused, so that its timeouts say nothing of the links.
+	pauseMargin = 200 * time.Millisecond
+	// quietRunsLimit is how long no target may send anything while runs are in progress: seven
+	// events of one run.
+	quietRunsLimit = 300 * time.Millisecond
+)
+
+// dialFunc opens a connection to a target.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// linkMonitor finds out whether this instance reaches any target. A single target that does not
+// answer may be down; when none of several accepts a connection, the instance itself is cut off.
+// It checks only when something gives reason to. It is safe for concurrent use.
+type linkMonitor struct {
+	instance  *Instance
+	dial      dialFunc
+	suspected chan struct{} // holds a value when a check is due
+
+	// Readings of clock.Now in nanoseconds; zero: never.
+	lastHeard     atomic.Int64 // a response or an event of a target arrived
+	lastConnected atomic.Int64 // a target accepted a connection
+
+	mu      sync.Mutex
+	cut     bool
+	changed chan struct{} // closed at the next change of cut
+}
+
+func newLinkMonitor(in *Instance, dial dialFunc) *linkMonitor {
+	return &linkMonitor{instance: in, dial: dial, suspected: make(chan struct{}, 1), changed: make(chan struct{})}
+}
+
+// state reports whether the instance reaches no target, and returns a channel that is closed
+// when that changes.
+func (m *linkMonitor) state() (cut bool, changed <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.cut, m.changed
+}
+
+// isCut reports whether the instance reaches no target.
+func (m *linkMonitor) isCut() bool {
+	cut, _ := m.state()
+	return cut
+}
+
+// dialTarget opens a connection for a request to a target. A failure is a reason to check the
+// links, unless a target has accepted a connection since the dial began.
+func (m *linkMonitor) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	started := int64(m.instance.clock.Now())
+	connection, err := m.dial(ctx, network, address)
+	switch {
+	case err == nil:
+		m.lastConnected.Store(int64(m.instance.clock.Now()))
+	case !errors.Is(ctx.Err(), context.Canceled) && m.lastConnected.Load() < started:
+		m.suspect()
+	}
+	return connection, err
+}
+
+// heard notes that a target has sent something.
+func (m *linkMonitor) heard() { m.lastHeard.Store(int64(m.instance.clock.Now())) }
+
+// quietSince is called when a target has not answered what was sent to it at the time since.
+// That is a reason to check the links, unless some target has sent something meanwhile.
+func (m *linkMonitor) quietSince(since time.Duration) {
+	if m.lastHeard.Load() < int64(since) {
+		m.suspect()
+	}
+}
+
+func (m *linkMonitor) suspect() {
+	select {
+	case m.suspected <- struct{}{}:
+	default: // a check is due already
+	}
+}
+
+// run checks the links when there is a reason to, and while they are lost, until ctx ends.
+func (m *linkMonitor) run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-m.suspected:
+		}
+		if !m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) && !m.anyTargetAccepts(ctx, linkWitnesses, linkCheckTimeout) && ctx.Err() == nil {
+			m.set(true)
+			for ctx.Err() == nil && !m.anyTargetAccepts(ctx, firstWitnesses, linkCheckTimeout) {
+				clock.Sleep(ctx, linkCheckInterval)
+			}
+			m.set(false)
+		}
+		clock.Sleep(ctx, linkCheckInterval)
+	}
+}
+
+// set records whether the links are lost, and tells who waits for a change.
+func (m *linkMonitor) set(cut bool) {
+	in := m.instance
+	m.mu.Lock()
+	m.cut = cut
+	close(m.changed)
+	m.changed = make(chan struct{})
+	m.mu.Unlock()
+	if !cut {
+		in.log("links to targets regained")
+		return
+	}
+	in.metrics.linksLost.Inc()
+	in.log("links to targets lost", events.F("quiet_for", in.sinceLastRead(&m.lastHeard).Round(time.Millisecond).String()),
+		events.F("targets", fmt.Sprint(len(in.stateLoop.view.Load().Targets))))
+}
+
+// anyTargetAccepts reports whether one of count targets accepts a connection, or no target is
+// known. It repeats a check during which the process was paused.
+func (m *linkMonitor) anyTargetAccepts(ctx context.Context, count int, timeout time.Duration) bool {
+	for {
+		started := m.instance.clock.Now()
+		addresses := m.witnesses("", count)
+		if len(addresses) == 0 || m.anyAccepts(ctx, addresses, timeout) {
+			return true
+		}
+		if ctx.Err() != nil || m.instance.clock.Now()-started < timeout+pauseMargin {
+			return false
+		}
+	}
+}
+
+// witnesses returns the addresses of count ready targets other than the excluded one, chosen at
+// random.
+func (m *linkMonitor) witnesses(excluded string, count int) []string {
+	targets := m.instance.stateLoop.view.Load().Targets
+	if len(targets) == 0 {
+		return nil
+	}
+	var addresses []string
+	offset := int(m.instance.rand64() % uint64(len(targets)))
+	for i := range targets {
+		t := targets[(i+offset)%len(targets)]
+		if t.Ready && t.Address != excluded && len(addresses) < count {
+			addresses = append(addresses, t.Address)
+		}
+	}
+	return addresses
+}
+
+// anyAccepts reports whether one of the addresses accepts a connection within the timeout.
+func (m *linkMonitor) anyAccepts(ctx context.Context, addresses []string, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	results := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- m.connect(ctx, address) }()
+	}
+	for range addresses {
+		if <-results == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// connect opens and closes a connection to the address.
+func (m *linkMonitor) connect(ctx context.Context, address string) error {
+	connection, err := m.dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	m.lastConnected.Store(int64(m.instance.clock.Now()))
+	_ = connection.Close() // nothing was sent
+	return nil
+}
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -42,6 +42,8 @@
 	Clock     clock.Clock                                         // nil: the system's clock
 	Random    *rand.Rand                                          // nil: seeded randomly
 	Listen    func(network, address string) (net.Listener, error) // nil: net.Listen
+	// DialTarget opens the connections to targets. nil: a net.Dialer
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 const (
@@ -73,6 +75,7 @@
 	contentCache  *contentCache
 	plainTargets  *plainTargets
 	allowances    *allowances
+	links         *linkMonitor
 	crashDetector *crashDetector
 	poisonGuard   *poisonGuard
 	runner        *runner
@@ -101,16 +104,20 @@
 	if cfg.Clock == nil {
 		cfg.Clock = clock.System{}
 	}
+	if cfg.DialTarget == nil {
+		cfg.DialTarget = (&net.Dialer{}).DialContext
+	}
 	in := &Instance{
 		cfg: cfg, clock: cfg.Clock, random: cfg.Random,
 		events:       events.New(s.Instance, cfg.LogOutput, cfg.Clock.Wall),
 		metrics:      newMetricSet(),
-		targetClient: &http.Client{Transport: platform.NewTargetTransport(idleConnsPerTarget), CheckRedirect: noRedirect},
 		stateLoop:    newStateLoop(rejoinTimeout),
 		pace:         newFollowPace(),
 		contentCache: newContentCache(s.MemoryBytes / contentCacheDivisor),
 		stopping:     make(chan struct{}),
 	}
+	in.links = newLinkMonitor(in, cfg.DialTarget)
+	in.targetClient = &http.Client{Transport: platform.NewTargetTransport(idleConnsPerTarget, in.links.dialTarget), CheckRedirect: noRedirect}
 	in.logTransport = newLogTransport(in, s.Store.Address)
 	in.store = platform.NewStore(s.Store.Address, in.logTransport)
 	in.self = fmt.Sprintf("%s/%x", s.Instance, in.rand64())
@@ -161,7 +168,7 @@
 		in.stateLoop.run, in.controlLog.run, in.contentLog.run,
 		in.followLog, in.watchOperator, in.watchRegistry,
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers, in.logTransport.run, in.announce,
-		in.poisonGuard.run, in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
+		in.poisonGuard.run, in.links.run, in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
 	} {
 		group.Go(func() error { return f(ctx) })
 	}
--- a/internal/hosted/notices.go
+++ b/internal/hosted/notices.go
@@ -14,6 +14,7 @@
 // id, sent at sentAt: that it leaves, or how many requests it takes. The registry says the
 // first later, or not at all while it is unavailable, and the second never.
 func (in *Instance) noteResponse(ctx context.Context, t directory.Target, h platform.ResponseHeader, id string, sentAt time.Duration) {
+	in.links.heard()
 	if h.Leaving {
 		in.noteLeaving(ctx, t)
 	}
--- a/internal/hosted/runs.go
+++ b/internal/hosted/runs.go
@@ -108,6 +108,9 @@
 // stalled or slow engines and queues their tasks again, to resume on another engine.
 func (r *runner) reviewRuns() {
 	now := r.instance.clock.Now()
+	if len(r.outputs) > 0 {
+		r.instance.links.quietSince(now - quietRunsLimit)
+	}
 	for run, output := range r.outputs {
 		added, at := output.runProgress()
 		r.scheduler.Progress(run, added, at)
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -114,6 +114,7 @@
 		if err != nil {
 			return assign.Broken, err
 		}
+		in.links.heard()
 		if e.Version > 0 && e.Version != version {
 			if r.singleVersion {
 				r.output.reset()
--- a/internal/hosted/text_test.go
+++ b/internal/hosted/text_test.go
@@ -12,6 +12,7 @@
 
 func TestRunThatStartsOverAndEndsWithoutEventsDoesNotCompleteTheOtherVersionsOutput(t *testing.T) {
 	in := &Instance{clock: clock.System{}}
+	in.links = newLinkMonitor(in, nil)
 	output := &taskOutput{}
 	read := func(run int64, software, events string) (assign.Outcome, error) {
 		output.startRun(run, software)
