An instance that reaches no target sends callers' requests through others

Cause: each failure was taken for that of one target. The instance had no notion of its own links, and no way to a target but its own. Hypothesis 1: the cut instances ejected or retried targets one by one, and nothing else changed. Class: a shared cause is charged to the parties that it hides.

Change: while none of several targets accepts a connection, idempotent requests in flight and all new ones of callers go through another instance, which chooses the target and serves one attempt. It refuses if it has a configuration older than the sender's, is stopping, or is cut off itself; its own responses are marked. Instances that served a request are preferred, so that a few tries suffice at hundreds of instances of which most are cut off.

--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -25,12 +25,14 @@
 	lastTarget      directory.Target // target of the last started attempt
 	results         chan *attemptResult
 	running         int
-	countedAttempts int           // limited by MaxAttempts; without those that got no connection
-	startedAttempts int           // all attempts, for logs and metrics
-	startedAt       time.Duration // of the first attempt
-	slow            bool          // the first attempt took long
-	serverErrors    int           // attempts whose target responded with status 500
-	heldBack        int           // attempts that were not sent, as their targets limit the rate of requests
+	countedAttempts int             // limited by MaxAttempts; without those that got no connection
+	startedAttempts int             // all attempts, for logs and metrics
+	startedAt       time.Duration   // of the first attempt
+	slow            bool            // the first attempt took long
+	relaying        bool            // the instance reaches no target: attempts go through other instances
+	peers           map[string]bool // addresses of these instances
+	serverErrors    int             // attempts whose target responded with status 500
+	heldBack        int             // attempts that were not sent, as their targets limit the rate of requests
 	// condemned is the verdict that ended the attempts; nil: none.
 	condemned *poison.Verdict
 	// allowedIn is the time until the first of these targets takes a request; zero: unknown.
@@ -46,7 +48,7 @@
 func (in *Instance) runAttempts(ctx context.Context, p *plainRequest, deadline time.Duration) *requestAttempts {
 	a := &requestAttempts{
 		instance: in, request: p, deadline: deadline,
-		tried: map[string]bool{}, results: make(chan *attemptResult, p.maxAttempts+1),
+		tried: map[string]bool{}, peers: map[string]bool{}, results: make(chan *attemptResult, p.maxAttempts+maxRelayPeers),
 	}
 	a.run(ctx)
 	return a
@@ -57,7 +59,7 @@
 	in := a.instance
 	for {
 		if a.running == 0 && !a.start(ctx, false) {
-			if a.condemned != nil || a.heldBack > 0 || !a.allTargetsRefused() {
+			if a.condemned != nil || a.relaying || a.heldBack > 0 || !a.allTargetsRefused() {
 				return
 			}
 			clear(a.tried) // every target refused; one may get a free slot soon
@@ -68,6 +70,8 @@
 		}
 		slow, stop := a.slowTimer()
 		select {
+		case <-a.linksChanged():
+			a.onLinksChanged(ctx)
 		case <-slow:
 			a.slow = true
 			in.links.quietSince(a.startedAt)
@@ -106,24 +110,66 @@
 	if suspected && hedge {
 		return false
 	}
+	if a.request.relayable && in.links.isCut() {
+		return a.relay(ctx)
+	}
 	view := in.stateLoop.view.Load()
 	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, a.excluded(view, hedge), suspected, in.rand64())
 	if !found {
 		return false
 	}
 	a.tried[target.ID], a.lastTarget = true, target
+	a.countStart()
+	go func() {
+		a.results <- in.sendAttempt(ctx, a.request, target, suspected, a.deadline, countReadyTargets(view, a.request.service))
+	}()
+	return true
+}
+
+func (a *requestAttempts) countStart() {
 	if a.startedAttempts == 0 {
-		a.startedAt = in.clock.Now()
+		a.startedAt = a.instance.clock.Now()
 	}
 	a.running++
 	a.countedAttempts++
 	a.startedAttempts++
-	go func() {
-		a.results <- in.sendAttempt(ctx, a.request, target, suspected, a.deadline, countReadyTargets(view, a.request.service))
-	}()
+}
+
+// relay sends the request through one more instance. It reports false if it was sent through
+// maxRelayPeers, or no further one is known.
+func (a *requestAttempts) relay(ctx context.Context) bool {
+	a.relaying = true
+	address, found := a.instance.relays.choose(a.peers)
+	if !found || len(a.peers) >= maxRelayPeers {
+		return false
+	}
+	a.peers[address] = true
+	a.countStart()
+	go func() { a.results <- a.instance.relays.send(ctx, a.request, address, a.deadline) }()
 	return true
 }
 
+// linksChanged returns a channel that is closed when the instance loses its links to the
+// targets. It is nil if the request does not go through another instance then: it already does,
+// or its attempt in flight may have run and must not run twice.
+func (a *requestAttempts) linksChanged() <-chan struct{} {
+	if a.relaying || !a.request.relayable || a.request.kind != catalog.Idempotent {
+		return nil
+	}
+	_, changed := a.instance.links.state()
+	return changed
+}
+
+// onLinksChanged sends the request through another instance if the links are lost. Attempts in
+// flight no longer count as attempts: nothing will come of them.
+func (a *requestAttempts) onLinksChanged(ctx context.Context) {
+	if !a.instance.links.isCut() {
+		return
+	}
+	a.countedAttempts = 0
+	a.start(ctx, false)
+}
+
 // excluded returns the targets that must not get the next attempt: the tried ones, those of
 // another software version than the request needs, and for a hedge those that limit the rate
 // of their requests.
@@ -147,10 +193,11 @@
 	return len(a.tried) > 0 && a.countedAttempts < a.request.maxAttempts && (a.best == nil || a.best.outcome == retry.NotRun)
 }
 
-// slowTimer returns a channel that fires when the first attempt takes long, and a function
-// that stops the timer. The channel is nil if another attempt has started.
+// slowTimer returns a channel that fires when the first attempt takes long, or the latest one
+// through another instance, and a function that stops the timer. The channel is nil if another
+// attempt at a target has started.
 func (a *requestAttempts) slowTimer() (<-chan time.Time, func()) {
-	if a.running != 1 || a.startedAttempts > 1 || a.slow {
+	if !a.relaying && (a.running != 1 || a.startedAttempts > 1 || a.slow) {
 		return nil, func() {}
 	}
 	timer := time.NewTimer(max(hedgeDelayMin, time.Duration(hedgeDelayFraction*float64(a.request.targetLatency))))
--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -274,11 +274,18 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc(allowancePath, in.allowances.serve)
 	mux.HandleFunc("/", in.logTransport.relay)
-	return mux
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerRelayed) != "" { // any path
+			in.relays.serve(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
 }
 
 // servePeers serves the other instances: it grants requests to targets that limit their rate,
-// and relays calls to the log for instances that cannot reach it.
+// and relays calls to the log and callers' requests for instances that reach neither the log nor
+// a target.
 func (in *Instance) servePeers(ctx context.Context) error {
 	if in.cfg.Settings.Peers == "" {
 		return nil
--- a/internal/hosted/front.go
+++ b/internal/hosted/front.go
@@ -36,6 +36,7 @@
 	job     string // job that the request refers to; empty: none
 	body    []byte
 	started time.Duration // arrival, by clock.Now
+	relayed bool          // by another instance
 }
 
 // refuse responds with status 503 and Retry-After to a request that has not run and will
@@ -59,6 +60,9 @@
 		events.F("config_age", in.sinceLastRead(&in.stateLoop.lastOperatorRead).Round(time.Millisecond).String()),
 		events.F("took", (in.clock.Now()-c.started).Round(time.Millisecond).String()))
 	platform.SetOwnResponseHeader(c.w.Header(), c.ID, 0)
+	if c.relayed {
+		c.w.Header().Set(headerOwnResponse, "1")
+	}
 	http.Error(c.w, reason, status)
 }
 
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -25,6 +25,9 @@
 	// pauseMargin is how much later than its timeout a check may end. The process of a check
 	// that ends later was paused, so that its timeouts say nothing of the links.
 	pauseMargin = 200 * time.Millisecond
+	// confirmedFor is how long after the last sign of life of a target an instance serves the
+	// requests of instances that are cut off, without a check of its own links.
+	confirmedFor = time.Second
 	// quietRunsLimit is how long no target may send anything while runs are in progress: seven
 	// events of one run.
 	quietRunsLimit = 300 * time.Millisecond
@@ -100,6 +103,20 @@
 	}
 }
 
+// confirm reports whether the instance reaches a target. It connects to one unless a target has
+// sent something or accepted a connection within confirmedFor.
+func (m *linkMonitor) confirm(ctx context.Context) bool {
+	if m.isCut() {
+		return false
+	}
+	last := max(m.lastHeard.Load(), m.lastConnected.Load())
+	if last != 0 && m.instance.clock.Now()-time.Duration(last) < confirmedFor || m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) {
+		return true
+	}
+	m.suspect()
+	return false
+}
+
 // run checks the links when there is a reason to, and while they are lost, until ctx ends.
 func (m *linkMonitor) run(ctx context.Context) error {
 	for {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,13 +9,13 @@
 	requests, retries, refused, failed *metrics.Counter
 	requestTime                        *metrics.Histogram
 
-	jobs, listed, givenUp, claims                                          *metrics.Counter
-	runs, runsBroken, runsMoved                                            *metrics.Counter
-	runsResumed, runsStartedOver                                           *metrics.Counter
-	taskTime                                                               *metrics.Histogram
-	orders, reports                                                        *metrics.Counter
-	limitsNamed, streamsTakenUp                                            *metrics.Counter
-	linksLost, targetsCrashed, condemned, suspectsServed, condemnedRefused *metrics.Counter
+	jobs, listed, givenUp, claims                                                   *metrics.Counter
+	runs, runsBroken, runsMoved                                                     *metrics.Counter
+	runsResumed, runsStartedOver                                                    *metrics.Counter
+	taskTime                                                                        *metrics.Histogram
+	orders, reports                                                                 *metrics.Counter
+	limitsNamed, streamsTakenUp                                                     *metrics.Counter
+	linksLost, relayed, targetsCrashed, condemned, suspectsServed, condemnedRefused *metrics.Counter
 
 	allowancesGranted, allowancesDenied, allowancesUnanswered *metrics.Counter
 
@@ -46,6 +46,7 @@
 		reports:          set.NewCounter("amaranth_hosted_usage_reports_total"),
 		streamsTakenUp:   set.NewCounter("amaranth_hosted_streams_taken_up_total"),
 		targetsCrashed:   set.NewCounter("amaranth_hosted_targets_crashed_total"),
+		relayed:          set.NewCounter("amaranth_hosted_calls_relayed_total"),
 		linksLost:        set.NewCounter("amaranth_hosted_links_lost_total"),
 		condemned:        set.NewCounter("amaranth_hosted_calls_condemned_total"),
 		suspectsServed:   set.NewCounter("amaranth_hosted_suspects_served_total"),
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -76,6 +76,7 @@
 	plainTargets  *plainTargets
 	allowances    *allowances
 	links         *linkMonitor
+	relays        *relays
 	crashDetector *crashDetector
 	poisonGuard   *poisonGuard
 	runner        *runner
@@ -133,6 +134,7 @@
 	}, contentTopic, s.Store.CallBytes, in.trackAppends("content"))
 	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
 	in.allowances = newAllowances(in)
+	in.relays = newRelays(in)
 	in.crashDetector = newCrashDetector(in)
 	in.poisonGuard = newPoisonGuard(in)
 	in.runner = newRunner(in)
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -50,6 +50,9 @@
 	maxAttempts   int
 	targetLatency time.Duration
 	software      *string // the targets must have this software version; nil: any
+	configVersion int64   // of the configuration that allows the request
+	// relayable is set for a caller's request that may go through another instance.
+	relayable bool
 	// digest returns the digest of a caller's request; nil: the request is one of the service
 	// itself, which crashes no target.
 	digest func() poison.Digest
@@ -57,10 +60,15 @@
 
 // plainRequest returns the request to the target that serves the caller's request.
 func (c *callerRequest) plainRequest(service string) *plainRequest {
+	maxAttempts := c.route.MaxAttempts
+	if c.relayed {
+		maxAttempts = 1 // the other instance counts the attempts
+	}
 	return &plainRequest{
 		id: c.ID, method: c.r.Method, host: c.r.Host, header: c.r.Header, body: c.body, account: c.account, service: service,
 		url:  func(address string) *url.URL { return requestURL(address, c.r) },
-		kind: c.route.Kind, maxAttempts: c.route.MaxAttempts, targetLatency: c.route.TargetLatency,
+		kind: c.route.Kind, maxAttempts: maxAttempts, targetLatency: c.route.TargetLatency,
+		configVersion: c.view.Catalog.Version, relayable: !c.relayed,
 		digest: sync.OnceValue(func() poison.Digest {
 			return poison.DigestOf(c.account, c.r.Method, catalog.Hostname(c.r.Host), c.r.RequestURI, c.body)
 		}),
@@ -79,6 +87,7 @@
 	err            error
 	sentAt         time.Duration
 	brokenOff      bool // the connection broke off before the response was complete
+	relayed        bool // the request went through another instance, which counts it
 }
 
 // hasResponse reports whether the attempt has a response that may be forwarded: the
@@ -110,7 +119,7 @@
 	if attempts > 1 {
 		in.metrics.retries.Add(attempts - 1)
 	}
-	if best != nil && best.outcome != retry.NotRun {
+	if best != nil && best.outcome != retry.NotRun && !best.relayed {
 		in.usageCounter.countRequest(c.account, in.clock.Wall())
 	}
 	switch {
@@ -236,8 +245,13 @@
 		r.err, r.brokenOff = err, true
 		return
 	}
+	in.noteResponse(ctx, r.target, platform.DecodeResponseHeader(res), p.id, r.sentAt)
+	in.readResponse(p, r, res)
+}
+
+// readResponse sets the fields of r from a response to the request.
+func (in *Instance) readResponse(p *plainRequest, r *attemptResult, res *http.Response) {
 	r.status, r.header, r.platformHeader = res.StatusCode, res.Header, platform.DecodeResponseHeader(res)
-	in.noteResponse(ctx, r.target, r.platformHeader, p.id, r.sentAt)
 	if r.platformHeader.RequestID != p.id && r.platformHeader.RequestID != "" || r.platformHeader.RequestID == "" && !r.platformHeader.NotRun {
 		// This closes the connection, as the body is unread: later responses on it may belong
 		// to other requests too.
--- /dev/null
+++ b/internal/hosted/relay.go
@@ -0,0 +1,212 @@
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/core/retry"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+const (
+	relayDialTimeout = 100 * time.Millisecond // another instance accepts a connection within milliseconds
+	relayIdleConns   = 8                      // to each instance
+	relayIdleTimeout = 30 * time.Second       // shorter than the idle timeout of the listener
+	// maxRelayPeers bounds the instances that one request is sent to. Before any is known to
+	// reach targets, eight in a row fail in one of sixty cases if six of ten instances are cut off.
+	maxRelayPeers     = 8
+	relayConfigWait   = 300 * time.Millisecond // for the configuration that the other instance has
+	relayPeerRetry    = 2 * time.Second        // until an instance that failed is used again
+	relayPeerTrust    = 5 * time.Second        // for which an instance that served a request is preferred
+	maxRelayedPending = 256                    // requests of other instances served at once
+)
+
+// Headers between instances. Callers cannot set them: the listener for callers does not read
+// them, and the one for other instances is not open to callers.
+const (
+	// headerRelayed marks a request that another instance relays. It holds the version of that
+	// instance's configuration.
+	headerRelayed = "Amaranthfold-Relayed-Config"
+	// headerOwnResponse marks a response that the relaying instance has generated itself.
+	headerOwnResponse = "Amaranthfold-Own-Response"
+)
+
+// relays sends callers' requests through other instances while this one reaches no target. The
+// other instance chooses the target; a relayed request is one attempt. It is safe for concurrent
+// use.
+type relays struct {
+	instance *Instance
+	client   *http.Client
+	slots    chan struct{} // holds one value for each request of another instance in progress
+
+	mu      sync.Mutex
+	failed  map[string]time.Duration // by address: when it may be used again
+	trusted map[string]time.Duration // by address: until when it is preferred
+}
+
+func newRelays(in *Instance) *relays {
+	return &relays{
+		instance: in, failed: map[string]time.Duration{}, trusted: map[string]time.Duration{}, slots: make(chan struct{}, maxRelayedPending),
+		client: &http.Client{
+			CheckRedirect: noRedirect,
+			Transport: &http.Transport{
+				DialContext:         (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
+				MaxIdleConnsPerHost: relayIdleConns, IdleConnTimeout: relayIdleTimeout, DisableCompression: true,
+			},
+		},
+	}
+}
+
+// choose returns the address of a random instance that has not failed lately and is not in
+// tried. It prefers those that have served a request.
+func (r *relays) choose(tried map[string]bool) (address string, found bool) {
+	peers := r.instance.allowances.peers.Load()
+	now := r.instance.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	offset := int(r.instance.rand64() % uint64(max(1, len(peers.names))))
+	for i := range peers.names {
+		name := peers.names[(i+offset)%len(peers.names)]
+		a := peers.addresses[name]
+		if a == "" || name == r.instance.cfg.Settings.Instance || tried[a] || now < r.failed[a] {
+			continue
+		}
+		if now < r.trusted[a] {
+			return a, true
+		}
+		if !found {
+			address, found = a, true
+		}
+	}
+	return address, found
+}
+
+func (r *relays) markServed(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trusted[address] = r.instance.clock.Now() + relayPeerTrust
+}
+
+func (r *relays) markFailed(address string) {
+	now := r.instance.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for a, until := range r.failed {
+		if now >= until {
+			delete(r.failed, a)
+		}
+	}
+	r.failed[address] = now + relayPeerRetry
+	delete(r.trusted, address)
+}
+
+// send sends the request through the instance at the address.
+func (r *relays) send(ctx context.Context, p *plainRequest, address string, deadline time.Duration) *attemptResult {
+	in := r.instance
+	result := &attemptResult{target: directory.Target{ID: "through " + address}, outcome: retry.NotRun, relayed: true}
+	connected := false
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
+	header := platform.ForwardedHeader(p.header, "", p.account, deadline-in.clock.Now())
+	header.Set(headerRelayed, fmt.Sprint(p.configVersion))
+	req := &http.Request{
+		Method: p.method, URL: p.url(address), Host: p.host, Header: header,
+		Body: nonReplayableBody(p.method, p.header, p.body), ContentLength: int64(len(p.body)),
+	}
+	result.sentAt = in.clock.Now()
+	res, err := r.client.Do(req.WithContext(traced))
+	switch {
+	case err != nil:
+		result.err = err
+	case res.Header.Get(headerOwnResponse) != "":
+		_ = res.Body.Close() // the reason is in the other instance's log
+		result.err = fmt.Errorf("instance %s answered with status %d", address, res.StatusCode)
+		connected = res.StatusCode != http.StatusServiceUnavailable // which means that it was not run
+	default:
+		in.readResponse(p, result, res)
+	}
+	switch {
+	case result.err == nil:
+		result.outcome = retry.Ran
+		r.markServed(address)
+	case connected:
+		result.outcome = retry.Unknown
+	}
+	if result.err != nil {
+		if ctx.Err() == nil {
+			r.markFailed(address)
+		}
+		in.log("request attempt failed", events.F("request", p.id), events.F("target", result.target.ID),
+			events.F("outcome", result.outcome.String()), events.F("status", fmt.Sprint(result.status)), events.F("error", result.err.Error()))
+	}
+	return result
+}
+
+var errRelayBusy = errors.New("too many requests of other instances")
+
+// serve serves a request that another instance relays. That instance has checked the caller's
+// key. The responses that this instance generates are marked, so that they cannot be taken for
+// a target's.
+func (r *relays) serve(w http.ResponseWriter, req *http.Request) {
+	in := r.instance
+	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(req), w: w, r: req, view: in.stateLoop.view.Load(), started: in.clock.Now(), relayed: true}
+	c.account = platform.ForwardedAccount(req)
+	version := req.Header.Get(headerRelayed)
+	req.Header.Del(headerRelayed)
+	select {
+	case r.slots <- struct{}{}:
+		defer func() { <-r.slots }()
+	default:
+		in.refuse(c, errRelayBusy.Error())
+		return
+	}
+	if in.isStopping() || !in.links.confirm(req.Context()) {
+		in.refuse(c, "this instance cannot relay requests")
+		return
+	}
+	if !in.awaitConfigurationVersion(c, version) {
+		in.refuse(c, "the other instance has a newer configuration: "+version)
+		return
+	}
+	route, found := c.view.Catalog.Match(req.Host, req.URL.Path)
+	if !found || route.Kind == catalog.Batch {
+		in.refuse(c, "no route of plain requests matches the host and path")
+		return
+	}
+	c.route = route
+	if in.readBody(c) {
+		in.metrics.relayed.Inc()
+		in.forwardRequest(c)
+	}
+}
+
+// awaitConfigurationVersion waits until this instance has the version of the configuration or a
+// newer one, for relayConfigWait at most.
+func (in *Instance) awaitConfigurationVersion(c *callerRequest, version string) bool {
+	var wanted int64
+	if _, err := fmt.Sscan(version, &wanted); err != nil {
+		return false
+	}
+	ctx, cancel := in.withDeadline(c, c.started+relayConfigWait)
+	defer cancel()
+	for {
+		changed := in.stateLoop.nextChange()
+		c.view = in.stateLoop.view.Load()
+		if c.view.Catalog != nil && c.view.Catalog.Version >= wanted {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
