--- a/internal/hosted/links_test.go
+++ b/internal/hosted/links_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -34,10 +35,11 @@
 	fault   linkFault
 	changed chan struct{}
 	open    map[net.Conn]bool
+	hanging map[string]bool // addresses to which dials hang whatever the fault
 }
 
 func newTargetLinks() *targetLinks {
-	return &targetLinks{changed: make(chan struct{}), open: map[net.Conn]bool{}}
+	return &targetLinks{changed: make(chan struct{}), open: map[net.Conn]bool{}, hanging: map[string]bool{}}
 }
 
 func (l *targetLinks) set(f linkFault) {
@@ -75,6 +77,13 @@
 		return nil, ctx.Err()
 	}
 	l.mu.Lock()
+	hanging := l.hanging[address]
+	l.mu.Unlock()
+	if hanging {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.fault != healthy {
 		return nil, syscall.ECONNREFUSED
@@ -198,3 +207,28 @@
 		}
 	})
 })
+
+var _ = Describe("A request that reached no target", Label("known-red"), func() {
+	DescribeTable("is answered as not run when its time is over before a connection is open", func(path string) {
+		d := newDeployment(1, 1)
+		links := d.instances[0].links
+		links.mu.Lock()
+		for _, p := range d.plain {
+			links.hanging[address(d.servers[p.ID])] = true
+		}
+		links.mu.Unlock()
+		res := d.instances[0].callWithin(200*time.Millisecond, http.MethodPost, path, "r", key, []byte("b"))
+		Expect(res.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(res.header.Get("Retry-After")).NotTo(BeEmpty())
+	}, Entry("idempotent", "/confirm/x"), Entry("not idempotent", "/once/x"))
+
+	It("is not held to its deadline while no target accepts a connection", func() {
+		d := newDeployment(1, 1)
+		for _, p := range d.plain {
+			d.servers[p.ID].Close()
+		}
+		Expect(d.instances[0].call(http.MethodPost, "/once/x", "r", key, []byte("b")).status).To(Equal(http.StatusServiceUnavailable))
+		attempts := strings.Count(d.logged(), `event="request attempt failed"`)
+		Expect(attempts).To(Equal(len(d.plain)), "attempts until the request is refused")
+	})
+})
