A request whose connection was never open is answered as not run

Callers got 504, which promises nothing, for requests that had reached no target: at the deadline the attempts in flight were given up as unknown, also those that were still opening a connection. Now their results are awaited, which the deadline ends too, and tell whether a connection was open. A caller with a request that must not run twice may then repeat it.

--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
-	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/poison"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
@@ -21,8 +20,7 @@
 	request  *plainRequest
 	deadline time.Duration
 
-	tried           map[string]bool  // targets of earlier attempts; not chosen again
-	lastTarget      directory.Target // target of the last started attempt
+	tried           map[string]bool // targets of earlier attempts; not chosen again
 	results         chan *attemptResult
 	running         int
 	countedAttempts int             // limited by MaxAttempts; without those that got no connection
@@ -80,9 +78,7 @@
 			}
 		case <-ctx.Done():
 			stop()
-			if a.best == nil {
-				a.best = &attemptResult{target: a.lastTarget, outcome: retry.Unknown, err: ctx.Err()}
-			}
+			a.awaitRunning()
 			return
 		case r := <-a.results:
 			if final := a.handleResult(r); final {
@@ -95,7 +91,8 @@
 }
 
 // start sends the request to one more target. It reports false if the request is condemned,
-// MaxAttempts is reached or every ready target was tried. A hedge is not sent to a target that limits its rate.
+// MaxAttempts is reached or every ready target was tried. A hedge is not sent to a target that
+// limits its rate.
 func (a *requestAttempts) start(ctx context.Context, hedge bool) bool {
 	in := a.instance
 	if a.countedAttempts >= a.request.maxAttempts {
@@ -118,7 +115,7 @@
 	if !found {
 		return false
 	}
-	a.tried[target.ID], a.lastTarget = true, target
+	a.tried[target.ID] = true
 	a.countStart()
 	go func() {
 		a.results <- in.sendAttempt(ctx, a.request, target, suspected, a.deadline, countReadyTargets(view, a.request.service))
@@ -126,6 +123,14 @@
 	return true
 }
 
+// awaitRunning handles the results of the attempts in flight after ctx has ended, which ends
+// them too. They tell whether the request may have reached a target.
+func (a *requestAttempts) awaitRunning() {
+	for a.running > 0 {
+		a.handleResult(<-a.results)
+	}
+}
+
 func (a *requestAttempts) countStart() {
 	if a.startedAttempts == 0 {
 		a.startedAt = a.instance.clock.Now()
