A request is refused at once while no target of its service accepts a connection

A target that has stopped is back after seconds, so that nothing is gained by waiting. When every target has been tried and none accepted a connection, the request is refused as not run, with a Retry-After of 1 s; if the instance itself turns out to be cut off, it goes through another instance. Targets that refuse by a response may have a free slot soon and are tried again as before.

--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -20,17 +20,19 @@
 	request  *plainRequest
 	deadline time.Duration
 
-	tried           map[string]bool // targets of earlier attempts; not chosen again
-	results         chan *attemptResult
-	running         int
-	countedAttempts int             // limited by MaxAttempts; without those that got no connection
-	startedAttempts int             // all attempts, for logs and metrics
-	startedAt       time.Duration   // of the first attempt
-	slow            bool            // the first attempt took long
-	relaying        bool            // the instance reaches no target: attempts go through other instances
-	peers           map[string]bool // addresses of these instances
-	serverErrors    int             // attempts whose target responded with status 500
-	heldBack        int             // attempts that were not sent, as their targets limit the rate of requests
+	tried             map[string]bool // targets of earlier attempts; not chosen again
+	results           chan *attemptResult
+	running           int
+	countedAttempts   int             // limited by MaxAttempts; without those that got no connection
+	startedAttempts   int             // all attempts, for logs and metrics
+	startedAt         time.Duration   // of the first attempt
+	slow              bool            // the first attempt took long
+	relaying          bool            // the instance reaches no target: attempts go through other instances
+	peers             map[string]bool // addresses of these instances
+	serverErrors      int             // attempts whose target responded with status 500
+	refusedByResponse bool            // since all targets were tried last, one of them answered
+	noneAccepts       bool            // no target of the service accepts a connection
+	heldBack          int             // attempts that were not sent, as their targets limit the rate of requests
 	// condemned is the verdict that ended the attempts; nil: none.
 	condemned *poison.Verdict
 	// allowedIn is the time until the first of these targets takes a request; zero: unknown.
@@ -60,7 +62,17 @@
 			if a.condemned != nil || a.relaying || a.heldBack > 0 || !a.allTargetsRefused() {
 				return
 			}
-			clear(a.tried) // every target refused; one may get a free slot soon
+			switch {
+			case a.refusedByResponse: // one may get a free slot soon
+				clear(a.tried)
+				a.refusedByResponse = false
+			case a.request.relayable && !in.links.confirmSince(ctx, a.startedAt):
+				a.relaying = true
+				continue
+			default: // a target that has stopped is back after seconds
+				a.noneAccepts = true
+				return
+			}
 			if !clock.Sleep(ctx, allRefusedBackoff) {
 				return
 			}
@@ -107,7 +119,7 @@
 	if suspected && hedge {
 		return false
 	}
-	if a.request.relayable && in.links.isCut() {
+	if a.relaying || a.request.relayable && in.links.isCut() {
 		return a.relay(ctx)
 	}
 	view := in.stateLoop.view.Load()
@@ -222,6 +234,7 @@
 	if r.outcome == retry.NotRun && r.err != nil {
 		a.countedAttempts-- // it was not sent
 	}
+	a.refusedByResponse = a.refusedByResponse || r.err == nil
 	var noAllowance *noAllowanceError
 	if errors.As(r.err, &noAllowance) {
 		a.heldBack++
--- a/internal/hosted/front.go
+++ b/internal/hosted/front.go
@@ -18,6 +18,9 @@
 	timeoutMargin = 20 * time.Millisecond
 	// retryAfter is the Retry-After of refused requests: a few polls of the registry.
 	retryAfter = 250 * time.Millisecond
+	// stoppedRetryAfter is the Retry-After while no target of a service accepts a connection:
+	// targets take seconds to start.
+	stoppedRetryAfter = time.Second
 	// defaultTimeout bounds requests for which neither route nor caller sets a timeout.
 	defaultTimeout = 30 * time.Second
 	// defaultMaxBodyBytes bounds request bodies if the configuration sets no limit.
--- a/internal/hosted/links.go
+++ b/internal/hosted/links.go
@@ -106,21 +106,31 @@
 // confirm reports whether the instance reaches a target. It connects to two unless there was a
 // sign of life lately.
 func (m *linkMonitor) confirm(ctx context.Context) bool {
+	return m.confirmSince(ctx, m.instance.clock.Now()-confirmedFor)
+}
+
+// confirmSince is confirm for a sign of life since then.
+func (m *linkMonitor) confirmSince(ctx context.Context, since time.Duration) bool {
 	if m.isCut() {
 		return false
 	}
-	if m.heardLately() || m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) {
+	if m.signOfLifeSince(since) || m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) {
 		return true
 	}
 	m.suspect()
 	return false
 }
 
-// heardLately reports whether a target has sent something or accepted a connection within
-// confirmedFor.
+// heardLately reports whether there was a sign of life of a target within confirmedFor.
 func (m *linkMonitor) heardLately() bool {
+	return m.signOfLifeSince(m.instance.clock.Now() - confirmedFor)
+}
+
+// signOfLifeSince reports whether a target has sent something or accepted a connection since
+// then.
+func (m *linkMonitor) signOfLifeSince(since time.Duration) bool {
 	last := max(m.lastHeard.Load(), m.lastConnected.Load())
-	return last != 0 && m.instance.clock.Now()-time.Duration(last) < confirmedFor
+	return last != 0 && time.Duration(last) > since
 }
 
 // checkIfQuiet checks the links unless there was a sign of life lately. It does not wait.
--- a/internal/hosted/links_test.go
+++ b/internal/hosted/links_test.go
@@ -222,7 +222,7 @@
 		Expect(res.header.Get("Retry-After")).NotTo(BeEmpty())
 	}, Entry("idempotent", "/confirm/x"), Entry("not idempotent", "/once/x"))
 
-	It("is not held to its deadline while no target accepts a connection", Label("known-red"), func() {
+	It("is not held to its deadline while no target accepts a connection", func() {
 		d := newDeployment(1, 1)
 		for _, p := range d.plain {
 			d.servers[p.ID].Close()
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -131,6 +131,8 @@
 		in.refuseFor(c, in.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
 	case attempted.condemned != nil && (best == nil || best.outcome == retry.NotRun):
 		in.refuseCondemned(c, *attempted.condemned)
+	case attempted.noneAccepts:
+		in.refuseFor(c, stoppedRetryAfter, "no target accepts a connection")
 	case best == nil || best.outcome == retry.NotRun:
 		in.refuse(c, "no target took the request")
 	case ctx.Err() != nil:
