A request whose connection broke off waits 50 ms at most for the check of its target

The check of a target that is silent, not crashed, takes 300 ms; an idempotent request whose connection broke off was sent again only then. A crashed target refuses a connection within milliseconds, which is all that the next attempt needs to know.

--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -17,6 +17,9 @@
 	// maxCrashDelay is the longest run of a request that counts as crashing its target: such a
 	// request does so as it begins to run.
 	maxCrashDelay = 2 * time.Second
+	// crashSettleTime is how long a request waits for the check before it is sent again: a target
+	// that has crashed refuses a connection within milliseconds.
+	crashSettleTime = 50 * time.Millisecond
 	// crashCheckInterval and crashCheckRounds bound how long a check goes on while no other
 	// target accepts a connection either: targets that crash are back after some seconds.
 	crashCheckInterval = 500 * time.Millisecond
@@ -41,7 +44,7 @@
 // crashCheck is a check of one target.
 type crashCheck struct {
 	requests []lostRequest
-	settled  chan struct{} // closed after the first round
+	settled  chan struct{} // closed when it is known whether the target has crashed
 }
 
 // lostRequest is a request whose connection to a target broke off.
@@ -75,8 +78,11 @@
 	}
 	check.requests = append(check.requests, r)
 	d.mu.Unlock()
+	settle := time.NewTimer(crashSettleTime)
+	defer settle.Stop()
 	select {
 	case <-check.settled:
+	case <-settle.C:
 	case <-ctx.Done():
 	}
 }
@@ -85,9 +91,6 @@
 func (d *crashDetector) run(ctx context.Context, t directory.Target, key poison.Target, check *crashCheck) {
 	crashed, known := d.probe(ctx, t)
 	for round := 1; !known && round < crashCheckRounds; round++ {
-		if round == 1 {
-			close(check.settled)
-		}
 		clock.Sleep(ctx, crashCheckInterval)
 		crashed, known = d.probe(ctx, t)
 	}
@@ -98,11 +101,7 @@
 	if crashed && known {
 		d.instance.poisonGuard.targetCrashed(t, requests)
 	}
-	select {
-	case <-check.settled:
-	default:
-		close(check.settled)
-	}
+	close(check.settled)
 }
 
 // probe reports whether the target has crashed, and whether that is known: not if no other
