Relayed responses: a target cannot set the mark of own responses; streams are recorded once

A target's response could bear the header by which an instance marks its own, and would have been read as not run; it is dropped. The relaying and the relayed instance both recorded which software version began a stream, the former without the version; now only the one that knows it does. The count of attempts does not fall below zero when the links are lost beside attempts that open connections.

--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -232,7 +232,7 @@
 func (a *requestAttempts) handleResult(r *attemptResult) (final bool) {
 	a.running--
 	if r.outcome == retry.NotRun && r.err != nil {
-		a.countedAttempts-- // it was not sent
+		a.countedAttempts = max(0, a.countedAttempts-1) // it was not sent
 	}
 	a.refusedByResponse = a.refusedByResponse || r.err == nil
 	var noAllowance *noAllowanceError
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -147,6 +147,7 @@
 		events.F("software", r.target.Software), events.F("status", fmt.Sprint(r.status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
 		events.F("took", took.Round(time.Millisecond).String()))
 	platform.CopyResponseHeader(c.w.Header(), r.header)
+	c.w.Header().Del(headerOwnResponse) // only this instance may set it
 	if r.stream != nil {
 		in.recordStream(c, r)
 		in.forwardStream(c, request, r)
@@ -183,7 +184,9 @@
 			return
 		}
 		if err != nil {
-			in.crashDetector.requestLost(c.r.Context(), r.target, lostRequest{request.id, request.digest()}, r.sentAt)
+			if !r.relayed {
+				in.crashDetector.requestLost(c.r.Context(), r.target, lostRequest{request.id, request.digest()}, r.sentAt)
+			}
 			in.log("request stream broken", events.F("request", c.ID), events.F("target", r.target.ID), events.F("error", err.Error()))
 			panic(http.ErrAbortHandler)
 		}
--- a/internal/hosted/takeup.go
+++ b/internal/hosted/takeup.go
@@ -21,7 +21,7 @@
 // every instance can send the rest of the stream to that version. It does not wait for the
 // log: a stream whose record is lost cannot be taken up.
 func (in *Instance) recordStream(c *callerRequest, r *attemptResult) {
-	if !c.route.Resumable || c.TakesUpStream {
+	if !c.route.Resumable || c.TakesUpStream || r.relayed { // the instance that relays it knows the version
 		return
 	}
 	in.appendRecordAsync(job.Record{StreamStarted: &job.StreamStarted{Request: c.ID, Software: r.target.Software}})
