A submission checks the links only if its own instance is to run the job

Each submission at an instance without a sign of life from a target in the last second opened two connections to targets, also where the runner of the model's last job is named anyway.

--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -102,16 +102,16 @@
 // stopping or reaches no target returns an empty name instead of its own, so that another
 // instance claims the job.
 func (in *Instance) chooseRunner(ctx context.Context, model string) string {
-	runner := in.self
-	if in.isStopping() || !in.links.confirm(ctx) {
-		runner = ""
-	}
+	runner := ""
 	in.stateLoop.do(ctx, func() {
 		last := in.stateLoop.state.Runners[model]
 		if last.Name != "" && last.Name != in.self && in.clock.Now()-last.LastSeen < runnerMaxAge {
 			runner = last.Name
 		}
 	})
+	if runner == "" && !in.isStopping() && in.links.confirm(ctx) {
+		return in.self
+	}
 	return runner
 }
 
