Soak: a request that crashes its targets, instances that lose their links

Every run sends a request under which plain targets crash and start again, at random instances, and cuts single instances off from all targets (silent, one way, reset; the proxies find the instance by the socket's owner).

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -69,6 +69,8 @@
 	case trimTopics:
 		e.logStore.TrimTopic(platform.OperatorTopic)
 		e.logStore.TrimTopic(platform.RegistryTopic)
+	case linksCut:
+		e.cutLinks(ctx, f)
 	case keyRotation:
 		e.rotateKey(ctx)
 	case newWeightVersion:
@@ -78,6 +80,20 @@
 	}
 }
 
+// cutLinks makes one instance lose its links to all targets: its connections go silent, or are
+// reset.
+func (e *environment) cutLinks(ctx context.Context, f fault) {
+	modes := []proxyMode{blackholed, responsesBlocked, resetting}
+	owner := f.index % len(e.instances)
+	for _, t := range e.targets {
+		t.proxy.setOwnerMode(owner, modes[f.variant%len(modes)])
+	}
+	sleep(ctx, f.duration)
+	for _, t := range e.targets {
+		t.proxy.setOwnerMode(owner, forwarding)
+	}
+}
+
 // applyTargetFault is applyFault for the faults of a target.
 func (e *environment) applyTargetFault(ctx context.Context, f fault) {
 	t := e.targets[f.index%len(e.targets)]
@@ -149,6 +165,9 @@
 	}
 	for _, t := range e.targets {
 		t.proxy.setMode(forwarding)
+		for owner := range e.instances {
+			t.proxy.setOwnerMode(owner, forwarding)
+		}
 		t.engine.SetStalled(false)
 		t.engine.AbortAfterEvents(0)
 	}
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -20,33 +20,43 @@
 	resetting                  // open and new connections are reset
 )
 
+// connOwner returns the index of the instance that has opened a connection, as its client side,
+// or noOwner.
+type connOwner func(client net.Conn) int
+
+const noOwner = -1
+
 // chunkDelay is the delay of each chunk in mode delayed.
 const chunkDelay = 120 * time.Millisecond
 
 // faultProxy is a TCP proxy on loopback in front of one server. Its mode can change at
 // any time and applies to open connections too.
 type faultProxy struct {
-	listener net.Listener
-	upstream string
+	upstream      string
+	listenAddress string
+	owners        connOwner // nil: unknown
 
-	mu      sync.Mutex
-	mode    proxyMode
-	changed chan struct{}     // closed when the mode changes
-	conns   map[net.Conn]bool // open connections, to clients and to the server
+	mu       sync.Mutex
+	listener net.Listener
+	mode     proxyMode
+	cut      map[int]proxyMode // for the connections of single instances
+	changed  chan struct{}     // closed when a mode changes
+	conns    map[net.Conn]int  // owners of the open connections, to clients and to the server
 }
 
-// newFaultProxy starts a proxy in mode forwarding for the server at the address upstream.
-func newFaultProxy(upstream string) (*faultProxy, error) {
+// newFaultProxy starts a proxy in mode forwarding for the server at the address upstream. owners
+// may be nil: then the modes of single instances do not apply.
+func newFaultProxy(upstream string, owners connOwner) (*faultProxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen on loopback: %w", err)
 	}
-	p := &faultProxy{listener: listener, upstream: upstream, changed: make(chan struct{}), conns: map[net.Conn]bool{}}
-	go p.accept()
+	p := &faultProxy{listener: listener, listenAddress: listener.Addr().String(), upstream: upstream, owners: owners, changed: make(chan struct{}), cut: map[int]proxyMode{}, conns: map[net.Conn]int{}}
+	go p.accept(listener)
 	return p, nil
 }
 
-func (p *faultProxy) address() string { return p.listener.Addr().String() }
+func (p *faultProxy) address() string { return p.listenAddress }
 
 // setMode changes the mode. Mode resetting resets the open connections at once.
 func (p *faultProxy) setMode(m proxyMode) {
@@ -56,13 +66,37 @@
 	close(p.changed)
 	p.changed = make(chan struct{})
 	if m == resetting {
-		p.resetConns()
+		p.resetConns(func(int) bool { return true })
+	}
+}
+
+// setOwnerMode changes the mode for the connections of one instance. Another mode than
+// forwarding replaces the proxy's.
+func (p *faultProxy) setOwnerMode(owner int, m proxyMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cut[owner] = m
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if m == resetting {
+		p.resetConns(func(o int) bool { return o == owner })
 	}
 }
 
-// resetConns resets every open connection. The caller holds the lock.
-func (p *faultProxy) resetConns() {
-	for c := range p.conns {
+// modeFor returns the mode for the connections of an instance. The caller holds the lock.
+func (p *faultProxy) modeFor(owner int) proxyMode {
+	if m := p.cut[owner]; m != forwarding {
+		return m
+	}
+	return p.mode
+}
+
+// resetConns resets the open connections of the owners. The caller holds the lock.
+func (p *faultProxy) resetConns(affected func(owner int) bool) {
+	for c, owner := range p.conns {
+		if !affected(owner) {
+			continue
+		}
 		if tcp, ok := c.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // Close sends a reset in place of a FIN
 		}
@@ -72,45 +106,66 @@
 
 // close stops listening and resets every connection.
 func (p *faultProxy) close() {
-	_ = p.listener.Close() // the proxy is its only user
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.resetConns()
+	_ = p.listener.Close() // the proxy is its only user
+	p.resetConns(func(int) bool { return true })
 }
 
-func (p *faultProxy) accept() {
+// crash stops listening and resets every connection, as the end of the server's process does,
+// until the returned function is called.
+func (p *faultProxy) crash() (restart func() error) {
+	p.close()
+	return func() error {
+		listener, err := net.Listen("tcp", p.address())
+		if err != nil {
+			return fmt.Errorf("listen again: %w", err)
+		}
+		p.mu.Lock()
+		p.listener = listener
+		p.mu.Unlock()
+		go p.accept(listener)
+		return nil
+	}
+}
+
+func (p *faultProxy) accept(listener net.Listener) {
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return // the listener is closed
 		}
+		owner := noOwner
+		if p.owners != nil {
+			owner = p.owners(client)
+		}
 		p.mu.Lock()
-		reset := p.mode == resetting
-		p.conns[client] = true
+		reset := p.modeFor(owner) == resetting
+		p.conns[client] = owner
 		if reset {
-			p.resetConns()
+			p.resetConns(func(o int) bool { return o == owner })
 		}
 		p.mu.Unlock()
 		if reset {
 			continue
 		}
-		go p.serve(client)
+		go p.serve(client, owner)
 	}
 }
 
 // serve connects the client to the server and forwards bytes both ways until the
 // connection ends.
-func (p *faultProxy) serve(client net.Conn) {
+func (p *faultProxy) serve(client net.Conn, owner int) {
 	server, err := net.Dial("tcp", p.upstream)
 	if err != nil {
 		_ = client.Close() // the server does not accept connections
 		return
 	}
 	p.mu.Lock()
-	p.conns[server] = true
+	p.conns[server] = owner
 	p.mu.Unlock()
-	go p.copy(server, client, false)
-	p.copy(client, server, true)
+	go p.copy(server, client, owner, false)
+	p.copy(client, server, owner, true)
 	p.mu.Lock()
 	delete(p.conns, server)
 	delete(p.conns, client)
@@ -119,14 +174,14 @@
 
 // copy forwards bytes from src to dst as the mode allows, until either side ends.
 // responses is true for the direction from the server to the client.
-func (p *faultProxy) copy(dst, src net.Conn, responses bool) {
+func (p *faultProxy) copy(dst, src net.Conn, owner int, responses bool) {
 	defer dst.Close()
 	defer src.Close()
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(buffer)
 		if n > 0 {
-			p.waitWhileBlocked(responses)
+			p.waitWhileBlocked(owner, responses)
 			if _, writeErr := dst.Write(buffer[:n]); writeErr != nil {
 				return
 			}
@@ -139,10 +194,10 @@
 
 // waitWhileBlocked waits until the mode lets a chunk pass in the given direction. In mode
 // delayed it waits for chunkDelay.
-func (p *faultProxy) waitWhileBlocked(responses bool) {
+func (p *faultProxy) waitWhileBlocked(owner int, responses bool) {
 	for {
 		p.mu.Lock()
-		m, changed := p.mode, p.changed
+		m, changed := p.modeFor(owner), p.changed
 		p.mu.Unlock()
 		switch {
 		case m == delayed:
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -63,6 +63,8 @@
 	defer jobs.Stop()
 	requests := time.NewTicker(requestInterval)
 	defer requests.Stop()
+	poison := time.NewTicker(poisonInterval)
+	defer poison.Stop()
 	streams := time.NewTicker(talkInterval)
 	defer streams.Stop()
 	elapsed := time.After(l.env.cfg.Duration)
@@ -77,6 +79,9 @@
 			id, events := fmt.Sprintf("job-%d", n), l.randomTasks(n)
 			firstInstance := l.random.IntN(len(l.env.instances))
 			wg.Go(func() { l.submit(id, events, firstInstance) })
+		case <-poison.C:
+			id, instance := fmt.Sprintf("poison-%d", n), l.random.IntN(len(l.env.instances))
+			wg.Go(func() { l.sendPoison(id, instance) })
 		case <-streams.C:
 			id, instance := fmt.Sprintf("talk-%d", n), l.random.IntN(len(l.env.instances))
 			wg.Go(func() { l.talk(id, instance) })
@@ -134,6 +139,7 @@
 	if status == http.StatusOK && !bytes.HasSuffix(body, []byte(":"+id)) {
 		l.env.recordViolation("request %s got the response %q", id, body)
 	}
+	l.env.checkInnocent(id, status, body)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.statuses[id] = status
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -25,13 +25,14 @@
 	keyRotation                       // a key is added and the older ones are withdrawn
 	newWeightVersion                  // the trainer publishes a weight version
 	targetLimit                       // one target names a limit of 1 to 3 requests a second
+	linksCut                          // one instance loses its links to all targets
 	numFaultKinds
 )
 
 // faultKindNames are the names that the run prints, by kind.
 var faultKindNames = [...]string{
 	"kill", "pause", "stop", "log proxy", "log fault", "partition down", "topics trimmed", "target proxy",
-	"engine stalled", "engine aborts", "key rotation", "new weight version", "target limit",
+	"engine stalled", "engine aborts", "key rotation", "new weight version", "target limit", "links cut",
 }
 
 // fault is one fault of a run. start counts from the start of the load.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -4,7 +4,8 @@
 // direction or reset connections, by signals to the processes, and by the fault switches
 // of the stand-ins for the log and the engines.
 //
-// Callers' streams and the tasks of jobs must hold events of one software version, and targets
+// A request that crashes its targets comes again and again, and single instances lose their
+// links to all targets. Callers' streams and the tasks of jobs must hold events of one software version, and targets
 // that name a limit must not get more requests than they may.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
@@ -74,6 +75,7 @@
 	weightVersion int64
 	violations    []string
 	limitPeriods  []limitPeriod
+	crashes       int // of targets, under the poison request
 	report        Report
 }
 
@@ -82,7 +84,8 @@
 type target struct {
 	engine  *hostplatform.Engine
 	proxy   *faultProxy
-	limited bool // names a limit; guarded by the environment's mu
+	limited bool // names a limit; guarded by the environment's mu, as is crashed
+	crashed bool // it is down
 }
 
 // Run executes one seeded run. It fails when the environment cannot be set up; broken
@@ -99,6 +102,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go e.runHeartbeats(ctx)
+	for _, t := range e.targets[cfg.Engines:] {
+		e.crashOnPoison(ctx, t)
+	}
 	for _, p := range e.instances {
 		if err := p.start(); err != nil {
 			return Report{}, err
@@ -114,6 +120,7 @@
 	wg.Wait()
 	e.clearFaults()
 	load.waitForJobs(ctx)
+	e.checkPoison(load)
 	e.check(load)
 	e.report.Violations = e.violations
 	return e.report, nil
@@ -141,7 +148,7 @@
 		if err != nil {
 			return err
 		}
-		proxy, err := newFaultProxy(address)
+		proxy, err := newFaultProxy(address, e.ownerOf)
 		if err != nil {
 			return err
 		}
@@ -149,7 +156,7 @@
 	}
 	e.writeConfig()
 	for i := range e.cfg.Instances {
-		proxy, err := newFaultProxy(logAddress)
+		proxy, err := newFaultProxy(logAddress, nil)
 		if err != nil {
 			return err
 		}
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -32,6 +32,7 @@
 	plainHandler    func(w http.ResponseWriter, r *http.Request) bool
 	eventInterval   time.Duration
 	violations      []string
+	startedAt       int64       // "born" of the registry entry
 	limit           float64     // requests a second that responses name as the limit; zero: none
 	arrivals        []time.Time // of all requests
 }
@@ -49,7 +50,7 @@
 // NewEngine returns an engine at weight version 1.
 func NewEngine(id, model string, slots int) *Engine {
 	return &Engine{
-		ID: id, Model: model, Slots: slots, software: FirstSoftware, version: 1, eventInterval: 2 * time.Millisecond,
+		ID: id, Model: model, Slots: slots, software: FirstSoftware, version: 1, startedAt: 1, eventInterval: 2 * time.Millisecond,
 		statusByRequest: map[string]int{}, holders: map[int64]string{},
 	}
 }
@@ -103,6 +104,13 @@
 	e.software = version
 }
 
+// Restart changes the start time in the registry entry.
+func (e *Engine) Restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.startedAt++
+}
+
 // Runs returns the requests that the engine began to run, oldest first.
 func (e *Engine) Runs() []Run {
 	e.mu.Lock()
@@ -126,14 +134,14 @@
 }
 
 // RegistryEntry returns the engine's registry entry. Its sequence is derived from the
-// weight version, as it only has to increase; its start time ("born") is constant.
+// weight version, as it only has to increase.
 func (e *Engine) RegistryEntry(service, address, dataCentre, state string) map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return map[string]any{
 		"service": service, "address": address, "zone": dataCentre, "version": e.software, "slots": e.Slots, "state": state,
 		"models":   []map[string]any{{"name": e.Model, "version": e.version, "adapters": []string{}}},
-		"sequence": 100 + e.version, "born": 1,
+		"sequence": 100 + e.version, "born": e.startedAt,
 	}
 }
 
