Specs of crashing targets start new ones outside the spec's cleanup

A target that replaces a crashed one was started by a timer, which registered a cleanup with the suite while the spec ended: a data race in the test, seen once under -race. The specs now wait for these targets and close them themselves.

--- a/internal/hosted/crashes_test.go
+++ b/internal/hosted/crashes_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/amaranthfold/amaranthfold/internal/standin"
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -27,7 +28,9 @@
 	deployment *deployment
 	crashes    func(hostplatform.Run) bool
 	count      atomic.Int64
-	started    atomic.Int64 // targets started in place of crashed ones
+	started    atomic.Int64   // targets started in place of crashed ones
+	restarts   sync.WaitGroup // in progress
+	servers    []*standin.Server
 }
 
 // isPoison reports whether a request crashes the targets that run it.
@@ -36,6 +39,12 @@
 // crashOn makes the plain targets crash under the requests for which the function returns true.
 func (d *deployment) crashOn(f func(hostplatform.Run) bool) *crashes {
 	c := &crashes{deployment: d, crashes: f}
+	DeferCleanup(func() {
+		c.restarts.Wait()
+		for _, server := range c.servers {
+			server.Close()
+		}
+	})
 	for _, p := range d.plain {
 		c.watch(p)
 	}
@@ -66,11 +75,15 @@
 	delete(d.entries, id)
 	d.mu.Unlock()
 	server.Close()
-	time.AfterFunc(300*time.Millisecond, func() {
+	c.restarts.Go(func() {
 		defer GinkgoRecover()
+		time.Sleep(300 * time.Millisecond)
 		d.store.Put(platform.RegistryTopic, id, nil)
-		p := d.addTarget(fmt.Sprint("r", c.started.Add(1)), "desk", 6, hostplatform.FirstSoftware)
+		p, server := d.startTarget(fmt.Sprint("r", c.started.Add(1)), "desk", 6, hostplatform.FirstSoftware)
 		c.watch(p)
+		c.deployment.mu.Lock()
+		defer c.deployment.mu.Unlock()
+		c.servers = append(c.servers, server)
 	})
 }
 
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -108,11 +108,17 @@
 // addTarget starts a stand-in target and registers it: an engine for model m, or without
 // models for the plain service desk.
 func (d *deployment) addTarget(id, service string, slots int, software string) *hostplatform.Engine {
+	e, server := d.startTarget(id, service, slots, software)
+	DeferCleanup(server.Close)
+	return e
+}
+
+// startTarget is addTarget without the end of the target at the end of the spec.
+func (d *deployment) startTarget(id, service string, slots int, software string) (*hostplatform.Engine, *standin.Server) {
 	e := hostplatform.NewEngine(id, "m", slots)
 	e.SetSoftware(software)
 	server, err := standin.Serve(e)
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(server.Close)
 	addr := address(server)
 	d.mu.Lock()
 	d.servers[id] = server
@@ -124,7 +130,7 @@
 		}
 		return entry
 	})
-	return e
+	return e, server
 }
 
 func (d *deployment) register(id string, entry func() map[string]any) {
