A relayed request that is refused for all is not sent to further instances

Found while reading: an instance without links sent a request on to up to eight others, each of which refused it because the targets of its service were down, limited, or the request condemned. At hundreds of instances that multiplies the load on a service in trouble. An instance says in its own response whether another one may serve the request; if not, the caller gets its Retry-After at once.

--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -242,7 +242,7 @@
 			a.allowedIn = noAllowance.retryAfter
 		}
 	}
-	if a.best == nil || r.outcome != retry.NotRun && !a.best.hasResponse() || r.hasResponse() {
+	if a.best == nil || r.outcome != retry.NotRun && !a.best.hasResponse() || r.hasResponse() || r.refused && a.best.outcome == retry.NotRun {
 		a.best = r
 	}
 	if r.hasResponse() && r.status == http.StatusInternalServerError {
@@ -250,6 +250,8 @@
 	}
 	idempotent := a.request.kind == catalog.Idempotent
 	switch {
+	case r.refused:
+		return a.running == 0
 	case r.hasResponse() && (r.status < http.StatusInternalServerError || !idempotent):
 		return true
 	case r.hasResponse(): // status 5xx: another target may succeed, else this response is used
--- a/internal/hosted/front.go
+++ b/internal/hosted/front.go
@@ -40,6 +40,8 @@
 	body    []byte
 	started time.Duration // arrival, by clock.Now
 	relayed bool          // by another instance
+	// ownResponse is the header of responses that this instance generates to a relayed request.
+	ownResponse string
 }
 
 // refuse responds with status 503 and Retry-After to a request that has not run and will
@@ -64,7 +66,7 @@
 		events.F("took", (in.clock.Now()-c.started).Round(time.Millisecond).String()))
 	platform.SetOwnResponseHeader(c.w.Header(), c.ID, 0)
 	if c.relayed {
-		c.w.Header().Set(headerOwnResponse, "1")
+		c.w.Header().Set(headerOwnResponse, c.ownResponse)
 	}
 	http.Error(c.w, reason, status)
 }
--- a/internal/hosted/links_test.go
+++ b/internal/hosted/links_test.go
@@ -159,6 +159,21 @@
 		}
 	}, linkFaults)
 
+	It("asks one other instance when the targets of the service are down for all", func() {
+		d := newDeployment(3, 2)
+		d.awaitAnnouncements()
+		d.instances[0].links.set(refusing)
+		for _, p := range d.plain {
+			d.servers[p.ID].Close()
+		}
+		res := d.instances[0].call(http.MethodPost, "/once/x", "r", key, []byte("b"))
+		Expect(res.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(strings.Count(d.logged(), `target="through`)).To(Equal(1), "instances asked")
+		seconds, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(seconds).To(BeNumerically("==", 1), "that of the other instance")
+	})
+
 	DescribeTable("hands the tasks of its jobs to one that reaches the targets", func(fault linkFault) {
 		d := newDeployment(3, 2)
 		d.awaitAnnouncements() // the first instance runs the jobs of the model
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -88,6 +88,10 @@
 	sentAt         time.Duration
 	brokenOff      bool // the connection broke off before the response was complete
 	relayed        bool // the request went through another instance, which counts it
+	// refused is set if the other instance refuses the request for a reason that holds at all
+	// instances; retryAfter is its Retry-After.
+	refused    bool
+	retryAfter time.Duration
 }
 
 // hasResponse reports whether the attempt has a response that may be forwarded: the
@@ -131,6 +135,8 @@
 		in.refuseFor(c, in.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
 	case attempted.condemned != nil && (best == nil || best.outcome == retry.NotRun):
 		in.refuseCondemned(c, *attempted.condemned)
+	case best != nil && best.refused:
+		in.refuseFor(c, best.retryAfter, best.err.Error())
 	case attempted.noneAccepts:
 		in.refuseFor(c, stoppedRetryAfter, "no target accepts a connection")
 	case best == nil || best.outcome == retry.NotRun:
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -36,8 +36,10 @@
 	// headerRelayed marks a request that another instance relays. It holds the version of that
 	// instance's configuration.
 	headerRelayed = "Amaranthfold-Relayed-Config"
-	// headerOwnResponse marks a response that the relaying instance has generated itself.
+	// headerOwnResponse marks a response that the relaying instance has generated itself. It
+	// holds tryAnother if that instance cannot serve any request now.
 	headerOwnResponse = "Amaranthfold-Own-Response"
+	tryAnother        = "try another instance"
 )
 
 // relays sends callers' requests through other instances while this one reaches no target. The
@@ -136,6 +138,8 @@
 		_ = res.Body.Close() // the reason is in the other instance's log
 		result.err = fmt.Errorf("instance %s answered with status %d", address, res.StatusCode)
 		connected = res.StatusCode != http.StatusServiceUnavailable // which means that it was not run
+		result.refused = !connected && res.Header.Get(headerOwnResponse) != tryAnother
+		result.retryAfter = platform.RetryAfter(res.Header)
 	default:
 		in.readResponse(p, result, res)
 	}
@@ -147,7 +151,7 @@
 		result.outcome = retry.Unknown
 	}
 	if result.err != nil {
-		if ctx.Err() == nil {
+		if ctx.Err() == nil && !result.refused {
 			r.markFailed(address)
 		}
 		in.log("request attempt failed", events.F("request", p.id), events.F("target", result.target.ID),
@@ -165,6 +169,7 @@
 	in := r.instance
 	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(req), w: w, r: req, view: in.stateLoop.view.Load(), started: in.clock.Now(), relayed: true}
 	c.account = platform.ForwardedAccount(req)
+	c.ownResponse = tryAnother
 	version := req.Header.Get(headerRelayed)
 	req.Header.Del(headerRelayed)
 	select {
@@ -182,6 +187,7 @@
 		in.refuse(c, "the other instance has a newer configuration: "+version)
 		return
 	}
+	c.ownResponse = "final"
 	route, found := c.view.Catalog.Match(req.Host, req.URL.Path)
 	if !found || route.Kind == catalog.Batch {
 		in.refuse(c, "no route of plain requests matches the host and path")
