--- a/internal/hosted/allowance.go
+++ b/internal/hosted/allowance.go
@@ -48,6 +48,7 @@
 // peerSet holds the known instances, this one included.
 type peerSet struct {
 	names     []string          // sorted
+	others    []string          // names without this instance
 	addresses map[string]string // listeners for other instances, by name
 }
 
@@ -72,7 +73,9 @@
 			addresses[name] = i.PeerAddress
 		}
 	}
-	a.peers.Store(&peerSet{slices.Sorted(maps.Keys(addresses)), addresses})
+	names := slices.Sorted(maps.Keys(addresses))
+	others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == a.instance.cfg.Settings.Instance })
+	a.peers.Store(&peerSet{names, others, addresses})
 }
 
 var errNoOwner = errors.New("no instance that grants requests to the target can be reached")
--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/poison"
+	"github.com/amaranthfold/amaranthfold/core/relay"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 )
@@ -28,7 +29,7 @@
 	startedAt         time.Duration   // of the first attempt
 	slow              bool            // the first attempt took long
 	relaying          bool            // the instance reaches no target: attempts go through other instances
-	peers             map[string]bool // addresses of these instances
+	peers             map[string]bool // names of these instances
 	serverErrors      int             // attempts whose target responded with status 500
 	refusedByResponse bool            // since all targets were tried last, one of them answered
 	noneAccepts       bool            // no target of the service accepts a connection
@@ -48,7 +49,7 @@
 func (in *Instance) runAttempts(ctx context.Context, p *plainRequest, deadline time.Duration) *requestAttempts {
 	a := &requestAttempts{
 		instance: in, request: p, deadline: deadline,
-		tried: map[string]bool{}, peers: map[string]bool{}, results: make(chan *attemptResult, p.maxAttempts+maxRelayPeers),
+		tried: map[string]bool{}, peers: map[string]bool{}, results: make(chan *attemptResult, p.maxAttempts+relay.MaxTries),
 	}
 	a.run(ctx)
 	return a
@@ -153,16 +154,16 @@
 }
 
 // relay sends the request through one more instance. It reports false if it was sent through
-// maxRelayPeers, or no further one is known.
+// enough of them, or no further one is known.
 func (a *requestAttempts) relay(ctx context.Context) bool {
 	a.relaying = true
-	address, found := a.instance.relays.choose(a.peers)
-	if !found || len(a.peers) >= maxRelayPeers {
+	name, address, found := a.instance.relays.choose(a.peers)
+	if !found {
 		return false
 	}
-	a.peers[address] = true
+	a.peers[name] = true
 	a.countStart()
-	go func() { a.results <- a.instance.relays.send(ctx, a.request, address, a.deadline) }()
+	go func() { a.results <- a.instance.relays.send(ctx, a.request, name, address, a.deadline) }()
 	return true
 }
 
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -12,21 +12,17 @@
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/core/relay"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 const (
-	relayDialTimeout = 100 * time.Millisecond // another instance accepts a connection within milliseconds
-	relayIdleConns   = 8                      // to each instance
-	relayIdleTimeout = 30 * time.Second       // shorter than the idle timeout of the listener
-	// maxRelayPeers bounds the instances that one request is sent to. Before any is known to
-	// reach targets, eight in a row fail in one of sixty cases if six of ten instances are cut off.
-	maxRelayPeers     = 8
+	relayDialTimeout  = 100 * time.Millisecond // another instance accepts a connection within milliseconds
+	relayIdleConns    = 8                      // to each instance
+	relayIdleTimeout  = 30 * time.Second       // shorter than the idle timeout of the listener
 	relayConfigWait   = 300 * time.Millisecond // for the configuration that the other instance has
-	relayPeerRetry    = 2 * time.Second        // until an instance that failed is used again
-	relayPeerTrust    = 5 * time.Second        // for which an instance that served a request is preferred
 	maxRelayedPending = 256                    // requests of other instances served at once
 )
 
@@ -50,14 +46,13 @@
 	client   *http.Client
 	slots    chan struct{} // holds one value for each request of another instance in progress
 
-	mu      sync.Mutex
-	failed  map[string]time.Duration // by address: when it may be used again
-	trusted map[string]time.Duration // by address: until when it is preferred
+	mu    sync.Mutex
+	peers *relay.Peers
 }
 
 func newRelays(in *Instance) *relays {
 	return &relays{
-		instance: in, failed: map[string]time.Duration{}, trusted: map[string]time.Duration{}, slots: make(chan struct{}, maxRelayedPending),
+		instance: in, peers: relay.NewPeers(), slots: make(chan struct{}, maxRelayedPending),
 		client: &http.Client{
 			CheckRedirect: noRedirect,
 			Transport: &http.Transport{
@@ -68,59 +63,32 @@
 	}
 }
 
-// choose returns the address of a random instance that has not failed lately and is not in
-// tried. It prefers those that have served a request.
-func (r *relays) choose(tried map[string]bool) (address string, found bool) {
-	peers := r.instance.allowances.peers.Load()
-	now := r.instance.clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	offset := int(r.instance.rand64() % uint64(max(1, len(peers.names))))
-	for i := range peers.names {
-		name := peers.names[(i+offset)%len(peers.names)]
-		a := peers.addresses[name]
-		if a == "" || name == r.instance.cfg.Settings.Instance || tried[a] || now < r.failed[a] {
-			continue
-		}
-		if now < r.trusted[a] {
-			return a, true
-		}
-		if !found {
-			address, found = a, true
-		}
-	}
-	return address, found
-}
-
-func (r *relays) markServed(address string) {
+// choose returns the instance for the next try of a request, and its address. tried holds the
+// instances that it was sent to.
+func (r *relays) choose(tried map[string]bool) (name, address string, found bool) {
+	known := r.instance.allowances.peers.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.instance.clock.Now()
-	for a, until := range r.trusted { // of instances that may be gone
-		if now >= until {
-			delete(r.trusted, a)
-		}
-	}
-	r.trusted[address] = now + relayPeerTrust
+	name, found = r.peers.Choose(r.instance.clock.Now(), known.others, tried, r.instance.rand64())
+	return name, known.addresses[name], found
 }
 
-func (r *relays) markFailed(address string) {
+// noteResult notes whether the instance serves requests.
+func (r *relays) noteResult(name string, served bool) {
 	now := r.instance.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for a, until := range r.failed {
-		if now >= until {
-			delete(r.failed, a)
-		}
+	if served {
+		r.peers.Served(now, name)
+		return
 	}
-	r.failed[address] = now + relayPeerRetry
-	delete(r.trusted, address)
+	r.peers.Failed(now, name)
 }
 
-// send sends the request through the instance at the address.
-func (r *relays) send(ctx context.Context, p *plainRequest, address string, deadline time.Duration) *attemptResult {
+// send sends the request through the instance with the name and address.
+func (r *relays) send(ctx context.Context, p *plainRequest, name, address string, deadline time.Duration) *attemptResult {
 	in := r.instance
-	result := &attemptResult{target: directory.Target{ID: "through " + address}, outcome: retry.NotRun, relayed: true}
+	result := &attemptResult{target: directory.Target{ID: "through " + name}, outcome: retry.NotRun, relayed: true}
 	connected := false
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	header := platform.ForwardedHeader(p.header, "", p.account, deadline-in.clock.Now())
@@ -136,7 +104,7 @@
 		result.err = err
 	case res.Header.Get(headerOwnResponse) != "":
 		_ = res.Body.Close() // the reason is in the other instance's log
-		result.err = fmt.Errorf("instance %s answered with status %d", address, res.StatusCode)
+		result.err = fmt.Errorf("instance %s answered with status %d", name, res.StatusCode)
 		connected = res.StatusCode != http.StatusServiceUnavailable // which means that it was not run
 		result.refused = !connected && res.Header.Get(headerOwnResponse) != tryAnother
 		result.retryAfter = platform.RetryAfter(res.Header)
@@ -146,13 +114,13 @@
 	switch {
 	case result.err == nil:
 		result.outcome = retry.Ran
-		r.markServed(address)
+		r.noteResult(name, true)
 	case connected:
 		result.outcome = retry.Unknown
 	}
 	if result.err != nil {
 		if ctx.Err() == nil && !result.refused {
-			r.markFailed(address)
+			r.noteResult(name, false)
 		}
 		in.log("request attempt failed", events.F("request", p.id), events.F("target", result.target.ID),
 			events.F("outcome", result.outcome.String()), events.F("status", fmt.Sprint(result.status)), events.F("error", result.err.Error()))
