--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"os"
@@ -31,14 +30,13 @@
 // socketInode returns the inode of the socket on loopback with the local port, empty if there is
 // none.
 func socketInode(port int) string {
-	file, err := os.Open("/proc/net/tcp")
+	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return "" // not Linux
 	}
-	defer file.Close()
 	local := fmt.Sprintf("0100007F:%04X", port)
-	for lines := bufio.NewScanner(file); lines.Scan(); {
-		if fields := strings.Fields(lines.Text()); len(fields) > 9 && fields[1] == local {
+	for line := range strings.Lines(string(table)) {
+		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == local {
 			return fields[9]
 		}
 	}
