--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -58,7 +58,7 @@
 }
 
 // requestLost checks whether the target has crashed under the request, sent at sentAt, whose
-// connection broke off. It returns after the first round of the check.
+// connection broke off. It returns when that is known, or after crashSettleTime.
 func (d *crashDetector) requestLost(ctx context.Context, t directory.Target, r lostRequest, sentAt time.Duration) {
 	if d.instance.clock.Now()-sentAt > maxCrashDelay {
 		return
