--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -9,13 +9,15 @@
 	requests, retries, refused, failed *metrics.Counter
 	requestTime                        *metrics.Histogram
 
-	jobs, listed, givenUp, claims                                                   *metrics.Counter
-	runs, runsBroken, runsMoved                                                     *metrics.Counter
-	runsResumed, runsStartedOver                                                    *metrics.Counter
-	taskTime                                                                        *metrics.Histogram
-	orders, reports                                                                 *metrics.Counter
-	limitsNamed, streamsTakenUp                                                     *metrics.Counter
-	linksLost, relayed, targetsCrashed, condemned, suspectsServed, condemnedRefused *metrics.Counter
+	jobs, listed, givenUp, claims    *metrics.Counter
+	runs, runsBroken, runsMoved      *metrics.Counter
+	runsResumed, runsStartedOver     *metrics.Counter
+	taskTime                         *metrics.Histogram
+	orders, reports                  *metrics.Counter
+	limitsNamed, streamsTakenUp      *metrics.Counter
+	linksLost, relayed               *metrics.Counter
+	targetsCrashed, condemned        *metrics.Counter
+	suspectsServed, condemnedRefused *metrics.Counter
 
 	allowancesGranted, allowancesDenied, allowancesUnanswered *metrics.Counter
 
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -33,9 +32,11 @@
 	// instance's configuration.
 	headerRelayed = "Amaranthfold-Relayed-Config"
 	// headerOwnResponse marks a response that the relaying instance has generated itself. It
-	// holds tryAnother if that instance cannot serve any request now.
+	// holds ownTryAnother if that instance cannot serve any request now, else ownFinal: every other one
+	// would answer the same.
 	headerOwnResponse = "Amaranthfold-Own-Response"
-	tryAnother        = "try another instance"
+	ownTryAnother     = "try another instance"
+	ownFinal          = "final"
 )
 
 // relays sends callers' requests through other instances while this one reaches no target. The
@@ -106,7 +107,7 @@
 		_ = res.Body.Close() // the reason is in the other instance's log
 		result.err = fmt.Errorf("instance %s answered with status %d", name, res.StatusCode)
 		connected = res.StatusCode != http.StatusServiceUnavailable // which means that it was not run
-		result.refused = !connected && res.Header.Get(headerOwnResponse) != tryAnother
+		result.refused = !connected && res.Header.Get(headerOwnResponse) == ownFinal
 		result.retryAfter = platform.RetryAfter(res.Header)
 	default:
 		in.readResponse(p, result, res)
@@ -128,8 +129,6 @@
 	return result
 }
 
-var errRelayBusy = errors.New("too many requests of other instances")
-
 // serve serves a request that another instance relays. That instance has checked the caller's
 // key. The responses that this instance generates are marked, so that they cannot be taken for
 // a target's.
@@ -137,14 +136,14 @@
 	in := r.instance
 	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(req), w: w, r: req, view: in.stateLoop.view.Load(), started: in.clock.Now(), relayed: true}
 	c.account = platform.ForwardedAccount(req)
-	c.ownResponse = tryAnother
+	c.ownResponse = ownTryAnother
 	version := req.Header.Get(headerRelayed)
 	req.Header.Del(headerRelayed)
 	select {
 	case r.slots <- struct{}{}:
 		defer func() { <-r.slots }()
 	default:
-		in.refuse(c, errRelayBusy.Error())
+		in.refuse(c, "too many requests of other instances")
 		return
 	}
 	if in.isStopping() || !in.links.confirm(req.Context()) {
@@ -155,7 +154,7 @@
 		in.refuse(c, "the other instance has a newer configuration: "+version)
 		return
 	}
-	c.ownResponse = "final"
+	c.ownResponse = ownFinal
 	route, found := c.view.Catalog.Match(req.Host, req.URL.Path)
 	if !found || route.Kind == catalog.Batch {
 		in.refuse(c, "no route of plain requests matches the host and path")
