--- a/internal/hosted/crashes_test.go
+++ b/internal/hosted/crashes_test.go
@@ -28,9 +28,12 @@
 	deployment *deployment
 	crashes    func(hostplatform.Run) bool
 	count      atomic.Int64
-	started    atomic.Int64   // targets started in place of crashed ones
-	restarts   sync.WaitGroup // in progress
-	servers    []*standin.Server
+	started    atomic.Int64 // targets started in place of crashed ones
+	restarting atomic.Int64 // restarts in progress
+
+	// Both are guarded by the deployment's mu.
+	servers []*standin.Server
+	ended   bool // the spec is over: nothing is started any more
 }
 
 // isPoison reports whether a request crashes the targets that run it.
@@ -40,7 +43,12 @@
 func (d *deployment) crashOn(f func(hostplatform.Run) bool) *crashes {
 	c := &crashes{deployment: d, crashes: f}
 	DeferCleanup(func() {
-		c.restarts.Wait()
+		d.mu.Lock()
+		c.ended = true
+		d.mu.Unlock()
+		Eventually(c.restarting.Load, eventuallyTimeout).Should(BeZero())
+		d.mu.Lock()
+		defer d.mu.Unlock()
 		for _, server := range c.servers {
 			server.Close()
 		}
@@ -73,10 +81,18 @@
 	d.mu.Lock()
 	server := d.servers[id]
 	delete(d.entries, id)
+	ended := c.ended
+	if !ended {
+		c.restarting.Add(1)
+	}
 	d.mu.Unlock()
 	server.Close()
-	c.restarts.Go(func() {
+	if ended {
+		return
+	}
+	go func() {
 		defer GinkgoRecover()
+		defer c.restarting.Add(-1)
 		time.Sleep(300 * time.Millisecond)
 		d.store.Put(platform.RegistryTopic, id, nil)
 		p, server := d.startTarget(fmt.Sprint("r", c.started.Add(1)), "desk", 6, hostplatform.FirstSoftware)
@@ -84,7 +100,7 @@
 		c.deployment.mu.Lock()
 		defer c.deployment.mu.Unlock()
 		c.servers = append(c.servers, server)
-	})
+	}()
 }
 
 // awaitServed repeats a plain request until the instance serves it.
