Cold targets and evacuated data centres

Cause: nothing knew of a target that tolerates few requests after its start, nor of the operator's request to leave a data centre alone. Change: the directory holds evacuations and departures as one fact with a scope, and the warm-up of each target. A cold target counts as one that limits its rate, so its owner grants the requests; BurstFor keeps rate and burst within the bound of the settings. A target that is new, readmitted or did not answer counts as cold until an entry has had time to say so. Nothing is ordered in an evacuated data centre.

--- a/core/allowance/allowance.go
+++ b/core/allowance/allowance.go
@@ -36,6 +36,9 @@
 	Share     float64       // of PerSecond that the asked instance may grant, from 0 to 1
 	Count     int           // requests wanted
 	MaxDelay  time.Duration // the longest wait from now to a granted request
+	// Burst is how far the requests may run ahead of the rate, as time at the rate; zero: the
+	// default. See BurstFor.
+	Burst time.Duration
 	// Must is set for requests that are sent in any case: they are counted, and later ones
 	// wait longer.
 	Must bool
@@ -73,6 +76,10 @@
 func (g *Granter) Take(now time.Duration, r Request) Grant {
 	g.prune(now)
 	interval := time.Duration(float64(time.Second) / max(minPerSecond, r.PerSecond*r.Share))
+	burst := burst
+	if r.Burst > 0 {
+		burst = r.Burst
+	}
 	s := g.schedules[r.Target]
 	if s == nil {
 		// Another instance may have granted requests until now.
--- a/core/assign/permits.go
+++ b/core/assign/permits.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// permitValidity is how long a permit may be used: the rate of an engine's limit counts from
+// PermitValidity is how long a permit may be used: the rate of an engine's limit counts from
 // the time of the grant.
-const permitValidity = 250 * time.Millisecond
+const PermitValidity = 250 * time.Millisecond
 
 // PermitRequest asks the caller to obtain permits to start runs on an engine.
 type PermitRequest struct {
@@ -60,6 +60,6 @@
 // No further ones are asked for until retryAfter has passed.
 func (s *Scheduler) SetPermits(now time.Duration, engineID string, count int, retryAfter time.Duration) {
 	if e := s.engines[engineID]; e != nil {
-		e.permits = permits{left: count, expiresAt: now + permitValidity, askAgain: now + retryAfter}
+		e.permits = permits{left: count, expiresAt: now + PermitValidity, askAgain: now + retryAfter}
 	}
 }
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -84,6 +84,10 @@
 	Name    string
 	Models  []string // empty: a plain service
 	Scaling *Scaling // nil: the number of targets is fixed
+	// ColdDuration is how long a target is cold after its start. ColdPerSecond is how many
+	// requests a second it tolerates then; zero: it is never cold.
+	ColdDuration  time.Duration
+	ColdPerSecond float64
 }
 
 // Account is a client account.
--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -9,6 +9,9 @@
 // A target that leaves may say so in its responses before its entry does, or while the registry
 // is unavailable. SetLeaving then keeps that start of the target from being ready. A target may
 // also name in its responses a limit of the rate of requests; see SetLimit.
+//
+// The operator may ask that the targets of a data centre get no further requests; see Evacuate.
+// A target that has started may be cold: it then takes few requests a second; see ColdStart.
 package directory
 
 import (
@@ -32,6 +35,10 @@
 	ReclaimedIn  time.Duration    // time until the target is reclaimed; zero: unknown
 	Limited      bool             // the target takes RequestLimit at most
 	RequestLimit float64          // requests a second, of all instances together
+	ColdStated   bool             // the entry says whether the target is cold
+	ColdFor      time.Duration    // time from the entry until the target is warm, if ColdStated
+	Cold         bool             // RequestLimit is that of a cold target
+	Evacuated    bool             // the data centre is evacuated
 }
 
 // Directory holds the targets. It is not safe for concurrent use.
@@ -40,8 +47,11 @@
 	expiresAt   map[string]time.Duration // when entries removed within a grace period expire, by id
 	gracePeriod time.Duration            // how long after an outage removals are delayed
 	graceUntil  time.Duration            // end of the latest grace period
-	leaving     map[string]int64         // StartedAt of the targets that have said that they leave, by id
-	limits      map[string]limit         // named by the targets, by id
+	holds       map[Scope]hold
+	limits      map[string]limit  // named by the targets, by id
+	warmUps     map[string]warmUp // by id
+	coldStarts  map[string]ColdStart
+	entryDelay  time.Duration // how late an entry may say that its target is cold
 }
 
 // New returns an empty directory. gracePeriod is how long the entry of a running target may be
@@ -49,7 +59,7 @@
 func New(gracePeriod time.Duration) *Directory {
 	return &Directory{
 		targets: map[string]Target{}, expiresAt: map[string]time.Duration{}, gracePeriod: gracePeriod,
-		leaving: map[string]int64{}, limits: map[string]limit{},
+		holds: map[Scope]hold{}, limits: map[string]limit{}, warmUps: map[string]warmUp{},
 	}
 }
 
@@ -59,32 +69,19 @@
 
 // Put stores an entry and cancels its pending removal. It ignores an entry that arrives late:
 // one from an earlier start of the target, or from an earlier heartbeat of the same start.
-func (d *Directory) Put(t Target) {
-	current := d.targets[t.ID]
+func (d *Directory) Put(now time.Duration, t Target) {
+	current, known := d.targets[t.ID]
 	if t.StartedAt < current.StartedAt || t.StartedAt == current.StartedAt && t.HeartbeatSeq < current.HeartbeatSeq {
 		return
 	}
 	delete(d.expiresAt, t.ID)
-	if startedAt, leaving := d.leaving[t.ID]; leaving && startedAt < t.StartedAt {
-		delete(d.leaving, t.ID)
+	if h, leaving := d.holds[Scope{Target: t.ID}]; leaving && h.startedAt < t.StartedAt {
+		delete(d.holds, Scope{Target: t.ID})
 	}
+	d.noteEntry(now, current, t, known)
 	d.targets[t.ID] = t
 }
 
-// SetLeaving records that the target with the id, started at startedAt, has said that it
-// leaves: Targets returns it as not ready from now on. It reports whether that is a change. A
-// later start of the target is not affected.
-func (d *Directory) SetLeaving(id string, startedAt int64) bool {
-	if d.targets[id].StartedAt > startedAt {
-		return false // the entry is of a later start
-	}
-	if recorded, leaving := d.leaving[id]; leaving && recorded >= startedAt {
-		return false
-	}
-	d.leaving[id] = startedAt
-	return true
-}
-
 // Remove removes the entry with the id. Within a grace period the entry stays until Expire
 // removes it at the end of the period.
 func (d *Directory) Remove(now time.Duration, id string) {
@@ -95,7 +92,14 @@
 		d.expiresAt[id] = d.graceUntil
 		return
 	}
+	d.delete(id)
+}
+
+// delete removes the entry with the id. What it said of the target's warm-up goes with it: an
+// entry that comes back counts as a new one.
+func (d *Directory) delete(id string) {
 	delete(d.targets, id)
+	delete(d.warmUps, id)
 }
 
 // Retain calls Remove for every entry whose id is not in ids.
@@ -115,23 +119,22 @@
 	for id, until := range d.expiresAt {
 		if now >= until {
 			delete(d.expiresAt, id)
-			delete(d.targets, id)
+			d.delete(id)
 			removed = true
 		}
 	}
 	return removed
 }
 
-// Targets returns the targets, sorted by id.
-func (d *Directory) Targets() []Target {
+// Targets returns the targets as of now, sorted by id.
+func (d *Directory) Targets(now time.Duration) []Target {
 	out := make([]Target, 0, len(d.targets))
 	for _, t := range d.targets {
-		if _, leaving := d.leaving[t.ID]; leaving {
-			t.Ready = false
-		}
+		d.applyHolds(&t)
 		if l, limited := d.limits[t.ID]; limited && l.startedAt == t.StartedAt {
 			t.Limited, t.RequestLimit = true, l.perSecond
 		}
+		d.applyWarmUp(now, &t)
 		out = append(out, t)
 	}
 	slices.SortFunc(out, func(a, b Target) int { return strings.Compare(a.ID, b.ID) })
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -14,51 +14,51 @@
 	var d *directory.Directory
 	BeforeEach(func() {
 		d = directory.New(gracePeriod)
-		d.Put(directory.Target{ID: "a", HeartbeatSeq: 5, StartedAt: 10, Ready: true})
+		d.Put(0, directory.Target{ID: "a", HeartbeatSeq: 5, StartedAt: 10, Ready: true})
 	})
 
 	It("removes an entry at once outside a grace period", func() {
 		d.Remove(time.Second, "a")
-		Expect(d.Targets()).To(BeEmpty())
+		Expect(d.Targets(0)).To(BeEmpty())
 	})
 
 	It("delays a removal within the grace period until its end", func() {
 		d.RegistryRestored(10 * time.Second)
 		d.Remove(10*time.Second, "a")
 		Expect(d.Expire(11 * time.Second)).To(BeFalse())
-		Expect(d.Targets()).To(HaveLen(1))
+		Expect(d.Targets(0)).To(HaveLen(1))
 		Expect(d.Expire(12 * time.Second)).To(BeTrue())
-		Expect(d.Targets()).To(BeEmpty())
+		Expect(d.Targets(0)).To(BeEmpty())
 	})
 
 	It("keeps an entry that is stored again within the grace period", func() {
 		d.RegistryRestored(10 * time.Second)
 		d.Retain(10*time.Second, map[string]bool{})
-		d.Put(directory.Target{ID: "a", HeartbeatSeq: 6, StartedAt: 10})
+		d.Put(0, directory.Target{ID: "a", HeartbeatSeq: 6, StartedAt: 10})
 		Expect(d.Expire(time.Minute)).To(BeFalse())
-		Expect(d.Targets()).To(HaveLen(1))
+		Expect(d.Targets(0)).To(HaveLen(1))
 	})
 
 	It("keeps a target that has said that it leaves from being ready, until it starts again", func() {
-		Expect(d.SetLeaving("a", 10)).To(BeTrue())
-		Expect(d.SetLeaving("a", 10)).To(BeFalse(), "it is known already")
-		Expect(d.Targets()[0].Ready).To(BeFalse())
-		d.Put(directory.Target{ID: "a", HeartbeatSeq: 6, StartedAt: 10, Ready: true})
-		Expect(d.Targets()[0].Ready).To(BeFalse(), "a later heartbeat of the same start")
+		Expect(d.SetLeaving(0, "a", 10)).To(BeTrue())
+		Expect(d.SetLeaving(0, "a", 10)).To(BeFalse(), "it is known already")
+		Expect(d.Targets(0)[0].Ready).To(BeFalse())
+		d.Put(0, directory.Target{ID: "a", HeartbeatSeq: 6, StartedAt: 10, Ready: true})
+		Expect(d.Targets(0)[0].Ready).To(BeFalse(), "a later heartbeat of the same start")
 		d.Remove(time.Second, "a")
-		d.Put(directory.Target{ID: "a", HeartbeatSeq: 7, StartedAt: 10, Ready: true})
-		Expect(d.Targets()[0].Ready).To(BeFalse(), "its entry lapsed and is back")
-		d.Put(directory.Target{ID: "a", HeartbeatSeq: 1, StartedAt: 11, Ready: true})
-		Expect(d.Targets()[0].Ready).To(BeTrue())
-		Expect(d.SetLeaving("a", 10)).To(BeFalse(), "a late response of the earlier start")
-		Expect(d.Targets()[0].Ready).To(BeTrue())
+		d.Put(0, directory.Target{ID: "a", HeartbeatSeq: 7, StartedAt: 10, Ready: true})
+		Expect(d.Targets(0)[0].Ready).To(BeFalse(), "its entry lapsed and is back")
+		d.Put(0, directory.Target{ID: "a", HeartbeatSeq: 1, StartedAt: 11, Ready: true})
+		Expect(d.Targets(0)[0].Ready).To(BeTrue())
+		Expect(d.SetLeaving(0, "a", 10)).To(BeFalse(), "a late response of the earlier start")
+		Expect(d.Targets(0)[0].Ready).To(BeTrue())
 	})
 
 	DescribeTable("ignores an entry older than the stored one",
 		func(t directory.Target, kept bool) {
 			t.ID = "a"
-			d.Put(t)
-			Expect(d.Targets()[0].Ready).To(Equal(kept))
+			d.Put(0, t)
+			Expect(d.Targets(0)[0].Ready).To(Equal(kept))
 		},
 		Entry("an earlier heartbeat", directory.Target{HeartbeatSeq: 4, StartedAt: 10}, true),
 		Entry("an earlier start", directory.Target{HeartbeatSeq: 9, StartedAt: 9}, true),
@@ -68,7 +68,7 @@
 
 	Describe("a limit that a target names", func() {
 		limit := func() (bool, float64) {
-			t := d.Targets()[0]
+			t := d.Targets(0)[0]
 			return t.Limited, t.RequestLimit
 		}
 
@@ -86,7 +86,7 @@
 
 		It("does not hold for a later start of the target", func() {
 			d.SetLimit(time.Second, "a", 10, 1.5)
-			d.Put(directory.Target{ID: "a", StartedAt: 20})
+			d.Put(0, directory.Target{ID: "a", StartedAt: 20})
 			limited, _ := limit()
 			Expect(limited).To(BeFalse())
 			Expect(d.SetLimit(2*time.Second, "a", 10, 1.5)).To(BeFalse(), "a late response of the earlier start")
@@ -96,7 +96,7 @@
 			d.SetLimit(time.Second, "a", 10, 1.5)
 			d.Remove(2*time.Second, "a")
 			d.Expire(30 * time.Second)
-			d.Put(directory.Target{ID: "a", HeartbeatSeq: 9, StartedAt: 10})
+			d.Put(0, directory.Target{ID: "a", HeartbeatSeq: 9, StartedAt: 10})
 			limited, _ := limit()
 			Expect(limited).To(BeTrue())
 		})
--- /dev/null
+++ b/core/directory/warmup.go
@@ -0,0 +1,96 @@
+package directory
+
+import "time"
+
+// ColdStart describes the targets of a service that cannot take their full load at once after
+// a start.
+//
+// Load pattern: all targets of a data centre start or are readmitted together, while the tasks
+// of several jobs wait for them. Each runner sees idle engines and fills them within
+// milliseconds, which together is several times what a cold engine survives.
+type ColdStart struct {
+	Duration  time.Duration // from the start of a target, for an entry that does not say how long it stays cold
+	PerSecond float64       // requests that a cold target tolerates, of all instances together; zero: it is never cold
+}
+
+// warmUp is what is known about the warm-up of one start of a target.
+type warmUp struct {
+	coldUntil time.Duration // by the latest entry
+	// doubtfulUntil is until when an entry may still say that the target is cold: it has
+	// started, was readmitted, or did not answer.
+	doubtfulUntil time.Duration
+}
+
+// SetColdStarts replaces the cold starts of the services, by name. entryDelay is how late the
+// registry may say that a target has become cold.
+func (d *Directory) SetColdStarts(byService map[string]ColdStart, entryDelay time.Duration) {
+	d.coldStarts, d.entryDelay = byService, entryDelay
+}
+
+// HasColdStart reports whether the targets of a service may be cold.
+func (d *Directory) HasColdStart(service string) bool { return d.coldStarts[service].PerSecond > 0 }
+
+// Doubt records that the target with the id, started at startedAt, did not answer: it may have
+// started again, or become cold. It reports whether that changes what Targets returns.
+func (d *Directory) Doubt(now time.Duration, id string, startedAt int64) bool {
+	t, found := d.targets[id]
+	if !found || t.StartedAt != startedAt || !d.HasColdStart(t.Service) {
+		return false
+	}
+	wasCold := d.cold(now, t)
+	d.doubt(now, id)
+	return !wasCold
+}
+
+func (d *Directory) doubt(now time.Duration, id string) {
+	w := d.warmUps[id]
+	w.doubtfulUntil = now + d.entryDelay
+	d.warmUps[id] = w
+}
+
+// noteEntry updates the warm-up of a target from its new entry.
+func (d *Directory) noteEntry(now time.Duration, previous, t Target, known bool) {
+	if !known || t.StartedAt != previous.StartedAt || t.Ready && !previous.Ready {
+		d.doubt(now, t.ID)
+	}
+	w := d.warmUps[t.ID]
+	switch {
+	case t.ColdStated:
+		w.coldUntil = now + t.ColdFor
+	case t.StartedAt != previous.StartedAt || !known:
+		w.coldUntil = now + d.coldStarts[t.Service].Duration
+	}
+	d.warmUps[t.ID] = w
+}
+
+// cold reports whether the target is cold at now, or may be.
+func (d *Directory) cold(now time.Duration, t Target) bool {
+	w := d.warmUps[t.ID]
+	return d.HasColdStart(t.Service) && now < max(w.coldUntil, w.doubtfulUntil)
+}
+
+// applyWarmUp sets the limit of a cold target.
+func (d *Directory) applyWarmUp(now time.Duration, t *Target) {
+	if !d.cold(now, *t) {
+		return
+	}
+	t.Cold = true
+	if perSecond := d.coldStarts[t.Service].PerSecond; !t.Limited || perSecond < t.RequestLimit {
+		t.Limited, t.RequestLimit = true, perSecond
+	}
+}
+
+// NextWarm returns when the next cold target stops being cold, after now. It returns false if
+// no target is cold.
+func (d *Directory) NextWarm(now time.Duration) (at time.Duration, found bool) {
+	for id, t := range d.targets {
+		if !d.cold(now, t) {
+			continue
+		}
+		w := d.warmUps[id]
+		if end := max(w.coldUntil, w.doubtfulUntil); !found || end < at {
+			at, found = end, true
+		}
+	}
+	return at, found
+}
--- a/internal/hosted/allowance.go
+++ b/internal/hosted/allowance.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/allowance"
+	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/platform"
@@ -83,7 +84,9 @@
 // take obtains an allowance of the target's owner for count requests. maxDelay is the longest
 // wait to accept. It fails with errNoOwner.
 func (a *allowances) take(ctx context.Context, t directory.Target, count int, maxDelay time.Duration) (allowance.Grant, error) {
-	return a.ask(ctx, allowance.Request{Target: t.ID, PerSecond: t.RequestLimit, Count: count, MaxDelay: maxDelay})
+	r := a.requestFor(t, count)
+	r.MaxDelay = maxDelay
+	return a.ask(ctx, r)
 }
 
 // spend counts a request that is sent to the target in any case, if the target is limited. It
@@ -93,12 +96,24 @@
 		return
 	}
 	go func() {
-		if _, err := a.ask(ctx, allowance.Request{Target: t.ID, PerSecond: t.RequestLimit, Count: 1, Must: true}); err != nil {
+		r := a.requestFor(t, 1)
+		r.Must = true
+		if _, err := a.ask(ctx, r); err != nil {
 			a.instance.log("allowance not counted", events.F("target", t.ID), events.F("error", err.Error()))
 		}
 	}()
 }
 
+// requestFor returns the request for allowances of a target. That of a cold target keeps to the
+// bound in the settings.
+func (a *allowances) requestFor(t directory.Target, count int) allowance.Request {
+	r := allowance.Request{Target: t.ID, PerSecond: t.RequestLimit, Count: count}
+	if s := a.instance.cfg.Settings; t.Cold && s.ColdFactor > 0 {
+		r.PerSecond, r.Burst = allowance.BurstFor(t.RequestLimit, t.RequestLimit*s.ColdFactor+s.ColdExtra, assign.PermitValidity)
+	}
+	return r
+}
+
 // ask sends the request to the target's owner, and to the next instance if that one does not
 // answer.
 func (a *allowances) ask(ctx context.Context, r allowance.Request) (allowance.Grant, error) {
--- /dev/null
+++ b/internal/hosted/availability.go
@@ -0,0 +1,108 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// defaultRegistryDelay is how late the registry may tell of a change, if the settings do not
+// state it: two heartbeats and the replication of the second.
+const defaultRegistryDelay = 3 * time.Second
+
+// warmCheckInterval bounds how late a target that has become warm gets its full load.
+const warmCheckInterval = 250 * time.Millisecond
+
+// coldStarts returns the cold starts of the services whose targets may be cold.
+func coldStarts(c *catalog.Catalog) map[string]directory.ColdStart {
+	out := map[string]directory.ColdStart{}
+	for name, s := range c.Services {
+		if s.ColdPerSecond > 0 {
+			out[name] = directory.ColdStart{Duration: s.ColdDuration, PerSecond: s.ColdPerSecond}
+		}
+	}
+	return out
+}
+
+func (in *Instance) registryDelay() time.Duration {
+	if d := in.cfg.Settings.RegistryDelay; d > 0 {
+		return d
+	}
+	return defaultRegistryDelay
+}
+
+// setEvacuated starts or ends the evacuation of a data centre. It runs on the state goroutine.
+func (in *Instance) setEvacuated(now time.Duration, dataCentre string, evacuated bool) {
+	switch {
+	case evacuated && in.stateLoop.targets.Evacuate(now, dataCentre):
+		in.log("data centre evacuated", events.F("data_centre", dataCentre))
+	case !evacuated && in.stateLoop.targets.Readmit(now, dataCentre):
+		in.log("data centre readmitted", events.F("data_centre", dataCentre))
+	}
+}
+
+// retainEvacuations ends the evacuations whose keys are not among those of the operator's topic.
+// It runs on the state goroutine.
+func (in *Instance) retainEvacuations(now time.Duration, keys map[string]bool) {
+	requested := map[string]bool{}
+	for key := range keys {
+		if dataCentre, found := platform.EvacuatedBy(key); found {
+			requested[dataCentre] = true
+		}
+	}
+	for _, dataCentre := range in.stateLoop.targets.Evacuated() {
+		if !requested[dataCentre] {
+			in.setEvacuated(now, dataCentre, false)
+		}
+	}
+}
+
+// noteNoAnswer records that a target did not answer a request: it may have started again and be
+// cold. An attempt that this instance canceled says nothing.
+func (in *Instance) noteNoAnswer(ctx context.Context, t directory.Target) {
+	if ctx.Err() != nil || t.Cold {
+		return
+	}
+	if view := in.stateLoop.view.Load(); view.Catalog == nil || view.Catalog.Services[t.Service].ColdPerSecond <= 0 {
+		return
+	}
+	in.stateLoop.do(ctx, func() {
+		if in.stateLoop.targets.Doubt(in.clock.Now(), t.ID, t.StartedAt) {
+			in.metrics.targetsDoubted.Inc()
+			in.log("target may be cold", events.F("target", t.ID), events.F("reason", "no answer"))
+			in.stateLoop.publish()
+		}
+	})
+}
+
+// publishWarmTargets publishes the view when targets have become warm: time alone changes them.
+func (in *Instance) publishWarmTargets(ctx context.Context) error {
+	var next time.Duration // when the first cold target of the view becomes warm; zero: none is cold
+	for ctx.Err() == nil {
+		changed := in.stateLoop.nextChange()
+		in.stateLoop.do(ctx, func() {
+			now := in.clock.Now()
+			if next > 0 && now >= next {
+				in.stateLoop.publish()
+			}
+			next = 0
+			if at, cold := in.stateLoop.targets.NextWarm(now); cold {
+				next = at
+			}
+		})
+		if next > 0 {
+			clock.Sleep(ctx, max(warmCheckInterval, next-in.clock.Now()))
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	return nil
+}
--- a/internal/hosted/board.go
+++ b/internal/hosted/board.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 )
 
 // View is a snapshot of the deployment for goroutines that serve requests. It is
@@ -33,6 +34,7 @@
 // Only the goroutine of run, the state goroutine, accesses the fields up to functions.
 // Other goroutines send it functions to run and read the published view.
 type stateLoop struct {
+	clock           clock.Clock
 	state           *job.State
 	targets         *directory.Directory
 	catalog         *catalog.Catalog
@@ -58,9 +60,9 @@
 	caughtUp         atomic.Bool  // the log was applied to its end at least once
 }
 
-func newStateLoop(gracePeriod time.Duration) *stateLoop {
+func newStateLoop(c clock.Clock, gracePeriod time.Duration) *stateLoop {
 	s := &stateLoop{
-		state: job.NewState(), targets: directory.New(gracePeriod),
+		clock: c, state: job.NewState(), targets: directory.New(gracePeriod),
 		desiredVersions: map[string]int64{}, allowedStaleness: map[string]int64{}, functions: make(chan func()),
 	}
 	first := make(chan struct{})
@@ -108,7 +110,7 @@
 	for m, v := range s.desiredVersions {
 		versions[m] = v
 	}
-	s.view.Store(&View{Catalog: s.catalog, Targets: s.targets.Targets(), DesiredVersions: versions})
+	s.view.Store(&View{Catalog: s.catalog, Targets: s.targets.Targets(s.clock.Now()), DesiredVersions: versions})
 	s.notifyWaiters()
 }
 
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -246,7 +246,7 @@
 func (in *Instance) watchOperator(ctx context.Context) error {
 	return in.followKeyed(ctx, keyedTopic{
 		topic: platform.OperatorTopic, lastRead: &in.stateLoop.lastOperatorRead,
-		put: func(_ time.Duration, e platform.Entry) {
+		put: func(now time.Duration, e platform.Entry) {
 			record, err := platform.DecodeOperatorRecord(e)
 			if err != nil {
 				in.log("operator unreadable", events.F("key", e.Key), events.F("error", err.Error()))
@@ -256,12 +256,16 @@
 			switch {
 			case record.Catalog != nil && (s.catalog == nil || record.Catalog.Version > s.catalog.Version):
 				s.catalog = record.Catalog
+				s.targets.SetColdStarts(coldStarts(record.Catalog), in.registryDelay())
 				in.log("config applied", events.F("version", fmt.Sprint(record.Catalog.Version)))
 			case record.Weights != nil && record.Weights.Version > s.desiredVersions[record.Weights.Model]:
 				s.desiredVersions[record.Weights.Model] = record.Weights.Version
 				in.log("weights named", events.F("model", record.Weights.Model), events.F("version", fmt.Sprint(record.Weights.Version)))
+			case record.Evacuation != nil:
+				in.setEvacuated(now, record.Evacuation.DataCentre, !record.Evacuation.Ended)
 			}
 		},
+		retain: func(now time.Duration, keys map[string]bool) { in.retainEvacuations(now, keys) },
 	})
 }
 
@@ -282,7 +286,7 @@
 				in.stateLoop.targets.Remove(now, e.Key)
 				return
 			}
-			in.stateLoop.targets.Put(t)
+			in.stateLoop.targets.Put(now, t)
 		},
 		retain: func(now time.Duration, keys map[string]bool) { in.stateLoop.targets.Retain(now, keys) },
 		outage: func(now time.Duration) { in.stateLoop.targets.RegistryRestored(now) },
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -16,6 +16,7 @@
 	orders, reports                  *metrics.Counter
 	limitsNamed, streamsTakenUp      *metrics.Counter
 	linksLost, relayed               *metrics.Counter
+	targetsDoubted                   *metrics.Counter
 	targetsCrashed, condemned        *metrics.Counter
 	suspectsServed, condemnedRefused *metrics.Counter
 
@@ -49,6 +50,7 @@
 		streamsTakenUp:   set.NewCounter("amaranth_hosted_streams_taken_up_total"),
 		targetsCrashed:   set.NewCounter("amaranth_hosted_targets_crashed_total"),
 		relayed:          set.NewCounter("amaranth_hosted_calls_relayed_total"),
+		targetsDoubted:   set.NewCounter("amaranth_hosted_targets_doubted_total"),
 		linksLost:        set.NewCounter("amaranth_hosted_links_lost_total"),
 		condemned:        set.NewCounter("amaranth_hosted_calls_condemned_total"),
 		suspectsServed:   set.NewCounter("amaranth_hosted_suspects_served_total"),
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -112,7 +112,7 @@
 		cfg: cfg, clock: cfg.Clock, random: cfg.Random,
 		events:       events.New(s.Instance, cfg.LogOutput, cfg.Clock.Wall),
 		metrics:      newMetricSet(),
-		stateLoop:    newStateLoop(rejoinTimeout),
+		stateLoop:    newStateLoop(cfg.Clock, rejoinTimeout),
 		pace:         newFollowPace(),
 		contentCache: newContentCache(s.MemoryBytes / contentCacheDivisor),
 		stopping:     make(chan struct{}),
@@ -168,7 +168,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for _, f := range []func(context.Context) error{
 		in.stateLoop.run, in.controlLog.run, in.contentLog.run,
-		in.followLog, in.watchOperator, in.watchRegistry,
+		in.followLog, in.watchOperator, in.watchRegistry, in.publishWarmTargets,
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers, in.logTransport.run, in.announce,
 		in.poisonGuard.run, in.links.run, in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
 	} {
--- a/internal/hosted/notices.go
+++ b/internal/hosted/notices.go
@@ -33,7 +33,7 @@
 // noteLeaving keeps requests from a target that leaves.
 func (in *Instance) noteLeaving(ctx context.Context, t directory.Target) {
 	in.stateLoop.do(ctx, func() {
-		if in.stateLoop.targets.SetLeaving(t.ID, t.StartedAt) {
+		if in.stateLoop.targets.SetLeaving(in.clock.Now(), t.ID, t.StartedAt) {
 			in.log("target leaving", events.F("target", t.ID))
 			in.stateLoop.publish()
 		}
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -254,6 +254,7 @@
 	res, err := in.targetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		r.err, r.brokenOff = err, true
+		in.noteNoAnswer(ctx, r.target)
 		return
 	}
 	in.noteResponse(ctx, r.target, platform.DecodeResponseHeader(res), p.id, r.sentAt)
--- a/internal/hosted/scaling.go
+++ b/internal/hosted/scaling.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/size"
@@ -56,14 +57,19 @@
 		if service.Scaling == nil || p.lastShortage == 0 || now-p.lastShortage > peakWindow {
 			continue
 		}
-		present, slots := map[string]int{}, 0
+		present, evacuated, slots := map[string]int{}, map[string]bool{}, 0
 		for _, t := range view.Targets {
-			if t.Service == name && t.Ready {
+			switch {
+			case t.Service != name:
+			case t.Evacuated: // an order here would be for targets that get no requests
+				evacuated[t.DataCentre] = true
+			case t.Ready:
 				present[t.DataCentre]++
 				slots = max(slots, t.Slots)
 			}
 		}
-		bounds := size.Bounds{Min: service.Scaling.Min, Max: service.Scaling.Max, Prices: service.Scaling.Prices}
+		bounds := size.Bounds{Min: service.Scaling.Min, Max: service.Scaling.Max, Prices: maps.Clone(service.Scaling.Prices)}
+		maps.DeleteFunc(bounds.Prices, func(dataCentre string, _ float64) bool { return evacuated[dataCentre] })
 		for dataCentre, count := range size.DesiredTargets(size.Demand{PeakTasks: p.tasks, SlotsPerTarget: slots}, bounds, present) {
 			s.orderTargets(ctx, scaleKey{name, dataCentre}, count, present[dataCentre])
 		}
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -65,6 +65,7 @@
 	res, err := in.targetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		end.err = err
+		in.noteNoAnswer(ctx, r.target)
 		return markCanceled(ctx, end)
 	}
 	defer res.Body.Close()
