--- /dev/null
+++ b/core/directory/warmup_test.go
@@ -0,0 +1,117 @@
+package directory_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/directory"
+)
+
+var _ = Describe("A service whose targets start cold", func() {
+	const entryDelay = 3 * time.Second
+	var d *directory.Directory
+	entry := func(heartbeat, startedAt int64, coldFor time.Duration) directory.Target {
+		return directory.Target{
+			ID: "a", Service: "models", DataCentre: "x", HeartbeatSeq: heartbeat, StartedAt: startedAt, Ready: true,
+			ColdStated: true, ColdFor: coldFor,
+		}
+	}
+	coldAt := func(now time.Duration) bool {
+		t := d.Targets(now)[0]
+		if t.Cold {
+			Expect(t.Limited).To(BeTrue())
+			Expect(t.RequestLimit).To(Equal(8.0))
+		}
+		return t.Cold
+	}
+	BeforeEach(func() {
+		d = directory.New(2 * time.Second)
+		d.SetColdStarts(map[string]directory.ColdStart{"models": {Duration: 4 * time.Second, PerSecond: 8}}, entryDelay)
+		d.Put(0, entry(1, 10, 0))
+	})
+
+	It("takes a new target for cold until an entry has had time to say so", func() {
+		Expect(coldAt(0)).To(BeTrue())
+		Expect(coldAt(entryDelay - 1)).To(BeTrue())
+		Expect(coldAt(entryDelay)).To(BeFalse())
+	})
+
+	It("takes a target for cold as long as its entry says", func() {
+		d.Put(10*time.Second, entry(2, 10, 5*time.Second))
+		Expect(coldAt(14 * time.Second)).To(BeTrue())
+		Expect(coldAt(15 * time.Second)).To(BeFalse())
+		d.Put(16*time.Second, entry(3, 10, 5*time.Second))
+		d.Put(17*time.Second, entry(4, 10, 0))
+		Expect(coldAt(17*time.Second)).To(BeFalse(), "a later entry says that it is warm")
+	})
+
+	It("uses the duration of the service for an entry that does not state how long", func() {
+		t := entry(1, 20, 0)
+		t.ColdStated = false
+		d.Put(10*time.Second, t)
+		Expect(coldAt(14*time.Second - 1)).To(BeTrue())
+		Expect(coldAt(14 * time.Second)).To(BeFalse())
+	})
+
+	It("takes a target for cold that was started again, readmitted or did not answer", func() {
+		d.Put(10*time.Second, entry(1, 20, 0))
+		Expect(coldAt(12 * time.Second)).To(BeTrue())
+		Expect(coldAt(13 * time.Second)).To(BeFalse())
+
+		d.Evacuate(20*time.Second, "x")
+		d.Readmit(30*time.Second, "x")
+		Expect(coldAt(32 * time.Second)).To(BeTrue())
+		Expect(coldAt(33 * time.Second)).To(BeFalse())
+
+		Expect(d.Doubt(40*time.Second, "a", 10)).To(BeFalse(), "an earlier start")
+		Expect(d.Doubt(40*time.Second, "a", 20)).To(BeTrue())
+		Expect(d.Doubt(40*time.Second, "a", 20)).To(BeFalse(), "it is cold already")
+		Expect(coldAt(42 * time.Second)).To(BeTrue())
+		at, cold := d.NextWarm(42 * time.Second)
+		Expect(cold).To(BeTrue())
+		Expect(at).To(Equal(43 * time.Second))
+	})
+
+	It("keeps the lower of two limits", func() {
+		d.SetLimit(time.Second, "a", 10, 2)
+		Expect(d.Targets(time.Second)[0].RequestLimit).To(Equal(2.0))
+		d.SetLimit(time.Second, "a", 10, 20)
+		Expect(d.Targets(time.Second)[0].RequestLimit).To(Equal(8.0))
+	})
+
+	It("changes nothing for other services", func() {
+		t := entry(1, 10, time.Hour)
+		t.ID, t.Service = "b", "desk"
+		d.Put(0, t)
+		Expect(d.Targets(0)[1].Cold).To(BeFalse())
+		Expect(d.Doubt(0, "b", 10)).To(BeFalse())
+	})
+})
+
+var _ = Describe("An evacuated data centre", func() {
+	It("has no ready targets, also ones that register later, until it is readmitted", func() {
+		d := directory.New(2 * time.Second)
+		d.Put(0, directory.Target{ID: "a", DataCentre: "x", Ready: true})
+		d.Put(0, directory.Target{ID: "b", DataCentre: "y", Ready: true})
+		Expect(d.Evacuate(time.Second, "x")).To(BeTrue())
+		Expect(d.Evacuate(time.Second, "x")).To(BeFalse(), "it is evacuated already")
+		d.Put(2*time.Second, directory.Target{ID: "c", DataCentre: "x", Ready: true})
+		ready := func() (ids []string) {
+			for _, t := range d.Targets(3 * time.Second) {
+				Expect(t.Evacuated).To(Equal(t.DataCentre == "x" && len(d.Evacuated()) > 0))
+				if t.Ready {
+					ids = append(ids, t.ID)
+				}
+			}
+			return ids
+		}
+		Expect(ready()).To(Equal([]string{"b"}))
+		Expect(d.Evacuated()).To(Equal([]string{"x"}))
+		d.SetLeaving(3*time.Second, "c", 0)
+		Expect(d.Readmit(4*time.Second, "x")).To(BeTrue())
+		Expect(d.Readmit(4*time.Second, "x")).To(BeFalse())
+		Expect(ready()).To(Equal([]string{"a", "b"}), "a target that leaves stays out")
+	})
+})
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -220,6 +220,7 @@
 		Store:        platform.StoreSettings{Address: address(server), Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, Retention: 2 * time.Second},
 		Cloud:        d.cloudAddress,
 		ReportsUsage: true,
+		ColdFactor:   1.5, ColdExtra: 5,
 	}
 	logOutput := logline.New(d.logs)
 	links := newTargetLinks()
