--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -72,7 +72,7 @@
 	response := platform.DecodeResponseHeader(res)
 	in.noteResponse(ctx, r.target, response, r.task.ID, sentAt)
 	switch {
-	case response.RequestID != r.task.ID && !response.NotRun:
+	case response.RequestID != r.task.ID && (response.RequestID != "" || !response.NotRun):
 		end.err = fmt.Errorf("%w: %q", errRequestIDMismatch, response.RequestID)
 	case response.NotRun:
 		end.outcome, end.err = assign.NotRun, fmt.Errorf("refused with status %d", res.StatusCode)
