Soak: evacuated data centres, engines that differ in speed

The targets have two data centres, one of which the operator evacuates now and then; a request that reaches it 3 s later, while every instance reads the log, breaks a promise. Every third engine takes four times as long for an event.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -37,6 +37,13 @@
 func (e *environment) applyFault(ctx context.Context, f fault) {
 	p := e.instances[f.index%len(e.instances)]
 	switch f.kind {
+	case killInstance, pauseInstance, stopInstance, logProxyFault, logFault:
+		defer e.disturb()()
+	case dataCentreEvacuated:
+		e.evacuate(ctx, f)
+		return
+	}
+	switch f.kind {
 	case killInstance:
 		p.kill()
 		sleep(ctx, f.duration/4)
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -249,6 +249,7 @@
 // target may have run any of its tasks.
 func (e *environment) check(l *load) {
 	e.checkLimits()
+	e.checkEvacuations()
 	runs, accounts, scoreAccounts := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, t := range e.targets {
 		for _, r := range t.engine.Runs() {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -12,20 +12,21 @@
 
 // The kinds of faults.
 const (
-	killInstance     faultKind = iota // SIGKILL, and a restart after a quarter of the duration
-	pauseInstance                     // SIGSTOP, and SIGCONT after the duration
-	stopInstance                      // SIGTERM, and a restart once the process has exited
-	logProxyFault                     // the proxy between one instance and the log leaves mode forwarding
-	logFault                          // the log fails for all instances, see hostplatform.Fault
-	partitionDown                     // one partition of the topic with tasks and outputs is unavailable
-	trimTopics                        // the records of the operator and registry topics are trimmed
-	targetProxyFault                  // the proxy between all instances and one target leaves mode forwarding
-	engineStalled                     // the streams of one engine stall
-	engineAborts                      // one engine aborts its streams after 1 to 9 events
-	keyRotation                       // a key is added and the older ones are withdrawn
-	newWeightVersion                  // the trainer publishes a weight version
-	targetLimit                       // one target names a limit of 1 to 3 requests a second
-	linksCut                          // one instance loses its links to all targets
+	killInstance        faultKind = iota // SIGKILL, and a restart after a quarter of the duration
+	pauseInstance                        // SIGSTOP, and SIGCONT after the duration
+	stopInstance                         // SIGTERM, and a restart once the process has exited
+	logProxyFault                        // the proxy between one instance and the log leaves mode forwarding
+	logFault                             // the log fails for all instances, see hostplatform.Fault
+	partitionDown                        // one partition of the topic with tasks and outputs is unavailable
+	trimTopics                           // the records of the operator and registry topics are trimmed
+	targetProxyFault                     // the proxy between all instances and one target leaves mode forwarding
+	engineStalled                        // the streams of one engine stall
+	engineAborts                         // one engine aborts its streams after 1 to 9 events
+	keyRotation                          // a key is added and the older ones are withdrawn
+	newWeightVersion                     // the trainer publishes a weight version
+	targetLimit                          // one target names a limit of 1 to 3 requests a second
+	linksCut                             // one instance loses its links to all targets
+	dataCentreEvacuated                  // the operator evacuates a data centre
 	numFaultKinds
 )
 
@@ -33,6 +34,7 @@
 var faultKindNames = [...]string{
 	"kill", "pause", "stop", "log proxy", "log fault", "partition down", "topics trimmed", "target proxy",
 	"engine stalled", "engine aborts", "key rotation", "new weight version", "target limit", "links cut",
+	"data centre evacuated",
 }
 
 // fault is one fault of a run. start counts from the start of the load.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,7 +6,8 @@
 //
 // A request that crashes its targets comes again and again, and single instances lose their
 // links to all targets. Callers' streams and the tasks of jobs must hold events of one software version, and targets
-// that name a limit must not get more requests than they may.
+// that name a limit must not get more requests than they may. Engines differ in speed, and the
+// targets of an evacuated data centre must not get requests.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
 // results, requests and faults, and every broken promise. The seed fixes the faults and
@@ -75,7 +76,10 @@
 	weightVersion int64
 	violations    []string
 	limitPeriods  []limitPeriod
-	crashes       int // of targets, under the poison request
+	evacuating    bool // a data centre is evacuated
+	evacuations   []evacuation
+	disturbances  []period // in which instances may not read the log, or do not run
+	crashes       int      // of targets, under the poison request
 	report        Report
 }
 
@@ -143,7 +147,11 @@
 	}
 	for i := range e.cfg.Engines + plainTargets {
 		engine := hostplatform.NewEngine(fmt.Sprintf("t%d", i), "m", slotsPerTarget)
-		engine.SetSoftware(softwareVersions[i%len(softwareVersions)])
+		engine.SetSoftware(softwareVersions[i/len(dataCentres)%len(softwareVersions)])
+		engine.SetEventInterval(slowInterval / 4)
+		if i%3 == 2 {
+			engine.SetEventInterval(slowInterval)
+		}
 		address, err := e.serve(engine)
 		if err != nil {
 			return err
@@ -207,7 +215,7 @@
 			if i >= e.cfg.Engines {
 				service = "desk"
 			}
-			entry := t.engine.RegistryEntry(service, t.proxy.address(), "a", "ready")
+			entry := t.engine.RegistryEntry(service, t.proxy.address(), dataCentreOf(i), "ready")
 			if service == "desk" {
 				delete(entry, "models")
 			}
