--- a/internal/hosted/attempts.go
+++ b/internal/hosted/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthfold/amaranthfold/core/relay"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 // requestAttempts holds the state of one request's attempts. Only the goroutine of run
@@ -67,7 +68,7 @@
 			case a.refusedByResponse: // one may get a free slot soon
 				clear(a.tried)
 				a.refusedByResponse = false
-			case a.request.relayable && !in.links.confirmSince(ctx, a.startedAt):
+			case a.request.relayable && !in.Links.ConfirmSince(ctx, a.startedAt):
 				a.relaying = true
 				continue
 			default: // a target that has stopped is back after seconds
@@ -85,7 +86,7 @@
 			a.onLinksChanged(ctx)
 		case <-slow:
 			a.slow = true
-			in.links.quietSince(a.startedAt)
+			in.Links.QuietSince(a.startedAt)
 			if a.mayHedge() {
 				a.start(ctx, true)
 			}
@@ -120,11 +121,11 @@
 	if suspected && hedge {
 		return false
 	}
-	if a.relaying || a.request.relayable && in.links.isCut() {
+	if a.relaying || a.request.relayable && in.Links.IsCut() {
 		return a.relay(ctx)
 	}
-	view := in.stateLoop.view.Load()
-	target, found := in.plainTargets.choose(in.clock.Now(), view, a.request.service, in.cfg.Settings.DataCentre, a.excluded(view, hedge), suspected, in.rand64())
+	view := in.CurrentView()
+	target, found := in.plainTargets.choose(in.Clock.Now(), view, a.request.service, in.Settings.DataCentre, a.excluded(view, hedge), suspected, in.Rand64())
 	if !found {
 		return false
 	}
@@ -146,7 +147,7 @@
 
 func (a *requestAttempts) countStart() {
 	if a.startedAttempts == 0 {
-		a.startedAt = a.instance.clock.Now()
+		a.startedAt = a.instance.Clock.Now()
 	}
 	a.running++
 	a.countedAttempts++
@@ -174,14 +175,14 @@
 	if a.relaying || !a.request.relayable || a.request.kind != catalog.Idempotent {
 		return nil
 	}
-	_, changed := a.instance.links.state()
+	_, changed := a.instance.Links.State()
 	return changed
 }
 
 // onLinksChanged sends the request through another instance if the links are lost. Attempts in
 // flight no longer count as attempts: nothing will come of them.
 func (a *requestAttempts) onLinksChanged(ctx context.Context) {
-	if !a.instance.links.isCut() {
+	if !a.instance.Links.IsCut() {
 		return
 	}
 	a.countedAttempts = 0
@@ -191,7 +192,7 @@
 // excluded returns the targets that must not get the next attempt: the tried ones, those of
 // another software version than the request needs, and for a hedge those that limit the rate
 // of their requests.
-func (a *requestAttempts) excluded(view *View, hedge bool) map[string]bool {
+func (a *requestAttempts) excluded(view *node.View, hedge bool) map[string]bool {
 	if !hedge && a.request.software == nil {
 		return a.tried
 	}
--- a/internal/hosted/claims.go
+++ b/internal/hosted/claims.go
@@ -34,20 +34,20 @@
 func (in *Instance) claimOrphans(ctx context.Context) error {
 	claimAt := map[string]time.Duration{} // by job: when this instance may claim it
 	return clock.Every(ctx, claimCheckInterval, func() {
-		if in.isStopping() || in.links.isCut() || !in.logCurrent() || in.stateLoop.view.Load().Catalog == nil {
+		if in.IsStopping() || in.Links.IsCut() || !in.LogCurrent() || in.CurrentView().Catalog == nil {
 			clear(claimAt)
 			return
 		}
-		if len(in.dueClaims(ctx, claimAt)) == 0 || !in.links.confirm(ctx) || !in.readToEnd(ctx) {
+		if len(in.dueClaims(ctx, claimAt)) == 0 || !in.Links.Confirm(ctx) || !in.readToEnd(ctx) {
 			// Unless the log was read to its present end, it may contain heartbeats that
 			// this instance has not read.
 			return
 		}
 		for _, c := range in.dueClaims(ctx, claimAt) {
-			claimAt[c.Job] = in.clock.Now() + runnerTimeout // do not claim again while the claim is pending
-			in.metrics.claims.Inc()
-			in.log("job claimed", events.F("job", c.Job), events.F("term", fmt.Sprint(c.Term)))
-			in.appendRecordAsync(job.Record{Claimed: &c})
+			claimAt[c.Job] = in.Clock.Now() + runnerTimeout // do not claim again while the claim is pending
+			in.Metrics.Claims.Inc()
+			in.Log("job claimed", events.F("job", c.Job), events.F("term", fmt.Sprint(c.Term)))
+			in.AppendRecordAsync(job.Record{Claimed: &c})
 		}
 	})
 }
@@ -57,9 +57,9 @@
 func (in *Instance) readToEnd(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, claimReadTimeout)
 	defer cancel()
-	err := in.catchUp(ctx)
+	err := in.CatchUp(ctx)
 	if err != nil {
-		in.log("claim put off", events.F("error", err.Error()))
+		in.Log("claim put off", events.F("error", err.Error()))
 	}
 	return err == nil
 }
@@ -67,17 +67,17 @@
 // dueClaims returns the claims whose time in claimAt has come. It adds to claimAt the
 // jobs that newly need a claim, and removes those that need none any more.
 func (in *Instance) dueClaims(ctx context.Context, claimAt map[string]time.Duration) []job.Claimed {
-	now := in.clock.Now()
+	now := in.Clock.Now()
 	var due []job.Claimed
 	jitters := map[string]time.Duration{} // of the jobs that need a claim
-	in.stateLoop.do(ctx, func() {
-		for id, j := range in.stateLoop.state.Jobs {
-			sinceSeen := now - max(j.RunnerSeenAt, time.Duration(in.stateLoop.logContinuousSince.Load()))
+	in.StateLoop.Do(ctx, func() {
+		for id, j := range in.StateLoop.State.Jobs {
+			sinceSeen := now - max(j.RunnerSeenAt, time.Duration(in.StateLoop.LogContinuousSince.Load()))
 			timeout := runnerTimeout
 			if !j.RunnerConfirmed {
 				timeout = confirmTimeout
 			}
-			if !j.Open() || j.Runner == in.self || j.Runner != "" && sinceSeen < timeout {
+			if !j.Open() || j.Runner == in.Self || j.Runner != "" && sinceSeen < timeout {
 				continue
 			}
 			jitters[id] = claimJitter
@@ -85,7 +85,7 @@
 				jitters[id] = handoverClaimJitter
 			}
 			if at, planned := claimAt[id]; planned && now >= at {
-				due = append(due, job.Claimed{Job: id, Term: j.Term + 1, Runner: in.self})
+				due = append(due, job.Claimed{Job: id, Term: j.Term + 1, Runner: in.Self})
 			}
 		}
 	})
@@ -96,7 +96,7 @@
 	}
 	for id := range jitters {
 		if _, planned := claimAt[id]; !planned {
-			claimAt[id] = now + in.jitter(pace.Spread(jitters[id], int(in.pace.instances.Load())))
+			claimAt[id] = now + in.Jitter(pace.Spread(jitters[id], int(in.Pace.Instances.Load())))
 		}
 	}
 	slices.SortFunc(due, func(a, b job.Claimed) int { return int(a.Term - b.Term) })
--- a/internal/hosted/crashes.go
+++ b/internal/hosted/crashes.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthfold/amaranthfold/core/poison"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 const (
@@ -60,7 +61,7 @@
 // requestLost checks whether the target has crashed under the request, sent at sentAt, whose
 // connection broke off. It returns when that is known, or after crashSettleTime.
 func (d *crashDetector) requestLost(ctx context.Context, t directory.Target, r lostRequest, sentAt time.Duration) {
-	if d.instance.clock.Now()-sentAt > maxCrashDelay {
+	if d.instance.Clock.Now()-sentAt > maxCrashDelay {
 		return
 	}
 	key := poison.Target{ID: t.ID, StartedAt: t.StartedAt}
@@ -69,7 +70,7 @@
 	if check == nil {
 		if len(d.checks) >= maxCrashChecks {
 			d.mu.Unlock()
-			d.instance.log("crash check left out", events.F("request", r.id), events.F("target", t.ID), events.F("reason", "too many at once"))
+			d.instance.Log("crash check left out", events.F("request", r.id), events.F("target", t.ID), events.F("reason", "too many at once"))
 			return
 		}
 		check = &crashCheck{settled: make(chan struct{})}
@@ -107,11 +108,11 @@
 // probe reports whether the target has crashed, and whether that is known: not if no other
 // target accepts a connection.
 func (d *crashDetector) probe(ctx context.Context, t directory.Target) (crashed, known bool) {
-	links := d.instance.links
-	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
+	links := d.instance.Links
+	ctx, cancel := context.WithTimeout(ctx, node.LinkCheckTimeout)
 	defer cancel()
-	if err := links.connect(ctx, t.Address); !errors.Is(err, syscall.ECONNREFUSED) {
+	if err := links.Connect(ctx, t.Address); !errors.Is(err, syscall.ECONNREFUSED) {
 		return false, true // it accepts connections, or its machine is down or cut off
 	}
-	return true, links.anyAccepts(ctx, links.witnesses(t.Address, crashWitnesses), linkCheckTimeout)
+	return true, links.AnyAccepts(ctx, links.Witnesses(t.Address, crashWitnesses), node.LinkCheckTimeout)
 }
--- a/internal/hosted/duty.go
+++ b/internal/hosted/duty.go
@@ -36,7 +36,6 @@
 	instance       *Instance
 	lease          *lease.Machine
 	supersededTerm atomic.Int64 // latest term that the platform or a target has rejected
-	holdsLease     atomic.Bool  // as of the last check, for other goroutines
 	standsIn       bool         // holds or claims the lease without links to targets, as nobody else did
 	weightUpdater  *weightUpdater
 	scaler         *scaler
@@ -44,44 +43,38 @@
 
 func newController(in *Instance) *controller {
 	c := &controller{instance: in, weightUpdater: newWeightUpdater(in), scaler: newScaler(in)}
-	c.lease = lease.NewMachine(controllerLeaseName, in.self, lease.Timing{
-		Duration: in.cfg.Settings.LeaseTerm, DriftMargin: driftMargin,
-	}, in.clock.Now())
-	c.lease.SetClaimDelay(in.jitter(leaseClaimJitter))
-	c.lease.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, in.cfg.Settings.Instance+"/") })
+	c.lease = lease.NewMachine(controllerLeaseName, in.Self, lease.Timing{
+		Duration: in.Settings.LeaseTerm, DriftMargin: driftMargin,
+	}, in.Clock.Now())
+	c.lease.SetClaimDelay(in.Jitter(leaseClaimJitter))
+	c.lease.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, in.Settings.Instance+"/") })
 	return c
 }
 
 // callTimeout returns how long a call under the lease may take: the lease must cover it.
 func (c *controller) callTimeout() time.Duration {
-	return time.Duration(callTimeoutFraction * float64(c.instance.cfg.Settings.LeaseTerm))
+	return time.Duration(callTimeoutFraction * float64(c.instance.Settings.LeaseTerm))
 }
 
-// onRecord updates the lease and the allowed staleness after a record of the log has been
-// applied. It runs on the state goroutine.
-func (in *Instance) onRecord(_ int64, now time.Duration, r job.Record, accepted bool) {
+// OnRecord updates the lease after a record of the log has been applied. It runs on the state
+// goroutine.
+func (c *controller) onRecord(now time.Duration, r job.Record, accepted bool) {
+	in := c.instance
 	switch {
 	case r.Lease != nil && r.Lease.Body.Name == controllerLeaseName:
 		verdict := fold.Conflict
 		if accepted {
 			verdict = fold.Accepted
 		}
-		before := in.controller.lease.Current()
-		in.controller.lease.Observe(now, r.Lease.ID, verdict, in.stateLoop.state.Leases[controllerLeaseName])
-		if after := in.controller.lease.Current(); after.Term != before.Term || after.Holder != before.Holder {
-			in.log("duty holder", events.F("holder", after.Holder), events.F("term", fmt.Sprint(after.Term)))
+		before := c.lease.Current()
+		c.lease.Observe(now, r.Lease.ID, verdict, in.StateLoop.State.Leases[controllerLeaseName])
+		if after := c.lease.Current(); after.Term != before.Term || after.Holder != before.Holder {
+			in.Log("duty holder", events.F("holder", after.Holder), events.F("term", fmt.Sprint(after.Term)))
 		}
 	case r.InstanceStarted != nil && accepted: // may have released the lease of an earlier incarnation
-		in.allowances.updatePeers()
-		if current := in.stateLoop.state.Leases[controllerLeaseName]; current != in.controller.lease.Current() {
-			in.controller.lease.Observe(now, record.ID{}, fold.Accepted, current)
-		}
-	case r.Submitted != nil && accepted:
-		if desired := in.stateLoop.desiredVersions[r.Submitted.Model]; desired > 0 {
-			in.stateLoop.allowedStaleness[r.Submitted.Model] = max(0, desired-r.Submitted.MinVersion)
+		if current := in.StateLoop.State.Leases[controllerLeaseName]; current != c.lease.Current() {
+			c.lease.Observe(now, record.ID{}, fold.Accepted, current)
 		}
-	default:
-		in.poisonGuard.onRecord(r)
 	}
 }
 
@@ -91,7 +84,7 @@
 	return clock.Every(ctx, controllerInterval, func() {
 		c.updateLease(ctx)
 		_, held := c.holder(ctx)
-		c.holdsLease.Store(held)
+		in.Pace.LeaseHeld.Store(held)
 		if held {
 			in.reportUsage(ctx)
 			c.weightUpdater.step(ctx)
@@ -104,14 +97,14 @@
 func (c *controller) updateLease(ctx context.Context) {
 	in := c.instance
 	var request *lease.AppendRequest
-	in.stateLoop.do(ctx, func() {
-		now := in.clock.Now()
-		if in.isStopping() || c.leavesToOthers(now) {
+	in.StateLoop.Do(ctx, func() {
+		now := in.Clock.Now()
+		if in.IsStopping() || c.leavesToOthers(now) {
 			c.lease.StepDown(now, c.callTimeout())
 		} else {
 			c.lease.Resume()
 		}
-		if !in.logCurrent() && c.lease.ExpiresAt() <= now {
+		if !in.LogCurrent() && c.lease.ExpiresAt() <= now {
 			return // the log was not read recently: another instance may hold the lease
 		}
 		request = c.lease.Tick(now, uuid.New)
@@ -119,7 +112,7 @@
 	if request == nil {
 		return
 	}
-	in.appendRecordAsync(job.Record{Lease: &job.Lease{ID: request.ID, Supersedes: request.Supersedes, Body: request.Body}})
+	in.AppendRecordAsync(job.Record{Lease: &job.Lease{ID: request.ID, Supersedes: request.Supersedes, Body: request.Body}})
 }
 
 // standInDelay is how long the lease has no holder until an instance that reaches no target
@@ -130,12 +123,12 @@
 // target to order. Before a claim it makes sure that it does. If nobody else claims the lease, it
 // holds it until its links are back.
 func (c *controller) leavesToOthers(now time.Duration) bool {
-	links := c.instance.links
-	if !links.isCut() && (c.lease.ExpiresAt() > now || !c.lease.MayClaim(now) || links.heardLately()) {
+	links := c.instance.Links
+	if !links.IsCut() && (c.lease.ExpiresAt() > now || !c.lease.MayClaim(now) || links.HeardLately()) {
 		c.standsIn = false
 		return false
 	}
-	links.checkIfQuiet()
+	links.CheckIfQuiet()
 	c.standsIn = c.standsIn || c.lease.VacantFor(now) > standInDelay
 	return !c.standsIn
 }
@@ -146,11 +139,11 @@
 func (c *controller) holder(ctx context.Context) (platform.Leaseholder, bool) {
 	var term record.Offset
 	held := false
-	c.instance.stateLoop.do(ctx, func() { term, held = c.lease.HeldFor(c.instance.clock.Now(), c.callTimeout()) })
+	c.instance.StateLoop.Do(ctx, func() { term, held = c.lease.HeldFor(c.instance.Clock.Now(), c.callTimeout()) })
 	if !held || int64(term) <= c.supersededTerm.Load() {
 		return platform.Leaseholder{}, false
 	}
-	return platform.Leaseholder{Name: c.instance.cfg.Settings.Instance, Fencing: int64(term)}, true
+	return platform.Leaseholder{Name: c.instance.Settings.Instance, Fencing: int64(term)}, true
 }
 
 // checkSuperseded handles the result of a call under the lease. If the call was rejected
@@ -158,6 +151,6 @@
 func (c *controller) checkSuperseded(holder platform.Leaseholder, err error) {
 	if errors.Is(err, platform.ErrSuperseded) {
 		c.supersededTerm.Store(holder.Fencing)
-		c.instance.log("duty superseded", events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
+		c.instance.Log("duty superseded", events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
 	}
 }
--- a/internal/hosted/engines.go
+++ b/internal/hosted/engines.go
@@ -5,6 +5,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 func latestOrderTime(orders map[string]job.LoadOrder) time.Duration {
@@ -17,7 +18,7 @@
 
 // schedulerEngines returns the registered engines with their unfinished load orders and the
 // models that they serve.
-func schedulerEngines(view *View, orders map[string]job.LoadOrder, allowedStaleness map[string]int64) []assign.Engine {
+func schedulerEngines(view *node.View, orders map[string]job.LoadOrder, allowedStaleness map[string]int64) []assign.Engine {
 	out := make([]assign.Engine, 0, len(view.Targets))
 	for _, t := range view.Targets {
 		if len(t.Models) == 0 {
--- a/internal/hosted/front.go
+++ b/internal/hosted/front.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -33,7 +34,7 @@
 	platform.RequestHeader
 	w       http.ResponseWriter
 	r       *http.Request
-	view    *View
+	view    *node.View
 	route   *catalog.Route
 	account string
 	job     string // job that the request refers to; empty: none
@@ -50,7 +51,7 @@
 
 // refuseFor is refuse with a Retry-After of its own.
 func (in *Instance) refuseFor(c *callerRequest, delay time.Duration, reason string) {
-	in.metrics.refused.Inc()
+	in.Metrics.Refused.Inc()
 	platform.SetOwnResponseHeader(c.w.Header(), c.ID, delay)
 	in.respond(c, http.StatusServiceUnavailable, reason)
 }
@@ -58,12 +59,12 @@
 // respond responds with the status and the reason as the body, and logs the response.
 func (in *Instance) respond(c *callerRequest, status int, reason string) {
 	if status >= http.StatusInternalServerError && status != http.StatusServiceUnavailable {
-		in.metrics.failed.Inc()
+		in.Metrics.Failed.Inc()
 	}
-	in.log("request answered", events.F("request", c.ID), events.F("job", c.job), events.F("method", c.r.Method), events.F("path", c.r.URL.Path),
+	in.Log("request answered", events.F("request", c.ID), events.F("job", c.job), events.F("method", c.r.Method), events.F("path", c.r.URL.Path),
 		events.F("status", fmt.Sprint(status)), events.F("reason", reason), events.F("config", c.configVersion()),
-		events.F("config_age", in.sinceLastRead(&in.stateLoop.lastOperatorRead).Round(time.Millisecond).String()),
-		events.F("took", (in.clock.Now()-c.started).Round(time.Millisecond).String()))
+		events.F("config_age", in.ConfigAge().Round(time.Millisecond).String()),
+		events.F("took", (in.Clock.Now()-c.started).Round(time.Millisecond).String()))
 	platform.SetOwnResponseHeader(c.w.Header(), c.ID, 0)
 	if c.relayed {
 		c.w.Header().Set(headerOwnResponse, c.ownResponse)
@@ -81,7 +82,7 @@
 // deny responds with the status to a request that the configuration does not allow. It
 // refuses the request instead if this instance may have missed a newer configuration.
 func (in *Instance) deny(c *callerRequest, status int, reason string) {
-	if !in.configFresh() {
+	if !in.ConfigFresh() {
 		in.refuse(c, "configuration may be outdated: "+reason)
 		return
 	}
@@ -91,7 +92,7 @@
 // serveCaller finds the route and the account of a request and serves it: a request about
 // a job, a submission of a job, or a request to forward to a plain service.
 func (in *Instance) serveCaller(w http.ResponseWriter, r *http.Request) {
-	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(r), w: w, r: r, view: in.stateLoop.view.Load(), started: in.clock.Now()}
+	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(r), w: w, r: r, view: in.CurrentView(), started: in.Clock.Now()}
 	if !in.awaitConfiguration(c) {
 		in.refuse(c, "no configuration is known yet")
 		return
@@ -127,19 +128,19 @@
 }
 
 // awaitConfiguration waits until the configuration and the targets have been read, after
-// the start of the instance. It waits for staleAfter at most, and for a third of the
+// the start of the instance. It waits for StaleAfter at most, and for a third of the
 // caller's time at most, so that the caller can still try another instance. It reports
 // whether the configuration has been read.
 func (in *Instance) awaitConfiguration(c *callerRequest) bool {
-	limit := staleAfter
+	limit := node.StaleAfter
 	if c.TimeLeft > 0 {
 		limit = min(limit, c.TimeLeft/3)
 	}
 	ctx, cancel := in.withDeadline(c, c.started+limit)
 	defer cancel()
 	for {
-		changed := in.stateLoop.nextChange()
-		c.view = in.stateLoop.view.Load()
+		changed := in.StateLoop.NextChange()
+		c.view = in.CurrentView()
 		if c.view.Catalog != nil && len(c.view.Targets) > 0 {
 			return true
 		}
@@ -187,5 +188,5 @@
 // withDeadline returns a context that ends at the deadline, a reading of clock.Now, or
 // when the caller disconnects.
 func (in *Instance) withDeadline(c *callerRequest, deadline time.Duration) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(c.r.Context(), deadline-in.clock.Now())
+	return context.WithTimeout(c.r.Context(), deadline-in.Clock.Now())
 }
--- a/internal/hosted/holdback.go
+++ b/internal/hosted/holdback.go
@@ -34,11 +34,11 @@
 // awaitAllowance waits until a plain request may be sent to a target, if the target limits
 // its rate. It fails with a *noAllowanceError if that would take too long.
 func (in *Instance) awaitAllowance(ctx context.Context, p *plainRequest, id string) error {
-	t, found := in.stateLoop.view.Load().target(id)
+	t, found := in.CurrentView().Target(id)
 	if !found || !t.Limited {
 		return nil
 	}
-	grant, err := in.allowances.take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.targetLatency)))
+	grant, err := in.Allowances.Take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.targetLatency)))
 	if err != nil || grant.Count == 0 {
 		return &noAllowanceError{t.ID, t.RequestLimit, grant.RetryAfter, err}
 	}
@@ -52,5 +52,5 @@
 // an allowance: the time until the first one grants a request, spread over as long again, so
 // that the callers do not return at once.
 func (in *Instance) limitedRetryAfter(earliest time.Duration) time.Duration {
-	return max(retryAfter, earliest+in.jitter(earliest))
+	return max(retryAfter, earliest+in.Jitter(earliest))
 }
--- /dev/null
+++ b/internal/hosted/instance.go
@@ -0,0 +1,142 @@
+// Package hosted runs one instance of the rollout service on a platform that keeps
+// its state: a log with conditional appends, a registry of targets and the operator's
+// configuration.
+//
+// Every instance serves callers and trainers. Jobs, leases and usage counts are stored
+// in the log (core/job), which also assigns each job to an instance, its runner. An
+// instance keeps nothing on its own disk, so another one can continue its jobs after a
+// kill. A caller's request is sent to a target again only if it has not run or is
+// idempotent.
+//
+// New is given the settings. Load balancing over the instances and retries of refused
+// requests are left to the caller.
+package hosted
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"runtime/debug"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/retry"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// Config holds an instance's settings and the sources of its logs, time and randomness.
+type Config struct {
+	Settings  platform.Settings
+	LogOutput io.Writer
+	Clock     clock.Clock                                         // nil: the system's clock
+	Random    *rand.Rand                                          // nil: seeded randomly
+	Listen    func(network, address string) (net.Listener, error) // nil: net.Listen
+	// DialTarget opens the connections to targets. nil: a net.Dialer
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+const (
+	memoryLimitFraction = 0.7                    // of the instance's memory that Go may use before collections get frequent
+	gcPercent           = 50                     // heap growth between collections; low, as peak memory is billed
+	ejectFailures       = 3                      // consecutive failures that eject a target of a plain service
+	ejectBase           = 500 * time.Millisecond // first ejection; each further one lasts twice as long
+	ejectMax            = 4 * time.Second        // longest ejection
+	ejectShare          = 0.7                    // largest fraction of a service's targets that may be ejected
+)
+
+// Instance is one instance of the service. Run starts all its goroutines.
+type Instance struct {
+	*node.Node
+	listen        func(network, address string) (net.Listener, error)
+	cloud         *platform.Cloud
+	plainTargets  *plainTargets
+	relays        *relays
+	crashDetector *crashDetector
+	poisonGuard   *poisonGuard
+	runner        *runner
+	resultWriter  *resultWriter
+	scorer        *scorer
+	controller    *controller
+	usageCounter  *usageCounter
+}
+
+// New returns an instance that has not been started.
+func New(cfg Config) *Instance {
+	in := &Instance{listen: cfg.Listen}
+	if in.listen == nil {
+		in.listen = net.Listen
+	}
+	in.Node = node.New(node.Config{
+		Settings: cfg.Settings, LogOutput: cfg.LogOutput, Clock: cfg.Clock, Random: cfg.Random, DialTarget: cfg.DialTarget,
+	})
+	if cfg.Settings.Cloud != "" {
+		in.cloud = platform.NewCloud(cfg.Settings.Cloud)
+	}
+	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
+	in.relays = newRelays(in)
+	in.crashDetector = newCrashDetector(in)
+	in.poisonGuard = newPoisonGuard(in)
+	in.runner = newRunner(in)
+	in.resultWriter = newResultWriter(in)
+	in.scorer = newScorer(in)
+	in.controller = newController(in)
+	in.usageCounter = newUsageCounter(in)
+	in.OnRecord = in.applyRecord
+	return in
+}
+
+// Run starts the instance. It returns when ctx ends, or with ErrStopped when the instance
+// has drained after Stop.
+func (in *Instance) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(in.Settings.MemoryBytes)))
+	debug.SetGCPercent(gcPercent)
+	in.Log("instance started", events.F("incarnation", in.Self), events.F("data_centre", in.Settings.DataCentre))
+	group, ctx := errgroup.WithContext(ctx)
+	for _, f := range append(in.Loops(),
+		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers,
+		in.poisonGuard.run, in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
+	) {
+		group.Go(func() error { return f(ctx) })
+	}
+	err := group.Wait()
+	in.Log("instance stopped", events.F("error", fmt.Sprint(err)))
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// applyRecord passes a record of the log to the parts that act on it. It runs on the state
+// goroutine.
+func (in *Instance) applyRecord(now time.Duration, r job.Record, accepted bool) {
+	in.controller.onRecord(now, r, accepted)
+	in.poisonGuard.onRecord(r)
+}
+
+// Stop starts the drain: the instance reports that it is not ready, so that the load
+// balancer removes it, hands its jobs over and finishes the requests in flight. Run then
+// returns ErrStopped.
+func (in *Instance) Stop() { in.Node.Stop() }
+
+// Reload reads the settings file again, validates it and logs whether it has changed. The
+// settings of a running instance are fixed: a changed file takes effect at the next
+// start.
+func (in *Instance) Reload(path string) {
+	settings, err := platform.LoadSettings(path)
+	switch {
+	case err != nil:
+		in.Log("settings rejected", events.F("error", err.Error()))
+	case settings != in.Settings:
+		in.Log("settings changed", events.F("effect", "at the next start"))
+	default:
+		in.Log("settings unchanged")
+	}
+}
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -48,21 +49,21 @@
 		in.deny(c, http.StatusBadRequest, err.Error())
 		return
 	}
-	records, err := job.EncodeTasks(sub.Tasks, in.cfg.Settings.Store.RecordBytes/2)
+	records, err := job.EncodeTasks(sub.Tasks, in.Settings.Store.RecordBytes/2)
 	if err != nil {
 		in.respond(c, http.StatusBadRequest, err.Error())
 		return
 	}
-	locations, err := in.storeContent(ctx, records)
+	locations, err := in.StoreContent(ctx, records)
 	if err != nil {
 		in.refuse(c, "the tasks were not stored: "+err.Error()) // without the Submitted record the job never runs
 		return
 	}
 	in.runner.cacheTasks(c.ID, sub.Tasks)
-	switch err := in.appendRecord(ctx, job.Record{Submitted: in.newSubmitted(c, sub, locations, in.chooseRunner(ctx, sub.Model))}); {
+	switch err := in.AppendRecord(ctx, job.Record{Submitted: in.newSubmitted(c, sub, locations, in.chooseRunner(ctx, sub.Model))}); {
 	case err == nil:
 		in.respondAccepted(c, len(sub.Tasks), "new")
-	case errors.Is(err, errNotAppended):
+	case errors.Is(err, node.ErrNotAppended):
 		in.refuse(c, "the job was not stored: "+err.Error())
 	default:
 		in.respond(c, http.StatusGatewayTimeout, "it is not known whether the job was stored: "+err.Error())
@@ -80,7 +81,7 @@
 	ctx, cancel := context.WithCancel(c.r.Context())
 	timer := time.AfterFunc(limit, func() {
 		extra := time.Duration(outageWaitFraction*float64(c.TimeLeft)) - limit
-		if extra <= 0 || !in.logTransport.noPeerReachesLog() {
+		if extra <= 0 || !in.LogTransport.NoPeerReachesLog() {
 			cancel()
 			return
 		}
@@ -103,14 +104,14 @@
 // instance claims the job.
 func (in *Instance) chooseRunner(ctx context.Context, model string) string {
 	runner := ""
-	in.stateLoop.do(ctx, func() {
-		last := in.stateLoop.state.Runners[model]
-		if last.Name != "" && last.Name != in.self && in.clock.Now()-last.LastSeen < runnerMaxAge {
+	in.StateLoop.Do(ctx, func() {
+		last := in.StateLoop.State.Runners[model]
+		if last.Name != "" && last.Name != in.Self && in.Clock.Now()-last.LastSeen < runnerMaxAge {
 			runner = last.Name
 		}
 	})
-	if runner == "" && !in.isStopping() && in.links.confirm(ctx) {
-		return in.self
+	if runner == "" && !in.IsStopping() && in.Links.Confirm(ctx) {
+		return in.Self
 	}
 	return runner
 }
@@ -138,9 +139,9 @@
 // respondAccepted responds with status 202 to a submission that is in the log. how is
 // "new", or "known" if an earlier request submitted the job.
 func (in *Instance) respondAccepted(c *callerRequest, tasks int, how string) {
-	in.metrics.jobs.Inc()
-	in.log("job accepted", events.F("request", c.ID), events.F("account", c.account), events.F("tasks", fmt.Sprint(tasks)),
-		events.F("how", how), events.F("took", (in.clock.Now()-c.started).Round(time.Millisecond).String()))
+	in.Metrics.Jobs.Inc()
+	in.Log("job accepted", events.F("request", c.ID), events.F("account", c.account), events.F("tasks", fmt.Sprint(tasks)),
+		events.F("how", how), events.F("took", (in.Clock.Now()-c.started).Round(time.Millisecond).String()))
 	platform.SetOwnResponseHeader(c.w.Header(), c.ID, 0)
 	c.w.Header().Set("Content-Length", "0")
 	c.w.WriteHeader(http.StatusAccepted)
@@ -149,8 +150,8 @@
 // hasJob reports whether the account of the request has a job of the id, as far as the
 // log was read.
 func (in *Instance) hasJob(ctx context.Context, c *callerRequest, id string) (found bool) {
-	in.stateLoop.do(ctx, func() {
-		j := in.stateLoop.state.Jobs[id]
+	in.StateLoop.Do(ctx, func() {
+		j := in.StateLoop.State.Jobs[id]
 		found = j != nil && j.Account == c.account
 	})
 	return found
@@ -160,8 +161,8 @@
 func (in *Instance) serveJobRequest(c *callerRequest, jobRequest platform.JobRequest) {
 	ctx, cancel := context.WithTimeout(c.r.Context(), c.Wait+readTimeout)
 	defer cancel()
-	idle := !in.busy()
-	defer in.pace.beginJobRequest()()
+	idle := !in.Busy()
+	defer in.Pace.BeginJobRequest()()
 	found, err := in.findJob(ctx, c, jobRequest.Job)
 	if found && idle {
 		in.readLatestRecords(ctx)
@@ -186,7 +187,7 @@
 	if in.hasJob(ctx, c, id) {
 		return true, nil
 	}
-	if err := in.catchUp(ctx); err != nil {
+	if err := in.CatchUp(ctx); err != nil {
 		return false, err
 	}
 	return in.hasJob(ctx, c, id), nil
@@ -196,48 +197,22 @@
 // that callers see results as soon as at a busy one. If the log is out of reach, the request
 // is served from what was read before.
 func (in *Instance) readLatestRecords(ctx context.Context) {
-	if err := in.catchUp(ctx); err != nil {
-		in.log("log not read to its end", events.F("error", err.Error()))
-	}
-}
-
-// catchUp returns once every record that the log contains at the call has been applied.
-func (in *Instance) catchUp(ctx context.Context) error {
-	var next int64
-	if !in.stateLoop.do(ctx, func() { next = in.stateLoop.nextOffset }) {
-		return ctx.Err()
-	}
-	batch, err := in.store.Read(ctx, controlTopic, 0, next, 1, 0)
-	if err != nil {
-		return err
-	}
-	for {
-		changed := in.stateLoop.nextChange()
-		if !in.stateLoop.do(ctx, func() { next = in.stateLoop.nextOffset }) {
-			return ctx.Err()
-		}
-		if next >= batch.EndOffset {
-			return nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return fmt.Errorf("folded to %d of %d: %w", next, batch.EndOffset, ctx.Err())
-		}
+	if err := in.CatchUp(ctx); err != nil {
+		in.Log("log not read to its end", events.F("error", err.Error()))
 	}
 }
 
 // serveResults responds with a job's results from a position on. If there is none, it
 // waits for one as long as the caller requests.
 func (in *Instance) serveResults(ctx context.Context, c *callerRequest, jobRequest platform.JobRequest) {
-	waitUntil := in.clock.Now() + c.Wait
+	waitUntil := in.Clock.Now() + c.Wait
 	for {
-		changed := in.stateLoop.nextChange()
+		changed := in.StateLoop.NextChange()
 		var total int
 		var entries []job.Result
 		var ids []string
-		if !in.stateLoop.do(ctx, func() {
-			j := in.stateLoop.state.Jobs[jobRequest.Job]
+		if !in.StateLoop.Do(ctx, func() {
+			j := in.StateLoop.State.Jobs[jobRequest.Job]
 			if j == nil {
 				return
 			}
@@ -250,7 +225,7 @@
 			in.refuse(c, "the caller's wait is over")
 			return
 		}
-		remaining := waitUntil - in.clock.Now()
+		remaining := waitUntil - in.Clock.Now()
 		if len(entries) > 0 || remaining <= 0 {
 			in.sendResults(ctx, c, jobRequest, total, entries, ids)
 			return
@@ -284,7 +259,7 @@
 // sendResults reads the outputs and responds with the results. Without results it refuses
 // the request if the log may contain some that this instance has not read.
 func (in *Instance) sendResults(ctx context.Context, c *callerRequest, jobRequest platform.JobRequest, total int, entries []job.Result, ids []string) {
-	if len(entries) == 0 && !in.logCurrent() {
+	if len(entries) == 0 && !in.LogCurrent() {
 		in.refuse(c, "newer results may be listed")
 		return
 	}
@@ -292,7 +267,7 @@
 	for i, e := range entries {
 		locations[i] = e.Location
 	}
-	outputs, err := in.loadContent(ctx, locations)
+	outputs, err := in.LoadContent(ctx, locations)
 	if err != nil {
 		in.refuse(c, "a text is out of reach: "+err.Error())
 		return
@@ -336,12 +311,12 @@
 // tasksOf returns a job's tasks, from the cache or the content topic.
 func (in *Instance) tasksOf(ctx context.Context, id string) ([]job.Task, error) {
 	var locations []job.Location
-	in.stateLoop.do(ctx, func() {
-		if j := in.stateLoop.state.Jobs[id]; j != nil {
+	in.StateLoop.Do(ctx, func() {
+		if j := in.StateLoop.State.Jobs[id]; j != nil {
 			locations = j.Content
 		}
 	})
-	records, err := in.loadContent(ctx, locations)
+	records, err := in.LoadContent(ctx, locations)
 	if err != nil {
 		return nil, err
 	}
@@ -359,13 +334,13 @@
 // endJob ends a job and responds once the Ended record is in the log.
 func (in *Instance) endJob(ctx context.Context, c *callerRequest, id string) {
 	ended := false
-	in.stateLoop.do(ctx, func() {
-		j := in.stateLoop.state.Jobs[id]
+	in.StateLoop.Do(ctx, func() {
+		j := in.StateLoop.State.Jobs[id]
 		ended = j != nil && j.Ended
 	})
 	if !ended {
-		if err := in.appendRecord(ctx, job.Record{Ended: &job.Ended{Job: id}}); err != nil {
-			if errors.Is(err, errNotAppended) {
+		if err := in.AppendRecord(ctx, job.Record{Ended: &job.Ended{Job: id}}); err != nil {
+			if errors.Is(err, node.ErrNotAppended) {
 				in.refuse(c, "the end was not stored: "+err.Error())
 				return
 			}
@@ -373,6 +348,6 @@
 			return
 		}
 	}
-	in.log("job ended", events.F("request", id), events.F("account", c.account))
+	in.Log("job ended", events.F("request", id), events.F("account", c.account))
 	in.sendBody(c, "text/plain", nil)
 }
--- a/internal/hosted/lister.go
+++ b/internal/hosted/lister.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -57,7 +58,7 @@
 // the size of a call.
 func (w *resultWriter) collectBatch(first taskResult) []taskResult {
 	batch, size := []taskResult{first}, len(first.output)
-	for size < w.instance.cfg.Settings.Store.CallBytes/2 {
+	for size < w.instance.Settings.Store.CallBytes/2 {
 		select {
 		case r := <-w.queue:
 			batch = append(batch, r)
@@ -83,8 +84,8 @@
 	var locations []job.Location
 	if len(records) > 0 {
 		var err error
-		if locations, err = w.retryUntilStored(ctx, func() ([]job.Location, error) { return in.storeContent(ctx, records) }); err != nil {
-			in.log("results not stored", events.F("results", fmt.Sprint(len(batch))), events.F("error", err.Error()))
+		if locations, err = w.retryUntilStored(ctx, func() ([]job.Location, error) { return in.StoreContent(ctx, records) }); err != nil {
+			in.Log("results not stored", events.F("results", fmt.Sprint(len(batch))), events.F("error", err.Error()))
 			return
 		}
 	}
@@ -117,16 +118,16 @@
 			job.Result{Task: r.task, Completed: r.completed, Versions: r.versions, Location: *r.location, Score: r.score})
 	}
 	for _, p := range unscored {
-		in.appendRecordAsync(job.Record{Progress: p})
+		in.AppendRecordAsync(job.Record{Progress: p})
 	}
 	for _, id := range jobIDs {
-		data, err := in.encodeRecord(job.Record{Listed: listed[id]})
+		data, err := in.EncodeRecord(job.Record{Listed: listed[id]})
 		if err != nil {
-			in.log("record unencodable", events.F("error", err.Error()))
+			in.Log("record unencodable", events.F("error", err.Error()))
 			continue
 		}
-		if _, err := in.controlLog.append(ctx, data); err != nil && ctx.Err() == nil {
-			in.log("results not listed", events.F("job", id), events.F("error", err.Error()))
+		if err := in.AppendEncoded(ctx, data); err != nil && ctx.Err() == nil {
+			in.Log("results not listed", events.F("job", id), events.F("error", err.Error()))
 		}
 	}
 }
@@ -138,11 +139,11 @@
 		if err == nil || ctx.Err() != nil || errors.Is(err, platform.ErrOutcomeUnknown) {
 			return locations, err
 		}
-		w.instance.dependencyLost("content", err)
+		w.instance.DependencyLost("content", err)
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
-		case <-time.After(appendBackoffMax):
+		case <-time.After(node.AppendBackoffMax):
 		}
 	}
 }
--- /dev/null
+++ b/internal/hosted/peers.go
@@ -0,0 +1,32 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/amaranthfold/amaranthfold/internal/node"
+)
+
+// peerHandler serves the other instances.
+func (in *Instance) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(node.AllowancePath, in.Allowances.Serve)
+	mux.HandleFunc("/", in.LogTransport.Relay)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(headerRelayed) != "" { // any path
+			in.relays.serve(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// servePeers serves the other instances: it grants requests to targets that limit their rate,
+// and relays calls to the log and callers' requests for instances that reach neither the log nor
+// a target.
+func (in *Instance) servePeers(ctx context.Context) error {
+	if in.Settings.Peers == "" {
+		return nil
+	}
+	return in.serve(ctx, in.Settings.Peers, in.peerHandler(), nil)
+}
--- a/internal/hosted/permits.go
+++ b/internal/hosted/permits.go
@@ -9,15 +9,15 @@
 // the replies to the runner's goroutine.
 func (r *runner) obtainPermits(ctx context.Context) {
 	in := r.instance
-	view := in.stateLoop.view.Load()
+	view := in.CurrentView()
 	for _, wanted := range r.scheduler.PermitsWanted() {
-		t, found := view.target(wanted.Engine)
+		t, found := view.Target(wanted.Engine)
 		if !found {
-			r.scheduler.SetPermits(in.clock.Now(), wanted.Engine, 0, 0)
+			r.scheduler.SetPermits(in.Clock.Now(), wanted.Engine, 0, 0)
 			continue
 		}
 		go func() {
-			grant, err := in.allowances.take(ctx, t, wanted.Count, 0)
+			grant, err := in.Allowances.Take(ctx, t, wanted.Count, 0)
 			if err != nil {
 				grant.RetryAfter = reviewInterval
 			}
--- a/internal/hosted/plain.go
+++ b/internal/hosted/plain.go
@@ -101,7 +101,7 @@
 // forwardRequest sends a request to a target of the route's service and the response to
 // the caller.
 func (in *Instance) forwardRequest(c *callerRequest) {
-	in.metrics.requests.Inc()
+	in.Metrics.Requests.Inc()
 	deadline := c.deadline()
 	ctx, cancel := in.withDeadline(c, deadline)
 	defer cancel()
@@ -110,7 +110,7 @@
 		in.refuse(c, err.Error())
 		return
 	}
-	request := c.plainRequest(c.route.Pick(in.rand64()))
+	request := c.plainRequest(c.route.Pick(in.Rand64()))
 	request.software = software
 	if v := in.poisonGuard.check(request); v.Condemned {
 		in.refuseCondemned(c, v)
@@ -118,19 +118,19 @@
 	}
 	attempted := in.runAttempts(ctx, request, deadline)
 	best, attempts := attempted.best, attempted.startedAttempts
-	took := in.clock.Now() - c.started
-	in.metrics.requestTime.Update(took.Seconds())
+	took := in.Clock.Now() - c.started
+	in.Metrics.RequestTime.Update(took.Seconds())
 	if attempts > 1 {
-		in.metrics.retries.Add(attempts - 1)
+		in.Metrics.Retries.Add(attempts - 1)
 	}
 	if best != nil && best.outcome != retry.NotRun && !best.relayed {
-		in.usageCounter.countRequest(c.account, in.clock.Wall())
+		in.usageCounter.countRequest(c.account, in.Clock.Wall())
 	}
 	switch {
 	case best != nil && best.hasResponse():
 		in.forwardResponse(c, request, best, attempts, took)
 	case c.r.Context().Err() != nil:
-		in.log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
+		in.Log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
 	case attempted.heldBack > 0 && best.outcome == retry.NotRun:
 		in.refuseFor(c, in.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
 	case attempted.condemned != nil && (best == nil || best.outcome == retry.NotRun):
@@ -149,7 +149,7 @@
 }
 
 func (in *Instance) forwardResponse(c *callerRequest, request *plainRequest, r *attemptResult, attempts int, took time.Duration) {
-	in.log("request passed", events.F("request", c.ID), events.F("route", c.route.Name), events.F("target", r.target.ID),
+	in.Log("request passed", events.F("request", c.ID), events.F("route", c.route.Name), events.F("target", r.target.ID),
 		events.F("software", r.target.Software), events.F("status", fmt.Sprint(r.status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
 		events.F("took", took.Round(time.Millisecond).String()))
 	platform.CopyResponseHeader(c.w.Header(), r.header)
@@ -193,7 +193,7 @@
 			if !r.relayed {
 				in.crashDetector.requestLost(c.r.Context(), r.target, lostRequest{request.id, request.digest()}, r.sentAt)
 			}
-			in.log("request stream broken", events.F("request", c.ID), events.F("target", r.target.ID), events.F("error", err.Error()))
+			in.Log("request stream broken", events.F("request", c.ID), events.F("target", r.target.ID), events.F("error", err.Error()))
 			panic(http.ErrAbortHandler)
 		}
 	}
@@ -210,7 +210,7 @@
 	if err := in.awaitAllowance(ctx, p, target.ID); err != nil {
 		in.plainTargets.withdraw(target, suspected)
 		r.err = err
-		in.log("request held back", events.F("request", p.id), events.F("target", target.ID), events.F("error", err.Error()))
+		in.Log("request held back", events.F("request", p.id), events.F("target", target.ID), events.F("error", err.Error()))
 		return r
 	}
 	connected := false
@@ -227,14 +227,14 @@
 		r.outcome = retry.Ran
 	}
 	ok := r.err == nil || ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled)
-	if in.plainTargets.release(in.clock.Now(), target, suspected, readyTargets, ok, float64(in.rand64()%1000)/1000) {
-		in.log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.err)))
+	if in.plainTargets.release(in.Clock.Now(), target, suspected, readyTargets, ok, float64(in.Rand64()%1000)/1000) {
+		in.Log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.err)))
 	}
 	if r.outcome == retry.Unknown && r.brokenOff && p.digest != nil && ctx.Err() == nil {
 		in.crashDetector.requestLost(ctx, target, lostRequest{p.id, p.digest()}, r.sentAt)
 	}
 	if !r.hasResponse() {
-		in.log("request attempt failed", events.F("request", p.id), events.F("target", target.ID),
+		in.Log("request attempt failed", events.F("request", p.id), events.F("target", target.ID),
 			events.F("outcome", r.outcome.String()), events.F("status", fmt.Sprint(r.status)), events.F("error", fmt.Sprint(r.err)))
 	}
 	return r
@@ -246,18 +246,18 @@
 func (in *Instance) roundTrip(ctx context.Context, p *plainRequest, r *attemptResult, deadline time.Duration) {
 	req := &http.Request{
 		Method: p.method, URL: p.url(r.target.Address), Host: p.host,
-		Header:        platform.ForwardedHeader(p.header, r.target.ID, p.account, deadline-in.clock.Now()),
+		Header:        platform.ForwardedHeader(p.header, r.target.ID, p.account, deadline-in.Clock.Now()),
 		Body:          nonReplayableBody(p.method, p.header, p.body),
 		ContentLength: int64(len(p.body)),
 	}
-	r.sentAt = in.clock.Now()
-	res, err := in.targetClient.Do(req.WithContext(ctx))
+	r.sentAt = in.Clock.Now()
+	res, err := in.TargetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		r.err, r.brokenOff = err, true
-		in.noteNoAnswer(ctx, r.target)
+		in.NoteNoAnswer(ctx, r.target)
 		return
 	}
-	in.noteResponse(ctx, r.target, platform.DecodeResponseHeader(res), p.id, r.sentAt)
+	in.NoteResponse(ctx, r.target, platform.DecodeResponseHeader(res), p.id, r.sentAt)
 	in.readResponse(p, r, res)
 }
 
@@ -288,7 +288,7 @@
 
 // responseLimit returns the limit in bytes of a response body that is read into memory.
 func (in *Instance) responseLimit() int64 {
-	return min(maxResponseBytes, int64(maxResponseMemoryFraction*float64(in.cfg.Settings.MemoryBytes)))
+	return min(maxResponseBytes, int64(maxResponseMemoryFraction*float64(in.Settings.MemoryBytes)))
 }
 
 // nonReplayableBody returns a request body that keeps net/http from sending the request
--- a/internal/hosted/plain_targets.go
+++ b/internal/hosted/plain_targets.go
@@ -6,6 +6,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/retry"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 // plainTargets chooses the targets of requests to plain services. It is safe for
@@ -28,7 +29,7 @@
 // have crashed are kept apart from each other and from the rest, so that a further crash shows
 // which one causes it. An ejected target is returned only if there is no other. release must
 // follow.
-func (p *plainTargets) choose(now time.Duration, view *View, service, dataCentre string, tried map[string]bool, suspected bool, random uint64) (directory.Target, bool) {
+func (p *plainTargets) choose(now time.Duration, view *node.View, service, dataCentre string, tried map[string]bool, suspected bool, random uint64) (directory.Target, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best, fallback directory.Target
@@ -122,7 +123,7 @@
 }
 
 // countReadyTargets returns the number of ready targets of the service.
-func countReadyTargets(view *View, service string) int {
+func countReadyTargets(view *node.View, service string) int {
 	count := 0
 	for i := range view.Targets {
 		if view.Targets[i].Service == service && view.Targets[i].Ready {
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// staleAfter is the time without a reply after which an instance is not ready: two polls
-	// of the log have got no reply.
-	staleAfter = 2500 * time.Millisecond
 	// deregistrationDelay is how long a stopping instance still accepts new connections: the
 	// load balancer checks readiness once a second and removes it after two failures.
 	deregistrationDelay = 2500 * time.Millisecond
@@ -30,34 +27,23 @@
 	idleTimeout   = 120 * time.Second
 )
 
-// configFresh reports whether the operator topic was read within staleAfter.
-func (in *Instance) configFresh() bool {
-	return in.sinceLastRead(&in.stateLoop.lastOperatorRead) < staleAfter
-}
-
-// logCurrent reports whether the log was read to its end once and read again within
-// staleAfter.
-func (in *Instance) logCurrent() bool {
-	return in.stateLoop.caughtUp.Load() && in.sinceLastRead(&in.stateLoop.lastLogRead) < staleAfter
-}
-
 // ready reports whether the load balancer may send requests to the instance: it is not
 // stopping, has a configuration, has read the registry, and has read the operator topic
-// and the log within staleAfter.
+// and the log within StaleAfter.
 func (in *Instance) ready() bool {
-	return !in.isStopping() && in.stateLoop.view.Load().Catalog != nil && in.configFresh() && in.logCurrent() &&
-		in.stateLoop.lastRegistryRead.Load() != 0
+	return !in.IsStopping() && in.CurrentView().Catalog != nil && in.ConfigFresh() && in.LogCurrent() &&
+		in.RegistryRead()
 }
 
 // serveReadiness serves the load balancer's health check: status 200 if the instance is
 // ready, else 503.
 func (in *Instance) serveReadiness(ctx context.Context) error {
 	wasReady := false
-	return in.serve(ctx, in.cfg.Settings.Readiness, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return in.serve(ctx, in.Settings.Readiness, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		ready := in.ready()
 		if ready != wasReady {
 			wasReady = ready
-			in.log("readiness changed", events.F("ready", fmt.Sprint(ready)))
+			in.Log("readiness changed", events.F("ready", fmt.Sprint(ready)))
 		}
 		if !ready {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -66,24 +52,24 @@
 }
 
 func (in *Instance) serveMetrics(ctx context.Context) error {
-	if in.cfg.Settings.Metrics == "" {
+	if in.Settings.Metrics == "" {
 		return nil
 	}
-	return in.serve(ctx, in.cfg.Settings.Metrics, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		in.metrics.set.WritePrometheus(w)
+	return in.serve(ctx, in.Settings.Metrics, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		in.Metrics.Set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	}), nil)
 }
 
 // serveFront serves callers and trainers until the instance has drained.
 func (in *Instance) serveFront(ctx context.Context) error {
-	return in.serve(ctx, in.cfg.Settings.Front, http.HandlerFunc(in.serveCaller), in.drain)
+	return in.serve(ctx, in.Settings.Front, http.HandlerFunc(in.serveCaller), in.drain)
 }
 
 // serve runs an HTTP server until ctx ends. If stop is not nil, the server runs until
 // stop, which is called at the start, has shut it down.
 func (in *Instance) serve(ctx context.Context, address string, handler http.Handler, stop func(context.Context, *http.Server) error) error {
-	listener, err := in.cfg.Listen("tcp", address)
+	listener, err := in.listen("tcp", address)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -118,18 +104,18 @@
 	select {
 	case <-ctx.Done():
 		return server.Close()
-	case <-in.stopping:
+	case <-in.StopStarted():
 	}
-	in.log("instance stopping", events.F("grace", in.cfg.Settings.Grace.String()))
+	in.Log("instance stopping", events.F("grace", in.Settings.Grace.String()))
 	server.SetKeepAlivesEnabled(false)
-	graceCtx, cancel := context.WithTimeout(ctx, in.cfg.Settings.Grace-shutdownMargin)
+	graceCtx, cancel := context.WithTimeout(ctx, in.Settings.Grace-shutdownMargin)
 	defer cancel()
 	select {
 	case <-graceCtx.Done():
 	case <-time.After(deregistrationDelay):
 	}
 	if err := server.Shutdown(graceCtx); err != nil {
-		in.log("instance cut requests", events.F("error", err.Error()))
+		in.Log("instance cut requests", events.F("error", err.Error()))
 	}
 	in.runner.waitForHandover(graceCtx)
 	return ErrStopped
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthfold/amaranthfold/core/relay"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -55,7 +56,7 @@
 	return &relays{
 		instance: in, peers: relay.NewPeers(), slots: make(chan struct{}, maxRelayedPending),
 		client: &http.Client{
-			CheckRedirect: noRedirect,
+			CheckRedirect: node.NoRedirect,
 			Transport: &http.Transport{
 				DialContext:         (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
 				MaxIdleConnsPerHost: relayIdleConns, IdleConnTimeout: relayIdleTimeout, DisableCompression: true,
@@ -67,16 +68,16 @@
 // choose returns the instance for the next try of a request, and its address. tried holds the
 // instances that it was sent to.
 func (r *relays) choose(tried map[string]bool) (name, address string, found bool) {
-	known := r.instance.allowances.peers.Load()
+	others, addresses := r.instance.Allowances.OtherInstances()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	name, found = r.peers.Choose(r.instance.clock.Now(), known.others, tried, r.instance.rand64())
-	return name, known.addresses[name], found
+	name, found = r.peers.Choose(r.instance.Clock.Now(), others, tried, r.instance.Rand64())
+	return name, addresses[name], found
 }
 
 // noteResult notes whether the instance serves requests.
 func (r *relays) noteResult(name string, served bool) {
-	now := r.instance.clock.Now()
+	now := r.instance.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if served {
@@ -92,13 +93,13 @@
 	result := &attemptResult{target: directory.Target{ID: "through " + name}, outcome: retry.NotRun, relayed: true}
 	connected := false
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
-	header := platform.ForwardedHeader(p.header, "", p.account, deadline-in.clock.Now())
+	header := platform.ForwardedHeader(p.header, "", p.account, deadline-in.Clock.Now())
 	header.Set(headerRelayed, fmt.Sprint(p.configVersion))
 	req := &http.Request{
 		Method: p.method, URL: p.url(address), Host: p.host, Header: header,
 		Body: nonReplayableBody(p.method, p.header, p.body), ContentLength: int64(len(p.body)),
 	}
-	result.sentAt = in.clock.Now()
+	result.sentAt = in.Clock.Now()
 	res, err := r.client.Do(req.WithContext(traced))
 	switch {
 	case err != nil:
@@ -123,7 +124,7 @@
 		if ctx.Err() == nil && !result.refused {
 			r.noteResult(name, false)
 		}
-		in.log("request attempt failed", events.F("request", p.id), events.F("target", result.target.ID),
+		in.Log("request attempt failed", events.F("request", p.id), events.F("target", result.target.ID),
 			events.F("outcome", result.outcome.String()), events.F("status", fmt.Sprint(result.status)), events.F("error", result.err.Error()))
 	}
 	return result
@@ -134,7 +135,7 @@
 // a target's.
 func (r *relays) serve(w http.ResponseWriter, req *http.Request) {
 	in := r.instance
-	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(req), w: w, r: req, view: in.stateLoop.view.Load(), started: in.clock.Now(), relayed: true}
+	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(req), w: w, r: req, view: in.CurrentView(), started: in.Clock.Now(), relayed: true}
 	c.account = platform.ForwardedAccount(req)
 	c.ownResponse = ownTryAnother
 	version := req.Header.Get(headerRelayed)
@@ -146,7 +147,7 @@
 		in.refuse(c, "too many requests of other instances")
 		return
 	}
-	if in.isStopping() || !in.links.confirm(req.Context()) {
+	if in.IsStopping() || !in.Links.Confirm(req.Context()) {
 		in.refuse(c, "this instance cannot relay requests")
 		return
 	}
@@ -162,7 +163,7 @@
 	}
 	c.route = route
 	if in.readBody(c) {
-		in.metrics.relayed.Inc()
+		in.Metrics.Relayed.Inc()
 		in.forwardRequest(c)
 	}
 }
@@ -177,8 +178,8 @@
 	ctx, cancel := in.withDeadline(c, c.started+relayConfigWait)
 	defer cancel()
 	for {
-		changed := in.stateLoop.nextChange()
-		c.view = in.stateLoop.view.Load()
+		changed := in.StateLoop.NextChange()
+		c.view = in.CurrentView()
 		if c.view.Catalog != nil && c.view.Catalog.Version >= wanted {
 			return true
 		}
--- a/internal/hosted/runner.go
+++ b/internal/hosted/runner.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/score"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 const (
@@ -87,7 +88,7 @@
 // cacheTasks keeps the tasks of a job that this instance accepts for taskCacheTTL, so
 // that it need not read them from the log if it becomes the runner.
 func (r *runner) cacheTasks(id string, tasks []job.Task) {
-	now := r.instance.clock.Now()
+	now := r.instance.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for other, a := range r.taskCache {
@@ -101,7 +102,7 @@
 // waitForHandover waits until this instance runs no job, or ctx ends.
 func (r *runner) waitForHandover(ctx context.Context) {
 	for {
-		changed := r.instance.stateLoop.nextChange()
+		changed := r.instance.StateLoop.NextChange()
 		r.mu.Lock()
 		open := r.openJobs
 		r.mu.Unlock()
@@ -121,10 +122,10 @@
 func (r *runner) run(ctx context.Context) error {
 	reviewTimer := time.NewTimer(reviewInterval)
 	defer reviewTimer.Stop()
-	stopping := r.instance.stopping
+	stopping := r.instance.StopStarted()
 	for {
-		changed := r.instance.stateLoop.nextChange()
-		cut, linksChanged := r.instance.links.state()
+		changed := r.instance.StateLoop.NextChange()
+		cut, linksChanged := r.instance.Links.State()
 		r.onLinks(ctx, cut)
 		if r.syncJobs(ctx) {
 			reviewTimer.Reset(reviewInterval)
@@ -141,7 +142,7 @@
 		case l := <-r.loadedJobs:
 			r.onLoaded(l)
 		case p := <-r.permits:
-			r.scheduler.SetPermits(r.instance.clock.Now(), p.engine, p.count, p.retryAfter)
+			r.scheduler.SetPermits(r.instance.Clock.Now(), p.engine, p.count, p.retryAfter)
 		case <-stopping:
 			stopping = nil
 			r.handOver(ctx)
@@ -189,20 +190,20 @@
 	assigned := map[string]jobSnapshot{}
 	var orders map[string]job.LoadOrder
 	var allowedStaleness map[string]int64
-	in.stateLoop.do(ctx, func() {
-		for id, j := range in.stateLoop.state.Jobs {
+	in.StateLoop.Do(ctx, func() {
+		for id, j := range in.StateLoop.State.Jobs {
 			released := j.Runner == "" && r.jobs[id] != nil // released for handover, not claimed yet
-			if (j.Runner == in.self || released) && j.Open() {
+			if (j.Runner == in.Self || released) && j.Open() {
 				assigned[id] = jobSnapshot{j, j.Runner, j.Term, append([]job.TaskStatus(nil), j.Status...)}
 			}
 		}
-		orders = make(map[string]job.LoadOrder, len(in.stateLoop.state.LoadOrders))
-		for id, o := range in.stateLoop.state.LoadOrders {
+		orders = make(map[string]job.LoadOrder, len(in.StateLoop.State.LoadOrders))
+		for id, o := range in.StateLoop.State.LoadOrders {
 			orders[id] = o
 		}
-		allowedStaleness = maps.Clone(in.stateLoop.allowedStaleness)
+		allowedStaleness = maps.Clone(in.StateLoop.AllowedStaleness)
 	})
-	view := in.stateLoop.view.Load()
+	view := in.CurrentView()
 	r.scheduler.SetEngines(schedulerEngines(view, orders, allowedStaleness))
 	if newest := latestOrderTime(orders); newest > r.latestOrderAt {
 		r.latestOrderAt = newest
@@ -223,12 +224,12 @@
 				j.failures[i] = snapshot.status[i].Failures
 			}
 			r.jobs[id] = j
-			in.links.checkIfQuiet()
-			in.log("job taken", events.F("job", id), events.F("term", fmt.Sprint(snapshot.term)))
-			in.appendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: snapshot.term}})
+			in.Links.CheckIfQuiet()
+			in.Log("job taken", events.F("job", id), events.F("term", fmt.Sprint(snapshot.term)))
+			in.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: snapshot.term}})
 			go r.loadJob(ctx, snapshot)
 		}
-		if snapshot.term > j.term && snapshot.runner == in.self {
+		if snapshot.term > j.term && snapshot.runner == in.Self {
 			j.released = false // claimed again
 		}
 		j.term = snapshot.term
@@ -239,7 +240,7 @@
 	r.openJobs = len(r.jobs)
 	r.mu.Unlock()
 	if len(r.jobs) > 0 {
-		in.pace.ranJobsAt.Store(int64(in.clock.Now()))
+		in.Pace.RanJobsAt.Store(int64(in.Clock.Now()))
 	}
 	return wasIdle && len(r.jobs) > 0
 }
@@ -248,16 +249,16 @@
 // that have a result, gives up those that may not run again, and schedules the others.
 // After a server error a task is scheduled again only when its failure record has been
 // applied.
-func (r *runner) updateTasks(view *View, id string, j *claimedJob, status []job.TaskStatus) {
+func (r *runner) updateTasks(view *node.View, id string, j *claimedJob, status []job.TaskStatus) {
 	if j.loading {
 		return
 	}
 	in := r.instance
 	service, routeFound := "", false
 	if route, found := view.Catalog.RouteByName(j.job.Route); found {
-		service, routeFound = route.Pick(in.rand64()), true
+		service, routeFound = route.Pick(in.Rand64()), true
 	}
-	age := in.clock.Wall().UnixMilli() - j.job.SubmittedAt
+	age := in.Clock.Wall().UnixMilli() - j.job.SubmittedAt
 	for i := range j.tasks {
 		key := assign.Key{Job: id, Task: i}
 		switch {
@@ -284,7 +285,7 @@
 	r.scheduler.Add(assign.Task{
 		Key: assign.Key{Job: j.job.Job, Task: i}, Service: service, Model: j.job.Model, MinVersion: j.job.MinVersion,
 		Group: j.job.Job + "/" + fmt.Sprint(j.job.Tasks[i].Group), ExpectedTokens: length, Resubmitted: status.Resubmitted,
-		Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Kept: j.outputs[i].kept(), WaitingSince: r.instance.clock.Now(),
+		Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Kept: j.outputs[i].kept(), WaitingSince: r.instance.Clock.Now(),
 	})
 }
 
@@ -301,7 +302,7 @@
 	j.recorded[i] = true
 	if request := j.tasks[i].Scorer; request != nil {
 		result.scoring = &scoring{
-			request: request, job: j.job, term: j.term, failures: scoreFailures, completedAt: r.instance.clock.Now(),
+			request: request, job: j.job, term: j.term, failures: scoreFailures, completedAt: r.instance.Clock.Now(),
 			item: score.Item{
 				Key: score.Key{Job: result.job, Task: i}, Group: j.job.Tasks[i].Group,
 				Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Incomplete: j.incompleteOf(j.job.Tasks[i].Group),
@@ -326,8 +327,8 @@
 func (r *runner) giveUpTask(id string, j *claimedJob, i int) {
 	j.recorded[i] = true
 	r.stopTask(assign.Key{Job: id, Task: i})
-	r.instance.metrics.givenUp.Inc()
-	r.instance.log("task given up", events.F("job", id), events.F("task", j.job.Tasks[i].ID))
+	r.instance.Metrics.GivenUp.Inc()
+	r.instance.Log("task given up", events.F("job", id), events.F("task", j.job.Tasks[i].ID))
 	output, versions, _ := j.outputs[i].snapshot()
 	r.instance.resultWriter.queue <- taskResult{job: id, task: i, id: j.job.Tasks[i].ID, output: output, versions: versions}
 }
@@ -350,7 +351,7 @@
 // dropJob removes a job and cancels all its runs. The outputs of its unfinished tasks are
 // kept for a later job of the account that has the same tasks.
 func (r *runner) dropJob(id string, j *claimedJob) {
-	now := r.instance.clock.Now()
+	now := r.instance.Clock.Now()
 	for i := range j.tasks {
 		key := assign.Key{Job: id, Task: i}
 		scheduled := r.scheduler.Has(key)
@@ -367,5 +368,5 @@
 	}
 	delete(r.jobs, id)
 	r.instance.scorer.removeJob(id)
-	r.instance.log("job left", events.F("job", id))
+	r.instance.Log("job left", events.F("job", id))
 }
--- a/internal/hosted/scaling.go
+++ b/internal/hosted/scaling.go
@@ -8,6 +8,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/size"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 const (
@@ -45,9 +46,9 @@
 // step orders more targets for the services whose demand requires them.
 func (s *scaler) step(ctx context.Context) {
 	in := s.instance
-	now := in.clock.Now()
-	view := in.stateLoop.view.Load()
-	if !in.cfg.Settings.Autoscales || in.cloud == nil || view.Catalog == nil || now < s.nextStep {
+	now := in.Clock.Now()
+	view := in.CurrentView()
+	if !in.Settings.Autoscales || in.cloud == nil || view.Catalog == nil || now < s.nextStep {
 		return
 	}
 	s.nextStep = now + scaleInterval
@@ -78,11 +79,11 @@
 
 // observe updates the peak demand of each service, from the jobs that are open or were
 // closed within peakWindow.
-func (s *scaler) observe(ctx context.Context, view *View, now time.Duration) {
+func (s *scaler) observe(ctx context.Context, view *node.View, now time.Duration) {
 	in := s.instance
 	tasks, needsTargets := map[string]int{}, map[string]bool{}
-	in.stateLoop.do(ctx, func() {
-		for _, j := range in.stateLoop.state.Jobs {
+	in.StateLoop.Do(ctx, func() {
+		for _, j := range in.StateLoop.State.Jobs {
 			route, found := view.Catalog.RouteByName(j.Route)
 			if !found || len(route.Split) == 0 || !j.Open() && now-j.ClosedAt > peakWindow {
 				continue
@@ -126,7 +127,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, in.controller.callTimeout())
 	defer cancel()
 	err := in.cloud.Scale(callCtx, holder, key.service, key.dataCentre, count)
-	in.log("targets ordered", events.F("service", key.service), events.F("data_centre", key.dataCentre),
+	in.Log("targets ordered", events.F("service", key.service), events.F("data_centre", key.dataCentre),
 		events.F("count", fmt.Sprint(count)), events.F("present", fmt.Sprint(present)),
 		events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", fmt.Sprint(err)))
 	if err != nil {
--- a/internal/hosted/scorer.go
+++ b/internal/hosted/scorer.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/core/score"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -61,7 +62,7 @@
 	}
 	r.output = nil // it is stored
 	s.pending[k] = &pendingScore{result: r}
-	s.queue.Add(s.instance.clock.Now(), r.scoring.item)
+	s.queue.Add(s.instance.Clock.Now(), r.scoring.item)
 	s.notify()
 }
 
@@ -92,7 +93,7 @@
 	for {
 		s.startCalls(ctx)
 		s.mu.Lock()
-		now := s.instance.clock.Now()
+		now := s.instance.Clock.Now()
 		delay, waits := s.queue.NextRetry(now)
 		if s.queue.Stalled(now) {
 			delay, waits = noTargetInterval, true
@@ -124,10 +125,10 @@
 			s.removeJob(id)
 		}
 	}
-	view := s.instance.stateLoop.view.Load()
+	view := s.instance.CurrentView()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, k := range s.queue.Next(s.instance.clock.Now(), score.Limit(s.slots(view), runners)) {
+	for _, k := range s.queue.Next(s.instance.Clock.Now(), score.Limit(s.slots(view), runners)) {
 		p := s.pending[k]
 		callCtx, cancel := context.WithCancel(ctx)
 		p.cancel = cancel
@@ -143,17 +144,17 @@
 func (s *scorer) ownJobs(ctx context.Context, jobs []string) (own map[string]bool, runners int) {
 	own = map[string]bool{}
 	in := s.instance
-	in.stateLoop.do(ctx, func() {
+	in.StateLoop.Do(ctx, func() {
 		names := map[string]bool{}
-		for _, j := range in.stateLoop.state.Jobs {
+		for _, j := range in.StateLoop.State.Jobs {
 			if j.Open() {
 				names[j.Runner] = true
 			}
 		}
 		runners = len(names)
 		for _, id := range jobs {
-			j := in.stateLoop.state.Jobs[id]
-			own[id] = j != nil && j.Open() && (j.Runner == in.self || j.Runner == "")
+			j := in.StateLoop.State.Jobs[id]
+			own[id] = j != nil && j.Open() && (j.Runner == in.Self || j.Runner == "")
 		}
 	})
 	return own, runners
@@ -161,7 +162,7 @@
 
 // slots returns the slots of the ready targets of all services that score queued outputs.
 // It is called with mu held.
-func (s *scorer) slots(view *View) []int {
+func (s *scorer) slots(view *node.View) []int {
 	services := map[string]bool{}
 	for _, p := range s.pending {
 		if route, found := scoreRoute(view.Catalog, p.result.scoring.request); found {
@@ -206,9 +207,9 @@
 }
 
 // call makes one score call, with its attempts at several targets, and handles the outcome.
-func (s *scorer) call(ctx context.Context, view *View, r taskResult) {
+func (s *scorer) call(ctx context.Context, view *node.View, r taskResult) {
 	in := s.instance
-	started := in.clock.Now()
+	started := in.Clock.Now()
 	route, found := scoreRoute(view.Catalog, r.scoring.request)
 	if !found {
 		if s.retained(r) {
@@ -222,7 +223,7 @@
 	timeout := score.CallTimeout(s.timeLeft(view, r), route.TargetLatency)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	attempted := in.runAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(in.rand64()), route, maxFailures-r.scoring.failures), started+timeout)
+	attempted := in.runAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(in.Rand64()), route, maxFailures-r.scoring.failures), started+timeout)
 	if ctx.Err() != nil {
 		return // removed from the queue
 	}
@@ -230,11 +231,11 @@
 	scored := best != nil && best.hasResponse() && best.status/100 == 2
 	unprocessable := best != nil && best.hasResponse() && best.status == http.StatusUnprocessableEntity
 	s.recordFailures(r, attempted.serverErrors)
-	took := in.clock.Now() - started
+	took := in.Clock.Now() - started
 	switch {
 	case scored:
-		in.metrics.scored.Inc()
-		in.metrics.scoreTime.Update((in.clock.Now() - r.scoring.completedAt).Seconds())
+		in.Metrics.Scored.Inc()
+		in.Metrics.ScoreTime.Update((in.Clock.Now() - r.scoring.completedAt).Seconds())
 		r.score = best.platformHeader.Signature
 		s.finish(ctx, r, "scored", attempted, took)
 	case unprocessable, r.scoring.failures >= maxFailures, s.retained(r):
@@ -245,7 +246,7 @@
 }
 
 // timeLeft returns the time until the results of the task's job are due.
-func (s *scorer) timeLeft(view *View, r taskResult) time.Duration {
+func (s *scorer) timeLeft(view *node.View, r taskResult) time.Duration {
 	j := r.scoring.job
 	route, found := view.Catalog.RouteByName(j.Route)
 	if !found {
@@ -256,7 +257,7 @@
 
 // age returns the time since the job's submission.
 func (s *scorer) age(j *job.Job) time.Duration {
-	return time.Duration(s.instance.clock.Wall().UnixMilli()-j.SubmittedAt) * time.Millisecond
+	return time.Duration(s.instance.Clock.Wall().UnixMilli()-j.SubmittedAt) * time.Millisecond
 }
 
 // retained reports whether the task may be given up, as the retention of its job is over.
@@ -281,15 +282,15 @@
 		return
 	}
 	r.scoring.failures += count
-	s.instance.appendRecordAsync(job.Record{Progress: &job.Progress{
+	s.instance.AppendRecordAsync(job.Record{Progress: &job.Progress{
 		Job: r.job, Term: r.scoring.term, ScoreFailures: []job.ScoreFailure{{Task: r.task, Count: count}},
 	}})
 }
 
 // giveUp lists the task as not completed, with its output.
 func (s *scorer) giveUp(ctx context.Context, r taskResult, attempted *requestAttempts, took time.Duration) {
-	s.instance.metrics.unscorable.Inc()
-	s.instance.metrics.givenUp.Inc()
+	s.instance.Metrics.Unscorable.Inc()
+	s.instance.Metrics.GivenUp.Inc()
 	r.completed = false
 	s.finish(ctx, r, "given up", attempted, took)
 }
@@ -314,14 +315,14 @@
 // retry returns a result without a score to the queue.
 func (s *scorer) retry(r taskResult, outcome string, attempted *requestAttempts) {
 	in := s.instance
-	in.metrics.scoreRetries.Inc()
+	in.Metrics.ScoreRetries.Inc()
 	s.logCall(r, outcome, attempted, 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pending[r.scoring.item.Key]; p != nil {
 		p.cancel = nil
 	}
-	s.queue.Retry(in.clock.Now(), r.scoring.item.Key)
+	s.queue.Retry(in.Clock.Now(), r.scoring.item.Key)
 	s.notify()
 }
 
@@ -336,7 +337,7 @@
 	if attempted.best != nil {
 		state = attempted.best.outcome
 	}
-	s.instance.log("score call", events.F("job", r.job), events.F("task", r.id), events.F("request", r.scoring.request.ID),
+	s.instance.Log("score call", events.F("job", r.job), events.F("task", r.id), events.F("request", r.scoring.request.ID),
 		events.F("outcome", outcome), events.F("target", target), events.F("status", fmt.Sprint(status)), events.F("attempt", state.String()),
 		events.F("tries", fmt.Sprint(attempted.startedAttempts)), events.F("failures", fmt.Sprint(r.scoring.failures)),
 		events.F("took", took.Round(time.Millisecond).String()), events.F("error", fmt.Sprint(err)))
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -61,16 +61,16 @@
 		Body:          nonReplayableBody(http.MethodPost, header, r.task.Body),
 		ContentLength: int64(len(r.task.Body)),
 	}
-	sentAt := in.clock.Now()
-	res, err := in.targetClient.Do(req.WithContext(ctx))
+	sentAt := in.Clock.Now()
+	res, err := in.TargetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		end.err = err
-		in.noteNoAnswer(ctx, r.target)
+		in.NoteNoAnswer(ctx, r.target)
 		return markCanceled(ctx, end)
 	}
 	defer res.Body.Close()
 	response := platform.DecodeResponseHeader(res)
-	in.noteResponse(ctx, r.target, response, r.task.ID, sentAt)
+	in.NoteResponse(ctx, r.target, response, r.task.ID, sentAt)
 	switch {
 	case response.RequestID != r.task.ID && !response.NotRun:
 		end.err = fmt.Errorf("%w: %q", errRequestIDMismatch, response.RequestID)
@@ -115,7 +115,7 @@
 		if err != nil {
 			return assign.Broken, err
 		}
-		in.links.heard()
+		in.Links.Heard()
 		if e.Version > 0 && e.Version != version {
 			if r.singleVersion {
 				r.output.reset()
@@ -126,7 +126,7 @@
 				continue
 			}
 		}
-		if !r.output.addEvent(r.id, e.Number, e.Data, version, in.clock.Now()) {
+		if !r.output.addEvent(r.id, e.Number, e.Data, version, in.Clock.Now()) {
 			return assign.Broken, fmt.Errorf("%w: number %d", errEventGap, e.Number)
 		}
 	}
--- a/internal/hosted/takeup.go
+++ b/internal/hosted/takeup.go
@@ -24,7 +24,7 @@
 	if !c.route.Resumable || c.TakesUpStream || r.relayed { // the instance that relays it knows the version
 		return
 	}
-	in.appendRecordAsync(job.Record{StreamStarted: &job.StreamStarted{Request: c.ID, Software: r.target.Software}})
+	in.AppendRecordAsync(job.Record{StreamStarted: &job.StreamStarted{Request: c.ID, Software: r.target.Software}})
 }
 
 // softwareFor returns the software version that the request is restricted to, as it takes up
@@ -38,7 +38,7 @@
 	if !known && c.Resumes != "" {
 		ctx, cancel := context.WithTimeout(ctx, takeUpReadTimeout)
 		defer cancel()
-		if err := in.catchUp(ctx); err != nil {
+		if err := in.CatchUp(ctx); err != nil {
 			return nil, fmt.Errorf("%w: read the log: %w", errStreamUnknown, err)
 		}
 		software, known = in.streamSoftware(ctx, c.Resumes)
@@ -46,12 +46,12 @@
 	if !known {
 		return nil, errStreamUnknown
 	}
-	in.metrics.streamsTakenUp.Inc()
-	in.log("stream taken up", events.F("request", c.ID), events.F("resumes", c.Resumes), events.F("software", software))
+	in.Metrics.StreamsTakenUp.Inc()
+	in.Log("stream taken up", events.F("request", c.ID), events.F("resumes", c.Resumes), events.F("software", software))
 	return &software, nil
 }
 
 func (in *Instance) streamSoftware(ctx context.Context, request string) (software string, known bool) {
-	in.stateLoop.do(ctx, func() { software, known = in.stateLoop.state.StreamSoftware(request) })
+	in.StateLoop.Do(ctx, func() { software, known = in.StateLoop.State.StreamSoftware(request) })
 	return software, known
 }
--- a/internal/hosted/text_test.go
+++ b/internal/hosted/text_test.go
@@ -7,12 +7,12 @@
 	"testing"
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
-	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 func TestRunThatStartsOverAndEndsWithoutEventsDoesNotCompleteTheOtherVersionsOutput(t *testing.T) {
-	in := &Instance{clock: clock.System{}}
-	in.links = newLinkMonitor(in, nil)
+	in := &Instance{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
 	output := &taskOutput{}
 	read := func(run int64, software, events string) (assign.Outcome, error) {
 		output.startRun(run, software)
--- a/internal/hosted/usage.go
+++ b/internal/hosted/usage.go
@@ -39,12 +39,12 @@
 
 // windowOf returns the number of the billing window that contains the wall time.
 func (in *Instance) windowOf(wall time.Time) int64 {
-	return wall.UnixMilli() / max(1, in.cfg.Settings.UsageWindow.Milliseconds())
+	return wall.UnixMilli() / max(1, in.Settings.UsageWindow.Milliseconds())
 }
 
 // countRequest adds a request of the account to the window of the wall time.
 func (u *usageCounter) countRequest(account string, wall time.Time) {
-	if account == "" || !u.instance.cfg.Settings.ReportsUsage {
+	if account == "" || !u.instance.Settings.ReportsUsage {
 		return
 	}
 	w := u.instance.windowOf(wall)
@@ -59,12 +59,12 @@
 
 // run appends the changed counts to the log every countFlushInterval, until ctx ends.
 func (u *usageCounter) run(ctx context.Context) error {
-	if !u.instance.cfg.Settings.ReportsUsage {
+	if !u.instance.Settings.ReportsUsage {
 		return nil
 	}
 	return clock.Every(ctx, countFlushInterval, func() {
 		for _, c := range u.takeChanged() {
-			u.instance.appendRecordAsync(job.Record{UsageCounted: &c})
+			u.instance.AppendRecordAsync(job.Record{UsageCounted: &c})
 		}
 	})
 }
@@ -84,7 +84,7 @@
 	}
 	clear(u.dirty)
 	for w := range u.counts {
-		if w < u.instance.windowOf(u.instance.clock.Wall())-windowLookback {
+		if w < u.instance.windowOf(u.instance.Clock.Wall())-windowLookback {
 			delete(u.counts, w)
 		}
 	}
@@ -95,16 +95,16 @@
 // ones to the platform. As the seal fixes the counts before the first report, a repeated
 // report has the same counts. It also prunes old jobs and windows from the state.
 func (in *Instance) reportUsage(ctx context.Context) {
-	if !in.cfg.Settings.ReportsUsage || in.cloud == nil {
+	if !in.Settings.ReportsUsage || in.cloud == nil {
 		return
 	}
-	wall := in.clock.Wall()
+	wall := in.Clock.Wall()
 	newest := in.windowOf(wall.Add(-sealDelay)) - 1
 	var seals []job.UsageSealed
 	reports := map[int64]map[string]int64{}
-	in.stateLoop.do(ctx, func() {
+	in.StateLoop.Do(ctx, func() {
 		for w := newest - windowLookback; w <= newest; w++ {
-			window := in.stateLoop.state.Windows[w]
+			window := in.StateLoop.State.Windows[w]
 			switch {
 			case window == nil:
 				seals = append(seals, job.UsageSealed{Window: w, Counts: map[string]int64{}})
@@ -114,14 +114,14 @@
 				reports[w] = window.SealedCounts
 			}
 		}
-		in.stateLoop.state.Prune(wall.UnixMilli(), in.cfg.Settings.JobRetention, newest-windowsKept)
+		in.StateLoop.State.Prune(wall.UnixMilli(), in.Settings.JobRetention, newest-windowsKept)
 	})
 	for _, s := range seals {
-		if err := in.appendRecord(ctx, job.Record{UsageSealed: &s}); err != nil {
-			in.log("usage not sealed", events.F("window", fmt.Sprint(s.Window)), events.F("error", err.Error()))
+		if err := in.AppendRecord(ctx, job.Record{UsageSealed: &s}); err != nil {
+			in.Log("usage not sealed", events.F("window", fmt.Sprint(s.Window)), events.F("error", err.Error()))
 			return
 		}
-		in.log("usage sealed", events.F("window", fmt.Sprint(s.Window)), events.F("accounts", fmt.Sprint(len(s.Counts))))
+		in.Log("usage sealed", events.F("window", fmt.Sprint(s.Window)), events.F("accounts", fmt.Sprint(len(s.Counts))))
 	}
 	windows := make([]int64, 0, len(reports))
 	for w := range reports {
@@ -144,10 +144,10 @@
 	err := in.cloud.ReportUsage(ctx, holder, window, counts)
 	if err != nil {
 		in.controller.checkSuperseded(holder, err)
-		in.log("usage not reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
+		in.Log("usage not reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
 		return
 	}
-	in.metrics.reports.Inc()
-	in.log("usage reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("counts", fmt.Sprint(counts)))
-	in.appendRecordAsync(job.Record{UsageReported: &job.UsageReported{Window: window}})
+	in.Metrics.Reports.Inc()
+	in.Log("usage reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("counts", fmt.Sprint(counts)))
+	in.AppendRecordAsync(job.Record{UsageReported: &job.UsageReported{Window: window}})
 }
--- a/internal/hosted/weights.go
+++ b/internal/hosted/weights.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/loads"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -55,12 +56,12 @@
 // step sends the load orders that the planner of each service returns.
 func (w *weightUpdater) step(ctx context.Context) {
 	in := w.instance
-	view := in.stateLoop.view.Load()
+	view := in.CurrentView()
 	if view.Catalog == nil {
 		return
 	}
 	allowedStaleness := map[string]int64{}
-	in.stateLoop.do(ctx, func() { maps.Copy(allowedStaleness, in.stateLoop.allowedStaleness) })
+	in.StateLoop.Do(ctx, func() { maps.Copy(allowedStaleness, in.StateLoop.AllowedStaleness) })
 	for name, service := range view.Catalog.Services {
 		if len(service.Models) == 0 {
 			continue
@@ -83,10 +84,10 @@
 
 // engines returns a service's ready targets, by id, and their state for the planner. It
 // also resolves earlier orders, and removes overdue ones of targets that are not ready.
-func (w *weightUpdater) engines(ctx context.Context, view *View, service string) (map[string]directory.Target, []loads.Engine) {
+func (w *weightUpdater) engines(ctx context.Context, view *node.View, service string) (map[string]directory.Target, []loads.Engine) {
 	targets := map[string]directory.Target{}
 	var out []loads.Engine
-	now := w.instance.clock.Now()
+	now := w.instance.Clock.Now()
 	for _, t := range view.Targets {
 		if t.Service != service || !t.Ready {
 			continue
@@ -124,17 +125,17 @@
 // checkOrder queries the target about an overdue order. It removes the order unless the
 // target is executing it or does not respond.
 func (w *weightUpdater) checkOrder(ctx context.Context, t directory.Target, o *sentOrder) {
-	w.instance.allowances.spend(ctx, t)
-	targetReport, err := platform.ReadTargetReport(ctx, w.instance.targetClient, t.Address)
-	o.checkAt = w.instance.clock.Now() + unknownOrderDelay
+	w.instance.Allowances.Spend(ctx, t)
+	targetReport, err := platform.ReadTargetReport(ctx, w.instance.TargetClient, t.Address)
+	o.checkAt = w.instance.Clock.Now() + unknownOrderDelay
 	switch {
 	case err != nil:
-		w.instance.log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
+		w.instance.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
 	case targetReport.Busy:
 	default:
 		delete(w.orders, t.ID)
 		if targetReport.Models[o.order.Model] < o.order.Version {
-			w.instance.log("order not carried out", events.F("target", t.ID), events.F("model", o.order.Model),
+			w.instance.Log("order not carried out", events.F("target", t.ID), events.F("model", o.order.Model),
 				events.F("sequence", fmt.Sprint(targetReport.Sequence)))
 		}
 		w.sequences[t.ID] = orderSequence{t.StartedAt, targetReport.Sequence}
@@ -147,11 +148,11 @@
 	in := w.instance
 	sequence, found := w.sequences[t.ID]
 	if !found || sequence.startedAt != t.StartedAt {
-		in.allowances.spend(ctx, t)
-		targetReport, err := platform.ReadTargetReport(ctx, in.targetClient, t.Address)
+		in.Allowances.Spend(ctx, t)
+		targetReport, err := platform.ReadTargetReport(ctx, in.TargetClient, t.Address)
 		if err != nil {
-			in.log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
-			w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: in.clock.Now() + unknownOrderDelay}
+			in.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
+			w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: in.Clock.Now() + unknownOrderDelay}
 			return
 		}
 		sequence = orderSequence{t.StartedAt, targetReport.Sequence}
@@ -162,16 +163,16 @@
 	if !held {
 		return
 	}
-	in.appendRecordAsync(job.Record{LoadOrdered: &job.LoadOrdered{Target: t.ID, Model: o.Model, Version: o.Version}})
-	in.allowances.spend(ctx, t)
+	in.AppendRecordAsync(job.Record{LoadOrdered: &job.LoadOrdered{Target: t.ID, Model: o.Model, Version: o.Version}})
+	in.Allowances.Spend(ctx, t)
 	callCtx, cancel := context.WithTimeout(ctx, in.controller.callTimeout())
 	defer cancel()
-	hadVersion, err := platform.SendVersionOrder(callCtx, in.targetClient, holder, platform.VersionOrder{
+	hadVersion, err := platform.SendVersionOrder(callCtx, in.TargetClient, holder, platform.VersionOrder{
 		Address: t.Address, Target: t.ID, Model: o.Model, Version: o.Version, Sequence: expected,
 	})
 	in.controller.checkSuperseded(holder, err)
-	in.metrics.orders.Inc()
-	in.log("order sent", events.F("target", t.ID), events.F("model", o.Model), events.F("version", fmt.Sprint(o.Version)),
+	in.Metrics.Orders.Inc()
+	in.Log("order sent", events.F("target", t.ID), events.F("model", o.Model), events.F("version", fmt.Sprint(o.Version)),
 		events.F("had", fmt.Sprint(t.Models[o.Model])), events.F("expected", fmt.Sprint(expected)),
 		events.F("term", fmt.Sprint(holder.Fencing)), events.F("done", fmt.Sprint(hadVersion)), events.F("error", fmt.Sprint(err)))
 	checkDelay := loadTimeout
@@ -180,5 +181,5 @@
 	} else if !hadVersion {
 		w.sequences[t.ID] = orderSequence{t.StartedAt, expected + 1}
 	}
-	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: in.clock.Now() + checkDelay}
+	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: in.Clock.Now() + checkDelay}
 }
--- a/internal/hosted/allowance.go
+++ b/internal/node/allowance.go
@@ -1,4 +1,4 @@
-package hosted
+package node
 
 import (
 	"bytes"
@@ -21,8 +21,10 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
+// AllowancePath is the path of requests for allowances on the listener for other instances.
+const AllowancePath = "/allowance"
+
 const (
-	allowancePath = "/allowance"
 	// allowanceTimeout bounds a call to another instance for an allowance, which takes some
 	// milliseconds. A second call must fit into the latency that callers expect.
 	allowanceTimeout = 100 * time.Millisecond
@@ -33,13 +35,13 @@
 	allowanceIdleTimeout = 30 * time.Second
 )
 
-// allowances obtains allowances for requests to targets that limit their rate, and grants
+// Allowances obtains allowances for requests to targets that limit their rate, and grants
 // those for the targets that this instance owns; see core/allowance. It is safe for
 // concurrent use.
-type allowances struct {
-	instance *Instance
-	client   *http.Client
-	peers    atomic.Pointer[peerSet]
+type Allowances struct {
+	node   *Node
+	client *http.Client
+	peers  atomic.Pointer[peerSet]
 
 	mu      sync.Mutex
 	granter *allowance.Granter
@@ -53,45 +55,52 @@
 	addresses map[string]string // listeners for other instances, by name
 }
 
-func newAllowances(in *Instance) *allowances {
-	a := &allowances{
-		instance: in, granter: allowance.NewGranter(), owners: allowance.NewOwners(),
+func newAllowances(n *Node) *Allowances {
+	a := &Allowances{
+		node: n, granter: allowance.NewGranter(), owners: allowance.NewOwners(),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: allowanceTimeout}).DialContext,
 			MaxIdleConnsPerHost: allowanceIdleConns, IdleConnTimeout: allowanceIdleTimeout, DisableCompression: true,
 		}},
 	}
-	a.peers.Store(&peerSet{names: []string{in.cfg.Settings.Instance}})
+	a.peers.Store(&peerSet{names: []string{n.Settings.Instance}})
 	return a
 }
 
 // updatePeers replaces the known instances by those of the log. It runs on the state
 // goroutine.
-func (a *allowances) updatePeers() {
-	addresses := map[string]string{a.instance.cfg.Settings.Instance: ""}
-	for name, i := range a.instance.stateLoop.state.Instances {
+func (a *Allowances) updatePeers() {
+	addresses := map[string]string{a.node.Settings.Instance: ""}
+	for name, i := range a.node.StateLoop.State.Instances {
 		if i.PeerAddress != "" {
 			addresses[name] = i.PeerAddress
 		}
 	}
 	names := slices.Sorted(maps.Keys(addresses))
-	others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == a.instance.cfg.Settings.Instance })
+	others := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == a.node.Settings.Instance })
 	a.peers.Store(&peerSet{names, others, addresses})
 }
 
+// OtherInstances returns the names of the other known instances, sorted, and the addresses of their
+// listeners for other instances, by name.
+func (a *Allowances) OtherInstances() (names []string, addresses map[string]string) {
+	peers := a.peers.Load()
+	return peers.others, peers.addresses
+}
+
 var errNoOwner = errors.New("no instance that grants requests to the target can be reached")
 
-// take obtains an allowance of the target's owner for count requests. maxDelay is the longest
+// Take obtains an allowance of the target's owner for count requests. maxDelay is the longest
 // wait to accept. It fails with errNoOwner.
-func (a *allowances) take(ctx context.Context, t directory.Target, count int, maxDelay time.Duration) (allowance.Grant, error) {
+func (a *Allowances) Take(ctx context.Context, t directory.Target, count int, maxDelay time.Duration) (allowance.Grant, error) {
 	r := a.requestFor(t, count)
 	r.MaxDelay = maxDelay
 	return a.ask(ctx, r)
 }
 
-// spend counts a request that is sent to the target in any case, if the target is limited. It
+// Spend counts a request that is sent to the target in any case, if the target is limited. It
 // does not wait for the owner.
-func (a *allowances) spend(ctx context.Context, t directory.Target) {
+func (a *Allowances) Spend(ctx context.Context, t directory.Target) {
 	if !t.Limited {
 		return
 	}
@@ -99,16 +108,16 @@
 		r := a.requestFor(t, 1)
 		r.Must = true
 		if _, err := a.ask(ctx, r); err != nil {
-			a.instance.log("allowance not counted", events.F("target", t.ID), events.F("error", err.Error()))
+			a.node.Log("allowance not counted", events.F("target", t.ID), events.F("error", err.Error()))
 		}
 	}()
 }
 
 // requestFor returns the request for allowances of a target. That of a cold target keeps to the
 // bound in the settings.
-func (a *allowances) requestFor(t directory.Target, count int) allowance.Request {
+func (a *Allowances) requestFor(t directory.Target, count int) allowance.Request {
 	r := allowance.Request{Target: t.ID, PerSecond: t.RequestLimit, Count: count}
-	if s := a.instance.cfg.Settings; t.Cold && s.ColdFactor > 0 {
+	if s := a.node.Settings; t.Cold && s.ColdFactor > 0 {
 		r.PerSecond, r.Burst = allowance.BurstFor(t.RequestLimit, t.RequestLimit*s.ColdFactor+s.ColdExtra, assign.PermitValidity)
 	}
 	return r
@@ -116,24 +125,24 @@
 
 // ask sends the request to the target's owner, and to the next instance if that one does not
 // answer.
-func (a *allowances) ask(ctx context.Context, r allowance.Request) (allowance.Grant, error) {
-	in := a.instance
-	if !in.stateLoop.caughtUp.Load() { // the other instances are not known yet
-		in.metrics.allowancesUnanswered.Inc()
+func (a *Allowances) ask(ctx context.Context, r allowance.Request) (allowance.Grant, error) {
+	n := a.node
+	if !n.StateLoop.caughtUp.Load() { // the other instances are not known yet
+		n.Metrics.allowancesUnanswered.Inc()
 		return allowance.Grant{}, errNoOwner
 	}
 	peers := a.peers.Load()
 	err := errNoOwner
 	for range allowanceCalls {
 		a.mu.Lock()
-		owner, found := a.owners.For(in.clock.Now(), r.Target, peers.names)
+		owner, found := a.owners.For(n.Clock.Now(), r.Target, peers.names)
 		a.mu.Unlock()
 		if !found {
 			break
 		}
 		r.Share = owner.Share
 		var grant allowance.Grant
-		if owner.Instance == in.cfg.Settings.Instance {
+		if owner.Instance == n.Settings.Instance {
 			grant = a.grant(r)
 		} else {
 			var callErr error
@@ -147,46 +156,46 @@
 			}
 			a.ownerAnswered(owner.Instance)
 		}
-		in.metrics.allowancesGranted.Add(grant.Count)
-		in.metrics.allowancesDenied.Add(r.Count - grant.Count)
+		n.Metrics.allowancesGranted.Add(grant.Count)
+		n.Metrics.allowancesDenied.Add(r.Count - grant.Count)
 		return grant, nil
 	}
-	in.metrics.allowancesUnanswered.Inc()
+	n.Metrics.allowancesUnanswered.Inc()
 	return allowance.Grant{}, err
 }
 
-func (a *allowances) ownerFailed(name string, err error) {
+func (a *Allowances) ownerFailed(name string, err error) {
 	a.mu.Lock()
-	a.owners.Failed(a.instance.clock.Now(), name)
+	a.owners.Failed(a.node.Clock.Now(), name)
 	a.mu.Unlock()
-	a.instance.dependencyLost("allowance."+name, err)
+	a.node.DependencyLost("allowance."+name, err)
 }
 
-func (a *allowances) ownerAnswered(name string) {
+func (a *Allowances) ownerAnswered(name string) {
 	a.mu.Lock()
 	failedBefore := a.owners.Answered(name)
 	a.mu.Unlock()
 	if failedBefore {
-		a.instance.dependencyRegained("allowance." + name)
+		a.node.dependencyRegained("allowance." + name)
 	}
 }
 
 // grant grants a request as the target's owner.
-func (a *allowances) grant(r allowance.Request) allowance.Grant {
+func (a *Allowances) grant(r allowance.Request) allowance.Grant {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.granter.Take(a.instance.clock.Now(), r)
+	return a.granter.Take(a.node.Clock.Now(), r)
 }
 
 // call sends the request to the instance with the peer address.
-func (a *allowances) call(ctx context.Context, address string, r allowance.Request) (allowance.Grant, error) {
+func (a *Allowances) call(ctx context.Context, address string, r allowance.Request) (allowance.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, allowanceTimeout)
 	defer cancel()
 	data, err := json.Marshal(r)
 	if err != nil {
 		return allowance.Grant{}, fmt.Errorf("encode a request for an allowance: %w", err)
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+allowancePath, bytes.NewReader(data))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+AllowancePath, bytes.NewReader(data))
 	if err != nil {
 		return allowance.Grant{}, err
 	}
@@ -210,8 +219,8 @@
 	return grant, nil
 }
 
-// serve answers another instance's request for an allowance.
-func (a *allowances) serve(w http.ResponseWriter, r *http.Request) {
+// Serve answers another instance's request for an allowance.
+func (a *Allowances) Serve(w http.ResponseWriter, r *http.Request) {
 	var request allowance.Request
 	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAllowanceBytes)).Decode(&request); err != nil || request.Target == "" || request.Count < 1 {
 		http.Error(w, "not a request for an allowance", http.StatusBadRequest)
--- a/internal/hosted/appender.go
+++ b/internal/node/appender.go
@@ -1,4 +1,4 @@
-package hosted
+package node
 
 import (
 	"context"
@@ -10,15 +10,18 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-// errNotAppended: the log contains none of the records and will not append them later.
-var errNotAppended = errors.New("the log took nothing in time; the records were not sent")
+// ErrNotAppended means that the log contains none of the records and will not append them later.
+var ErrNotAppended = errors.New("the log took nothing in time; the records were not sent")
 
 const (
-	appendBackoffMin = 15 * time.Millisecond  // about four times the log's response time of 4 ms
-	appendBackoffMax = 200 * time.Millisecond // an outage's end is detected at most this late
-	maxQueuedAppends = 4096                   // further appends fail
+	appendBackoffMin = 15 * time.Millisecond // about four times the log's response time of 4 ms
+	maxQueuedAppends = 4096                  // further appends fail
 )
 
+// AppendBackoffMax is the longest delay before an append is repeated: the end of an outage is
+// detected at most this late.
+const AppendBackoffMax = 200 * time.Millisecond
+
 // topicWriter appends records to one topic, all or none, and returns the position of the
 // first. The appender repeats a failed write with the same records.
 type topicWriter interface {
@@ -95,7 +98,7 @@
 }
 
 // append appends the records contiguously and returns the position of the first. It fails
-// with errNotAppended if the queue is full, or if ctx ends and no call can have appended
+// with ErrNotAppended if the queue is full, or if ctx ends and no call can have appended
 // the records. It fails with platform.ErrOutcomeUnknown if ctx ends before the outcome is
 // known: the records may have been appended, or may be appended later.
 func (a *appender) append(ctx context.Context, records ...[]byte) (recordPosition, error) {
@@ -106,7 +109,7 @@
 	select {
 	case a.queue <- p:
 	default:
-		return recordPosition{}, fmt.Errorf("%s: %w: %d record groups wait", a.topic, errNotAppended, maxQueuedAppends)
+		return recordPosition{}, fmt.Errorf("%s: %w: %d record groups wait", a.topic, ErrNotAppended, maxQueuedAppends)
 	}
 	select {
 	case r := <-p.done:
@@ -118,7 +121,7 @@
 	select {
 	case r := <-p.done:
 		return r.position, r.err
-	case <-time.After(appendBackoffMax):
+	case <-time.After(AppendBackoffMax):
 		return recordPosition{}, fmt.Errorf("append to %s: %w", a.topic, platform.ErrOutcomeUnknown)
 	}
 }
@@ -171,7 +174,7 @@
 	for p := first; p != nil; {
 		switch {
 		case p.ctx.Err() != nil:
-			p.done <- appendOutcome{recordPosition{}, fmt.Errorf("append to %s: %w", a.topic, errNotAppended)}
+			p.done <- appendOutcome{recordPosition{}, fmt.Errorf("append to %s: %w", a.topic, ErrNotAppended)}
 		case len(batch) > 0 && size+p.bytes > a.callBytes:
 			return batch, p
 		default:
@@ -191,7 +194,7 @@
 const recordOverhead = 4
 
 // flush sends the batch in one call and repeats it until its outcome is known. It fails
-// with errNotAppended once every context of the batch has ended, if no call can have
+// with ErrNotAppended once every context of the batch has ended, if no call can have
 // appended the records.
 func (a *appender) flush(ctx context.Context, batch []*pendingAppend) (recordPosition, error) {
 	var records [][]byte
@@ -213,12 +216,12 @@
 			return recordPosition{}, err
 		}
 		if !maybeAppended && allContextsDone(batch) {
-			return recordPosition{}, fmt.Errorf("%w: %w", errNotAppended, err)
+			return recordPosition{}, fmt.Errorf("%w: %w", ErrNotAppended, err)
 		}
 		if !clock.Sleep(ctx, backoff) {
 			return recordPosition{}, fmt.Errorf("append to %s: %w", a.topic, platform.ErrOutcomeUnknown)
 		}
-		backoff = min(2*backoff, appendBackoffMax)
+		backoff = min(2*backoff, AppendBackoffMax)
 	}
 }
 
--- a/internal/hosted/availability.go
+++ b/internal/node/availability.go
@@ -1,4 +1,4 @@
-package hosted
+package node
 
 import (
 	"context"
@@ -29,74 +29,74 @@
 	return out
 }
 
-func (in *Instance) registryDelay() time.Duration {
-	if d := in.cfg.Settings.RegistryDelay; d > 0 {
+func (n *Node) registryDelay() time.Duration {
+	if d := n.Settings.RegistryDelay; d > 0 {
 		return d
 	}
 	return defaultRegistryDelay
 }
 
 // setEvacuated starts or ends the evacuation of a data centre. It runs on the state goroutine.
-func (in *Instance) setEvacuated(now time.Duration, dataCentre string, evacuated bool) {
+func (n *Node) setEvacuated(now time.Duration, dataCentre string, evacuated bool) {
 	switch {
-	case evacuated && in.stateLoop.targets.Evacuate(now, dataCentre):
-		in.log("data centre evacuated", events.F("data_centre", dataCentre))
-	case !evacuated && in.stateLoop.targets.Readmit(now, dataCentre):
-		in.log("data centre readmitted", events.F("data_centre", dataCentre))
+	case evacuated && n.StateLoop.targets.Evacuate(now, dataCentre):
+		n.Log("data centre evacuated", events.F("data_centre", dataCentre))
+	case !evacuated && n.StateLoop.targets.Readmit(now, dataCentre):
+		n.Log("data centre readmitted", events.F("data_centre", dataCentre))
 	}
 }
 
 // retainEvacuations ends the evacuations whose keys are not among those of the operator's topic.
 // It runs on the state goroutine.
-func (in *Instance) retainEvacuations(now time.Duration, keys map[string]bool) {
+func (n *Node) retainEvacuations(now time.Duration, keys map[string]bool) {
 	requested := map[string]bool{}
 	for key := range keys {
 		if dataCentre, found := platform.EvacuatedBy(key); found {
 			requested[dataCentre] = true
 		}
 	}
-	for _, dataCentre := range in.stateLoop.targets.Evacuated() {
+	for _, dataCentre := range n.StateLoop.targets.Evacuated() {
 		if !requested[dataCentre] {
-			in.setEvacuated(now, dataCentre, false)
+			n.setEvacuated(now, dataCentre, false)
 		}
 	}
 }
 
-// noteNoAnswer records that a target did not answer a request: it may have started again and be
+// NoteNoAnswer records that a target did not answer a request: it may have started again and be
 // cold. An attempt that this instance canceled says nothing.
-func (in *Instance) noteNoAnswer(ctx context.Context, t directory.Target) {
+func (n *Node) NoteNoAnswer(ctx context.Context, t directory.Target) {
 	if ctx.Err() != nil || t.Cold {
 		return
 	}
-	if view := in.stateLoop.view.Load(); view.Catalog == nil || view.Catalog.Services[t.Service].ColdPerSecond <= 0 {
+	if view := n.CurrentView(); view.Catalog == nil || view.Catalog.Services[t.Service].ColdPerSecond <= 0 {
 		return
 	}
-	in.stateLoop.do(ctx, func() {
-		if in.stateLoop.targets.Doubt(in.clock.Now(), t.ID, t.StartedAt) {
-			in.metrics.targetsDoubted.Inc()
-			in.log("target may be cold", events.F("target", t.ID), events.F("reason", "no answer"))
-			in.stateLoop.publish()
+	n.StateLoop.Do(ctx, func() {
+		if n.StateLoop.targets.Doubt(n.Clock.Now(), t.ID, t.StartedAt) {
+			n.Metrics.targetsDoubted.Inc()
+			n.Log("target may be cold", events.F("target", t.ID), events.F("reason", "no answer"))
+			n.StateLoop.publish()
 		}
 	})
 }
 
 // publishWarmTargets publishes the view when targets have become warm: time alone changes them.
-func (in *Instance) publishWarmTargets(ctx context.Context) error {
+func (n *Node) publishWarmTargets(ctx context.Context) error {
 	var next time.Duration // when the first cold target of the view becomes warm; zero: none is cold
 	for ctx.Err() == nil {
-		changed := in.stateLoop.nextChange()
-		in.stateLoop.do(ctx, func() {
-			now := in.clock.Now()
+		changed := n.StateLoop.NextChange()
+		n.StateLoop.Do(ctx, func() {
+			now := n.Clock.Now()
 			if next > 0 && now >= next {
-				in.stateLoop.publish()
+				n.StateLoop.publish()
 			}
 			next = 0
-			if at, cold := in.stateLoop.targets.NextWarm(now); cold {
+			if at, cold := n.StateLoop.targets.NextWarm(now); cold {
 				next = at
 			}
 		})
 		if next > 0 {
-			clock.Sleep(ctx, max(warmCheckInterval, next-in.clock.Now()))
+			clock.Sleep(ctx, max(warmCheckInterval, next-n.Clock.Now()))
 			continue
 		}
 		select {
--- a/internal/hosted/board.go
+++ b/internal/node/board.go
@@ -1,4 +1,4 @@
-package hosted
+package node
 
 import (
 	"context"
@@ -21,8 +21,8 @@
 	DesiredVersions map[string]int64   // published weight version by model
 }
 
-// target returns the target with the id.
-func (v *View) target(id string) (directory.Target, bool) {
+// Target returns the target with the id.
+func (v *View) Target(id string) (directory.Target, bool) {
 	i, found := slices.BinarySearchFunc(v.Targets, id, func(t directory.Target, id string) int { return strings.Compare(t.ID, id) })
 	if !found {
 		return directory.Target{}, false
@@ -30,18 +30,21 @@
 	return v.Targets[i], true
 }
 
-// stateLoop owns the state after applying the log, the targets and the configuration.
+// CurrentView returns the latest view.
+func (n *Node) CurrentView() *View { return n.StateLoop.view.Load() }
+
+// StateLoop owns the state after applying the log, the targets and the configuration.
 // Only the goroutine of run, the state goroutine, accesses the fields up to functions.
 // Other goroutines send it functions to run and read the published view.
-type stateLoop struct {
+type StateLoop struct {
 	clock           clock.Clock
-	state           *job.State
+	State           *job.State
 	targets         *directory.Directory
 	catalog         *catalog.Catalog
 	desiredVersions map[string]int64
-	// allowedStaleness is, by model, how many versions behind the desired version the latest
+	// AllowedStaleness is, by model, how many versions behind the desired version the latest
 	// job allows.
-	allowedStaleness map[string]int64
+	AllowedStaleness map[string]int64
 	// nextOffset is the offset of the next record of the control topic to apply. Only
 	// functions that followLog sends change it, so followLog also reads it directly.
 	nextOffset int64
@@ -54,16 +57,16 @@
 	lastOperatorRead   atomic.Int64 // last reply to a read of the operator topic
 	lastRegistryRead   atomic.Int64 // of the registry topic
 	lastLogRead        atomic.Int64 // of the control topic
-	logContinuousSince atomic.Int64 // since then each poll of the control topic got its reply in time
+	LogContinuousSince atomic.Int64 // since then each poll of the control topic got its reply in time
 
 	sharedNextOffset atomic.Int64 // copy of nextOffset for other goroutines
 	caughtUp         atomic.Bool  // the log was applied to its end at least once
 }
 
-func newStateLoop(c clock.Clock, gracePeriod time.Duration) *stateLoop {
-	s := &stateLoop{
-		clock: c, state: job.NewState(), targets: directory.New(gracePeriod),
-		desiredVersions: map[string]int64{}, allowedStaleness: map[string]int64{}, functions: make(chan func()),
+func newStateLoop(c clock.Clock, gracePeriod time.Duration) *StateLoop {
+	s := &StateLoop{
+		clock: c, State: job.NewState(), targets: directory.New(gracePeriod),
+		desiredVersions: map[string]int64{}, AllowedStaleness: map[string]int64{}, functions: make(chan func()),
 	}
 	first := make(chan struct{})
 	s.changed.Store(&first)
@@ -72,7 +75,7 @@
 }
 
 // run executes the functions that do sends, until ctx ends.
-func (s *stateLoop) run(ctx context.Context) error {
+func (s *StateLoop) run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -83,9 +86,9 @@
 	}
 }
 
-// do runs f on the state goroutine and waits for it. It returns false without running f
+// Do runs f on the state goroutine and waits for it. It returns false without running f
 // if ctx ends first.
-func (s *stateLoop) do(ctx context.Context, f func()) bool {
+func (s *StateLoop) Do(ctx context.Context, f func()) bool {
 	done := make(chan struct{})
 	select {
 	case s.functions <- func() { f(); close(done) }:
@@ -97,15 +100,15 @@
 }
 
 // update runs f like do, then publishes the view and notifies the waiters.
-func (s *stateLoop) update(ctx context.Context, f func()) bool {
-	return s.do(ctx, func() {
+func (s *StateLoop) update(ctx context.Context, f func()) bool {
+	return s.Do(ctx, func() {
 		f()
 		s.publish()
 	})
 }
 
 // publish replaces the view and notifies the waiters. It must run on the state goroutine.
-func (s *stateLoop) publish() {
+func (s *StateLoop) publish() {
 	versions := make(map[string]int64, len(s.desiredVersions))
 	for m, v := range s.desiredVersions {
 		versions[m] = v
@@ -114,12 +117,12 @@
 	s.notifyWaiters()
 }
 
-// notifyWaiters closes the channels that nextChange has returned.
-func (s *stateLoop) notifyWaiters() {
+// notifyWaiters closes the channels that NextChange has returned.
+func (s *StateLoop) notifyWaiters() {
 	next := make(chan struct{})
 	close(*s.changed.Swap(&next))
 }
 
-// nextChange returns a channel that is closed at the next change. A waiter must call it
+// NextChange returns a channel that is closed at the next change. A waiter must call it
 // before it reads the state, or it may miss a change.
-func (s *stateLoop) nextChange() <-chan struct{} { return *s.changed.Load() }
+func (s *StateLoop) NextChange() <-chan struct{} { return *s.changed.Load() }
--- a/internal/hosted/content.go
+++ b/internal/node/content.go
@@ -1,4 +1,4 @@
-package hosted
+package node
 
 import (
 	"container/list"
@@ -63,30 +63,30 @@
 	}
 }
 
-// storeContent appends records to the content topic, caches them and returns their
+// StoreContent appends records to the content topic, caches them and returns their
 // locations.
-func (in *Instance) storeContent(ctx context.Context, records [][]byte) ([]job.Location, error) {
-	first, err := in.contentLog.append(ctx, records...)
+func (n *Node) StoreContent(ctx context.Context, records [][]byte) ([]job.Location, error) {
+	first, err := n.contentLog.append(ctx, records...)
 	if err != nil {
 		return nil, err
 	}
 	locations := make([]job.Location, len(records))
 	for i, r := range records {
 		locations[i] = job.Location{Partition: first.partition, Offset: first.offset + int64(i), Records: 1, Bytes: len(r)}
-		in.contentCache.put(locations[i].Partition, locations[i].Offset, r)
+		n.contentCache.put(locations[i].Partition, locations[i].Offset, r)
 	}
 	return locations, nil
 }
 
-// loadContent returns the record at each location, nil for a location without records.
+// LoadContent returns the record at each location, nil for a location without records.
 // Contiguous records are read in one call.
-func (in *Instance) loadContent(ctx context.Context, locations []job.Location) ([][]byte, error) {
+func (n *Node) LoadContent(ctx context.Context, locations []job.Location) ([][]byte, error) {
 	records := make([][]byte, len(locations))
 	for i := range locations {
 		if records[i] != nil || locations[i].Records == 0 {
 			continue
 		}
-		data, err := in.loadRecord(ctx, locations, i)
+		data, err := n.loadRecord(ctx, locations, i)
 		if err != nil {
 			return nil, err
 		}
@@ -97,9 +97,9 @@
 
 // loadRecord returns the record at locations[i], from the cache or the log. A read of the
 // log also fetches the contiguous records of later locations and caches them.
-func (in *Instance) loadRecord(ctx context.Context, locations []job.Location, i int) ([]byte, error) {
+func (n *Node) loadRecord(ctx context.Context, locations []job.Location, i int) ([]byte, error) {
 	first := locations[i]
-	if data, ok := in.contentCache.get(first.Partition, first.Offset); ok {
+	if data, ok := n.contentCache.get(first.Partition, first.Offset); ok {
 		return data, nil
 	}
 	bytes, next := first.Bytes+recordOverhead, first.Offset+1
@@ -109,7 +109,7 @@
 			next++
 		}
 	}
-	batch, err := in.store.Read(ctx, contentTopic, first.Partition, first.Offset, min(bytes, contentReadBytes), 0)
+	batch, err := n.store.Read(ctx, contentTopic, first.Partition, first.Offset, min(bytes, contentReadBytes), 0)
 	if err != nil {
 		return nil, err
 	}
@@ -117,7 +117,7 @@
 		return nil, fmt.Errorf("record %d of partition %d is missing", first.Offset, first.Partition)
 	}
 	for k, data := range batch.Records {
-		in.contentCache.put(first.Partition, first.Offset+int64(k), data)
+		n.contentCache.put(first.Partition, first.Offset+int64(k), data)
 	}
 	return batch.Records[0], nil
 }
--- a/internal/hosted/detour.go
+++ b/internal/node/detour.go
@@ -1,4 +1,4 @@
-package hosted
+package node
 
 import (
 	"context"
@@ -39,15 +39,15 @@
 // relay slot.
 const headerLogUnreachable = "Amaranthfold-Log-Unreachable"
 
-// logTransport sends the calls to the platform's log. While the direct path is down, it
+// LogTransport sends the calls to the platform's log. While the direct path is down, it
 // sends them to a peer that relays them: the log may refuse or be unreachable for some
 // instances while it serves others.
 //
 // Appends to the control topic carry sequence numbers, so one that was sent both directly
 // and through a peer takes effect once. Appends to the content topic carry none and may
 // be duplicated, which is harmless (see failoverWriter).
-type logTransport struct {
-	instance      *Instance
+type LogTransport struct {
+	node          *Node
 	direct        http.RoundTripper
 	peerTransport http.RoundTripper
 	logAddress    string // IP and port
@@ -62,15 +62,15 @@
 	relaySlots      chan struct{}            // holds one value for each relayed call in progress
 }
 
-func newLogTransport(in *Instance, logAddress string) *logTransport {
-	return &logTransport{
-		instance: in, direct: platform.NewTransport(), peerTransport: platform.NewTransport(), logAddress: logAddress,
+func newLogTransport(n *Node, logAddress string) *LogTransport {
+	return &LogTransport{
+		node: n, direct: platform.NewTransport(), peerTransport: platform.NewTransport(), logAddress: logAddress,
 		failedPeers: map[string]time.Duration{}, failoverStarted: make(chan struct{}, 1), relaySlots: make(chan struct{}, maxRelayedCalls),
 	}
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *logTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+func (t *LogTransport) RoundTrip(req *http.Request) (*http.Response, error) {
 	if peer := t.activePeer(); peer != "" {
 		res, err := t.roundTripVia(peer, req)
 		if err != nil || res.Header.Get(headerLogUnreachable) != "" {
@@ -84,7 +84,7 @@
 }
 
 // roundTripVia sends the request to a peer, which relays it to the log.
-func (t *logTransport) roundTripVia(peer string, req *http.Request) (*http.Response, error) {
+func (t *LogTransport) roundTripVia(peer string, req *http.Request) (*http.Response, error) {
 	clone := req.Clone(req.Context())
 	clone.URL.Host, clone.Host = peer, peer
 	return t.peerTransport.RoundTrip(clone)
@@ -94,7 +94,7 @@
 // or 503 may come from a rate limit that applies to all instances or from a refusal of
 // this one alone: they cannot be distinguished. In the first case the failover is
 // harmless.
-func (t *logTransport) trackResult(ctx context.Context, res *http.Response, err error) {
+func (t *LogTransport) trackResult(ctx context.Context, res *http.Response, err error) {
 	failed := err != nil && !errors.Is(context.Cause(ctx), context.Canceled) ||
 		err == nil && (res.StatusCode == http.StatusServiceUnavailable || res.StatusCode == http.StatusTooManyRequests)
 	t.mu.Lock()
@@ -102,22 +102,22 @@
 	switch {
 	case failed:
 		t.failures++
-		if t.failures < failoverThreshold || t.directDown || t.lastSuccess > 0 && t.instance.clock.Now()-t.lastSuccess < recentSuccessWindow+t.instance.followPause() {
+		if t.failures < failoverThreshold || t.directDown || t.lastSuccess > 0 && t.node.Clock.Now()-t.lastSuccess < recentSuccessWindow+t.node.followPause() {
 			return
 		}
 		t.directDown = true
-		t.instance.log("log detour", events.F("on", "true"))
+		t.node.Log("log detour", events.F("on", "true"))
 		select {
 		case t.failoverStarted <- struct{}{}:
 		default:
 		}
 	case err == nil:
-		t.failures, t.lastSuccess = 0, t.instance.clock.Now()
+		t.failures, t.lastSuccess = 0, t.node.Clock.Now()
 	}
 }
 
 // activePeer returns the peer to send calls to, empty for the direct path.
-func (t *logTransport) activePeer() string {
+func (t *LogTransport) activePeer() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.directDown {
@@ -127,19 +127,19 @@
 }
 
 // markPeerFailed excludes a peer for failedPeerTTL and stops using it.
-func (t *logTransport) markPeerFailed(peer string) {
+func (t *LogTransport) markPeerFailed(peer string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.failedPeers[peer] = t.instance.clock.Now() + failedPeerTTL
+	t.failedPeers[peer] = t.node.Clock.Now() + failedPeerTTL
 	if t.peer == peer {
 		t.peer = ""
 	}
 }
 
-// noPeerReachesLog reports whether the log seems to be down for all instances: the direct
+// NoPeerReachesLog reports whether the log seems to be down for all instances: the direct
 // path is down, no peer is in use, and at least one failed within failedPeerTTL.
-func (t *logTransport) noPeerReachesLog() bool {
-	now := t.instance.clock.Now()
+func (t *LogTransport) NoPeerReachesLog() bool {
+	now := t.node.Clock.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	anyFailed := false
@@ -151,7 +151,7 @@
 
 // run waits for a failover. During it, run probes the direct path and looks for a peer,
 // until the direct path works again.
-func (t *logTransport) run(ctx context.Context) error {
+func (t *LogTransport) run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
@@ -159,7 +159,7 @@
 		case <-t.failoverStarted:
 		}
 		directUp := false
-		for !directUp && clock.Sleep(ctx, t.instance.jitter(probeInterval)) {
+		for !directUp && clock.Sleep(ctx, t.node.Jitter(probeInterval)) {
 			var group sync.WaitGroup // concurrently, as an unresponsive path takes the full probeTimeout
 			group.Go(func() { t.findPeer(ctx) })
 			directUp = t.probe(ctx, t.direct, t.logAddress)
@@ -172,19 +172,19 @@
 			return nil
 		}
 		t.mu.Lock()
-		t.directDown, t.failures, t.peer, t.lastSuccess = false, 0, "", t.instance.clock.Now()
+		t.directDown, t.failures, t.peer, t.lastSuccess = false, 0, "", t.node.Clock.Now()
 		clear(t.failedPeers)
 		t.mu.Unlock()
-		t.instance.log("log detour", events.F("on", "false"))
+		t.node.Log("log detour", events.F("on", "false"))
 	}
 }
 
 // probe reports whether a read of the log at the address succeeds.
-func (t *logTransport) probe(ctx context.Context, transport http.RoundTripper, address string) bool {
+func (t *LogTransport) probe(ctx context.Context, transport http.RoundTripper, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	store := platform.NewStore(address, relayErrorTransport{transport})
-	_, err := store.Read(ctx, controlTopic, 0, t.instance.stateLoop.sharedNextOffset.Load(), 1, 0)
+	_, err := store.Read(ctx, controlTopic, 0, t.node.StateLoop.sharedNextOffset.Load(), 1, 0)
 	return err == nil
 }
 
@@ -203,27 +203,27 @@
 
 // findPeer probes one random peer that has not failed within failedPeerTTL, and makes it
 // the peer in use if it reaches the log. It does nothing while a peer is in use.
-func (t *logTransport) findPeer(ctx context.Context) {
+func (t *LogTransport) findPeer(ctx context.Context) {
 	if t.activePeer() != "" {
 		return
 	}
 	var peers []string
-	t.instance.stateLoop.do(ctx, func() {
-		for name, other := range t.instance.stateLoop.state.Instances {
-			if name != t.instance.cfg.Settings.Instance && other.PeerAddress != "" {
+	t.node.StateLoop.Do(ctx, func() {
+		for name, other := range t.node.StateLoop.State.Instances {
+			if name != t.node.Settings.Instance && other.PeerAddress != "" {
 				peers = append(peers, other.PeerAddress)
 			}
 		}
 	})
 	slices.Sort(peers)
-	now := t.instance.clock.Now()
+	now := t.node.Clock.Now()
 	t.mu.Lock()
 	peers = slices.DeleteFunc(peers, func(p string) bool { return now < t.failedPeers[p] })
 	t.mu.Unlock()
 	if len(peers) == 0 {
 		return
 	}
-	peer := peers[t.instance.rand64()%uint64(len(peers))]
+	peer := peers[t.node.Rand64()%uint64(len(peers))]
 	if !t.probe(ctx, t.peerTransport, peer) {
 		t.markPeerFailed(peer)
 		return
@@ -231,12 +231,12 @@
 	t.mu.Lock()
 	t.peer = peer
 	t.mu.Unlock()
-	t.instance.log("log through peer", events.F("peer", peer))
+	t.node.Log("log through peer", events.F("peer", peer))
 }
 
-// relay sends a peer's call to the log on the direct path, and the log's response to the
+// Relay sends a peer's call to the log on the direct path, and the log's response to the
 // peer.
-func (t *logTransport) relay(w http.ResponseWriter, r *http.Request) {
+func (t *LogTransport) Relay(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
 	unavailable := t.directDown
 	t.mu.Unlock()
@@ -268,27 +268,3 @@
 		panic(http.ErrAbortHandler)
 	}
 }
-
-// peerHandler serves the other instances.
-func (in *Instance) peerHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(allowancePath, in.allowances.serve)
-	mux.HandleFunc("/", in.logTransport.relay)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerRelayed) != "" { // any path
-			in.relays.serve(w, r)
-			return
-		}
-		mux.ServeHTTP(w, r)
-	})
-}
-
-// servePeers serves the other instances: it grants requests to targets that limit their rate,
-// and relays calls to the log and callers' requests for instances that reach neither the log nor
-// a target.
-func (in *Instance) servePeers(ctx context.Context) error {
-	if in.cfg.Settings.Peers == "" {
-		return nil
-	}
-	return in.serve(ctx, in.cfg.Settings.Peers, in.peerHandler(), nil)
-}
--- /dev/null
+++ b/internal/node/keyed.go
@@ -0,0 +1,153 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/pace"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// keyedTopic states how to follow a keyed (compacted) topic. The functions run on the
+// state goroutine.
+type keyedTopic struct {
+	topic        string
+	lastRead     *atomic.Int64                                 // set at each reply
+	pollInterval time.Duration                                 // shortest time between reads; zero: one read follows the other
+	put          func(now time.Duration, e platform.Entry)     // called with each entry
+	retain       func(now time.Duration, keys map[string]bool) // nil, or called with all keys of the topic
+	outage       func(now time.Duration)                       // nil, or called after an outage
+}
+
+// followKeyed reads the latest entry of each key, then further entries until ctx ends.
+func (n *Node) followKeyed(ctx context.Context, k keyedTopic) error {
+	next, reader := int64(-1), pace.NewReader()
+	for ctx.Err() == nil {
+		started := n.Clock.Now()
+		var entries []platform.Entry
+		var err error
+		if next < 0 {
+			entries, next, err = n.readLatest(ctx, k)
+		} else {
+			entries, next, err = n.readKeyed(ctx, k, next, reader.PageBytes())
+		}
+		if err != nil {
+			n.DependencyLost(k.topic, err)
+			n.pauseAfterFailure(ctx, reader)
+			continue
+		}
+		n.dependencyRegained(k.topic)
+		reader.Succeeded(n.Clock.Now() - started)
+		if n.markRead(k.lastRead) && k.outage != nil {
+			n.StateLoop.Do(ctx, func() { k.outage(n.Clock.Now()) })
+		}
+		if len(entries) > 0 {
+			n.StateLoop.update(ctx, func() {
+				for _, e := range entries {
+					k.put(n.Clock.Now(), e)
+				}
+			})
+		}
+		if k.pollInterval > 0 {
+			clock.Sleep(ctx, max(k.pollInterval, n.followPause()))
+		}
+	}
+	return nil
+}
+
+// readLatest returns the latest entry of each key and the offset to read on from.
+func (n *Node) readLatest(ctx context.Context, k keyedTopic) ([]platform.Entry, int64, error) {
+	entries, next, err := n.store.Latest(ctx, k.topic)
+	if err != nil {
+		return nil, -1, err
+	}
+	if k.retain != nil {
+		keys := map[string]bool{}
+		for _, e := range entries {
+			keys[e.Key] = true
+		}
+		n.StateLoop.update(ctx, func() { k.retain(n.Clock.Now(), keys) })
+	}
+	return entries, next, nil
+}
+
+// readKeyed returns the entries from an offset on and the offset after them. If the topic
+// was trimmed beyond the offset, it returns the latest entry of each key.
+func (n *Node) readKeyed(ctx context.Context, k keyedTopic, next int64, maxBytes int) ([]platform.Entry, int64, error) {
+	batch, err := n.store.Read(ctx, k.topic, 0, next, maxBytes, n.pollWaitFor(k.topic))
+	var trimmed *platform.TrimmedError
+	if errors.As(err, &trimmed) {
+		n.Log("topic trimmed", events.F("topic", k.topic), events.F("from", fmt.Sprint(next)))
+		return n.readLatest(ctx, k)
+	}
+	if err != nil {
+		return nil, next, err
+	}
+	var entries []platform.Entry
+	for _, data := range batch.Records {
+		next++
+		e, err := platform.DecodeEntry(data)
+		if err != nil {
+			n.Log("topic unreadable", events.F("topic", k.topic), events.F("error", err.Error()))
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries, next, nil
+}
+
+// watchOperator follows the configuration and the published weight versions.
+func (n *Node) watchOperator(ctx context.Context) error {
+	return n.followKeyed(ctx, keyedTopic{
+		topic: platform.OperatorTopic, lastRead: &n.StateLoop.lastOperatorRead,
+		put: func(now time.Duration, e platform.Entry) {
+			record, err := platform.DecodeOperatorRecord(e)
+			if err != nil {
+				n.Log("operator unreadable", events.F("key", e.Key), events.F("error", err.Error()))
+				return
+			}
+			s := n.StateLoop
+			switch {
+			case record.Catalog != nil && (s.catalog == nil || record.Catalog.Version > s.catalog.Version):
+				s.catalog = record.Catalog
+				s.targets.SetColdStarts(coldStarts(record.Catalog), n.registryDelay())
+				n.Log("config applied", events.F("version", fmt.Sprint(record.Catalog.Version)))
+			case record.Weights != nil && record.Weights.Version > s.desiredVersions[record.Weights.Model]:
+				s.desiredVersions[record.Weights.Model] = record.Weights.Version
+				n.Log("weights named", events.F("model", record.Weights.Model), events.F("version", fmt.Sprint(record.Weights.Version)))
+			case record.Evacuation != nil:
+				n.setEvacuated(now, record.Evacuation.DataCentre, !record.Evacuation.Ended)
+			}
+		},
+		retain: func(now time.Duration, keys map[string]bool) { n.retainEvacuations(now, keys) },
+	})
+}
+
+// watchRegistry follows the registered targets.
+func (n *Node) watchRegistry(ctx context.Context) error {
+	return n.followKeyed(ctx, keyedTopic{
+		topic: platform.RegistryTopic, lastRead: &n.StateLoop.lastRegistryRead, pollInterval: registryPollInterval,
+		put: func(now time.Duration, e platform.Entry) {
+			n.StateLoop.targets.Expire(now)
+			if len(e.Value) == 0 {
+				n.Log("target removed", events.F("target", e.Key))
+				n.StateLoop.targets.Remove(now, e.Key)
+				return
+			}
+			t, err := platform.DecodeTarget(e)
+			if err != nil {
+				n.Log("target unreadable", events.F("error", err.Error()))
+				n.StateLoop.targets.Remove(now, e.Key)
+				return
+			}
+			n.StateLoop.targets.Put(now, t)
+		},
+		retain: func(now time.Duration, keys map[string]bool) { n.StateLoop.targets.Retain(now, keys) },
+		outage: func(now time.Duration) { n.StateLoop.targets.RegistryRestored(now) },
+	})
+}
--- a/internal/hosted/links.go
+++ b/internal/node/links.go
@@ -1,4 +1,4 @@
-package hosted
+package node
 
 import (
 	"context"
@@ -17,7 +17,6 @@
 	// A target in the region accepts or refuses a connection within milliseconds. A check starts
 	// with firstWitnesses targets, and needs the refusal or silence of linkWitnesses.
 	firstCheckTimeout = 100 * time.Millisecond
-	linkCheckTimeout  = 300 * time.Millisecond
 	firstWitnesses    = 2
 	linkWitnesses     = 8
 	// linkCheckInterval is the shortest time between two checks.
@@ -28,19 +27,19 @@
 	// confirmedFor is how long after the last sign of life of a target an instance takes over the
 	// work of others without a check of its own links.
 	confirmedFor = time.Second
-	// quietRunsLimit is how long no target may send anything while runs are in progress: seven
-	// events of one run.
-	quietRunsLimit = 300 * time.Millisecond
 )
 
+// LinkCheckTimeout bounds a check of whether targets accept connections.
+const LinkCheckTimeout = 300 * time.Millisecond
+
 // dialFunc opens a connection to a target.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// linkMonitor finds out whether this instance reaches any target. A single target that does not
+// LinkMonitor finds out whether this instance reaches any target. A single target that does not
 // answer may be down; when none of several accepts a connection, the instance itself is cut off.
 // It checks only when something gives reason to. It is safe for concurrent use.
-type linkMonitor struct {
-	instance  *Instance
+type LinkMonitor struct {
+	node      *Node
 	dial      dialFunc
 	suspected chan struct{} // holds a value when a check is due
 
@@ -53,65 +52,65 @@
 	changed chan struct{} // closed at the next change of cut
 }
 
-func newLinkMonitor(in *Instance, dial dialFunc) *linkMonitor {
-	return &linkMonitor{instance: in, dial: dial, suspected: make(chan struct{}, 1), changed: make(chan struct{})}
+func newLinkMonitor(n *Node, dial dialFunc) *LinkMonitor {
+	return &LinkMonitor{node: n, dial: dial, suspected: make(chan struct{}, 1), changed: make(chan struct{})}
 }
 
-// state reports whether the instance reaches no target, and returns a channel that is closed
+// State reports whether the instance reaches no target, and returns a channel that is closed
 // when that changes.
-func (m *linkMonitor) state() (cut bool, changed <-chan struct{}) {
+func (m *LinkMonitor) State() (cut bool, changed <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.cut, m.changed
 }
 
-// isCut reports whether the instance reaches no target.
-func (m *linkMonitor) isCut() bool {
-	cut, _ := m.state()
+// IsCut reports whether the instance reaches no target.
+func (m *LinkMonitor) IsCut() bool {
+	cut, _ := m.State()
 	return cut
 }
 
 // dialTarget opens a connection for a request to a target. A failure is a reason to check the
 // links, unless a target has accepted a connection since the dial began.
-func (m *linkMonitor) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
-	started := int64(m.instance.clock.Now())
+func (m *LinkMonitor) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
+	started := int64(m.node.Clock.Now())
 	connection, err := m.dial(ctx, network, address)
 	switch {
 	case err == nil:
-		m.lastConnected.Store(int64(m.instance.clock.Now()))
+		m.lastConnected.Store(int64(m.node.Clock.Now()))
 	case !errors.Is(ctx.Err(), context.Canceled) && m.lastConnected.Load() < started:
 		m.suspect()
 	}
 	return connection, err
 }
 
-// heard notes that a target has sent something.
-func (m *linkMonitor) heard() { m.lastHeard.Store(int64(m.instance.clock.Now())) }
+// Heard notes that a target has sent something.
+func (m *LinkMonitor) Heard() { m.lastHeard.Store(int64(m.node.Clock.Now())) }
 
-// quietSince is called when a target has not answered what was sent to it at the time since.
+// QuietSince is called when a target has not answered what was sent to it at the time since.
 // That is a reason to check the links, unless some target has sent something meanwhile.
-func (m *linkMonitor) quietSince(since time.Duration) {
+func (m *LinkMonitor) QuietSince(since time.Duration) {
 	if m.lastHeard.Load() < int64(since) {
 		m.suspect()
 	}
 }
 
-func (m *linkMonitor) suspect() {
+func (m *LinkMonitor) suspect() {
 	select {
 	case m.suspected <- struct{}{}:
 	default: // a check is due already
 	}
 }
 
-// confirm reports whether the instance reaches a target. It connects to two unless there was a
+// Confirm reports whether the instance reaches a target. It connects to two unless there was a
 // sign of life lately.
-func (m *linkMonitor) confirm(ctx context.Context) bool {
-	return m.confirmSince(ctx, m.instance.clock.Now()-confirmedFor)
+func (m *LinkMonitor) Confirm(ctx context.Context) bool {
+	return m.ConfirmSince(ctx, m.node.Clock.Now()-confirmedFor)
 }
 
-// confirmSince is confirm for a sign of life since then.
-func (m *linkMonitor) confirmSince(ctx context.Context, since time.Duration) bool {
-	if m.isCut() {
+// ConfirmSince is confirm for a sign of life since then.
+func (m *LinkMonitor) ConfirmSince(ctx context.Context, since time.Duration) bool {
+	if m.IsCut() {
 		return false
 	}
 	if m.signOfLifeSince(since) || m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) {
@@ -121,36 +120,36 @@
 	return false
 }
 
-// heardLately reports whether there was a sign of life of a target within confirmedFor.
-func (m *linkMonitor) heardLately() bool {
-	return m.signOfLifeSince(m.instance.clock.Now() - confirmedFor)
+// HeardLately reports whether there was a sign of life of a target within confirmedFor.
+func (m *LinkMonitor) HeardLately() bool {
+	return m.signOfLifeSince(m.node.Clock.Now() - confirmedFor)
 }
 
 // signOfLifeSince reports whether a target has sent something or accepted a connection since
 // then.
-func (m *linkMonitor) signOfLifeSince(since time.Duration) bool {
+func (m *LinkMonitor) signOfLifeSince(since time.Duration) bool {
 	last := max(m.lastHeard.Load(), m.lastConnected.Load())
 	return last != 0 && time.Duration(last) > since
 }
 
-// checkIfQuiet checks the links unless there was a sign of life lately. It does not wait.
-func (m *linkMonitor) checkIfQuiet() {
-	if !m.heardLately() {
+// CheckIfQuiet checks the links unless there was a sign of life lately. It does not wait.
+func (m *LinkMonitor) CheckIfQuiet() {
+	if !m.HeardLately() {
 		m.suspect()
 	}
 }
 
 // run checks the links when there is a reason to, and while they are lost, until ctx ends.
-func (m *linkMonitor) run(ctx context.Context) error {
+func (m *LinkMonitor) run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-m.suspected:
 		}
-		if !m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) && !m.anyTargetAccepts(ctx, linkWitnesses, linkCheckTimeout) && ctx.Err() == nil {
+		if !m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) && !m.anyTargetAccepts(ctx, linkWitnesses, LinkCheckTimeout) && ctx.Err() == nil {
 			m.set(true)
-			for ctx.Err() == nil && !m.anyTargetAccepts(ctx, firstWitnesses, linkCheckTimeout) {
+			for ctx.Err() == nil && !m.anyTargetAccepts(ctx, firstWitnesses, LinkCheckTimeout) {
 				clock.Sleep(ctx, linkCheckInterval)
 			}
 			m.set(false)
@@ -160,46 +159,46 @@
 }
 
 // set records whether the links are lost, and tells who waits for a change.
-func (m *linkMonitor) set(cut bool) {
-	in := m.instance
+func (m *LinkMonitor) set(cut bool) {
+	n := m.node
 	m.mu.Lock()
 	m.cut = cut
 	close(m.changed)
 	m.changed = make(chan struct{})
 	m.mu.Unlock()
 	if !cut {
-		in.log("links to targets regained")
+		n.Log("links to targets regained")
 		return
 	}
-	in.metrics.linksLost.Inc()
-	in.log("links to targets lost", events.F("quiet_for", in.sinceLastRead(&m.lastHeard).Round(time.Millisecond).String()),
-		events.F("targets", fmt.Sprint(len(in.stateLoop.view.Load().Targets))))
+	n.Metrics.linksLost.Inc()
+	n.Log("links to targets lost", events.F("quiet_for", n.sinceLastRead(&m.lastHeard).Round(time.Millisecond).String()),
+		events.F("targets", fmt.Sprint(len(n.CurrentView().Targets))))
 }
 
 // anyTargetAccepts reports whether one of count targets accepts a connection, or no target is
 // known. It repeats a check during which the process was paused.
-func (m *linkMonitor) anyTargetAccepts(ctx context.Context, count int, timeout time.Duration) bool {
+func (m *LinkMonitor) anyTargetAccepts(ctx context.Context, count int, timeout time.Duration) bool {
 	for {
-		started := m.instance.clock.Now()
-		addresses := m.witnesses("", count)
-		if len(addresses) == 0 || m.anyAccepts(ctx, addresses, timeout) {
+		started := m.node.Clock.Now()
+		addresses := m.Witnesses("", count)
+		if len(addresses) == 0 || m.AnyAccepts(ctx, addresses, timeout) {
 			return true
 		}
-		if ctx.Err() != nil || m.instance.clock.Now()-started < timeout+pauseMargin {
+		if ctx.Err() != nil || m.node.Clock.Now()-started < timeout+pauseMargin {
 			return false
 		}
 	}
 }
 
-// witnesses returns the addresses of count ready targets other than the excluded one, chosen at
+// Witnesses returns the addresses of count ready targets other than the excluded one, chosen at
 // random.
-func (m *linkMonitor) witnesses(excluded string, count int) []string {
-	targets := m.instance.stateLoop.view.Load().Targets
+func (m *LinkMonitor) Witnesses(excluded string, count int) []string {
+	targets := m.node.CurrentView().Targets
 	if len(targets) == 0 {
 		return nil
 	}
 	var addresses []string
-	offset := int(m.instance.rand64() % uint64(len(targets)))
+	offset := int(m.node.Rand64() % uint64(len(targets)))
 	for i := range targets {
 		t := targets[(i+offset)%len(targets)]
 		if t.Ready && t.Address != excluded && len(addresses) < count {
@@ -209,13 +208,13 @@
 	return addresses
 }
 
-// anyAccepts reports whether one of the addresses accepts a connection within the timeout.
-func (m *linkMonitor) anyAccepts(ctx context.Context, addresses []string, timeout time.Duration) bool {
+// AnyAccepts reports whether one of the addresses accepts a connection within the timeout.
+func (m *LinkMonitor) AnyAccepts(ctx context.Context, addresses []string, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	results := make(chan error, len(addresses))
 	for _, address := range addresses {
-		go func() { results <- m.connect(ctx, address) }()
+		go func() { results <- m.Connect(ctx, address) }()
 	}
 	for range addresses {
 		if <-results == nil {
@@ -225,13 +224,13 @@
 	return false
 }
 
-// connect opens and closes a connection to the address.
-func (m *linkMonitor) connect(ctx context.Context, address string) error {
+// Connect opens and closes a connection to the address.
+func (m *LinkMonitor) Connect(ctx context.Context, address string) error {
 	connection, err := m.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
-	m.lastConnected.Store(int64(m.instance.clock.Now()))
+	m.lastConnected.Store(int64(m.node.Clock.Now()))
 	_ = connection.Close() // nothing was sent
 	return nil
 }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,211 @@
+// Package node holds what all roles of a hosted instance share, and performs none of them:
+// settings, clock, events, metrics and randomness, the state that results from following the log
+// and the registry, appends to the log, and what is known of targets and other instances.
+//
+// A role holds a *Node. What a node needs to know of the roles, package hosted and the roles
+// set: OnRecord, Pace.RanJobsAt and Pace.LeaseHeld.
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/hash"
+	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Config holds an instance's settings and the sources of its logs, time and randomness.
+type Config struct {
+	Settings  platform.Settings
+	LogOutput io.Writer
+	Clock     clock.Clock // nil: the system's clock
+	Random    *rand.Rand  // nil: seeded randomly
+	// DialTarget opens the connections to targets. nil: a net.Dialer
+	DialTarget func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+const (
+	idleConnsPerTarget  = 24 // idle connections kept to each target: two batches of twelve slots
+	contentCacheDivisor = 16 // the content cache gets 1/16 of the memory
+)
+
+// Node is what the roles of one instance share.
+type Node struct {
+	Settings platform.Settings
+	Clock    clock.Clock
+	Metrics  *Metrics
+	// Self is the name and incarnation of the instance: the writer and producer name in the log.
+	Self string
+	// TargetClient sends requests to targets.
+	TargetClient *http.Client
+	StateLoop    *StateLoop
+	Pace         *Pace
+	Allowances   *Allowances
+	Links        *LinkMonitor
+	LogTransport *LogTransport
+	// OnRecord is called on the state goroutine with each record of the log, after it was
+	// applied to the state, and whether the state accepted it. Set before the loops start.
+	OnRecord func(now time.Duration, r job.Record, accepted bool)
+
+	events       *events.Recorder
+	store        *platform.Store
+	controlLog   *appender // appends to the control topic
+	contentLog   *appender // appends to the content topic
+	contentCache *contentCache
+	dependencies dependencyStatus
+	stopping     chan struct{} // closed by stop
+	stopOnce     sync.Once
+	randomMu     sync.Mutex
+	random       *rand.Rand
+}
+
+// New returns a node whose loops have not been started.
+func New(cfg Config) *Node {
+	s := cfg.Settings
+	if cfg.Random == nil {
+		cfg.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	if cfg.Clock == nil {
+		cfg.Clock = clock.System{}
+	}
+	if cfg.DialTarget == nil {
+		cfg.DialTarget = (&net.Dialer{}).DialContext
+	}
+	n := &Node{
+		Settings: s, Clock: cfg.Clock, random: cfg.Random,
+		events:       events.New(s.Instance, cfg.LogOutput, cfg.Clock.Wall),
+		Metrics:      newMetricSet(),
+		StateLoop:    newStateLoop(cfg.Clock, rejoinTimeout),
+		Pace:         newFollowPace(),
+		contentCache: newContentCache(s.MemoryBytes / contentCacheDivisor),
+		stopping:     make(chan struct{}),
+		OnRecord:     func(time.Duration, job.Record, bool) {},
+	}
+	n.Links = newLinkMonitor(n, cfg.DialTarget)
+	n.TargetClient = &http.Client{Transport: platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget), CheckRedirect: NoRedirect}
+	n.LogTransport = newLogTransport(n, s.Store.Address)
+	n.store = platform.NewStore(s.Store.Address, n.LogTransport)
+	n.Self = fmt.Sprintf("%s/%x", s.Instance, n.Rand64())
+	n.controlLog = newAppender(&idempotentWriter{store: n.store, topic: controlTopic, producer: n.Self},
+		controlTopic, s.Store.CallBytes, n.trackAppends("log"))
+	n.controlLog.onAppended = n.Pace.expectRecords
+	n.contentLog = newAppender(&failoverWriter{
+		store: n.store, topic: contentTopic, partitions: s.Store.Partitions,
+		partition: int(hash.Mix(xxhash.Sum64String(s.Instance)) % uint64(s.Store.Partitions)),
+	}, contentTopic, s.Store.CallBytes, n.trackAppends("content"))
+	n.Allowances = newAllowances(n)
+	return n
+}
+
+// Loops returns the functions that keep the node up to date. Each runs until its context ends.
+func (n *Node) Loops() []func(context.Context) error {
+	return []func(context.Context) error{
+		n.StateLoop.run, n.controlLog.run, n.contentLog.run,
+		n.followLog, n.watchOperator, n.watchRegistry, n.publishWarmTargets,
+		n.LogTransport.run, n.announce, n.Links.run,
+	}
+}
+
+// NoRedirect is the CheckRedirect of clients whose responses are forwarded as they are.
+func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// trackAppends returns a function for the results of a topic's appends, which sets the
+// status of the dependency name.append.
+func (n *Node) trackAppends(name string) func(error) {
+	return func(err error) {
+		if err == nil {
+			n.dependencyRegained(name + ".append")
+			return
+		}
+		n.DependencyLost(name+".append", err)
+	}
+}
+
+// announceInterval is short enough that the log always retains an announcement of every
+// running instance.
+const announceInterval = time.Minute
+
+// announce appends the InstanceStarted record, at once and every announceInterval. It
+// publishes the incarnation and the address at which the instance listens for peers.
+func (n *Node) announce(ctx context.Context) error {
+	started := &job.InstanceStarted{
+		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
+	}
+	n.AppendRecordAsync(job.Record{InstanceStarted: started})
+	return clock.Every(ctx, announceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
+}
+
+// Stop makes IsStopping true and closes the channel stopping.
+func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stopping) }) }
+
+// StopStarted returns a channel that is closed when the drain starts.
+func (n *Node) StopStarted() <-chan struct{} { return n.stopping }
+
+// IsStopping reports whether the instance drains.
+func (n *Node) IsStopping() bool {
+	select {
+	case <-n.stopping:
+		return true
+	default:
+		return false
+	}
+}
+
+// Rand64 returns a random number.
+func (n *Node) Rand64() uint64 {
+	n.randomMu.Lock()
+	defer n.randomMu.Unlock()
+	return n.random.Uint64()
+}
+
+// Jitter returns a random duration from zero to below limit.
+func (n *Node) Jitter(limit time.Duration) time.Duration {
+	return time.Duration(n.Rand64() % uint64(max(1, limit)))
+}
+
+// Log writes an event to the instance's log.
+func (n *Node) Log(event string, fields ...events.Field) { n.events.Record(event, fields...) }
+
+// EncodeRecord sets the record's writer and time and encodes it.
+func (n *Node) EncodeRecord(r job.Record) ([]byte, error) {
+	r.Writer, r.At = n.Self, n.Clock.Wall().UnixMilli()
+	return job.Encode(r)
+}
+
+// AppendRecord appends one record to the control topic and waits for the outcome.
+func (n *Node) AppendRecord(ctx context.Context, r job.Record) error {
+	data, err := n.EncodeRecord(r)
+	if err != nil {
+		return err
+	}
+	return n.AppendEncoded(ctx, data)
+}
+
+// AppendEncoded is AppendRecord for the result of EncodeRecord.
+func (n *Node) AppendEncoded(ctx context.Context, data []byte) error {
+	_, err := n.controlLog.append(ctx, data)
+	return err
+}
+
+// AppendRecordAsync queues one record for the control topic without waiting for the
+// outcome. If the queue is full, it drops the record and logs that.
+func (n *Node) AppendRecordAsync(r job.Record) {
+	data, err := n.EncodeRecord(r)
+	if err != nil {
+		n.Log("record unencodable", events.F("error", err.Error()))
+		return
+	}
+	if !n.controlLog.appendAsync(data) {
+		n.Log("record dropped", events.F("reason", "queue of the log is full"))
+	}
+}
--- a/internal/reference/reference.go
+++ b/internal/reference/reference.go
@@ -3,7 +3,7 @@
 // page lists every flag of package settings, and every variable that has no flag.
 //
 // Files are parsed without type checking, so names are found by convention. The name of an
-// event is a string literal that is the first argument of a method named Record or log, or
+// event is a string literal that is the first argument of a method named Record or Log, or
 // the first of two results of a function whose name starts with describe. The name of a
 // metric is a string literal with the prefix amaranth_, up to its labels.
 package reference
@@ -21,7 +21,7 @@
 )
 
 // recordMethods are the methods whose first argument is the name of an event.
-var recordMethods = map[string]bool{"Record": true, "log": true}
+var recordMethods = map[string]bool{"Record": true, "Log": true}
 
 const metricPrefix = "amaranth_"
 
