--- a/internal/hosted/crashes.go
+++ b/internal/forward/crashes.go
@@ -1,4 +1,4 @@
-package hosted
+package forward
 
 import (
 	"context"
@@ -36,7 +36,7 @@
 // that no target accepts has lost its own links and learns nothing. It is safe for concurrent
 // use.
 type crashDetector struct {
-	instance *Instance
+	forwarder *Forwarder
 
 	mu     sync.Mutex
 	checks map[poison.Target]*crashCheck // in progress
@@ -54,14 +54,14 @@
 	digest poison.Digest
 }
 
-func newCrashDetector(in *Instance) *crashDetector {
-	return &crashDetector{instance: in, checks: map[poison.Target]*crashCheck{}}
+func newCrashDetector(f *Forwarder) *crashDetector {
+	return &crashDetector{forwarder: f, checks: map[poison.Target]*crashCheck{}}
 }
 
 // requestLost checks whether the target has crashed under the request, sent at sentAt, whose
 // connection broke off. It returns when that is known, or after crashSettleTime.
 func (d *crashDetector) requestLost(ctx context.Context, t directory.Target, r lostRequest, sentAt time.Duration) {
-	if d.instance.Clock.Now()-sentAt > maxCrashDelay {
+	if d.forwarder.Clock.Now()-sentAt > maxCrashDelay {
 		return
 	}
 	key := poison.Target{ID: t.ID, StartedAt: t.StartedAt}
@@ -70,7 +70,7 @@
 	if check == nil {
 		if len(d.checks) >= maxCrashChecks {
 			d.mu.Unlock()
-			d.instance.Log("crash check left out", events.F("request", r.id), events.F("target", t.ID), events.F("reason", "too many at once"))
+			d.forwarder.Log("crash check left out", events.F("request", r.id), events.F("target", t.ID), events.F("reason", "too many at once"))
 			return
 		}
 		check = &crashCheck{settled: make(chan struct{})}
@@ -100,7 +100,7 @@
 	requests := check.requests
 	d.mu.Unlock()
 	if crashed && known {
-		d.instance.poisonGuard.targetCrashed(t, requests)
+		d.forwarder.poisonGuard.targetCrashed(t, requests)
 	}
 	close(check.settled)
 }
@@ -108,7 +108,7 @@
 // probe reports whether the target has crashed, and whether that is known: not if no other
 // target accepts a connection.
 func (d *crashDetector) probe(ctx context.Context, t directory.Target) (crashed, known bool) {
-	links := d.instance.Links
+	links := d.forwarder.Links
 	ctx, cancel := context.WithTimeout(ctx, node.LinkCheckTimeout)
 	defer cancel()
 	if err := links.Connect(ctx, t.Address); !errors.Is(err, syscall.ECONNREFUSED) {
--- a/internal/hosted/holdback.go
+++ b/internal/forward/holdback.go
@@ -1,4 +1,4 @@
-package hosted
+package forward
 
 import (
 	"context"
@@ -33,12 +33,12 @@
 
 // awaitAllowance waits until a plain request may be sent to a target, if the target limits
 // its rate. It fails with a *noAllowanceError if that would take too long.
-func (in *Instance) awaitAllowance(ctx context.Context, p *plainRequest, id string) error {
-	t, found := in.CurrentView().Target(id)
+func (f *Forwarder) awaitAllowance(ctx context.Context, p *PlainRequest, id string) error {
+	t, found := f.CurrentView().Target(id)
 	if !found || !t.Limited {
 		return nil
 	}
-	grant, err := in.Allowances.Take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.targetLatency)))
+	grant, err := f.Allowances.Take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.TargetLatency)))
 	if err != nil || grant.Count == 0 {
 		return &noAllowanceError{t.ID, t.RequestLimit, grant.RetryAfter, err}
 	}
@@ -51,6 +51,6 @@
 // limitedRetryAfter returns the Retry-After for a request that found no limited target with
 // an allowance: the time until the first one grants a request, spread over as long again, so
 // that the callers do not return at once.
-func (in *Instance) limitedRetryAfter(earliest time.Duration) time.Duration {
-	return max(retryAfter, earliest+in.Jitter(earliest))
+func (f *Forwarder) limitedRetryAfter(earliest time.Duration) time.Duration {
+	return max(retryAfter, earliest+f.Jitter(earliest))
 }
--- /dev/null
+++ b/internal/forward/plain.go
@@ -0,0 +1,320 @@
+package forward
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/core/poison"
+	"github.com/amaranthfold/amaranthfold/core/retry"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+const (
+	// hedgeDelayFraction is the fraction of the target latency after which an idempotent
+	// request is sent to a second target. The remaining half suffices for that attempt.
+	hedgeDelayFraction = 0.5
+	hedgeDelayMin      = 40 * time.Millisecond // twice the mean service time of a plain request
+	// allRefusedBackoff is the delay before a request that every target refused is sent
+	// again.
+	allRefusedBackoff = 30 * time.Millisecond
+	// Limits of a response body that is read into memory, in bytes and as a fraction of the
+	// instance's memory.
+	maxResponseBytes          = 32 << 20
+	maxResponseMemoryFraction = 1.0 / 16
+)
+
+// PlainRequest is a request to a plain service: a caller's, or one of the service itself.
+type PlainRequest struct {
+	ID      string
+	Method  string
+	Host    string
+	Header  http.Header                   // without those that each attempt sets
+	URL     func(address string) *url.URL // at a target's address
+	Body    []byte
+	account string // empty: none
+	Service string
+	Kind    catalog.Kind
+	// MaxAttempts is the maximum number of targets that the request is sent to.
+	MaxAttempts   int
+	TargetLatency time.Duration
+	software      *string // the targets must have this software version; nil: any
+	configVersion int64   // of the configuration that allows the request
+	// relayable is set for a caller's request that may go through another instance.
+	relayable bool
+	// digest returns the digest of a caller's request; nil: the request is one of the service
+	// itself, which crashes no target.
+	digest func() poison.Digest
+}
+
+// plainRequest returns the request to the target that serves the caller's request.
+func (c *CallerRequest) plainRequest(service string) *PlainRequest {
+	maxAttempts := c.Route.MaxAttempts
+	if c.relayed {
+		maxAttempts = 1 // the other instance counts the attempts
+	}
+	return &PlainRequest{
+		ID: c.ID, Method: c.Request.Method, Host: c.Request.Host, Header: c.Request.Header, Body: c.Body, account: c.Account, Service: service,
+		URL:  func(address string) *url.URL { return requestURL(address, c.Request) },
+		Kind: c.Route.Kind, MaxAttempts: maxAttempts, TargetLatency: c.Route.TargetLatency,
+		configVersion: c.View.Catalog.Version, relayable: !c.relayed,
+		digest: sync.OnceValue(func() poison.Digest {
+			return poison.DigestOf(c.Account, c.Request.Method, catalog.Hostname(c.Request.Host), c.Request.RequestURI, c.Body)
+		}),
+	}
+}
+
+// AttemptResult is the result of one attempt.
+type AttemptResult struct {
+	Target         directory.Target
+	Outcome        retry.Outcome
+	PlatformHeader platform.ResponseHeader
+	Status         int
+	header         http.Header
+	body           []byte
+	stream         io.ReadCloser // replaces body for a response that is forwarded as it arrives
+	Err            error
+	sentAt         time.Duration
+	brokenOff      bool // the connection broke off before the response was complete
+	relayed        bool // the request went through another instance, which counts it
+	// refused is set if the other instance refuses the request for a reason that holds at all
+	// instances; retryAfter is its Retry-After.
+	refused    bool
+	retryAfter time.Duration
+}
+
+// HasResponse reports whether the attempt has a response that may be forwarded: the
+// target has run the request.
+func (r *AttemptResult) HasResponse() bool { return r.Err == nil && !r.PlatformHeader.NotRun }
+
+// ForwardRequest sends a request to a target of the route's service and the response to
+// the caller.
+func (f *Forwarder) ForwardRequest(c *CallerRequest) {
+	f.Metrics.Requests.Inc()
+	deadline := c.deadline()
+	ctx, cancel := f.withDeadline(c, deadline)
+	defer cancel()
+	software, err := f.softwareFor(ctx, c)
+	if err != nil {
+		f.Refuse(c, err.Error())
+		return
+	}
+	request := c.plainRequest(c.Route.Pick(f.Rand64()))
+	request.software = software
+	if v := f.poisonGuard.check(request); v.Condemned {
+		f.refuseCondemned(c, v)
+		return
+	}
+	attempted := f.RunAttempts(ctx, request, deadline)
+	best, attempts := attempted.Best, attempted.StartedAttempts
+	took := f.Clock.Now() - c.Started
+	f.Metrics.RequestTime.Update(took.Seconds())
+	if attempts > 1 {
+		f.Metrics.Retries.Add(attempts - 1)
+	}
+	if best != nil && best.Outcome != retry.NotRun && !best.relayed {
+		f.countRequest(c.Account, f.Clock.Wall())
+	}
+	switch {
+	case best != nil && best.HasResponse():
+		f.forwardResponse(c, request, best, attempts, took)
+	case c.Request.Context().Err() != nil:
+		f.Log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
+	case attempted.heldBack > 0 && best.Outcome == retry.NotRun:
+		f.refuseFor(c, f.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
+	case attempted.condemned != nil && (best == nil || best.Outcome == retry.NotRun):
+		f.refuseCondemned(c, *attempted.condemned)
+	case best != nil && best.refused:
+		f.refuseFor(c, best.retryAfter, best.Err.Error())
+	case attempted.noneAccepts:
+		f.refuseFor(c, stoppedRetryAfter, "no target accepts a connection")
+	case best == nil || best.Outcome == retry.NotRun:
+		f.Refuse(c, "no target took the request")
+	case ctx.Err() != nil:
+		f.Respond(c, http.StatusGatewayTimeout, fmt.Sprintf("target %s did not answer in time", best.Target.ID))
+	default:
+		f.Respond(c, http.StatusBadGateway, fmt.Sprintf("target %s: %v", best.Target.ID, best.Err))
+	}
+}
+
+func (f *Forwarder) forwardResponse(c *CallerRequest, request *PlainRequest, r *AttemptResult, attempts int, took time.Duration) {
+	f.Log("request passed", events.F("request", c.ID), events.F("route", c.Route.Name), events.F("target", r.Target.ID),
+		events.F("software", r.Target.Software), events.F("status", fmt.Sprint(r.Status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
+		events.F("took", took.Round(time.Millisecond).String()))
+	platform.CopyResponseHeader(c.Writer.Header(), r.header)
+	c.Writer.Header().Del(headerOwnResponse) // only this instance may set it
+	if r.stream != nil {
+		f.recordStream(c, r)
+		f.forwardStream(c, request, r)
+		return
+	}
+	c.Writer.Header().Set("Content-Length", fmt.Sprint(len(r.body)))
+	if r.Status < http.StatusInternalServerError {
+		f.poisonGuard.served(request)
+	}
+	c.Writer.WriteHeader(r.Status)
+	_, _ = c.Writer.Write(r.body) // a caller that has disconnected needs no response
+}
+
+// forwardStream forwards a streamed body as it arrives. If the stream is interrupted, it
+// cuts the connection to the caller, so that the response does not look complete.
+func (f *Forwarder) forwardStream(c *CallerRequest, request *PlainRequest, r *AttemptResult) {
+	defer r.stream.Close()
+	c.Writer.Header().Del("Content-Length")
+	c.Writer.WriteHeader(r.Status)
+	flusher := http.NewResponseController(c.Writer)
+	buffer := make([]byte, 16<<10)
+	for {
+		k, err := r.stream.Read(buffer)
+		if k > 0 {
+			if _, werr := c.Writer.Write(buffer[:k]); werr != nil {
+				return
+			}
+			if ferr := flusher.Flush(); ferr != nil {
+				return
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			f.poisonGuard.served(request)
+			return
+		}
+		if err != nil {
+			if !r.relayed {
+				f.crashDetector.requestLost(c.Request.Context(), r.Target, lostRequest{request.ID, request.digest()}, r.sentAt)
+			}
+			f.Log("request stream broken", events.F("request", c.ID), events.F("target", r.Target.ID), events.F("error", err.Error()))
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// ErrRequestIDMismatch is the error of a response that names another request.
+var ErrRequestIDMismatch = errors.New("the answer belongs to another request")
+
+// sendAttempt sends the request to one target, returns the result and releases the
+// target. It does not send it if the target limits its rate and grants no allowance soon. An
+// attempt that was canceled, as the caller has disconnected or another attempt
+// has responded, does not count as a failure of the target.
+func (f *Forwarder) sendAttempt(ctx context.Context, p *PlainRequest, target directory.Target, suspected bool, deadline time.Duration, readyTargets int) *AttemptResult {
+	r := &AttemptResult{Target: target, Outcome: retry.NotRun}
+	if err := f.awaitAllowance(ctx, p, target.ID); err != nil {
+		f.plainTargets.withdraw(target, suspected)
+		r.Err = err
+		f.Log("request held back", events.F("request", p.ID), events.F("target", target.ID), events.F("error", err.Error()))
+		return r
+	}
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	})
+	f.roundTrip(ctx, p, r, deadline)
+	if r.Err != nil {
+		r.Outcome = retry.Unknown
+		if !connected {
+			r.Outcome = retry.NotRun
+		}
+	} else if !r.PlatformHeader.NotRun {
+		r.Outcome = retry.Ran
+	}
+	ok := r.Err == nil || ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled)
+	if f.plainTargets.release(f.Clock.Now(), target, suspected, readyTargets, ok, float64(f.Rand64()%1000)/1000) {
+		f.Log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.Err)))
+	}
+	if r.Outcome == retry.Unknown && r.brokenOff && p.digest != nil && ctx.Err() == nil {
+		f.crashDetector.requestLost(ctx, target, lostRequest{p.ID, p.digest()}, r.sentAt)
+	}
+	if !r.HasResponse() {
+		f.Log("request attempt failed", events.F("request", p.ID), events.F("target", target.ID),
+			events.F("outcome", r.Outcome.String()), events.F("status", fmt.Sprint(r.Status)), events.F("error", fmt.Sprint(r.Err)))
+	}
+	return r
+}
+
+// roundTrip sends the request to r's target and sets the other fields of r from the
+// response. It sets r.err for a response that belongs to another request, lacks the
+// target's signature or has a content encoding.
+func (f *Forwarder) roundTrip(ctx context.Context, p *PlainRequest, r *AttemptResult, deadline time.Duration) {
+	req := &http.Request{
+		Method: p.Method, URL: p.URL(r.Target.Address), Host: p.Host,
+		Header:        platform.ForwardedHeader(p.Header, r.Target.ID, p.account, deadline-f.Clock.Now()),
+		Body:          NonReplayableBody(p.Method, p.Header, p.Body),
+		ContentLength: int64(len(p.Body)),
+	}
+	r.sentAt = f.Clock.Now()
+	res, err := f.TargetClient.Do(req.WithContext(ctx))
+	if err != nil {
+		r.Err, r.brokenOff = err, true
+		f.NoteNoAnswer(ctx, r.Target)
+		return
+	}
+	f.NoteResponse(ctx, r.Target, platform.DecodeResponseHeader(res), p.ID, r.sentAt)
+	f.readResponse(p, r, res)
+}
+
+// readResponse sets the fields of r from a response to the request.
+func (f *Forwarder) readResponse(p *PlainRequest, r *AttemptResult, res *http.Response) {
+	r.Status, r.header, r.PlatformHeader = res.StatusCode, res.Header, platform.DecodeResponseHeader(res)
+	if r.PlatformHeader.RequestID != p.ID && r.PlatformHeader.RequestID != "" || r.PlatformHeader.RequestID == "" && !r.PlatformHeader.NotRun {
+		// This closes the connection, as the body is unread: later responses on it may belong
+		// to other requests too.
+		_ = res.Body.Close()
+		r.Err = fmt.Errorf("%w: %q", ErrRequestIDMismatch, r.PlatformHeader.RequestID)
+		return
+	}
+	switch {
+	case res.StatusCode/100 == 2 && r.PlatformHeader.Signature == "":
+		r.Err = errors.New("the answer is not signed")
+	case res.Header.Get("Content-Encoding") != "":
+		r.Err = errors.New("the answer is encoded, which nobody asked for")
+	case p.Kind == catalog.Stream && res.StatusCode == http.StatusOK:
+		r.stream = res.Body
+		return
+	default:
+		r.body, r.Err = platform.ReadBody(res.Body, f.responseLimit())
+		r.brokenOff = r.Err != nil
+	}
+	_ = res.Body.Close() // its content is read, or not used
+}
+
+// responseLimit returns the limit in bytes of a response body that is read into memory.
+func (f *Forwarder) responseLimit() int64 {
+	return min(maxResponseBytes, int64(maxResponseMemoryFraction*float64(f.Settings.MemoryBytes)))
+}
+
+// NonReplayableBody returns a request body that keeps net/http from sending the request
+// again on another connection. net/http does so for a request without a body that it
+// considers idempotent, by the method or an idempotency key.
+func NonReplayableBody(method string, header http.Header, body []byte) io.ReadCloser {
+	replayable := header.Get("Idempotency-Key") != "" || header.Get("X-Idempotency-Key") != ""
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		replayable = true
+	}
+	if len(body) == 0 && !replayable {
+		return http.NoBody // an empty body of another type would be sent with chunked encoding
+	}
+	return io.NopCloser(bytes.NewReader(body))
+}
+
+// requestURL returns the request's URL at a target's address, with path and query exactly
+// as the caller sent them.
+func requestURL(address string, r *http.Request) *url.URL {
+	u := &url.URL{Scheme: "http", Host: address}
+	if strings.HasPrefix(r.RequestURI, "/") && !strings.HasPrefix(r.RequestURI, "//") {
+		u.Opaque = r.RequestURI
+		return u
+	}
+	u.Path, u.RawPath, u.RawQuery = r.URL.Path, r.URL.RawPath, r.URL.RawQuery
+	return u
+}
--- a/internal/hosted/poison.go
+++ b/internal/forward/poison.go
@@ -1,4 +1,4 @@
-package hosted
+package forward
 
 import (
 	"context"
@@ -26,26 +26,26 @@
 // through the log. Tasks of jobs and their score calls are never held: they are owed whatever
 // crashes under them. It is safe for concurrent use.
 type poisonGuard struct {
-	instance    *Instance
+	forwarder   *Forwarder
 	condemnedUp chan struct{} // a request was condemned
 
 	mu     sync.Mutex
 	ledger *poison.Ledger
 }
 
-func newPoisonGuard(in *Instance) *poisonGuard {
-	return &poisonGuard{instance: in, condemnedUp: make(chan struct{}, 1), ledger: poison.NewLedger()}
+func newPoisonGuard(f *Forwarder) *poisonGuard {
+	return &poisonGuard{forwarder: f, condemnedUp: make(chan struct{}, 1), ledger: poison.NewLedger()}
 }
 
 // check returns the verdict on a request.
-func (g *poisonGuard) check(p *plainRequest) poison.Verdict {
+func (g *poisonGuard) check(p *PlainRequest) poison.Verdict {
 	if p.digest == nil || g.empty() {
 		return poison.Verdict{}
 	}
 	d := p.digest()
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.ledger.Check(g.instance.Clock.Now(), d)
+	return g.ledger.Check(g.forwarder.Clock.Now(), d)
 }
 
 func (g *poisonGuard) empty() bool {
@@ -56,26 +56,26 @@
 
 // targetCrashed records that the target crashed while it ran the requests.
 func (g *poisonGuard) targetCrashed(t directory.Target, requests []lostRequest) {
-	in := g.instance
-	in.Metrics.TargetsCrashed.Inc()
+	f := g.forwarder
+	f.Metrics.TargetsCrashed.Inc()
 	r := job.TargetCrashed{Target: t.ID, StartedAt: t.StartedAt}
 	for _, lost := range requests {
 		r.Requests = append(r.Requests, lost.digest)
-		in.Log("target crashed", events.F("request", lost.id), events.F("digest", lost.digest.String()), events.F("target", t.ID),
+		f.Log("target crashed", events.F("request", lost.id), events.F("digest", lost.digest.String()), events.F("target", t.ID),
 			events.F("started_at", fmt.Sprint(t.StartedAt)), events.F("beside", fmt.Sprint(len(requests)-1)))
 	}
 	g.onCrash(r)
-	in.AppendRecordAsync(job.Record{TargetCrashed: &r})
+	f.AppendRecordAsync(job.Record{TargetCrashed: &r})
 }
 
 // served records that the request was served.
-func (g *poisonGuard) served(p *plainRequest) {
+func (g *poisonGuard) served(p *PlainRequest) {
 	if p.digest == nil || g.empty() {
 		return
 	}
 	d := p.digest()
 	if g.onServed(d) {
-		g.instance.AppendRecordAsync(job.Record{SuspectServed: &job.SuspectServed{Request: d}})
+		g.forwarder.AppendRecordAsync(job.Record{SuspectServed: &job.SuspectServed{Request: d}})
 	}
 }
 
@@ -93,7 +93,7 @@
 
 func (g *poisonGuard) onCrash(r job.TargetCrashed) {
 	g.mu.Lock()
-	condemned := g.ledger.Crashed(g.instance.Clock.Now(), poison.Target{ID: r.Target, StartedAt: r.StartedAt}, r.Requests)
+	condemned := g.ledger.Crashed(g.forwarder.Clock.Now(), poison.Target{ID: r.Target, StartedAt: r.StartedAt}, r.Requests)
 	g.mu.Unlock()
 	g.condemned(condemned, "target "+r.Target+" crashed")
 }
@@ -103,8 +103,8 @@
 	known, condemned := g.ledger.Served(d)
 	g.mu.Unlock()
 	if known {
-		g.instance.Metrics.SuspectsServed.Inc()
-		g.instance.Log("suspect served", events.F("digest", d.String()))
+		g.forwarder.Metrics.SuspectsServed.Inc()
+		g.forwarder.Log("suspect served", events.F("digest", d.String()))
 	}
 	g.condemned(condemned, "the requests beside it were served")
 	return known
@@ -114,7 +114,7 @@
 	var added []poison.Digest
 	g.mu.Lock()
 	for _, c := range r.Requests {
-		if g.ledger.Announced(g.instance.Clock.Now(), poison.Announcement{Request: c.Digest, SinceLastCrash: time.Duration(c.SinceLastCrash) * time.Millisecond}) {
+		if g.ledger.Announced(g.forwarder.Clock.Now(), poison.Announcement{Request: c.Digest, SinceLastCrash: time.Duration(c.SinceLastCrash) * time.Millisecond}) {
 			added = append(added, c.Digest)
 		}
 	}
@@ -125,8 +125,8 @@
 // condemned logs that requests are condemned and starts their announcements.
 func (g *poisonGuard) condemned(requests []poison.Digest, reason string) {
 	for _, d := range requests {
-		g.instance.Metrics.Condemned.Inc()
-		g.instance.Log("request condemned", events.F("digest", d.String()), events.F("reason", reason))
+		g.forwarder.Metrics.Condemned.Inc()
+		g.forwarder.Log("request condemned", events.F("digest", d.String()), events.F("reason", reason))
 	}
 	if len(requests) == 0 {
 		return
@@ -140,8 +140,8 @@
 // run announces the condemned requests until ctx ends. The instances wait for different times,
 // and one that reads another's announcement makes none.
 func (g *poisonGuard) run(ctx context.Context) error {
-	in := g.instance
-	retention := in.Settings.Store.Retention
+	f := g.forwarder
+	retention := f.Settings.Store.Retention
 	if retention <= 0 {
 		retention = defaultRetention
 	}
@@ -152,7 +152,7 @@
 			return nil
 		case <-g.condemnedUp:
 		}
-		for pending := true; pending && clock.Sleep(ctx, interval+in.Jitter(interval)); {
+		for pending := true; pending && clock.Sleep(ctx, interval+f.Jitter(interval)); {
 			pending = g.announce(interval)
 		}
 	}
@@ -162,7 +162,7 @@
 // whether there are condemned requests.
 func (g *poisonGuard) announce(interval time.Duration) (pending bool) {
 	g.mu.Lock()
-	due, pending := g.ledger.Due(g.instance.Clock.Now(), interval)
+	due, pending := g.ledger.Due(g.forwarder.Clock.Now(), interval)
 	g.mu.Unlock()
 	if len(due) == 0 {
 		return pending
@@ -171,13 +171,13 @@
 	for _, a := range due {
 		r.Requests = append(r.Requests, job.CondemnedRequest{Digest: a.Request, SinceLastCrash: a.SinceLastCrash.Milliseconds()})
 	}
-	g.instance.AppendRecordAsync(job.Record{Condemned: r})
-	g.instance.Log("condemned requests announced", events.F("requests", fmt.Sprint(len(due))))
+	g.forwarder.AppendRecordAsync(job.Record{Condemned: r})
+	g.forwarder.Log("condemned requests announced", events.F("requests", fmt.Sprint(len(due))))
 	return pending
 }
 
 // refuseCondemned refuses a request that crashes its targets.
-func (in *Instance) refuseCondemned(c *callerRequest, v poison.Verdict) {
-	in.Metrics.CondemnedRefused.Inc()
-	in.refuseFor(c, v.HeldFor, "targets crash under this request")
+func (f *Forwarder) refuseCondemned(c *CallerRequest, v poison.Verdict) {
+	f.Metrics.CondemnedRefused.Inc()
+	f.refuseFor(c, v.HeldFor, "targets crash under this request")
 }
--- a/internal/hosted/relay.go
+++ b/internal/forward/relay.go
@@ -1,4 +1,4 @@
-package hosted
+package forward
 
 import (
 	"context"
@@ -29,9 +29,9 @@
 // Headers between instances. Callers cannot set them: the listener for callers does not read
 // them, and the one for other instances is not open to callers.
 const (
-	// headerRelayed marks a request that another instance relays. It holds the version of that
+	// HeaderRelayed marks a request that another instance relays. It holds the version of that
 	// instance's configuration.
-	headerRelayed = "Amaranthfold-Relayed-Config"
+	HeaderRelayed = "Amaranthfold-Relayed-Config"
 	// headerOwnResponse marks a response that the relaying instance has generated itself. It
 	// holds ownTryAnother if that instance cannot serve any request now, else ownFinal: every other one
 	// would answer the same.
@@ -44,17 +44,17 @@
 // other instance chooses the target; a relayed request is one attempt. It is safe for concurrent
 // use.
 type relays struct {
-	instance *Instance
-	client   *http.Client
-	slots    chan struct{} // holds one value for each request of another instance in progress
+	forwarder *Forwarder
+	client    *http.Client
+	slots     chan struct{} // holds one value for each request of another instance in progress
 
 	mu    sync.Mutex
 	peers *relay.Peers
 }
 
-func newRelays(in *Instance) *relays {
+func newRelays(f *Forwarder) *relays {
 	return &relays{
-		instance: in, peers: relay.NewPeers(), slots: make(chan struct{}, maxRelayedPending),
+		forwarder: f, peers: relay.NewPeers(), slots: make(chan struct{}, maxRelayedPending),
 		client: &http.Client{
 			CheckRedirect: node.NoRedirect,
 			Transport: &http.Transport{
@@ -68,16 +68,16 @@
 // choose returns the instance for the next try of a request, and its address. tried holds the
 // instances that it was sent to.
 func (r *relays) choose(tried map[string]bool) (name, address string, found bool) {
-	others, addresses := r.instance.Allowances.OtherInstances()
+	others, addresses := r.forwarder.Allowances.OtherInstances()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	name, found = r.peers.Choose(r.instance.Clock.Now(), others, tried, r.instance.Rand64())
+	name, found = r.peers.Choose(r.forwarder.Clock.Now(), others, tried, r.forwarder.Rand64())
 	return name, addresses[name], found
 }
 
 // noteResult notes whether the instance serves requests.
 func (r *relays) noteResult(name string, served bool) {
-	now := r.instance.Clock.Now()
+	now := r.forwarder.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if served {
@@ -88,44 +88,44 @@
 }
 
 // send sends the request through the instance with the name and address.
-func (r *relays) send(ctx context.Context, p *plainRequest, name, address string, deadline time.Duration) *attemptResult {
-	in := r.instance
-	result := &attemptResult{target: directory.Target{ID: "through " + name}, outcome: retry.NotRun, relayed: true}
+func (r *relays) send(ctx context.Context, p *PlainRequest, name, address string, deadline time.Duration) *AttemptResult {
+	f := r.forwarder
+	result := &AttemptResult{Target: directory.Target{ID: "through " + name}, Outcome: retry.NotRun, relayed: true}
 	connected := false
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
-	header := platform.ForwardedHeader(p.header, "", p.account, deadline-in.Clock.Now())
-	header.Set(headerRelayed, fmt.Sprint(p.configVersion))
+	header := platform.ForwardedHeader(p.Header, "", p.account, deadline-f.Clock.Now())
+	header.Set(HeaderRelayed, fmt.Sprint(p.configVersion))
 	req := &http.Request{
-		Method: p.method, URL: p.url(address), Host: p.host, Header: header,
-		Body: nonReplayableBody(p.method, p.header, p.body), ContentLength: int64(len(p.body)),
+		Method: p.Method, URL: p.URL(address), Host: p.Host, Header: header,
+		Body: NonReplayableBody(p.Method, p.Header, p.Body), ContentLength: int64(len(p.Body)),
 	}
-	result.sentAt = in.Clock.Now()
+	result.sentAt = f.Clock.Now()
 	res, err := r.client.Do(req.WithContext(traced))
 	switch {
 	case err != nil:
-		result.err = err
+		result.Err = err
 	case res.Header.Get(headerOwnResponse) != "":
 		_ = res.Body.Close() // the reason is in the other instance's log
-		result.err = fmt.Errorf("instance %s answered with status %d", name, res.StatusCode)
+		result.Err = fmt.Errorf("instance %s answered with status %d", name, res.StatusCode)
 		connected = res.StatusCode != http.StatusServiceUnavailable // which means that it was not run
 		result.refused = !connected && res.Header.Get(headerOwnResponse) == ownFinal
 		result.retryAfter = platform.RetryAfter(res.Header)
 	default:
-		in.readResponse(p, result, res)
+		f.readResponse(p, result, res)
 	}
 	switch {
-	case result.err == nil:
-		result.outcome = retry.Ran
+	case result.Err == nil:
+		result.Outcome = retry.Ran
 		r.noteResult(name, true)
 	case connected:
-		result.outcome = retry.Unknown
+		result.Outcome = retry.Unknown
 	}
-	if result.err != nil {
+	if result.Err != nil {
 		if ctx.Err() == nil && !result.refused {
 			r.noteResult(name, false)
 		}
-		in.Log("request attempt failed", events.F("request", p.id), events.F("target", result.target.ID),
-			events.F("outcome", result.outcome.String()), events.F("status", fmt.Sprint(result.status)), events.F("error", result.err.Error()))
+		f.Log("request attempt failed", events.F("request", p.ID), events.F("target", result.Target.ID),
+			events.F("outcome", result.Outcome.String()), events.F("status", fmt.Sprint(result.Status)), events.F("error", result.Err.Error()))
 	}
 	return result
 }
@@ -134,53 +134,54 @@
 // key. The responses that this instance generates are marked, so that they cannot be taken for
 // a target's.
 func (r *relays) serve(w http.ResponseWriter, req *http.Request) {
-	in := r.instance
-	c := &callerRequest{RequestHeader: platform.DecodeRequestHeader(req), w: w, r: req, view: in.CurrentView(), started: in.Clock.Now(), relayed: true}
-	c.account = platform.ForwardedAccount(req)
+	f := r.forwarder
+	c := f.NewRequest(w, req)
+	c.relayed = true
+	c.Account = platform.ForwardedAccount(req)
 	c.ownResponse = ownTryAnother
-	version := req.Header.Get(headerRelayed)
-	req.Header.Del(headerRelayed)
+	version := req.Header.Get(HeaderRelayed)
+	req.Header.Del(HeaderRelayed)
 	select {
 	case r.slots <- struct{}{}:
 		defer func() { <-r.slots }()
 	default:
-		in.refuse(c, "too many requests of other instances")
+		f.Refuse(c, "too many requests of other instances")
 		return
 	}
-	if in.IsStopping() || !in.Links.Confirm(req.Context()) {
-		in.refuse(c, "this instance cannot relay requests")
+	if f.IsStopping() || !f.Links.Confirm(req.Context()) {
+		f.Refuse(c, "this instance cannot relay requests")
 		return
 	}
-	if !in.awaitConfigurationVersion(c, version) {
-		in.refuse(c, "the other instance has a newer configuration: "+version)
+	if !f.awaitConfigurationVersion(c, version) {
+		f.Refuse(c, "the other instance has a newer configuration: "+version)
 		return
 	}
 	c.ownResponse = ownFinal
-	route, found := c.view.Catalog.Match(req.Host, req.URL.Path)
+	route, found := c.View.Catalog.Match(req.Host, req.URL.Path)
 	if !found || route.Kind == catalog.Batch {
-		in.refuse(c, "no route of plain requests matches the host and path")
+		f.Refuse(c, "no route of plain requests matches the host and path")
 		return
 	}
-	c.route = route
-	if in.readBody(c) {
-		in.Metrics.Relayed.Inc()
-		in.forwardRequest(c)
+	c.Route = route
+	if f.ReadBody(c) {
+		f.Metrics.Relayed.Inc()
+		f.ForwardRequest(c)
 	}
 }
 
 // awaitConfigurationVersion waits until this instance has the version of the configuration or a
 // newer one, for relayConfigWait at most.
-func (in *Instance) awaitConfigurationVersion(c *callerRequest, version string) bool {
+func (f *Forwarder) awaitConfigurationVersion(c *CallerRequest, version string) bool {
 	var wanted int64
 	if _, err := fmt.Sscan(version, &wanted); err != nil {
 		return false
 	}
-	ctx, cancel := in.withDeadline(c, c.started+relayConfigWait)
+	ctx, cancel := f.withDeadline(c, c.Started+relayConfigWait)
 	defer cancel()
 	for {
-		changed := in.StateLoop.NextChange()
-		c.view = in.CurrentView()
-		if c.view.Catalog != nil && c.view.Catalog.Version >= wanted {
+		changed := f.StateLoop.NextChange()
+		c.View = f.CurrentView()
+		if c.View.Catalog != nil && c.View.Catalog.Version >= wanted {
 			return true
 		}
 		select {
--- a/internal/hosted/takeup.go
+++ b/internal/forward/takeup.go
@@ -1,4 +1,4 @@
-package hosted
+package forward
 
 import (
 	"context"
@@ -20,38 +20,38 @@
 // recordStream records in the log which software version begins a caller's stream, so that
 // every instance can send the rest of the stream to that version. It does not wait for the
 // log: a stream whose record is lost cannot be taken up.
-func (in *Instance) recordStream(c *callerRequest, r *attemptResult) {
-	if !c.route.Resumable || c.TakesUpStream || r.relayed { // the instance that relays it knows the version
+func (f *Forwarder) recordStream(c *CallerRequest, r *AttemptResult) {
+	if !c.Route.Resumable || c.TakesUpStream || r.relayed { // the instance that relays it knows the version
 		return
 	}
-	in.AppendRecordAsync(job.Record{StreamStarted: &job.StreamStarted{Request: c.ID, Software: r.target.Software}})
+	f.AppendRecordAsync(job.Record{StreamStarted: &job.StreamStarted{Request: c.ID, Software: r.Target.Software}})
 }
 
 // softwareFor returns the software version that the request is restricted to, as it takes up
 // a stream. It returns nil for any other request, and errStreamUnknown if no instance has
 // recorded the beginning of the stream.
-func (in *Instance) softwareFor(ctx context.Context, c *callerRequest) (*string, error) {
-	if c.route.Kind != catalog.Stream || !c.TakesUpStream {
+func (f *Forwarder) softwareFor(ctx context.Context, c *CallerRequest) (*string, error) {
+	if c.Route.Kind != catalog.Stream || !c.TakesUpStream {
 		return nil, nil
 	}
-	software, known := in.streamSoftware(ctx, c.Resumes)
+	software, known := f.streamSoftware(ctx, c.Resumes)
 	if !known && c.Resumes != "" {
 		ctx, cancel := context.WithTimeout(ctx, takeUpReadTimeout)
 		defer cancel()
-		if err := in.CatchUp(ctx); err != nil {
+		if err := f.CatchUp(ctx); err != nil {
 			return nil, fmt.Errorf("%w: read the log: %w", errStreamUnknown, err)
 		}
-		software, known = in.streamSoftware(ctx, c.Resumes)
+		software, known = f.streamSoftware(ctx, c.Resumes)
 	}
 	if !known {
 		return nil, errStreamUnknown
 	}
-	in.Metrics.StreamsTakenUp.Inc()
-	in.Log("stream taken up", events.F("request", c.ID), events.F("resumes", c.Resumes), events.F("software", software))
+	f.Metrics.StreamsTakenUp.Inc()
+	f.Log("stream taken up", events.F("request", c.ID), events.F("resumes", c.Resumes), events.F("software", software))
 	return &software, nil
 }
 
-func (in *Instance) streamSoftware(ctx context.Context, request string) (software string, known bool) {
-	in.StateLoop.Do(ctx, func() { software, known = in.StateLoop.State.StreamSoftware(request) })
+func (f *Forwarder) streamSoftware(ctx context.Context, request string) (software string, known bool) {
+	f.StateLoop.Do(ctx, func() { software, known = f.StateLoop.State.StreamSoftware(request) })
 	return software, known
 }
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -20,14 +20,15 @@
 	"math/rand/v2"
 	"net"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
-	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -44,28 +45,21 @@
 }
 
 const (
-	memoryLimitFraction = 0.7                    // of the instance's memory that Go may use before collections get frequent
-	gcPercent           = 50                     // heap growth between collections; low, as peak memory is billed
-	ejectFailures       = 3                      // consecutive failures that eject a target of a plain service
-	ejectBase           = 500 * time.Millisecond // first ejection; each further one lasts twice as long
-	ejectMax            = 4 * time.Second        // longest ejection
-	ejectShare          = 0.7                    // largest fraction of a service's targets that may be ejected
+	memoryLimitFraction = 0.7 // of the instance's memory that Go may use before collections get frequent
+	gcPercent           = 50  // heap growth between collections; low, as peak memory is billed
 )
 
 // Instance is one instance of the service. Run starts all its goroutines.
 type Instance struct {
 	*node.Node
-	listen        func(network, address string) (net.Listener, error)
-	cloud         *platform.Cloud
-	plainTargets  *plainTargets
-	relays        *relays
-	crashDetector *crashDetector
-	poisonGuard   *poisonGuard
-	runner        *runner
-	resultWriter  *resultWriter
-	scorer        *scorer
-	controller    *controller
-	usageCounter  *usageCounter
+	listen       func(network, address string) (net.Listener, error)
+	cloud        *platform.Cloud
+	forwarder    *forward.Forwarder
+	runner       *runner
+	resultWriter *resultWriter
+	scorer       *scorer
+	controller   *controller
+	usageCounter *usageCounter
 }
 
 // New returns an instance that has not been started.
@@ -80,15 +74,12 @@
 	if cfg.Settings.Cloud != "" {
 		in.cloud = platform.NewCloud(cfg.Settings.Cloud)
 	}
-	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
-	in.relays = newRelays(in)
-	in.crashDetector = newCrashDetector(in)
-	in.poisonGuard = newPoisonGuard(in)
 	in.runner = newRunner(in)
 	in.resultWriter = newResultWriter(in)
 	in.scorer = newScorer(in)
 	in.controller = newController(in)
 	in.usageCounter = newUsageCounter(in)
+	in.forwarder = forward.New(in.Node, in.usageCounter.countRequest)
 	in.OnRecord = in.applyRecord
 	return in
 }
@@ -100,10 +91,10 @@
 	debug.SetGCPercent(gcPercent)
 	in.Log("instance started", events.F("incarnation", in.Self), events.F("data_centre", in.Settings.DataCentre))
 	group, ctx := errgroup.WithContext(ctx)
-	for _, f := range append(in.Loops(),
+	for _, f := range slices.Concat(in.Loops(), in.forwarder.Loops(), []func(context.Context) error{
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers,
-		in.poisonGuard.run, in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
-	) {
+		in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
+	}) {
 		group.Go(func() error { return f(ctx) })
 	}
 	err := group.Wait()
@@ -118,7 +109,7 @@
 // goroutine.
 func (in *Instance) applyRecord(now time.Duration, r job.Record, accepted bool) {
 	in.controller.onRecord(now, r, accepted)
-	in.poisonGuard.onRecord(r)
+	in.forwarder.OnRecord(r)
 }
 
 // Stop starts the drain: the instance reports that it is not ready, so that the load
--- a/internal/hosted/jobs.go
+++ b/internal/hosted/jobs.go
@@ -9,6 +9,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -29,14 +30,14 @@
 
 // submit accepts a job: it stores the tasks, then appends the Submitted record. A job
 // without that record never runs.
-func (in *Instance) submit(c *callerRequest) {
-	sub, err := platform.DecodeSubmission(c.body)
+func (in *Instance) submit(c *forward.CallerRequest) {
+	sub, err := platform.DecodeSubmission(c.Body)
 	switch {
 	case err != nil:
-		in.respond(c, http.StatusBadRequest, err.Error())
+		in.forwarder.Respond(c, http.StatusBadRequest, err.Error())
 		return
-	case c.ID == "" || c.r.Method != http.MethodPost:
-		in.respond(c, http.StatusBadRequest, "a submission is a POST with a request id")
+	case c.ID == "" || c.Request.Method != http.MethodPost:
+		in.forwarder.Respond(c, http.StatusBadRequest, "a submission is a POST with a request id")
 		return
 	}
 	ctx, cancel := in.submitContext(c)
@@ -45,18 +46,18 @@
 		in.respondAccepted(c, len(sub.Tasks), "known")
 		return
 	}
-	if err := checkScorers(c.view.Catalog, sub.Tasks); err != nil {
-		in.deny(c, http.StatusBadRequest, err.Error())
+	if err := checkScorers(c.View.Catalog, sub.Tasks); err != nil {
+		in.forwarder.Deny(c, http.StatusBadRequest, err.Error())
 		return
 	}
 	records, err := job.EncodeTasks(sub.Tasks, in.Settings.Store.RecordBytes/2)
 	if err != nil {
-		in.respond(c, http.StatusBadRequest, err.Error())
+		in.forwarder.Respond(c, http.StatusBadRequest, err.Error())
 		return
 	}
 	locations, err := in.StoreContent(ctx, records)
 	if err != nil {
-		in.refuse(c, "the tasks were not stored: "+err.Error()) // without the Submitted record the job never runs
+		in.forwarder.Refuse(c, "the tasks were not stored: "+err.Error()) // without the Submitted record the job never runs
 		return
 	}
 	in.runner.cacheTasks(c.ID, sub.Tasks)
@@ -64,21 +65,21 @@
 	case err == nil:
 		in.respondAccepted(c, len(sub.Tasks), "new")
 	case errors.Is(err, node.ErrNotAppended):
-		in.refuse(c, "the job was not stored: "+err.Error())
+		in.forwarder.Refuse(c, "the job was not stored: "+err.Error())
 	default:
-		in.respond(c, http.StatusGatewayTimeout, "it is not known whether the job was stored: "+err.Error())
+		in.forwarder.Respond(c, http.StatusGatewayTimeout, "it is not known whether the job was stored: "+err.Error())
 	}
 }
 
 // submitContext returns a context that bounds how long a submission waits for the log:
 // submitTimeout, or outageWaitFraction of the caller's time if that is longer and the log
 // is down for all instances.
-func (in *Instance) submitContext(c *callerRequest) (context.Context, context.CancelFunc) {
+func (in *Instance) submitContext(c *forward.CallerRequest) (context.Context, context.CancelFunc) {
 	limit := submitTimeout
 	if c.TimeLeft > 0 {
 		limit = min(limit, c.TimeLeft)
 	}
-	ctx, cancel := context.WithCancel(c.r.Context())
+	ctx, cancel := context.WithCancel(c.Request.Context())
 	timer := time.AfterFunc(limit, func() {
 		extra := time.Duration(outageWaitFraction*float64(c.TimeLeft)) - limit
 		if extra <= 0 || !in.LogTransport.NoPeerReachesLog() {
@@ -118,11 +119,11 @@
 
 // newSubmitted returns the Submitted record of a job. It numbers the groups in the order
 // of their first tasks.
-func (in *Instance) newSubmitted(c *callerRequest, sub job.Submission, locations []job.Location, runner string) *job.Submitted {
+func (in *Instance) newSubmitted(c *forward.CallerRequest, sub job.Submission, locations []job.Location, runner string) *job.Submitted {
 	s := &job.Submitted{
-		Job: c.ID, Account: c.account, Route: c.route.Name, Host: c.r.Host, Step: sub.Step, Model: sub.Model,
-		MinVersion: sub.MinVersion, GroupsWanted: sub.GroupsWanted, Retention: c.route.Retention.Milliseconds(),
-		MaxAttempts: c.route.MaxAttempts, SingleVersion: c.route.SingleVersion, Content: locations, Runner: runner,
+		Job: c.ID, Account: c.Account, Route: c.Route.Name, Host: c.Request.Host, Step: sub.Step, Model: sub.Model,
+		MinVersion: sub.MinVersion, GroupsWanted: sub.GroupsWanted, Retention: c.Route.Retention.Milliseconds(),
+		MaxAttempts: c.Route.MaxAttempts, SingleVersion: c.Route.SingleVersion, Content: locations, Runner: runner,
 	}
 	groups := map[string]int{}
 	for i := range sub.Tasks {
@@ -138,28 +139,28 @@
 
 // respondAccepted responds with status 202 to a submission that is in the log. how is
 // "new", or "known" if an earlier request submitted the job.
-func (in *Instance) respondAccepted(c *callerRequest, tasks int, how string) {
+func (in *Instance) respondAccepted(c *forward.CallerRequest, tasks int, how string) {
 	in.Metrics.Jobs.Inc()
-	in.Log("job accepted", events.F("request", c.ID), events.F("account", c.account), events.F("tasks", fmt.Sprint(tasks)),
-		events.F("how", how), events.F("took", (in.Clock.Now()-c.started).Round(time.Millisecond).String()))
-	platform.SetOwnResponseHeader(c.w.Header(), c.ID, 0)
-	c.w.Header().Set("Content-Length", "0")
-	c.w.WriteHeader(http.StatusAccepted)
+	in.Log("job accepted", events.F("request", c.ID), events.F("account", c.Account), events.F("tasks", fmt.Sprint(tasks)),
+		events.F("how", how), events.F("took", (in.Clock.Now()-c.Started).Round(time.Millisecond).String()))
+	platform.SetOwnResponseHeader(c.Writer.Header(), c.ID, 0)
+	c.Writer.Header().Set("Content-Length", "0")
+	c.Writer.WriteHeader(http.StatusAccepted)
 }
 
 // hasJob reports whether the account of the request has a job of the id, as far as the
 // log was read.
-func (in *Instance) hasJob(ctx context.Context, c *callerRequest, id string) (found bool) {
+func (in *Instance) hasJob(ctx context.Context, c *forward.CallerRequest, id string) (found bool) {
 	in.StateLoop.Do(ctx, func() {
 		j := in.StateLoop.State.Jobs[id]
-		found = j != nil && j.Account == c.account
+		found = j != nil && j.Account == c.Account
 	})
 	return found
 }
 
 // serveJobRequest serves a request about a submitted job.
-func (in *Instance) serveJobRequest(c *callerRequest, jobRequest platform.JobRequest) {
-	ctx, cancel := context.WithTimeout(c.r.Context(), c.Wait+readTimeout)
+func (in *Instance) serveJobRequest(c *forward.CallerRequest, jobRequest platform.JobRequest) {
+	ctx, cancel := context.WithTimeout(c.Request.Context(), c.Wait+readTimeout)
 	defer cancel()
 	idle := !in.Busy()
 	defer in.Pace.BeginJobRequest()()
@@ -169,12 +170,12 @@
 	}
 	switch {
 	case err != nil:
-		in.refuse(c, "the log is out of reach: "+err.Error())
+		in.forwarder.Refuse(c, "the log is out of reach: "+err.Error())
 	case !found:
-		in.respond(c, http.StatusNotFound, "no such job")
+		in.forwarder.Respond(c, http.StatusNotFound, "no such job")
 	case jobRequest.ForTask:
 		in.serveTask(ctx, c, jobRequest)
-	case c.r.Method == http.MethodDelete:
+	case c.Request.Method == http.MethodDelete:
 		in.endJob(ctx, c, jobRequest.Job)
 	default:
 		in.serveResults(ctx, c, jobRequest)
@@ -183,7 +184,7 @@
 
 // findJob reports whether the account of the request has the job. Before it returns
 // false, it waits until the log is applied to its end.
-func (in *Instance) findJob(ctx context.Context, c *callerRequest, id string) (bool, error) {
+func (in *Instance) findJob(ctx context.Context, c *forward.CallerRequest, id string) (bool, error) {
 	if in.hasJob(ctx, c, id) {
 		return true, nil
 	}
@@ -204,7 +205,7 @@
 
 // serveResults responds with a job's results from a position on. If there is none, it
 // waits for one as long as the caller requests.
-func (in *Instance) serveResults(ctx context.Context, c *callerRequest, jobRequest platform.JobRequest) {
+func (in *Instance) serveResults(ctx context.Context, c *forward.CallerRequest, jobRequest platform.JobRequest) {
 	waitUntil := in.Clock.Now() + c.Wait
 	for {
 		changed := in.StateLoop.NextChange()
@@ -222,7 +223,7 @@
 				ids = append(ids, j.Tasks[e.Task].ID)
 			}
 		}) {
-			in.refuse(c, "the caller's wait is over")
+			in.forwarder.Refuse(c, "the caller's wait is over")
 			return
 		}
 		remaining := waitUntil - in.Clock.Now()
@@ -258,9 +259,9 @@
 
 // sendResults reads the outputs and responds with the results. Without results it refuses
 // the request if the log may contain some that this instance has not read.
-func (in *Instance) sendResults(ctx context.Context, c *callerRequest, jobRequest platform.JobRequest, total int, entries []job.Result, ids []string) {
+func (in *Instance) sendResults(ctx context.Context, c *forward.CallerRequest, jobRequest platform.JobRequest, total int, entries []job.Result, ids []string) {
 	if len(entries) == 0 && !in.LogCurrent() {
-		in.refuse(c, "newer results may be listed")
+		in.forwarder.Refuse(c, "newer results may be listed")
 		return
 	}
 	locations := make([]job.Location, len(entries))
@@ -269,7 +270,7 @@
 	}
 	outputs, err := in.LoadContent(ctx, locations)
 	if err != nil {
-		in.refuse(c, "a text is out of reach: "+err.Error())
+		in.forwarder.Refuse(c, "a text is out of reach: "+err.Error())
 		return
 	}
 	results := make([]platform.Result, len(entries))
@@ -278,25 +279,25 @@
 	}
 	body, err := platform.EncodeResults(total, jobRequest.After, results)
 	if err != nil {
-		in.respond(c, http.StatusInternalServerError, err.Error())
+		in.forwarder.Respond(c, http.StatusInternalServerError, err.Error())
 		return
 	}
 	in.sendBody(c, "application/json", body)
 }
 
-func (in *Instance) sendBody(c *callerRequest, contentType string, body []byte) {
-	platform.SetOwnResponseHeader(c.w.Header(), c.ID, 0)
-	c.w.Header().Set("Content-Type", contentType)
-	c.w.Header().Set("Content-Length", fmt.Sprint(len(body)))
-	c.w.WriteHeader(http.StatusOK)
-	_, _ = c.w.Write(body) // a caller that has disconnected reads again
+func (in *Instance) sendBody(c *forward.CallerRequest, contentType string, body []byte) {
+	platform.SetOwnResponseHeader(c.Writer.Header(), c.ID, 0)
+	c.Writer.Header().Set("Content-Type", contentType)
+	c.Writer.Header().Set("Content-Length", fmt.Sprint(len(body)))
+	c.Writer.WriteHeader(http.StatusOK)
+	_, _ = c.Writer.Write(body) // a caller that has disconnected reads again
 }
 
 // serveTask responds with a task's body.
-func (in *Instance) serveTask(ctx context.Context, c *callerRequest, jobRequest platform.JobRequest) {
+func (in *Instance) serveTask(ctx context.Context, c *forward.CallerRequest, jobRequest platform.JobRequest) {
 	tasks, err := in.tasksOf(ctx, jobRequest.Job)
 	if err != nil {
-		in.refuse(c, "the tasks are out of reach: "+err.Error())
+		in.forwarder.Refuse(c, "the tasks are out of reach: "+err.Error())
 		return
 	}
 	for i := range tasks {
@@ -305,7 +306,7 @@
 			return
 		}
 	}
-	in.respond(c, http.StatusNotFound, "the job has no such task")
+	in.forwarder.Respond(c, http.StatusNotFound, "the job has no such task")
 }
 
 // tasksOf returns a job's tasks, from the cache or the content topic.
@@ -332,7 +333,7 @@
 }
 
 // endJob ends a job and responds once the Ended record is in the log.
-func (in *Instance) endJob(ctx context.Context, c *callerRequest, id string) {
+func (in *Instance) endJob(ctx context.Context, c *forward.CallerRequest, id string) {
 	ended := false
 	in.StateLoop.Do(ctx, func() {
 		j := in.StateLoop.State.Jobs[id]
@@ -341,13 +342,13 @@
 	if !ended {
 		if err := in.AppendRecord(ctx, job.Record{Ended: &job.Ended{Job: id}}); err != nil {
 			if errors.Is(err, node.ErrNotAppended) {
-				in.refuse(c, "the end was not stored: "+err.Error())
+				in.forwarder.Refuse(c, "the end was not stored: "+err.Error())
 				return
 			}
-			in.respond(c, http.StatusGatewayTimeout, "it is not known whether the end was stored: "+err.Error())
+			in.forwarder.Respond(c, http.StatusGatewayTimeout, "it is not known whether the end was stored: "+err.Error())
 			return
 		}
 	}
-	in.Log("job ended", events.F("request", id), events.F("account", c.account))
+	in.Log("job ended", events.F("request", id), events.F("account", c.Account))
 	in.sendBody(c, "text/plain", nil)
 }
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
@@ -13,8 +14,8 @@
 	mux.HandleFunc(node.AllowancePath, in.Allowances.Serve)
 	mux.HandleFunc("/", in.LogTransport.Relay)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get(headerRelayed) != "" { // any path
-			in.relays.serve(w, r)
+		if r.Header.Get(forward.HeaderRelayed) != "" { // any path
+			in.forwarder.ServeRelayed(w, r)
 			return
 		}
 		mux.ServeHTTP(w, r)
--- a/internal/hosted/scorer.go
+++ b/internal/hosted/scorer.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/core/score"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -213,30 +214,30 @@
 	route, found := scoreRoute(view.Catalog, r.scoring.request)
 	if !found {
 		if s.retained(r) {
-			s.giveUp(ctx, r, &requestAttempts{}, 0)
+			s.giveUp(ctx, r, &forward.Attempts{}, 0)
 			return
 		}
-		s.retry(r, "no route", &requestAttempts{})
+		s.retry(r, "no route", &forward.Attempts{})
 		return
 	}
 	maxFailures := max(route.MaxAttempts, r.scoring.job.MaxAttempts)
 	timeout := score.CallTimeout(s.timeLeft(view, r), route.TargetLatency)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	attempted := in.runAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(in.Rand64()), route, maxFailures-r.scoring.failures), started+timeout)
+	attempted := in.forwarder.RunAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(in.Rand64()), route, maxFailures-r.scoring.failures), started+timeout)
 	if ctx.Err() != nil {
 		return // removed from the queue
 	}
-	best := attempted.best
-	scored := best != nil && best.hasResponse() && best.status/100 == 2
-	unprocessable := best != nil && best.hasResponse() && best.status == http.StatusUnprocessableEntity
-	s.recordFailures(r, attempted.serverErrors)
+	best := attempted.Best
+	scored := best != nil && best.HasResponse() && best.Status/100 == 2
+	unprocessable := best != nil && best.HasResponse() && best.Status == http.StatusUnprocessableEntity
+	s.recordFailures(r, attempted.ServerErrors)
 	took := in.Clock.Now() - started
 	switch {
 	case scored:
 		in.Metrics.Scored.Inc()
 		in.Metrics.ScoreTime.Update((in.Clock.Now() - r.scoring.completedAt).Seconds())
-		r.score = best.platformHeader.Signature
+		r.score = best.PlatformHeader.Signature
 		s.finish(ctx, r, "scored", attempted, took)
 	case unprocessable, r.scoring.failures >= maxFailures, s.retained(r):
 		s.giveUp(ctx, r, attempted, took)
@@ -268,11 +269,11 @@
 
 // scoreRequest returns the request of a score call. It carries no account and no key, and
 // may be repeated whatever the kind of its route.
-func scoreRequest(r *job.ScoreRequest, service string, route *catalog.Route, maxAttempts int) *plainRequest {
-	return &plainRequest{
-		id: r.ID, method: http.MethodPost, host: r.Host, header: platform.ScoreHeader(r), body: r.Body, service: service,
-		url:  func(address string) *url.URL { return &url.URL{Scheme: "http", Host: address, Opaque: r.Path} },
-		kind: catalog.Idempotent, maxAttempts: max(1, maxAttempts), targetLatency: route.TargetLatency,
+func scoreRequest(r *job.ScoreRequest, service string, route *catalog.Route, maxAttempts int) *forward.PlainRequest {
+	return &forward.PlainRequest{
+		ID: r.ID, Method: http.MethodPost, Host: r.Host, Header: platform.ScoreHeader(r), Body: r.Body, Service: service,
+		URL:  func(address string) *url.URL { return &url.URL{Scheme: "http", Host: address, Opaque: r.Path} },
+		Kind: catalog.Idempotent, MaxAttempts: max(1, maxAttempts), TargetLatency: route.TargetLatency,
 	}
 }
 
@@ -288,7 +289,7 @@
 }
 
 // giveUp lists the task as not completed, with its output.
-func (s *scorer) giveUp(ctx context.Context, r taskResult, attempted *requestAttempts, took time.Duration) {
+func (s *scorer) giveUp(ctx context.Context, r taskResult, attempted *forward.Attempts, took time.Duration) {
 	s.instance.Metrics.Unscorable.Inc()
 	s.instance.Metrics.GivenUp.Inc()
 	r.completed = false
@@ -296,7 +297,7 @@
 }
 
 // finish queues the result for the log and removes it from the scorer.
-func (s *scorer) finish(ctx context.Context, r taskResult, outcome string, attempted *requestAttempts, took time.Duration) {
+func (s *scorer) finish(ctx context.Context, r taskResult, outcome string, attempted *forward.Attempts, took time.Duration) {
 	s.logCall(r, outcome, attempted, took)
 	k := r.scoring.item.Key
 	r.scoring = nil
@@ -313,7 +314,7 @@
 }
 
 // retry returns a result without a score to the queue.
-func (s *scorer) retry(r taskResult, outcome string, attempted *requestAttempts) {
+func (s *scorer) retry(r taskResult, outcome string, attempted *forward.Attempts) {
 	in := s.instance
 	in.Metrics.ScoreRetries.Inc()
 	s.logCall(r, outcome, attempted, 0)
@@ -328,17 +329,17 @@
 
 var errNoTarget = errors.New("no target is ready")
 
-func (s *scorer) logCall(r taskResult, outcome string, attempted *requestAttempts, took time.Duration) {
+func (s *scorer) logCall(r taskResult, outcome string, attempted *forward.Attempts, took time.Duration) {
 	target, status, err := "", 0, errNoTarget
-	if best := attempted.best; best != nil {
-		target, status, err = best.target.ID, best.status, best.err
+	if best := attempted.Best; best != nil {
+		target, status, err = best.Target.ID, best.Status, best.Err
 	}
 	state := retry.NotRun
-	if attempted.best != nil {
-		state = attempted.best.outcome
+	if attempted.Best != nil {
+		state = attempted.Best.Outcome
 	}
 	s.instance.Log("score call", events.F("job", r.job), events.F("task", r.id), events.F("request", r.scoring.request.ID),
 		events.F("outcome", outcome), events.F("target", target), events.F("status", fmt.Sprint(status)), events.F("attempt", state.String()),
-		events.F("tries", fmt.Sprint(attempted.startedAttempts)), events.F("failures", fmt.Sprint(r.scoring.failures)),
+		events.F("tries", fmt.Sprint(attempted.StartedAttempts)), events.F("failures", fmt.Sprint(r.scoring.failures)),
 		events.F("took", took.Round(time.Millisecond).String()), events.F("error", fmt.Sprint(err)))
 }
--- a/internal/hosted/stream.go
+++ b/internal/hosted/stream.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -58,7 +59,7 @@
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: r.target.Address, Opaque: r.task.Path}, Host: r.host,
 		Header:        header,
-		Body:          nonReplayableBody(http.MethodPost, header, r.task.Body),
+		Body:          forward.NonReplayableBody(http.MethodPost, header, r.task.Body),
 		ContentLength: int64(len(r.task.Body)),
 	}
 	sentAt := in.Clock.Now()
@@ -73,7 +74,7 @@
 	in.NoteResponse(ctx, r.target, response, r.task.ID, sentAt)
 	switch {
 	case response.RequestID != r.task.ID && !response.NotRun:
-		end.err = fmt.Errorf("%w: %q", errRequestIDMismatch, response.RequestID)
+		end.err = fmt.Errorf("%w: %q", forward.ErrRequestIDMismatch, response.RequestID)
 	case response.NotRun:
 		end.outcome, end.err = assign.NotRun, fmt.Errorf("refused with status %d", res.StatusCode)
 	case res.StatusCode == http.StatusUnprocessableEntity:
