Parts of hosted: submissions and runners are package batch

Cause: internal/hosted mixes jobs with duties and the wiring of an instance.

Change: submissions, requests about jobs, the runner with its runs, claims, handovers, stored outputs and permits, the record of results and the scorer move to internal/batch, on top of internal/node and internal/forward, whose attempts the scorer uses. The test of a run that starts over moves with the code that it tests.

Result: no change of behaviour, log texts or metrics.

--- a/internal/hosted/claims.go
+++ b/internal/batch/claims.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -31,53 +31,53 @@
 )
 
 // claimOrphans claims jobs that have no runner or whose runner sends no heartbeats.
-func (in *Instance) claimOrphans(ctx context.Context) error {
+func (b *Batch) claimOrphans(ctx context.Context) error {
 	claimAt := map[string]time.Duration{} // by job: when this instance may claim it
 	return clock.Every(ctx, claimCheckInterval, func() {
-		if in.IsStopping() || in.Links.IsCut() || !in.LogCurrent() || in.CurrentView().Catalog == nil {
+		if b.IsStopping() || b.Links.IsCut() || !b.LogCurrent() || b.CurrentView().Catalog == nil {
 			clear(claimAt)
 			return
 		}
-		if len(in.dueClaims(ctx, claimAt)) == 0 || !in.Links.Confirm(ctx) || !in.readToEnd(ctx) {
+		if len(b.dueClaims(ctx, claimAt)) == 0 || !b.Links.Confirm(ctx) || !b.readToEnd(ctx) {
 			// Unless the log was read to its present end, it may contain heartbeats that
 			// this instance has not read.
 			return
 		}
-		for _, c := range in.dueClaims(ctx, claimAt) {
-			claimAt[c.Job] = in.Clock.Now() + runnerTimeout // do not claim again while the claim is pending
-			in.Metrics.Claims.Inc()
-			in.Log("job claimed", events.F("job", c.Job), events.F("term", fmt.Sprint(c.Term)))
-			in.AppendRecordAsync(job.Record{Claimed: &c})
+		for _, c := range b.dueClaims(ctx, claimAt) {
+			claimAt[c.Job] = b.Clock.Now() + runnerTimeout // do not claim again while the claim is pending
+			b.Metrics.Claims.Inc()
+			b.Log("job claimed", events.F("job", c.Job), events.F("term", fmt.Sprint(c.Term)))
+			b.AppendRecordAsync(job.Record{Claimed: &c})
 		}
 	})
 }
 
 // readToEnd waits until the log is applied to the end that it has at the call. It reports
 // false if that takes longer than claimReadTimeout.
-func (in *Instance) readToEnd(ctx context.Context) bool {
+func (b *Batch) readToEnd(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, claimReadTimeout)
 	defer cancel()
-	err := in.CatchUp(ctx)
+	err := b.CatchUp(ctx)
 	if err != nil {
-		in.Log("claim put off", events.F("error", err.Error()))
+		b.Log("claim put off", events.F("error", err.Error()))
 	}
 	return err == nil
 }
 
 // dueClaims returns the claims whose time in claimAt has come. It adds to claimAt the
 // jobs that newly need a claim, and removes those that need none any more.
-func (in *Instance) dueClaims(ctx context.Context, claimAt map[string]time.Duration) []job.Claimed {
-	now := in.Clock.Now()
+func (b *Batch) dueClaims(ctx context.Context, claimAt map[string]time.Duration) []job.Claimed {
+	now := b.Clock.Now()
 	var due []job.Claimed
 	jitters := map[string]time.Duration{} // of the jobs that need a claim
-	in.StateLoop.Do(ctx, func() {
-		for id, j := range in.StateLoop.State.Jobs {
-			sinceSeen := now - max(j.RunnerSeenAt, time.Duration(in.StateLoop.LogContinuousSince.Load()))
+	b.StateLoop.Do(ctx, func() {
+		for id, j := range b.StateLoop.State.Jobs {
+			sinceSeen := now - max(j.RunnerSeenAt, time.Duration(b.StateLoop.LogContinuousSince.Load()))
 			timeout := runnerTimeout
 			if !j.RunnerConfirmed {
 				timeout = confirmTimeout
 			}
-			if !j.Open() || j.Runner == in.Self || j.Runner != "" && sinceSeen < timeout {
+			if !j.Open() || j.Runner == b.Self || j.Runner != "" && sinceSeen < timeout {
 				continue
 			}
 			jitters[id] = claimJitter
@@ -85,7 +85,7 @@
 				jitters[id] = handoverClaimJitter
 			}
 			if at, planned := claimAt[id]; planned && now >= at {
-				due = append(due, job.Claimed{Job: id, Term: j.Term + 1, Runner: in.Self})
+				due = append(due, job.Claimed{Job: id, Term: j.Term + 1, Runner: b.Self})
 			}
 		}
 	})
@@ -96,7 +96,7 @@
 	}
 	for id := range jitters {
 		if _, planned := claimAt[id]; !planned {
-			claimAt[id] = now + in.Jitter(pace.Spread(jitters[id], int(in.Pace.Instances.Load())))
+			claimAt[id] = now + b.Jitter(pace.Spread(jitters[id], int(b.Pace.Instances.Load())))
 		}
 	}
 	slices.SortFunc(due, func(a, b job.Claimed) int { return int(a.Term - b.Term) })
--- a/internal/hosted/engines.go
+++ b/internal/batch/engines.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"time"
--- a/internal/hosted/handover.go
+++ b/internal/batch/handover.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -23,21 +23,21 @@
 // heartbeat is a Progress record. It refers to the stored new events of long tasks, so
 // that another instance can resume the tasks after them.
 func (r *runner) sendHeartbeats(ctx context.Context) {
-	now := r.instance.Clock.Now()
+	now := r.batch.Clock.Now()
 	if len(r.jobs) == 0 || now-r.lastHeartbeat < heartbeatInterval {
 		return
 	}
 	r.lastHeartbeat = now
 	if !r.saveOutputs(ctx) { // a save is running: send heartbeats without events
 		for _, p := range r.heartbeats() {
-			r.instance.AppendRecordAsync(job.Record{Progress: p})
+			r.batch.AppendRecordAsync(job.Record{Progress: p})
 		}
 	}
 }
 
 // heartbeats returns a heartbeat without events for each job, by job id.
 func (r *runner) heartbeats() map[string]*job.Progress {
-	maxSlotWait := r.scheduler.MaxSlotWait(r.instance.Clock.Now()).Milliseconds()
+	maxSlotWait := r.scheduler.MaxSlotWait(r.batch.Clock.Now()).Milliseconds()
 	out := make(map[string]*job.Progress, len(r.jobs))
 	for id, j := range r.jobs {
 		out[id] = &job.Progress{Job: id, Term: j.term, MaxSlotWait: maxSlotWait}
@@ -51,7 +51,7 @@
 	if r.saves.inProgress {
 		return false
 	}
-	r.saves.inProgress, r.saves.started = true, r.instance.Clock.Now()
+	r.saves.inProgress, r.saves.started = true, r.batch.Clock.Now()
 	minEvents := int64(minChunkEvents)
 	if r.saves.handingOver {
 		minEvents = 1
@@ -85,13 +85,13 @@
 // storeProgress stores the outputs and appends the heartbeats that refer to them. If the
 // outputs cannot be stored, it appends heartbeats without events and returns false.
 func (r *runner) storeProgress(ctx context.Context, progress []*job.Progress, outputs [][]byte) (stored bool) {
-	in := r.instance
+	b := r.batch
 	stored = true
 	var locations []job.Location
 	if len(outputs) > 0 {
 		var err error
-		if locations, err = in.StoreContent(ctx, outputs); err != nil {
-			in.Log("progress not stored", events.F("error", err.Error()))
+		if locations, err = b.StoreContent(ctx, outputs); err != nil {
+			b.Log("progress not stored", events.F("error", err.Error()))
 			stored = false
 			for _, p := range progress {
 				p.Chunks = nil
@@ -102,7 +102,7 @@
 		for i := range p.Chunks {
 			p.Chunks[i].Location, locations = locations[0], locations[1:]
 		}
-		in.AppendRecordAsync(job.Record{Progress: p})
+		b.AppendRecordAsync(job.Record{Progress: p})
 	}
 	return stored
 }
@@ -113,9 +113,9 @@
 func (r *runner) onLinks(ctx context.Context, cut bool) {
 	switch {
 	case cut && !r.saves.handingOver:
-		r.instance.Log("jobs handed over", events.F("reason", "no target is reached"), events.F("jobs", fmt.Sprint(len(r.jobs))))
+		r.batch.Log("jobs handed over", events.F("reason", "no target is reached"), events.F("jobs", fmt.Sprint(len(r.jobs))))
 		r.handOver(ctx)
-	case !cut && r.saves.handingOver && !r.instance.IsStopping():
+	case !cut && r.saves.handingOver && !r.batch.IsStopping():
 		r.saves.handingOver = false
 	}
 }
@@ -123,8 +123,8 @@
 // handOver starts the handover of all jobs, including those that this instance gets
 // later.
 func (r *runner) handOver(ctx context.Context) {
-	r.instance.AppendRecordAsync(job.Record{InstanceLeaving: &job.InstanceLeaving{}})
-	r.saves.handingOver, r.saves.handoverStarted = true, r.instance.Clock.Now()
+	r.batch.AppendRecordAsync(job.Record{InstanceLeaving: &job.InstanceLeaving{}})
+	r.saves.handingOver, r.saves.handoverStarted = true, r.batch.Clock.Now()
 	r.saveOutputs(ctx)
 }
 
@@ -137,7 +137,7 @@
 	if !s.handingOver || !stored {
 		return
 	}
-	if s.started < s.handoverStarted || r.instance.Clock.Now()-s.started > heartbeatInterval {
+	if s.started < s.handoverStarted || r.batch.Clock.Now()-s.started > heartbeatInterval {
 		r.saveOutputs(ctx) // store the events since the start of this save
 		return
 	}
@@ -146,7 +146,7 @@
 			continue
 		}
 		j.released = true
-		r.instance.AppendRecordAsync(job.Record{Claimed: &job.Claimed{Job: id, Term: j.term + 1}})
-		r.instance.Log("job offered", events.F("job", id), events.F("term", fmt.Sprint(j.term+1)))
+		r.batch.AppendRecordAsync(job.Record{Claimed: &job.Claimed{Job: id, Term: j.term + 1}})
+		r.batch.Log("job offered", events.F("job", id), events.F("term", fmt.Sprint(j.term+1)))
 	}
 }
--- a/internal/hosted/lister.go
+++ b/internal/batch/lister.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -35,12 +35,12 @@
 // resultWriter stores outputs and records results in the log. Results that are queued
 // during a write are written together in the next one.
 type resultWriter struct {
-	instance *Instance
-	queue    chan taskResult
+	batch *Batch
+	queue chan taskResult
 }
 
-func newResultWriter(in *Instance) *resultWriter {
-	return &resultWriter{instance: in, queue: make(chan taskResult, maxQueuedResults)}
+func newResultWriter(b *Batch) *resultWriter {
+	return &resultWriter{batch: b, queue: make(chan taskResult, maxQueuedResults)}
 }
 
 func (w *resultWriter) run(ctx context.Context) error {
@@ -58,7 +58,7 @@
 // the size of a call.
 func (w *resultWriter) collectBatch(first taskResult) []taskResult {
 	batch, size := []taskResult{first}, len(first.output)
-	for size < w.instance.Settings.Store.CallBytes/2 {
+	for size < w.batch.Settings.Store.CallBytes/2 {
 		select {
 		case r := <-w.queue:
 			batch = append(batch, r)
@@ -74,7 +74,7 @@
 // recorded result can be read. Results that need a score go to the scorer instead: their
 // stored outputs are recorded, so that another runner needs to score them only.
 func (w *resultWriter) writeBatch(ctx context.Context, batch []taskResult) {
-	in := w.instance
+	b := w.batch
 	var records [][]byte
 	for i := range batch {
 		if batch[i].location == nil && len(batch[i].output) > 0 {
@@ -84,8 +84,8 @@
 	var locations []job.Location
 	if len(records) > 0 {
 		var err error
-		if locations, err = w.retryUntilStored(ctx, func() ([]job.Location, error) { return in.StoreContent(ctx, records) }); err != nil {
-			in.Log("results not stored", events.F("results", fmt.Sprint(len(batch))), events.F("error", err.Error()))
+		if locations, err = w.retryUntilStored(ctx, func() ([]job.Location, error) { return b.StoreContent(ctx, records) }); err != nil {
+			b.Log("results not stored", events.F("results", fmt.Sprint(len(batch))), events.F("error", err.Error()))
 			return
 		}
 	}
@@ -100,7 +100,7 @@
 			}
 		}
 		if r.needsScore() {
-			in.scorer.add(r)
+			b.scorer.add(r)
 			if alreadyStored {
 				continue
 			}
@@ -118,16 +118,16 @@
 			job.Result{Task: r.task, Completed: r.completed, Versions: r.versions, Location: *r.location, Score: r.score})
 	}
 	for _, p := range unscored {
-		in.AppendRecordAsync(job.Record{Progress: p})
+		b.AppendRecordAsync(job.Record{Progress: p})
 	}
 	for _, id := range jobIDs {
-		data, err := in.EncodeRecord(job.Record{Listed: listed[id]})
+		data, err := b.EncodeRecord(job.Record{Listed: listed[id]})
 		if err != nil {
-			in.Log("record unencodable", events.F("error", err.Error()))
+			b.Log("record unencodable", events.F("error", err.Error()))
 			continue
 		}
-		if err := in.AppendEncoded(ctx, data); err != nil && ctx.Err() == nil {
-			in.Log("results not listed", events.F("job", id), events.F("error", err.Error()))
+		if err := b.AppendEncoded(ctx, data); err != nil && ctx.Err() == nil {
+			b.Log("results not listed", events.F("job", id), events.F("error", err.Error()))
 		}
 	}
 }
@@ -139,7 +139,7 @@
 		if err == nil || ctx.Err() != nil || errors.Is(err, platform.ErrOutcomeUnknown) {
 			return locations, err
 		}
-		w.instance.DependencyLost("content", err)
+		w.batch.DependencyLost("content", err)
 		select {
 		case <-ctx.Done():
 			return nil, ctx.Err()
--- a/internal/hosted/permits.go
+++ b/internal/batch/permits.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -8,16 +8,16 @@
 // obtainPermits asks for permits to start runs on engines that limit their rate, and passes
 // the replies to the runner's goroutine.
 func (r *runner) obtainPermits(ctx context.Context) {
-	in := r.instance
-	view := in.CurrentView()
+	b := r.batch
+	view := b.CurrentView()
 	for _, wanted := range r.scheduler.PermitsWanted() {
 		t, found := view.Target(wanted.Engine)
 		if !found {
-			r.scheduler.SetPermits(in.Clock.Now(), wanted.Engine, 0, 0)
+			r.scheduler.SetPermits(b.Clock.Now(), wanted.Engine, 0, 0)
 			continue
 		}
 		go func() {
-			grant, err := in.Allowances.Take(ctx, t, wanted.Count, 0)
+			grant, err := b.Allowances.Take(ctx, t, wanted.Count, 0)
 			if err != nil {
 				grant.RetryAfter = reviewInterval
 			}
--- a/internal/hosted/progress.go
+++ b/internal/batch/progress.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -24,7 +24,7 @@
 	if found {
 		loaded.tasks = cached.tasks
 	} else {
-		loaded.tasks, loaded.err = r.instance.tasksOf(ctx, loaded.id)
+		loaded.tasks, loaded.err = r.batch.tasksOf(ctx, loaded.id)
 	}
 	if loaded.err == nil && len(loaded.tasks) != len(snapshot.job.Tasks) {
 		loaded.err = fmt.Errorf("job %s: %d of %d tasks are stored", loaded.id, len(loaded.tasks), len(snapshot.job.Tasks))
@@ -48,12 +48,12 @@
 // reusableResults returns the results of earlier jobs that are valid for this job too.
 func (r *runner) reusableResults(ctx context.Context, snapshot jobSnapshot) []taskResult {
 	var out []taskResult
-	r.instance.StateLoop.Do(ctx, func() {
+	r.batch.StateLoop.Do(ctx, func() {
 		for i := range snapshot.status {
 			if snapshot.status[i].Listed || !snapshot.status[i].Resubmitted {
 				continue
 			}
-			e, found := r.instance.StateLoop.State.EarlierResult(snapshot.job, i)
+			e, found := r.batch.StateLoop.State.EarlierResult(snapshot.job, i)
 			if found && snapshot.job.AllowsVersions(e.Versions) {
 				location := e.Location
 				out = append(out, taskResult{job: snapshot.job.Job, task: i, id: snapshot.job.Tasks[i].ID, completed: true, versions: e.Versions, location: &location})
@@ -75,9 +75,9 @@
 	for k, c := range chunks {
 		locations[k] = c.Location
 	}
-	parts, err := r.instance.LoadContent(ctx, locations)
+	parts, err := r.batch.LoadContent(ctx, locations)
 	if err != nil {
-		r.instance.Log("text unreadable", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID), events.F("error", err.Error()))
+		r.batch.Log("text unreadable", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID), events.F("error", err.Error()))
 		return t
 	}
 	for k, c := range chunks {
@@ -102,7 +102,7 @@
 		return
 	}
 	if loaded.err != nil {
-		r.instance.Log("job unreadable", events.F("job", loaded.id), events.F("error", loaded.err.Error()))
+		r.batch.Log("job unreadable", events.F("job", loaded.id), events.F("error", loaded.err.Error()))
 		delete(r.jobs, loaded.id) // syncJobs adds and loads it again
 		return
 	}
@@ -122,6 +122,6 @@
 		r.completeTask(j, res, 0)
 	}
 	if len(loaded.reused) > 0 {
-		r.instance.Log("job results reused", events.F("job", loaded.id), events.F("results", fmt.Sprint(len(loaded.reused))))
+		r.batch.Log("job results reused", events.F("job", loaded.id), events.F("results", fmt.Sprint(len(loaded.reused))))
 	}
 }
--- a/internal/hosted/runner.go
+++ b/internal/batch/runner.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -25,7 +25,7 @@
 // runner runs the tasks of the jobs that the log assigns to this instance. Only the
 // goroutine of run accesses the fields up to mu, apart from the channels.
 type runner struct {
-	instance      *Instance
+	batch         *Batch
 	scheduler     *assign.Scheduler
 	jobs          map[string]*claimedJob
 	cancels       map[int64]context.CancelFunc // by run
@@ -75,9 +75,9 @@
 	err     error        // the job could not be read
 }
 
-func newRunner(in *Instance) *runner {
+func newRunner(b *Batch) *runner {
 	r := &runner{
-		instance: in, scheduler: assign.New(assign.DefaultLimits()), jobs: map[string]*claimedJob{},
+		batch: b, scheduler: assign.New(assign.DefaultLimits()), jobs: map[string]*claimedJob{},
 		cancels: map[int64]context.CancelFunc{}, outputs: map[int64]*taskOutput{},
 		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16), saves: saveState{results: make(chan bool)},
 		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
@@ -88,7 +88,7 @@
 // cacheTasks keeps the tasks of a job that this instance accepts for taskCacheTTL, so
 // that it need not read them from the log if it becomes the runner.
 func (r *runner) cacheTasks(id string, tasks []job.Task) {
-	now := r.instance.Clock.Now()
+	now := r.batch.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for other, a := range r.taskCache {
@@ -99,10 +99,10 @@
 	r.taskCache[id] = cachedTasks{tasks, now}
 }
 
-// waitForHandover waits until this instance runs no job, or ctx ends.
+// WaitForHandover waits until this instance runs no job, or ctx ends.
 func (r *runner) waitForHandover(ctx context.Context) {
 	for {
-		changed := r.instance.StateLoop.NextChange()
+		changed := r.batch.StateLoop.NextChange()
 		r.mu.Lock()
 		open := r.openJobs
 		r.mu.Unlock()
@@ -122,10 +122,10 @@
 func (r *runner) run(ctx context.Context) error {
 	reviewTimer := time.NewTimer(reviewInterval)
 	defer reviewTimer.Stop()
-	stopping := r.instance.StopStarted()
+	stopping := r.batch.StopStarted()
 	for {
-		changed := r.instance.StateLoop.NextChange()
-		cut, linksChanged := r.instance.Links.State()
+		changed := r.batch.StateLoop.NextChange()
+		cut, linksChanged := r.batch.Links.State()
 		r.onLinks(ctx, cut)
 		if r.syncJobs(ctx) {
 			reviewTimer.Reset(reviewInterval)
@@ -142,7 +142,7 @@
 		case l := <-r.loadedJobs:
 			r.onLoaded(l)
 		case p := <-r.permits:
-			r.scheduler.SetPermits(r.instance.Clock.Now(), p.engine, p.count, p.retryAfter)
+			r.scheduler.SetPermits(r.batch.Clock.Now(), p.engine, p.count, p.retryAfter)
 		case <-stopping:
 			stopping = nil
 			r.handOver(ctx)
@@ -186,24 +186,24 @@
 // that are complete, ended or run by another instance. It reports whether the runner had
 // no job before and now has one.
 func (r *runner) syncJobs(ctx context.Context) (becameBusy bool) {
-	in := r.instance
+	b := r.batch
 	assigned := map[string]jobSnapshot{}
 	var orders map[string]job.LoadOrder
 	var allowedStaleness map[string]int64
-	in.StateLoop.Do(ctx, func() {
-		for id, j := range in.StateLoop.State.Jobs {
+	b.StateLoop.Do(ctx, func() {
+		for id, j := range b.StateLoop.State.Jobs {
 			released := j.Runner == "" && r.jobs[id] != nil // released for handover, not claimed yet
-			if (j.Runner == in.Self || released) && j.Open() {
+			if (j.Runner == b.Self || released) && j.Open() {
 				assigned[id] = jobSnapshot{j, j.Runner, j.Term, append([]job.TaskStatus(nil), j.Status...)}
 			}
 		}
-		orders = make(map[string]job.LoadOrder, len(in.StateLoop.State.LoadOrders))
-		for id, o := range in.StateLoop.State.LoadOrders {
+		orders = make(map[string]job.LoadOrder, len(b.StateLoop.State.LoadOrders))
+		for id, o := range b.StateLoop.State.LoadOrders {
 			orders[id] = o
 		}
-		allowedStaleness = maps.Clone(in.StateLoop.AllowedStaleness)
+		allowedStaleness = maps.Clone(b.StateLoop.AllowedStaleness)
 	})
-	view := in.CurrentView()
+	view := b.CurrentView()
 	r.scheduler.SetEngines(schedulerEngines(view, orders, allowedStaleness))
 	if newest := latestOrderTime(orders); newest > r.latestOrderAt {
 		r.latestOrderAt = newest
@@ -224,12 +224,12 @@
 				j.failures[i] = snapshot.status[i].Failures
 			}
 			r.jobs[id] = j
-			in.Links.CheckIfQuiet()
-			in.Log("job taken", events.F("job", id), events.F("term", fmt.Sprint(snapshot.term)))
-			in.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: snapshot.term}})
+			b.Links.CheckIfQuiet()
+			b.Log("job taken", events.F("job", id), events.F("term", fmt.Sprint(snapshot.term)))
+			b.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: snapshot.term}})
 			go r.loadJob(ctx, snapshot)
 		}
-		if snapshot.term > j.term && snapshot.runner == in.Self {
+		if snapshot.term > j.term && snapshot.runner == b.Self {
 			j.released = false // claimed again
 		}
 		j.term = snapshot.term
@@ -240,7 +240,7 @@
 	r.openJobs = len(r.jobs)
 	r.mu.Unlock()
 	if len(r.jobs) > 0 {
-		in.Pace.RanJobsAt.Store(int64(in.Clock.Now()))
+		b.Pace.RanJobsAt.Store(int64(b.Clock.Now()))
 	}
 	return wasIdle && len(r.jobs) > 0
 }
@@ -253,12 +253,12 @@
 	if j.loading {
 		return
 	}
-	in := r.instance
+	b := r.batch
 	service, routeFound := "", false
 	if route, found := view.Catalog.RouteByName(j.job.Route); found {
-		service, routeFound = route.Pick(in.Rand64()), true
+		service, routeFound = route.Pick(b.Rand64()), true
 	}
-	age := in.Clock.Wall().UnixMilli() - j.job.SubmittedAt
+	age := b.Clock.Wall().UnixMilli() - j.job.SubmittedAt
 	for i := range j.tasks {
 		key := assign.Key{Job: id, Task: i}
 		switch {
@@ -285,7 +285,7 @@
 	r.scheduler.Add(assign.Task{
 		Key: assign.Key{Job: j.job.Job, Task: i}, Service: service, Model: j.job.Model, MinVersion: j.job.MinVersion,
 		Group: j.job.Job + "/" + fmt.Sprint(j.job.Tasks[i].Group), ExpectedTokens: length, Resubmitted: status.Resubmitted,
-		Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Kept: j.outputs[i].kept(), WaitingSince: r.instance.Clock.Now(),
+		Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Kept: j.outputs[i].kept(), WaitingSince: r.batch.Clock.Now(),
 	})
 }
 
@@ -302,14 +302,14 @@
 	j.recorded[i] = true
 	if request := j.tasks[i].Scorer; request != nil {
 		result.scoring = &scoring{
-			request: request, job: j.job, term: j.term, failures: scoreFailures, completedAt: r.instance.Clock.Now(),
+			request: request, job: j.job, term: j.term, failures: scoreFailures, completedAt: r.batch.Clock.Now(),
 			item: score.Item{
 				Key: score.Key{Job: result.job, Task: i}, Group: j.job.Tasks[i].Group,
 				Submitted: time.Duration(j.job.SubmittedAt) * time.Millisecond, Incomplete: j.incompleteOf(j.job.Tasks[i].Group),
 			},
 		}
 	}
-	r.instance.resultWriter.queue <- result
+	r.batch.resultWriter.queue <- result
 }
 
 // incompleteOf returns the number of tasks of a group whose output is not complete.
@@ -327,10 +327,10 @@
 func (r *runner) giveUpTask(id string, j *claimedJob, i int) {
 	j.recorded[i] = true
 	r.stopTask(assign.Key{Job: id, Task: i})
-	r.instance.Metrics.GivenUp.Inc()
-	r.instance.Log("task given up", events.F("job", id), events.F("task", j.job.Tasks[i].ID))
+	r.batch.Metrics.GivenUp.Inc()
+	r.batch.Log("task given up", events.F("job", id), events.F("task", j.job.Tasks[i].ID))
 	output, versions, _ := j.outputs[i].snapshot()
-	r.instance.resultWriter.queue <- taskResult{job: id, task: i, id: j.job.Tasks[i].ID, output: output, versions: versions}
+	r.batch.resultWriter.queue <- taskResult{job: id, task: i, id: j.job.Tasks[i].ID, output: output, versions: versions}
 }
 
 // stopTask removes a task from the scheduler and cancels its run, if it has one.
@@ -351,7 +351,7 @@
 // dropJob removes a job and cancels all its runs. The outputs of its unfinished tasks are
 // kept for a later job of the account that has the same tasks.
 func (r *runner) dropJob(id string, j *claimedJob) {
-	now := r.instance.Clock.Now()
+	now := r.batch.Clock.Now()
 	for i := range j.tasks {
 		key := assign.Key{Job: id, Task: i}
 		scheduled := r.scheduler.Has(key)
@@ -367,6 +367,6 @@
 		}
 	}
 	delete(r.jobs, id)
-	r.instance.scorer.removeJob(id)
-	r.instance.Log("job left", events.F("job", id))
+	r.batch.scorer.removeJob(id)
+	r.batch.Log("job left", events.F("job", id))
 }
--- a/internal/hosted/runs.go
+++ b/internal/batch/runs.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -18,34 +18,34 @@
 // startRuns starts the runs that the scheduler has assigned to engines, and asks for permits
 // for the others.
 func (r *runner) startRuns(ctx context.Context) {
-	in := r.instance
-	if in.Links.IsCut() {
+	b := r.batch
+	if b.Links.IsCut() {
 		return
 	}
-	now := in.Clock.Now()
+	now := b.Clock.Now()
 	starts := r.scheduler.Assign(now)
 	r.obtainPermits(ctx)
 	if len(starts) == 0 {
 		return
 	}
 	targets := map[string]directory.Target{}
-	for _, t := range in.CurrentView().Targets {
+	for _, t := range b.CurrentView().Targets {
 		targets[t.ID] = t
 	}
 	for _, s := range starts {
 		j := r.jobs[s.Task.Job]
 		runCtx, cancel := context.WithCancel(ctx)
 		r.cancels[s.Run], r.outputs[s.Run] = cancel, j.outputs[s.Task.Task]
-		in.Metrics.Runs.Inc()
+		b.Metrics.Runs.Inc()
 		r.logResume(j, s, targets[s.Engine].Software)
-		remaining := time.Duration(j.job.SubmittedAt+j.job.Retention-in.Clock.Wall().UnixMilli()) * time.Millisecond
+		remaining := time.Duration(j.job.SubmittedAt+j.job.Retention-b.Clock.Wall().UnixMilli()) * time.Millisecond
 		run := taskRun{
 			id: s.Run, key: s.Task, task: &j.tasks[s.Task.Task], output: j.outputs[s.Task.Task], host: j.job.Host,
 			account: j.job.Account, target: targets[s.Engine], minVersion: j.job.MinVersion, singleVersion: j.job.SingleVersion, remaining: remaining,
 		}
 		go func() {
 			defer cancel()
-			end := in.runTask(runCtx, run)
+			end := b.runTask(runCtx, run)
 			select {
 			case r.runEnds <- end:
 			case <-ctx.Done():
@@ -61,12 +61,12 @@
 	if kept.Events == 0 {
 		return
 	}
-	event, counter := "run resumed", r.instance.Metrics.RunsResumed
+	event, counter := "run resumed", r.batch.Metrics.RunsResumed
 	if s.ResumeAfter == 0 {
-		event, counter = "run starts over", r.instance.Metrics.RunsStartedOver
+		event, counter = "run starts over", r.batch.Metrics.RunsStartedOver
 	}
 	counter.Inc()
-	r.instance.Log(event, events.F("job", s.Task.Job), events.F("task", j.job.Tasks[s.Task.Task].ID), events.F("target", s.Engine),
+	r.batch.Log(event, events.F("job", s.Task.Job), events.F("task", j.job.Tasks[s.Task.Task].ID), events.F("target", s.Engine),
 		events.F("software", software), events.F("events", fmt.Sprint(kept.Events)), events.F("made_by", kept.Software))
 }
 
@@ -74,7 +74,7 @@
 // server error, and gives up an unprocessable task. After any other end, the scheduler
 // decides whether the task runs again.
 func (r *runner) onRunEnd(end runEnd) {
-	in := r.instance
+	b := r.batch
 	j := r.jobs[end.key.Job]
 	var kept assign.Kept
 	if j != nil {
@@ -86,11 +86,11 @@
 		// it again when the failure record has been applied.
 		outcome = assign.Canceled
 	}
-	current := r.scheduler.Finish(in.Clock.Now(), end.run, outcome, kept)
+	current := r.scheduler.Finish(b.Clock.Now(), end.run, outcome, kept)
 	r.cancelRun(end.run)
 	if end.outcome == assign.Broken || end.outcome == assign.Stale {
-		in.Metrics.RunsBroken.Inc()
-		in.Log("run broken", events.F("job", end.key.Job), events.F("task", end.taskID),
+		b.Metrics.RunsBroken.Inc()
+		b.Log("run broken", events.F("job", end.key.Job), events.F("task", end.taskID),
 			events.F("target", end.engine), events.F("events", fmt.Sprint(kept.Events)), events.F("error", fmt.Sprint(end.err)))
 	}
 	if !current || j == nil {
@@ -102,11 +102,11 @@
 		r.giveUpTask(id, j, i)
 	case end.serverError:
 		j.failures[i]++
-		in.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: j.term, Failed: []int{i}}})
+		b.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: j.term, Failed: []int{i}}})
 	case end.outcome == assign.Completed:
-		in.Metrics.Listed.Inc()
+		b.Metrics.Listed.Inc()
 		output, versions, _ := j.outputs[i].snapshot()
-		in.Metrics.TaskTime.Update(float64(in.Clock.Wall().UnixMilli()-j.job.SubmittedAt) / 1000)
+		b.Metrics.TaskTime.Update(float64(b.Clock.Wall().UnixMilli()-j.job.SubmittedAt) / 1000)
 		r.completeTask(j, taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, output: output, versions: versions}, 0)
 	}
 }
@@ -114,9 +114,9 @@
 // reviewRuns reports the progress of all runs to the scheduler. It cancels the runs at
 // stalled or slow engines and queues their tasks again, to resume on another engine.
 func (r *runner) reviewRuns() {
-	now := r.instance.Clock.Now()
+	now := r.batch.Clock.Now()
 	if len(r.outputs) > 0 {
-		r.instance.Links.QuietSince(now - quietRunsLimit)
+		r.batch.Links.QuietSince(now - quietRunsLimit)
 	}
 	for run, output := range r.outputs {
 		added, at := output.runProgress()
@@ -128,8 +128,8 @@
 		kept := output.kept()
 		r.cancelRun(s.Run)
 		r.scheduler.Requeue(now, s.Run, kept)
-		r.instance.Metrics.RunsMoved.Inc()
-		r.instance.Log("run moved", events.F("job", s.Task.Job), events.F("task", r.jobs[s.Task.Job].job.Tasks[s.Task.Task].ID),
+		r.batch.Metrics.RunsMoved.Inc()
+		r.batch.Log("run moved", events.F("job", s.Task.Job), events.F("task", r.jobs[s.Task.Job].job.Tasks[s.Task.Task].ID),
 			events.F("target", s.Engine), events.F("events", fmt.Sprint(kept.Events)), events.F("reason", s.Reason))
 	}
 }
--- a/internal/hosted/scorer.go
+++ b/internal/batch/scorer.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -35,8 +35,8 @@
 // scorer obtains the scores of complete outputs from plain services. It receives outputs
 // that are stored in the log, and passes the scored results on to the result writer.
 type scorer struct {
-	instance *Instance
-	wake     chan struct{} // an output was added or a call has ended
+	batch *Batch
+	wake  chan struct{} // an output was added or a call has ended
 
 	mu      sync.Mutex
 	queue   *score.Queue
@@ -48,8 +48,8 @@
 	cancel context.CancelFunc // of the call in flight; nil: none
 }
 
-func newScorer(in *Instance) *scorer {
-	return &scorer{instance: in, wake: make(chan struct{}, 1), queue: score.New(), pending: map[score.Key]*pendingScore{}}
+func newScorer(b *Batch) *scorer {
+	return &scorer{batch: b, wake: make(chan struct{}, 1), queue: score.New(), pending: map[score.Key]*pendingScore{}}
 }
 
 // add adds a result whose output is stored. It ignores a result of a task that is being
@@ -63,7 +63,7 @@
 	}
 	r.output = nil // it is stored
 	s.pending[k] = &pendingScore{result: r}
-	s.queue.Add(s.instance.Clock.Now(), r.scoring.item)
+	s.queue.Add(s.batch.Clock.Now(), r.scoring.item)
 	s.notify()
 }
 
@@ -94,7 +94,7 @@
 	for {
 		s.startCalls(ctx)
 		s.mu.Lock()
-		now := s.instance.Clock.Now()
+		now := s.batch.Clock.Now()
 		delay, waits := s.queue.NextRetry(now)
 		if s.queue.Stalled(now) {
 			delay, waits = noTargetInterval, true
@@ -126,10 +126,10 @@
 			s.removeJob(id)
 		}
 	}
-	view := s.instance.CurrentView()
+	view := s.batch.CurrentView()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, k := range s.queue.Next(s.instance.Clock.Now(), score.Limit(s.slots(view), runners)) {
+	for _, k := range s.queue.Next(s.batch.Clock.Now(), score.Limit(s.slots(view), runners)) {
 		p := s.pending[k]
 		callCtx, cancel := context.WithCancel(ctx)
 		p.cancel = cancel
@@ -144,18 +144,18 @@
 // released them for handover, and how many instances run open jobs.
 func (s *scorer) ownJobs(ctx context.Context, jobs []string) (own map[string]bool, runners int) {
 	own = map[string]bool{}
-	in := s.instance
-	in.StateLoop.Do(ctx, func() {
+	b := s.batch
+	b.StateLoop.Do(ctx, func() {
 		names := map[string]bool{}
-		for _, j := range in.StateLoop.State.Jobs {
+		for _, j := range b.StateLoop.State.Jobs {
 			if j.Open() {
 				names[j.Runner] = true
 			}
 		}
 		runners = len(names)
 		for _, id := range jobs {
-			j := in.StateLoop.State.Jobs[id]
-			own[id] = j != nil && j.Open() && (j.Runner == in.Self || j.Runner == "")
+			j := b.StateLoop.State.Jobs[id]
+			own[id] = j != nil && j.Open() && (j.Runner == b.Self || j.Runner == "")
 		}
 	})
 	return own, runners
@@ -209,8 +209,8 @@
 
 // call makes one score call, with its attempts at several targets, and handles the outcome.
 func (s *scorer) call(ctx context.Context, view *node.View, r taskResult) {
-	in := s.instance
-	started := in.Clock.Now()
+	b := s.batch
+	started := b.Clock.Now()
 	route, found := scoreRoute(view.Catalog, r.scoring.request)
 	if !found {
 		if s.retained(r) {
@@ -224,7 +224,7 @@
 	timeout := score.CallTimeout(s.timeLeft(view, r), route.TargetLatency)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	attempted := in.forwarder.RunAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(in.Rand64()), route, maxFailures-r.scoring.failures), started+timeout)
+	attempted := b.forwarder.RunAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(b.Rand64()), route, maxFailures-r.scoring.failures), started+timeout)
 	if ctx.Err() != nil {
 		return // removed from the queue
 	}
@@ -232,11 +232,11 @@
 	scored := best != nil && best.HasResponse() && best.Status/100 == 2
 	unprocessable := best != nil && best.HasResponse() && best.Status == http.StatusUnprocessableEntity
 	s.recordFailures(r, attempted.ServerErrors)
-	took := in.Clock.Now() - started
+	took := b.Clock.Now() - started
 	switch {
 	case scored:
-		in.Metrics.Scored.Inc()
-		in.Metrics.ScoreTime.Update((in.Clock.Now() - r.scoring.completedAt).Seconds())
+		b.Metrics.Scored.Inc()
+		b.Metrics.ScoreTime.Update((b.Clock.Now() - r.scoring.completedAt).Seconds())
 		r.score = best.PlatformHeader.Signature
 		s.finish(ctx, r, "scored", attempted, took)
 	case unprocessable, r.scoring.failures >= maxFailures, s.retained(r):
@@ -258,7 +258,7 @@
 
 // age returns the time since the job's submission.
 func (s *scorer) age(j *job.Job) time.Duration {
-	return time.Duration(s.instance.Clock.Wall().UnixMilli()-j.SubmittedAt) * time.Millisecond
+	return time.Duration(s.batch.Clock.Wall().UnixMilli()-j.SubmittedAt) * time.Millisecond
 }
 
 // retained reports whether the task may be given up, as the retention of its job is over.
@@ -283,15 +283,15 @@
 		return
 	}
 	r.scoring.failures += count
-	s.instance.AppendRecordAsync(job.Record{Progress: &job.Progress{
+	s.batch.AppendRecordAsync(job.Record{Progress: &job.Progress{
 		Job: r.job, Term: r.scoring.term, ScoreFailures: []job.ScoreFailure{{Task: r.task, Count: count}},
 	}})
 }
 
 // giveUp lists the task as not completed, with its output.
 func (s *scorer) giveUp(ctx context.Context, r taskResult, attempted *forward.Attempts, took time.Duration) {
-	s.instance.Metrics.Unscorable.Inc()
-	s.instance.Metrics.GivenUp.Inc()
+	s.batch.Metrics.Unscorable.Inc()
+	s.batch.Metrics.GivenUp.Inc()
 	r.completed = false
 	s.finish(ctx, r, "given up", attempted, took)
 }
@@ -302,7 +302,7 @@
 	k := r.scoring.item.Key
 	r.scoring = nil
 	select {
-	case s.instance.resultWriter.queue <- r:
+	case s.batch.resultWriter.queue <- r:
 	case <-ctx.Done():
 		return
 	}
@@ -315,15 +315,15 @@
 
 // retry returns a result without a score to the queue.
 func (s *scorer) retry(r taskResult, outcome string, attempted *forward.Attempts) {
-	in := s.instance
-	in.Metrics.ScoreRetries.Inc()
+	b := s.batch
+	b.Metrics.ScoreRetries.Inc()
 	s.logCall(r, outcome, attempted, 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pending[r.scoring.item.Key]; p != nil {
 		p.cancel = nil
 	}
-	s.queue.Retry(in.Clock.Now(), r.scoring.item.Key)
+	s.queue.Retry(b.Clock.Now(), r.scoring.item.Key)
 	s.notify()
 }
 
@@ -338,7 +338,7 @@
 	if attempted.Best != nil {
 		state = attempted.Best.Outcome
 	}
-	s.instance.Log("score call", events.F("job", r.job), events.F("task", r.id), events.F("request", r.scoring.request.ID),
+	s.batch.Log("score call", events.F("job", r.job), events.F("task", r.id), events.F("request", r.scoring.request.ID),
 		events.F("outcome", outcome), events.F("target", target), events.F("status", fmt.Sprint(status)), events.F("attempt", state.String()),
 		events.F("tries", fmt.Sprint(attempted.StartedAttempts)), events.F("failures", fmt.Sprint(r.scoring.failures)),
 		events.F("took", took.Round(time.Millisecond).String()), events.F("error", fmt.Sprint(err)))
--- a/internal/hosted/stream.go
+++ b/internal/batch/stream.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -52,7 +52,7 @@
 
 // runTask runs the task at the engine until the stream ends, and adds its events to the
 // output.
-func (in *Instance) runTask(ctx context.Context, r taskRun) runEnd {
+func (b *Batch) runTask(ctx context.Context, r taskRun) runEnd {
 	end := runEnd{run: r.id, key: r.key, taskID: r.task.ID, engine: r.target.ID, outcome: assign.Broken}
 	lastEvent := r.output.startRun(r.id, r.target.Software)
 	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.remaining, lastEvent)
@@ -62,16 +62,16 @@
 		Body:          forward.NonReplayableBody(http.MethodPost, header, r.task.Body),
 		ContentLength: int64(len(r.task.Body)),
 	}
-	sentAt := in.Clock.Now()
-	res, err := in.TargetClient.Do(req.WithContext(ctx))
+	sentAt := b.Clock.Now()
+	res, err := b.TargetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		end.err = err
-		in.NoteNoAnswer(ctx, r.target)
+		b.NoteNoAnswer(ctx, r.target)
 		return markCanceled(ctx, end)
 	}
 	defer res.Body.Close()
 	response := platform.DecodeResponseHeader(res)
-	in.NoteResponse(ctx, r.target, response, r.task.ID, sentAt)
+	b.NoteResponse(ctx, r.target, response, r.task.ID, sentAt)
 	switch {
 	case response.RequestID != r.task.ID && !response.NotRun:
 		end.err = fmt.Errorf("%w: %q", forward.ErrRequestIDMismatch, response.RequestID)
@@ -84,7 +84,7 @@
 	case res.StatusCode != http.StatusOK || response.Signature == "":
 		end.err = fmt.Errorf("%w: status %d", errNotStream, res.StatusCode)
 	default:
-		end.outcome, end.err = in.readEvents(res.Body, r, response.Version)
+		end.outcome, end.err = b.readEvents(res.Body, r, response.Version)
 	}
 	return markCanceled(ctx, end)
 }
@@ -100,7 +100,7 @@
 
 // readEvents adds the events of a stream to the output until the stream ends. version is
 // the engine's weight version at the start of the stream.
-func (in *Instance) readEvents(body io.Reader, r taskRun, version int64) (assign.Outcome, error) {
+func (b *Batch) readEvents(body io.Reader, r taskRun, version int64) (assign.Outcome, error) {
 	reader := platform.NewEventReader(body)
 	for {
 		if version < r.minVersion {
@@ -116,7 +116,7 @@
 		if err != nil {
 			return assign.Broken, err
 		}
-		in.Links.Heard()
+		b.Links.Heard()
 		if e.Version > 0 && e.Version != version {
 			if r.singleVersion {
 				r.output.reset()
@@ -127,7 +127,7 @@
 				continue
 			}
 		}
-		if !r.output.addEvent(r.id, e.Number, e.Data, version, in.Clock.Now()) {
+		if !r.output.addEvent(r.id, e.Number, e.Data, version, b.Clock.Now()) {
 			return assign.Broken, fmt.Errorf("%w: number %d", errEventGap, e.Number)
 		}
 	}
--- a/internal/hosted/text_test.go
+++ b/internal/batch/text_test.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"errors"
@@ -12,11 +12,11 @@
 )
 
 func TestRunThatStartsOverAndEndsWithoutEventsDoesNotCompleteTheOtherVersionsOutput(t *testing.T) {
-	in := &Instance{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
 	output := &taskOutput{}
 	read := func(run int64, software, events string) (assign.Outcome, error) {
 		output.startRun(run, software)
-		return in.readEvents(strings.NewReader(events), taskRun{id: run, output: output}, 1)
+		return b.readEvents(strings.NewReader(events), taskRun{id: run, output: output}, 1)
 	}
 	if outcome, _ := read(1, "v1", "id: 1\ndata: a\n\nid: 2\ndata"); outcome != assign.Broken {
 		t.Fatalf("a torn stream ended as %d", outcome)
--- a/internal/hosted/dispatch.go
+++ b/internal/hosted/dispatch.go
@@ -36,10 +36,10 @@
 	case isJobRequest && err != nil:
 		in.forwarder.Respond(c, http.StatusBadRequest, err.Error())
 	case isJobRequest:
-		in.serveJobRequest(c, jobRequest)
+		in.batch.ServeJobRequest(c, jobRequest)
 	case !in.forwarder.ReadBody(c):
 	case route.Kind == catalog.Batch:
-		in.submit(c)
+		in.batch.Submit(c)
 	default:
 		in.forwarder.ForwardRequest(c)
 	}
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -26,6 +26,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/batch"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/forward"
@@ -55,9 +56,7 @@
 	listen       func(network, address string) (net.Listener, error)
 	cloud        *platform.Cloud
 	forwarder    *forward.Forwarder
-	runner       *runner
-	resultWriter *resultWriter
-	scorer       *scorer
+	batch        *batch.Batch
 	controller   *controller
 	usageCounter *usageCounter
 }
@@ -74,12 +73,10 @@
 	if cfg.Settings.Cloud != "" {
 		in.cloud = platform.NewCloud(cfg.Settings.Cloud)
 	}
-	in.runner = newRunner(in)
-	in.resultWriter = newResultWriter(in)
-	in.scorer = newScorer(in)
 	in.controller = newController(in)
 	in.usageCounter = newUsageCounter(in)
 	in.forwarder = forward.New(in.Node, in.usageCounter.countRequest)
+	in.batch = batch.New(in.Node, in.forwarder)
 	in.OnRecord = in.applyRecord
 	return in
 }
@@ -91,9 +88,9 @@
 	debug.SetGCPercent(gcPercent)
 	in.Log("instance started", events.F("incarnation", in.Self), events.F("data_centre", in.Settings.DataCentre))
 	group, ctx := errgroup.WithContext(ctx)
-	for _, f := range slices.Concat(in.Loops(), in.forwarder.Loops(), []func(context.Context) error{
+	for _, f := range slices.Concat(in.Loops(), in.forwarder.Loops(), in.batch.Loops(), []func(context.Context) error{
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers,
-		in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
+		in.controller.run, in.usageCounter.run,
 	}) {
 		group.Go(func() error { return f(ctx) })
 	}
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -117,6 +117,6 @@
 	if err := server.Shutdown(graceCtx); err != nil {
 		in.Log("instance cut requests", events.F("error", err.Error()))
 	}
-	in.runner.waitForHandover(graceCtx)
+	in.batch.WaitForHandover(graceCtx)
 	return ErrStopped
 }
