Parts of hosted: the controller and usage are package duty

Cause: internal/hosted mixes the duties of the lease holder with the wiring of an instance.

Change: the controller lease, weight orders, scaling and usage move to internal/duty, on top of internal/node. hosted keeps the wiring: New, Run, Stop, Reload, the dispatch of callers' requests, listeners, readiness and the handler for other instances; its Instance no longer embeds the node.

The specs of internal/hosted and internal/soak pass unchanged.

--- a/internal/hosted/duty.go
+++ b/internal/duty/controller.go
@@ -1,4 +1,7 @@
-package hosted
+// Package duty performs what one instance at a time does for the whole deployment, the holder of
+// the controller lease in the log: it reports usage, orders engines to load weights, and orders
+// targets. Every instance also counts the requests that go into the usage reports.
+package duty
 
 import (
 	"context"
@@ -16,6 +19,7 @@
 	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -29,11 +33,13 @@
 	callTimeoutFraction = 0.3                    // of the lease's term: 0.9 s for a term of 3 s
 )
 
-// controller claims the controller lease and, while this instance holds it, runs the
+// Controller claims the controller lease and, while this instance holds it, runs the
 // tasks that the lease guards: usage reports, weight updates and scaling. Only the state
 // goroutine accesses the fields lease and standsIn.
-type controller struct {
-	instance       *Instance
+type Controller struct {
+	*node.Node
+	cloud          *platform.Cloud // nil: there is none
+	usageCounter   *usageCounter
 	lease          *lease.Machine
 	supersededTerm atomic.Int64 // latest term that the platform or a target has rejected
 	standsIn       bool         // holds or claims the lease without links to targets, as nobody else did
@@ -41,25 +47,40 @@
 	scaler         *scaler
 }
 
-func newController(in *Instance) *controller {
-	c := &controller{instance: in, weightUpdater: newWeightUpdater(in), scaler: newScaler(in)}
-	c.lease = lease.NewMachine(controllerLeaseName, in.Self, lease.Timing{
-		Duration: in.Settings.LeaseTerm, DriftMargin: driftMargin,
-	}, in.Clock.Now())
-	c.lease.SetClaimDelay(in.Jitter(leaseClaimJitter))
-	c.lease.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, in.Settings.Instance+"/") })
+// New returns the controller of a node.
+func New(n *node.Node) *Controller {
+	c := &Controller{Node: n, usageCounter: newUsageCounter(n)}
+	if n.Settings.Cloud != "" {
+		c.cloud = platform.NewCloud(n.Settings.Cloud)
+	}
+	c.weightUpdater, c.scaler = newWeightUpdater(c), newScaler(c)
+	c.lease = lease.NewMachine(controllerLeaseName, c.Self, lease.Timing{
+		Duration: c.Settings.LeaseTerm, DriftMargin: driftMargin,
+	}, c.Clock.Now())
+	c.lease.SetClaimDelay(c.Jitter(leaseClaimJitter))
+	c.lease.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, c.Settings.Instance+"/") })
 	return c
 }
 
+// Loops returns the functions that perform the duties and count requests. Each runs until its
+// context ends.
+func (c *Controller) Loops() []func(context.Context) error {
+	return []func(context.Context) error{c.run, c.usageCounter.run}
+}
+
+// CountRequest adds a request of the account to the usage of the wall time.
+func (c *Controller) CountRequest(account string, wall time.Time) {
+	c.usageCounter.countRequest(account, wall)
+}
+
 // callTimeout returns how long a call under the lease may take: the lease must cover it.
-func (c *controller) callTimeout() time.Duration {
-	return time.Duration(callTimeoutFraction * float64(c.instance.Settings.LeaseTerm))
+func (c *Controller) callTimeout() time.Duration {
+	return time.Duration(callTimeoutFraction * float64(c.Settings.LeaseTerm))
 }
 
 // OnRecord updates the lease after a record of the log has been applied. It runs on the state
 // goroutine.
-func (c *controller) onRecord(now time.Duration, r job.Record, accepted bool) {
-	in := c.instance
+func (c *Controller) OnRecord(now time.Duration, r job.Record, accepted bool) {
 	switch {
 	case r.Lease != nil && r.Lease.Body.Name == controllerLeaseName:
 		verdict := fold.Conflict
@@ -67,26 +88,25 @@
 			verdict = fold.Accepted
 		}
 		before := c.lease.Current()
-		c.lease.Observe(now, r.Lease.ID, verdict, in.StateLoop.State.Leases[controllerLeaseName])
+		c.lease.Observe(now, r.Lease.ID, verdict, c.StateLoop.State.Leases[controllerLeaseName])
 		if after := c.lease.Current(); after.Term != before.Term || after.Holder != before.Holder {
-			in.Log("duty holder", events.F("holder", after.Holder), events.F("term", fmt.Sprint(after.Term)))
+			c.Log("duty holder", events.F("holder", after.Holder), events.F("term", fmt.Sprint(after.Term)))
 		}
 	case r.InstanceStarted != nil && accepted: // may have released the lease of an earlier incarnation
-		if current := in.StateLoop.State.Leases[controllerLeaseName]; current != c.lease.Current() {
+		if current := c.StateLoop.State.Leases[controllerLeaseName]; current != c.lease.Current() {
 			c.lease.Observe(now, record.ID{}, fold.Accepted, current)
 		}
 	}
 }
 
 // run updates the lease and, while it is held, runs the guarded tasks, until ctx ends.
-func (c *controller) run(ctx context.Context) error {
-	in := c.instance
+func (c *Controller) run(ctx context.Context) error {
 	return clock.Every(ctx, controllerInterval, func() {
 		c.updateLease(ctx)
 		_, held := c.holder(ctx)
-		in.Pace.LeaseHeld.Store(held)
+		c.Pace.LeaseHeld.Store(held)
 		if held {
-			in.reportUsage(ctx)
+			c.reportUsage(ctx)
 			c.weightUpdater.step(ctx)
 			c.scaler.step(ctx)
 		}
@@ -94,17 +114,16 @@
 }
 
 // updateLease appends a claim, renewal or release of the lease, if one is due.
-func (c *controller) updateLease(ctx context.Context) {
-	in := c.instance
+func (c *Controller) updateLease(ctx context.Context) {
 	var request *lease.AppendRequest
-	in.StateLoop.Do(ctx, func() {
-		now := in.Clock.Now()
-		if in.IsStopping() || c.leavesToOthers(now) {
+	c.StateLoop.Do(ctx, func() {
+		now := c.Clock.Now()
+		if c.IsStopping() || c.leavesToOthers(now) {
 			c.lease.StepDown(now, c.callTimeout())
 		} else {
 			c.lease.Resume()
 		}
-		if !in.LogCurrent() && c.lease.ExpiresAt() <= now {
+		if !c.LogCurrent() && c.lease.ExpiresAt() <= now {
 			return // the log was not read recently: another instance may hold the lease
 		}
 		request = c.lease.Tick(now, uuid.New)
@@ -112,7 +131,7 @@
 	if request == nil {
 		return
 	}
-	in.AppendRecordAsync(job.Record{Lease: &job.Lease{ID: request.ID, Supersedes: request.Supersedes, Body: request.Body}})
+	c.AppendRecordAsync(job.Record{Lease: &job.Lease{ID: request.ID, Supersedes: request.Supersedes, Body: request.Body}})
 }
 
 // standInDelay is how long the lease has no holder until an instance that reaches no target
@@ -122,8 +141,8 @@
 // leavesToOthers reports whether this instance leaves the lease to others, because it reaches no
 // target to order. Before a claim it makes sure that it does. If nobody else claims the lease, it
 // holds it until its links are back.
-func (c *controller) leavesToOthers(now time.Duration) bool {
-	links := c.instance.Links
+func (c *Controller) leavesToOthers(now time.Duration) bool {
+	links := c.Links
 	if !links.IsCut() && (c.lease.ExpiresAt() > now || !c.lease.MayClaim(now) || links.HeardLately()) {
 		c.standsIn = false
 		return false
@@ -136,21 +155,21 @@
 // holder returns the holder and fencing number for a call under the lease. It reports
 // false if the lease may expire within callTimeout, or if a call under the term was
 // rejected as superseded. It must be called right before each call.
-func (c *controller) holder(ctx context.Context) (platform.Leaseholder, bool) {
+func (c *Controller) holder(ctx context.Context) (platform.Leaseholder, bool) {
 	var term record.Offset
 	held := false
-	c.instance.StateLoop.Do(ctx, func() { term, held = c.lease.HeldFor(c.instance.Clock.Now(), c.callTimeout()) })
+	c.StateLoop.Do(ctx, func() { term, held = c.lease.HeldFor(c.Clock.Now(), c.callTimeout()) })
 	if !held || int64(term) <= c.supersededTerm.Load() {
 		return platform.Leaseholder{}, false
 	}
-	return platform.Leaseholder{Name: c.instance.Settings.Instance, Fencing: int64(term)}, true
+	return platform.Leaseholder{Name: c.Settings.Instance, Fencing: int64(term)}, true
 }
 
 // checkSuperseded handles the result of a call under the lease. If the call was rejected
 // because a higher fencing number is in use, no further calls are made under its term.
-func (c *controller) checkSuperseded(holder platform.Leaseholder, err error) {
+func (c *Controller) checkSuperseded(holder platform.Leaseholder, err error) {
 	if errors.Is(err, platform.ErrSuperseded) {
 		c.supersededTerm.Store(holder.Fencing)
-		c.instance.Log("duty superseded", events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
+		c.Log("duty superseded", events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
 	}
 }
--- a/internal/hosted/scaling.go
+++ b/internal/duty/scaling.go
@@ -1,4 +1,4 @@
-package hosted
+package duty
 
 import (
 	"context"
@@ -23,11 +23,11 @@
 // scaler orders targets from the platform for the services that the configuration allows
 // to scale. Only the controller's goroutine uses it.
 type scaler struct {
-	instance *Instance
-	ordered  map[scaleKey]int // number of targets ordered under term
-	term     int64            // of the controller lease
-	nextStep time.Duration
-	peaks    map[string]peakDemand // by service
+	controller *Controller
+	ordered    map[scaleKey]int // number of targets ordered under term
+	term       int64            // of the controller lease
+	nextStep   time.Duration
+	peaks      map[string]peakDemand // by service
 }
 
 type scaleKey struct{ service, dataCentre string }
@@ -39,16 +39,16 @@
 	lastShortage time.Duration // when a job last needed more targets; zero: never
 }
 
-func newScaler(in *Instance) *scaler {
-	return &scaler{instance: in, ordered: map[scaleKey]int{}, peaks: map[string]peakDemand{}}
+func newScaler(c *Controller) *scaler {
+	return &scaler{controller: c, ordered: map[scaleKey]int{}, peaks: map[string]peakDemand{}}
 }
 
 // step orders more targets for the services whose demand requires them.
 func (s *scaler) step(ctx context.Context) {
-	in := s.instance
-	now := in.Clock.Now()
-	view := in.CurrentView()
-	if !in.Settings.Autoscales || in.cloud == nil || view.Catalog == nil || now < s.nextStep {
+	c := s.controller
+	now := c.Clock.Now()
+	view := c.CurrentView()
+	if !c.Settings.Autoscales || c.cloud == nil || view.Catalog == nil || now < s.nextStep {
 		return
 	}
 	s.nextStep = now + scaleInterval
@@ -80,10 +80,10 @@
 // observe updates the peak demand of each service, from the jobs that are open or were
 // closed within peakWindow.
 func (s *scaler) observe(ctx context.Context, view *node.View, now time.Duration) {
-	in := s.instance
+	c := s.controller
 	tasks, needsTargets := map[string]int{}, map[string]bool{}
-	in.StateLoop.Do(ctx, func() {
-		for _, j := range in.StateLoop.State.Jobs {
+	c.StateLoop.Do(ctx, func() {
+		for _, j := range c.StateLoop.State.Jobs {
 			route, found := view.Catalog.RouteByName(j.Route)
 			if !found || len(route.Split) == 0 || !j.Open() && now-j.ClosedAt > peakWindow {
 				continue
@@ -112,8 +112,8 @@
 // orderTargets orders a number of targets of a service in a data centre, unless that many
 // are present or were ordered under this term.
 func (s *scaler) orderTargets(ctx context.Context, key scaleKey, count, present int) {
-	in := s.instance
-	holder, held := in.controller.holder(ctx)
+	c := s.controller
+	holder, held := c.holder(ctx)
 	if !held {
 		return
 	}
@@ -124,14 +124,14 @@
 	if count <= max(present, s.ordered[key]) {
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, in.controller.callTimeout())
+	callCtx, cancel := context.WithTimeout(ctx, c.callTimeout())
 	defer cancel()
-	err := in.cloud.Scale(callCtx, holder, key.service, key.dataCentre, count)
-	in.Log("targets ordered", events.F("service", key.service), events.F("data_centre", key.dataCentre),
+	err := c.cloud.Scale(callCtx, holder, key.service, key.dataCentre, count)
+	c.Log("targets ordered", events.F("service", key.service), events.F("data_centre", key.dataCentre),
 		events.F("count", fmt.Sprint(count)), events.F("present", fmt.Sprint(present)),
 		events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", fmt.Sprint(err)))
 	if err != nil {
-		in.controller.checkSuperseded(holder, err)
+		c.checkSuperseded(holder, err)
 		return
 	}
 	s.ordered[key] = count
--- a/internal/hosted/usage.go
+++ b/internal/duty/usage.go
@@ -1,4 +1,4 @@
-package hosted
+package duty
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 const (
@@ -27,27 +28,27 @@
 // usageCounter counts the requests of each account at this instance, by billing window.
 // It is safe for concurrent use.
 type usageCounter struct {
-	instance *Instance
-	mu       sync.Mutex
-	counts   map[int64]map[string]int64 // by window, then account
-	dirty    map[int64]bool             // windows that have changed since the last takeChanged
+	node   *node.Node
+	mu     sync.Mutex
+	counts map[int64]map[string]int64 // by window, then account
+	dirty  map[int64]bool             // windows that have changed since the last takeChanged
 }
 
-func newUsageCounter(in *Instance) *usageCounter {
-	return &usageCounter{instance: in, counts: map[int64]map[string]int64{}, dirty: map[int64]bool{}}
+func newUsageCounter(n *node.Node) *usageCounter {
+	return &usageCounter{node: n, counts: map[int64]map[string]int64{}, dirty: map[int64]bool{}}
 }
 
 // windowOf returns the number of the billing window that contains the wall time.
-func (in *Instance) windowOf(wall time.Time) int64 {
-	return wall.UnixMilli() / max(1, in.Settings.UsageWindow.Milliseconds())
+func windowOf(n *node.Node, wall time.Time) int64 {
+	return wall.UnixMilli() / max(1, n.Settings.UsageWindow.Milliseconds())
 }
 
-// countRequest adds a request of the account to the window of the wall time.
+// CountRequest adds a request of the account to the window of the wall time.
 func (u *usageCounter) countRequest(account string, wall time.Time) {
-	if account == "" || !u.instance.Settings.ReportsUsage {
+	if account == "" || !u.node.Settings.ReportsUsage {
 		return
 	}
-	w := u.instance.windowOf(wall)
+	w := windowOf(u.node, wall)
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.counts[w] == nil {
@@ -59,12 +60,12 @@
 
 // run appends the changed counts to the log every countFlushInterval, until ctx ends.
 func (u *usageCounter) run(ctx context.Context) error {
-	if !u.instance.Settings.ReportsUsage {
+	if !u.node.Settings.ReportsUsage {
 		return nil
 	}
 	return clock.Every(ctx, countFlushInterval, func() {
 		for _, c := range u.takeChanged() {
-			u.instance.AppendRecordAsync(job.Record{UsageCounted: &c})
+			u.node.AppendRecordAsync(job.Record{UsageCounted: &c})
 		}
 	})
 }
@@ -84,7 +85,7 @@
 	}
 	clear(u.dirty)
 	for w := range u.counts {
-		if w < u.instance.windowOf(u.instance.Clock.Wall())-windowLookback {
+		if w < windowOf(u.node, u.node.Clock.Wall())-windowLookback {
 			delete(u.counts, w)
 		}
 	}
@@ -94,17 +95,17 @@
 // reportUsage seals the windows that ended at least sealDelay ago, and reports the sealed
 // ones to the platform. As the seal fixes the counts before the first report, a repeated
 // report has the same counts. It also prunes old jobs and windows from the state.
-func (in *Instance) reportUsage(ctx context.Context) {
-	if !in.Settings.ReportsUsage || in.cloud == nil {
+func (c *Controller) reportUsage(ctx context.Context) {
+	if !c.Settings.ReportsUsage || c.cloud == nil {
 		return
 	}
-	wall := in.Clock.Wall()
-	newest := in.windowOf(wall.Add(-sealDelay)) - 1
+	wall := c.Clock.Wall()
+	newest := windowOf(c.Node, wall.Add(-sealDelay)) - 1
 	var seals []job.UsageSealed
 	reports := map[int64]map[string]int64{}
-	in.StateLoop.Do(ctx, func() {
+	c.StateLoop.Do(ctx, func() {
 		for w := newest - windowLookback; w <= newest; w++ {
-			window := in.StateLoop.State.Windows[w]
+			window := c.StateLoop.State.Windows[w]
 			switch {
 			case window == nil:
 				seals = append(seals, job.UsageSealed{Window: w, Counts: map[string]int64{}})
@@ -114,14 +115,14 @@
 				reports[w] = window.SealedCounts
 			}
 		}
-		in.StateLoop.State.Prune(wall.UnixMilli(), in.Settings.JobRetention, newest-windowsKept)
+		c.StateLoop.State.Prune(wall.UnixMilli(), c.Settings.JobRetention, newest-windowsKept)
 	})
 	for _, s := range seals {
-		if err := in.AppendRecord(ctx, job.Record{UsageSealed: &s}); err != nil {
-			in.Log("usage not sealed", events.F("window", fmt.Sprint(s.Window)), events.F("error", err.Error()))
+		if err := c.AppendRecord(ctx, job.Record{UsageSealed: &s}); err != nil {
+			c.Log("usage not sealed", events.F("window", fmt.Sprint(s.Window)), events.F("error", err.Error()))
 			return
 		}
-		in.Log("usage sealed", events.F("window", fmt.Sprint(s.Window)), events.F("accounts", fmt.Sprint(len(s.Counts))))
+		c.Log("usage sealed", events.F("window", fmt.Sprint(s.Window)), events.F("accounts", fmt.Sprint(len(s.Counts))))
 	}
 	windows := make([]int64, 0, len(reports))
 	for w := range reports {
@@ -129,25 +130,25 @@
 	}
 	slices.Sort(windows)
 	for _, w := range windows {
-		in.reportWindow(ctx, w, reports[w])
+		c.reportWindow(ctx, w, reports[w])
 	}
 }
 
 // reportWindow reports the sealed counts of a window, if this instance holds the lease.
-func (in *Instance) reportWindow(ctx context.Context, window int64, counts map[string]int64) {
-	holder, held := in.controller.holder(ctx)
+func (c *Controller) reportWindow(ctx context.Context, window int64, counts map[string]int64) {
+	holder, held := c.holder(ctx)
 	if !held {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, in.controller.callTimeout())
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout())
 	defer cancel()
-	err := in.cloud.ReportUsage(ctx, holder, window, counts)
+	err := c.cloud.ReportUsage(ctx, holder, window, counts)
 	if err != nil {
-		in.controller.checkSuperseded(holder, err)
-		in.Log("usage not reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
+		c.checkSuperseded(holder, err)
+		c.Log("usage not reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
 		return
 	}
-	in.Metrics.Reports.Inc()
-	in.Log("usage reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("counts", fmt.Sprint(counts)))
-	in.AppendRecordAsync(job.Record{UsageReported: &job.UsageReported{Window: window}})
+	c.Metrics.Reports.Inc()
+	c.Log("usage reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("counts", fmt.Sprint(counts)))
+	c.AppendRecordAsync(job.Record{UsageReported: &job.UsageReported{Window: window}})
 }
--- a/internal/hosted/weights.go
+++ b/internal/duty/weights.go
@@ -1,4 +1,4 @@
-package hosted
+package duty
 
 import (
 	"context"
@@ -31,10 +31,10 @@
 // weightUpdater orders engines to load the weight versions that trainers have published.
 // Only the controller's goroutine uses it.
 type weightUpdater struct {
-	instance  *Instance
-	planners  map[string]*loads.Planner // by service
-	orders    map[string]*sentOrder     // by target
-	sequences map[string]orderSequence  // by target
+	controller *Controller
+	planners   map[string]*loads.Planner // by service
+	orders     map[string]*sentOrder     // by target
+	sequences  map[string]orderSequence  // by target
 }
 
 // orderSequence is the number of orders that one incarnation of a target has accepted.
@@ -49,19 +49,19 @@
 	checkAt   time.Duration // when to query the target about it
 }
 
-func newWeightUpdater(in *Instance) *weightUpdater {
-	return &weightUpdater{instance: in, planners: map[string]*loads.Planner{}, orders: map[string]*sentOrder{}, sequences: map[string]orderSequence{}}
+func newWeightUpdater(c *Controller) *weightUpdater {
+	return &weightUpdater{controller: c, planners: map[string]*loads.Planner{}, orders: map[string]*sentOrder{}, sequences: map[string]orderSequence{}}
 }
 
 // step sends the load orders that the planner of each service returns.
 func (w *weightUpdater) step(ctx context.Context) {
-	in := w.instance
-	view := in.CurrentView()
+	c := w.controller
+	view := c.CurrentView()
 	if view.Catalog == nil {
 		return
 	}
 	allowedStaleness := map[string]int64{}
-	in.StateLoop.Do(ctx, func() { maps.Copy(allowedStaleness, in.StateLoop.AllowedStaleness) })
+	c.StateLoop.Do(ctx, func() { maps.Copy(allowedStaleness, c.StateLoop.AllowedStaleness) })
 	for name, service := range view.Catalog.Services {
 		if len(service.Models) == 0 {
 			continue
@@ -87,7 +87,7 @@
 func (w *weightUpdater) engines(ctx context.Context, view *node.View, service string) (map[string]directory.Target, []loads.Engine) {
 	targets := map[string]directory.Target{}
 	var out []loads.Engine
-	now := w.instance.Clock.Now()
+	now := w.controller.Clock.Now()
 	for _, t := range view.Targets {
 		if t.Service != service || !t.Ready {
 			continue
@@ -125,17 +125,17 @@
 // checkOrder queries the target about an overdue order. It removes the order unless the
 // target is executing it or does not respond.
 func (w *weightUpdater) checkOrder(ctx context.Context, t directory.Target, o *sentOrder) {
-	w.instance.Allowances.Spend(ctx, t)
-	targetReport, err := platform.ReadTargetReport(ctx, w.instance.TargetClient, t.Address)
-	o.checkAt = w.instance.Clock.Now() + unknownOrderDelay
+	w.controller.Allowances.Spend(ctx, t)
+	targetReport, err := platform.ReadTargetReport(ctx, w.controller.TargetClient, t.Address)
+	o.checkAt = w.controller.Clock.Now() + unknownOrderDelay
 	switch {
 	case err != nil:
-		w.instance.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
+		w.controller.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
 	case targetReport.Busy:
 	default:
 		delete(w.orders, t.ID)
 		if targetReport.Models[o.order.Model] < o.order.Version {
-			w.instance.Log("order not carried out", events.F("target", t.ID), events.F("model", o.order.Model),
+			w.controller.Log("order not carried out", events.F("target", t.ID), events.F("model", o.order.Model),
 				events.F("sequence", fmt.Sprint(targetReport.Sequence)))
 		}
 		w.sequences[t.ID] = orderSequence{t.StartedAt, targetReport.Sequence}
@@ -145,34 +145,34 @@
 // sendOrder sends one order to a target, if this instance still holds the lease. It first
 // queries the target if it has no order sequence of the incarnation.
 func (w *weightUpdater) sendOrder(ctx context.Context, t directory.Target, o loads.Order) {
-	in := w.instance
+	c := w.controller
 	sequence, found := w.sequences[t.ID]
 	if !found || sequence.startedAt != t.StartedAt {
-		in.Allowances.Spend(ctx, t)
-		targetReport, err := platform.ReadTargetReport(ctx, in.TargetClient, t.Address)
+		c.Allowances.Spend(ctx, t)
+		targetReport, err := platform.ReadTargetReport(ctx, c.TargetClient, t.Address)
 		if err != nil {
-			in.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
-			w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: in.Clock.Now() + unknownOrderDelay}
+			c.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
+			w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: c.Clock.Now() + unknownOrderDelay}
 			return
 		}
 		sequence = orderSequence{t.StartedAt, targetReport.Sequence}
 		w.sequences[t.ID] = sequence
 	}
 	expected := sequence.count
-	holder, held := in.controller.holder(ctx)
+	holder, held := c.holder(ctx)
 	if !held {
 		return
 	}
-	in.AppendRecordAsync(job.Record{LoadOrdered: &job.LoadOrdered{Target: t.ID, Model: o.Model, Version: o.Version}})
-	in.Allowances.Spend(ctx, t)
-	callCtx, cancel := context.WithTimeout(ctx, in.controller.callTimeout())
+	c.AppendRecordAsync(job.Record{LoadOrdered: &job.LoadOrdered{Target: t.ID, Model: o.Model, Version: o.Version}})
+	c.Allowances.Spend(ctx, t)
+	callCtx, cancel := context.WithTimeout(ctx, c.callTimeout())
 	defer cancel()
-	hadVersion, err := platform.SendVersionOrder(callCtx, in.TargetClient, holder, platform.VersionOrder{
+	hadVersion, err := platform.SendVersionOrder(callCtx, c.TargetClient, holder, platform.VersionOrder{
 		Address: t.Address, Target: t.ID, Model: o.Model, Version: o.Version, Sequence: expected,
 	})
-	in.controller.checkSuperseded(holder, err)
-	in.Metrics.Orders.Inc()
-	in.Log("order sent", events.F("target", t.ID), events.F("model", o.Model), events.F("version", fmt.Sprint(o.Version)),
+	c.checkSuperseded(holder, err)
+	c.Metrics.Orders.Inc()
+	c.Log("order sent", events.F("target", t.ID), events.F("model", o.Model), events.F("version", fmt.Sprint(o.Version)),
 		events.F("had", fmt.Sprint(t.Models[o.Model])), events.F("expected", fmt.Sprint(expected)),
 		events.F("term", fmt.Sprint(holder.Fencing)), events.F("done", fmt.Sprint(hadVersion)), events.F("error", fmt.Sprint(err)))
 	checkDelay := loadTimeout
@@ -181,5 +181,5 @@
 	} else if !hadVersion {
 		w.sequences[t.ID] = orderSequence{t.StartedAt, expected + 1}
 	}
-	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: in.Clock.Now() + checkDelay}
+	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: c.Clock.Now() + checkDelay}
 }
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -8,6 +8,9 @@
 // kill. A caller's request is sent to a target again only if it has not run or is
 // idempotent.
 //
+// The package puts the parts of an instance together and holds its listeners. The parts are
+// packages: node, which the others share, forward, batch and duty.
+//
 // New is given the settings. Load balancing over the instances and retries of refused
 // requests are left to the caller.
 package hosted
@@ -28,6 +31,7 @@
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/batch"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/duty"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
@@ -52,13 +56,11 @@
 
 // Instance is one instance of the service. Run starts all its goroutines.
 type Instance struct {
-	*node.Node
-	listen       func(network, address string) (net.Listener, error)
-	cloud        *platform.Cloud
-	forwarder    *forward.Forwarder
-	batch        *batch.Batch
-	controller   *controller
-	usageCounter *usageCounter
+	node       *node.Node
+	listen     func(network, address string) (net.Listener, error)
+	forwarder  *forward.Forwarder
+	batch      *batch.Batch
+	controller *duty.Controller
 }
 
 // New returns an instance that has not been started.
@@ -67,35 +69,30 @@
 	if in.listen == nil {
 		in.listen = net.Listen
 	}
-	in.Node = node.New(node.Config{
+	in.node = node.New(node.Config{
 		Settings: cfg.Settings, LogOutput: cfg.LogOutput, Clock: cfg.Clock, Random: cfg.Random, DialTarget: cfg.DialTarget,
 	})
-	if cfg.Settings.Cloud != "" {
-		in.cloud = platform.NewCloud(cfg.Settings.Cloud)
-	}
-	in.controller = newController(in)
-	in.usageCounter = newUsageCounter(in)
-	in.forwarder = forward.New(in.Node, in.usageCounter.countRequest)
-	in.batch = batch.New(in.Node, in.forwarder)
-	in.OnRecord = in.applyRecord
+	in.controller = duty.New(in.node)
+	in.forwarder = forward.New(in.node, in.controller.CountRequest)
+	in.batch = batch.New(in.node, in.forwarder)
+	in.node.OnRecord = in.applyRecord
 	return in
 }
 
 // Run starts the instance. It returns when ctx ends, or with ErrStopped when the instance
 // has drained after Stop.
 func (in *Instance) Run(ctx context.Context) error {
-	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(in.Settings.MemoryBytes)))
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(in.node.Settings.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
-	in.Log("instance started", events.F("incarnation", in.Self), events.F("data_centre", in.Settings.DataCentre))
+	in.node.Log("instance started", events.F("incarnation", in.node.Self), events.F("data_centre", in.node.Settings.DataCentre))
 	group, ctx := errgroup.WithContext(ctx)
-	for _, f := range slices.Concat(in.Loops(), in.forwarder.Loops(), in.batch.Loops(), []func(context.Context) error{
+	for _, f := range slices.Concat(in.node.Loops(), in.forwarder.Loops(), in.batch.Loops(), in.controller.Loops(), []func(context.Context) error{
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers,
-		in.controller.run, in.usageCounter.run,
 	}) {
 		group.Go(func() error { return f(ctx) })
 	}
 	err := group.Wait()
-	in.Log("instance stopped", events.F("error", fmt.Sprint(err)))
+	in.node.Log("instance stopped", events.F("error", fmt.Sprint(err)))
 	if errors.Is(err, context.Canceled) {
 		return nil
 	}
@@ -105,14 +102,14 @@
 // applyRecord passes a record of the log to the parts that act on it. It runs on the state
 // goroutine.
 func (in *Instance) applyRecord(now time.Duration, r job.Record, accepted bool) {
-	in.controller.onRecord(now, r, accepted)
+	in.controller.OnRecord(now, r, accepted)
 	in.forwarder.OnRecord(r)
 }
 
 // Stop starts the drain: the instance reports that it is not ready, so that the load
 // balancer removes it, hands its jobs over and finishes the requests in flight. Run then
 // returns ErrStopped.
-func (in *Instance) Stop() { in.Node.Stop() }
+func (in *Instance) Stop() { in.node.Stop() }
 
 // Reload reads the settings file again, validates it and logs whether it has changed. The
 // settings of a running instance are fixed: a changed file takes effect at the next
@@ -121,10 +118,10 @@
 	settings, err := platform.LoadSettings(path)
 	switch {
 	case err != nil:
-		in.Log("settings rejected", events.F("error", err.Error()))
-	case settings != in.Settings:
-		in.Log("settings changed", events.F("effect", "at the next start"))
+		in.node.Log("settings rejected", events.F("error", err.Error()))
+	case settings != in.node.Settings:
+		in.node.Log("settings changed", events.F("effect", "at the next start"))
 	default:
-		in.Log("settings unchanged")
+		in.node.Log("settings unchanged")
 	}
 }
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -11,8 +11,8 @@
 // peerHandler serves the other instances.
 func (in *Instance) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(node.AllowancePath, in.Allowances.Serve)
-	mux.HandleFunc("/", in.LogTransport.Relay)
+	mux.HandleFunc(node.AllowancePath, in.node.Allowances.Serve)
+	mux.HandleFunc("/", in.node.LogTransport.Relay)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(forward.HeaderRelayed) != "" { // any path
 			in.forwarder.ServeRelayed(w, r)
@@ -26,8 +26,8 @@
 // and relays calls to the log and callers' requests for instances that reach neither the log nor
 // a target.
 func (in *Instance) servePeers(ctx context.Context) error {
-	if in.Settings.Peers == "" {
+	if in.node.Settings.Peers == "" {
 		return nil
 	}
-	return in.serve(ctx, in.Settings.Peers, in.peerHandler(), nil)
+	return in.serve(ctx, in.node.Settings.Peers, in.peerHandler(), nil)
 }
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -31,19 +31,19 @@
 // stopping, has a configuration, has read the registry, and has read the operator topic
 // and the log within StaleAfter.
 func (in *Instance) ready() bool {
-	return !in.IsStopping() && in.CurrentView().Catalog != nil && in.ConfigFresh() && in.LogCurrent() &&
-		in.RegistryRead()
+	return !in.node.IsStopping() && in.node.CurrentView().Catalog != nil && in.node.ConfigFresh() && in.node.LogCurrent() &&
+		in.node.RegistryRead()
 }
 
 // serveReadiness serves the load balancer's health check: status 200 if the instance is
 // ready, else 503.
 func (in *Instance) serveReadiness(ctx context.Context) error {
 	wasReady := false
-	return in.serve(ctx, in.Settings.Readiness, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	return in.serve(ctx, in.node.Settings.Readiness, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		ready := in.ready()
 		if ready != wasReady {
 			wasReady = ready
-			in.Log("readiness changed", events.F("ready", fmt.Sprint(ready)))
+			in.node.Log("readiness changed", events.F("ready", fmt.Sprint(ready)))
 		}
 		if !ready {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -52,18 +52,18 @@
 }
 
 func (in *Instance) serveMetrics(ctx context.Context) error {
-	if in.Settings.Metrics == "" {
+	if in.node.Settings.Metrics == "" {
 		return nil
 	}
-	return in.serve(ctx, in.Settings.Metrics, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		in.Metrics.Set.WritePrometheus(w)
+	return in.serve(ctx, in.node.Settings.Metrics, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		in.node.Metrics.Set.WritePrometheus(w)
 		metrics.WriteProcessMetrics(w)
 	}), nil)
 }
 
 // serveFront serves callers and trainers until the instance has drained.
 func (in *Instance) serveFront(ctx context.Context) error {
-	return in.serve(ctx, in.Settings.Front, http.HandlerFunc(in.serveCaller), in.drain)
+	return in.serve(ctx, in.node.Settings.Front, http.HandlerFunc(in.serveCaller), in.drain)
 }
 
 // serve runs an HTTP server until ctx ends. If stop is not nil, the server runs until
@@ -104,18 +104,18 @@
 	select {
 	case <-ctx.Done():
 		return server.Close()
-	case <-in.StopStarted():
+	case <-in.node.StopStarted():
 	}
-	in.Log("instance stopping", events.F("grace", in.Settings.Grace.String()))
+	in.node.Log("instance stopping", events.F("grace", in.node.Settings.Grace.String()))
 	server.SetKeepAlivesEnabled(false)
-	graceCtx, cancel := context.WithTimeout(ctx, in.Settings.Grace-shutdownMargin)
+	graceCtx, cancel := context.WithTimeout(ctx, in.node.Settings.Grace-shutdownMargin)
 	defer cancel()
 	select {
 	case <-graceCtx.Done():
 	case <-time.After(deregistrationDelay):
 	}
 	if err := server.Shutdown(graceCtx); err != nil {
-		in.Log("instance cut requests", events.F("error", err.Error()))
+		in.node.Log("instance cut requests", events.F("error", err.Error()))
 	}
 	in.batch.WaitForHandover(graceCtx)
 	return ErrStopped
