--- a/internal/reference/reference_test.go
+++ b/internal/reference/reference_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, want := range []string{"lease taken", "certificate reloaded", "record void"} {
+	for _, want := range []string{"lease taken", "certificate reloaded", "record void", "log trimmed"} {
 		if !strings.Contains(strings.Join(names.Events, "\n"), want) {
 			t.Errorf("event %q was not found in the source", want)
 		}
