--- a/internal/hosted/scorer.go
+++ b/internal/batch/scorer.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -14,6 +14,8 @@
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/core/score"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -33,8 +35,8 @@
 // scorer obtains the scores of complete outputs from plain services. It receives outputs
 // that are stored in the log, and passes the scored results on to the result writer.
 type scorer struct {
-	instance *Instance
-	wake     chan struct{} // an output was added or a call has ended
+	batch *Batch
+	wake  chan struct{} // an output was added or a call has ended
 
 	mu      sync.Mutex
 	queue   *score.Queue
@@ -46,8 +48,8 @@
 	cancel context.CancelFunc // of the call in flight; nil: none
 }
 
-func newScorer(in *Instance) *scorer {
-	return &scorer{instance: in, wake: make(chan struct{}, 1), queue: score.New(), pending: map[score.Key]*pendingScore{}}
+func newScorer(b *Batch) *scorer {
+	return &scorer{batch: b, wake: make(chan struct{}, 1), queue: score.New(), pending: map[score.Key]*pendingScore{}}
 }
 
 // add adds a result whose output is stored. It ignores a result of a task that is being
@@ -61,7 +63,7 @@
 	}
 	r.output = nil // it is stored
 	s.pending[k] = &pendingScore{result: r}
-	s.queue.Add(s.instance.clock.Now(), r.scoring.item)
+	s.queue.Add(s.batch.Clock.Now(), r.scoring.item)
 	s.notify()
 }
 
@@ -92,7 +94,7 @@
 	for {
 		s.startCalls(ctx)
 		s.mu.Lock()
-		now := s.instance.clock.Now()
+		now := s.batch.Clock.Now()
 		delay, waits := s.queue.NextRetry(now)
 		if s.queue.Stalled(now) {
 			delay, waits = noTargetInterval, true
@@ -124,10 +126,10 @@
 			s.removeJob(id)
 		}
 	}
-	view := s.instance.stateLoop.view.Load()
+	view := s.batch.CurrentView()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, k := range s.queue.Next(s.instance.clock.Now(), score.Limit(s.slots(view), runners)) {
+	for _, k := range s.queue.Next(s.batch.Clock.Now(), score.Limit(s.slots(view), runners)) {
 		p := s.pending[k]
 		callCtx, cancel := context.WithCancel(ctx)
 		p.cancel = cancel
@@ -142,18 +144,18 @@
 // released them for handover, and how many instances run open jobs.
 func (s *scorer) ownJobs(ctx context.Context, jobs []string) (own map[string]bool, runners int) {
 	own = map[string]bool{}
-	in := s.instance
-	in.stateLoop.do(ctx, func() {
+	b := s.batch
+	b.StateLoop.Do(ctx, func() {
 		names := map[string]bool{}
-		for _, j := range in.stateLoop.state.Jobs {
+		for _, j := range b.StateLoop.State.Jobs {
 			if j.Open() {
 				names[j.Runner] = true
 			}
 		}
 		runners = len(names)
 		for _, id := range jobs {
-			j := in.stateLoop.state.Jobs[id]
-			own[id] = j != nil && j.Open() && (j.Runner == in.self || j.Runner == "")
+			j := b.StateLoop.State.Jobs[id]
+			own[id] = j != nil && j.Open() && (j.Runner == b.Self || j.Runner == "")
 		}
 	})
 	return own, runners
@@ -161,7 +163,7 @@
 
 // slots returns the slots of the ready targets of all services that score queued outputs.
 // It is called with mu held.
-func (s *scorer) slots(view *View) []int {
+func (s *scorer) slots(view *node.View) []int {
 	services := map[string]bool{}
 	for _, p := range s.pending {
 		if route, found := scoreRoute(view.Catalog, p.result.scoring.request); found {
@@ -206,36 +208,36 @@
 }
 
 // call makes one score call, with its attempts at several targets, and handles the outcome.
-func (s *scorer) call(ctx context.Context, view *View, r taskResult) {
-	in := s.instance
-	started := in.clock.Now()
+func (s *scorer) call(ctx context.Context, view *node.View, r taskResult) {
+	b := s.batch
+	started := b.Clock.Now()
 	route, found := scoreRoute(view.Catalog, r.scoring.request)
 	if !found {
 		if s.retained(r) {
-			s.giveUp(ctx, r, &requestAttempts{}, 0)
+			s.giveUp(ctx, r, &forward.Attempts{}, 0)
 			return
 		}
-		s.retry(r, "no route", &requestAttempts{})
+		s.retry(r, "no route", &forward.Attempts{})
 		return
 	}
 	maxFailures := max(route.MaxAttempts, r.scoring.job.MaxAttempts)
 	timeout := score.CallTimeout(s.timeLeft(view, r), route.TargetLatency)
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	attempted := in.runAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(in.rand64()), route, maxFailures-r.scoring.failures), started+timeout)
+	attempted := b.forwarder.RunAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(b.Rand64()), route, maxFailures-r.scoring.failures), started+timeout)
 	if ctx.Err() != nil {
 		return // removed from the queue
 	}
-	best := attempted.best
-	scored := best != nil && best.hasResponse() && best.status/100 == 2
-	unprocessable := best != nil && best.hasResponse() && best.status == http.StatusUnprocessableEntity
-	s.recordFailures(r, attempted.serverErrors)
-	took := in.clock.Now() - started
+	best := attempted.Best
+	scored := best != nil && best.HasResponse() && best.Status/100 == 2
+	unprocessable := best != nil && best.HasResponse() && best.Status == http.StatusUnprocessableEntity
+	s.recordFailures(r, attempted.ServerErrors)
+	took := b.Clock.Now() - started
 	switch {
 	case scored:
-		in.metrics.scored.Inc()
-		in.metrics.scoreTime.Update((in.clock.Now() - r.scoring.completedAt).Seconds())
-		r.score = best.platformHeader.Signature
+		b.Metrics.Scored.Inc()
+		b.Metrics.ScoreTime.Update((b.Clock.Now() - r.scoring.completedAt).Seconds())
+		r.score = best.PlatformHeader.Signature
 		s.finish(ctx, r, "scored", attempted, took)
 	case unprocessable, r.scoring.failures >= maxFailures, s.retained(r):
 		s.giveUp(ctx, r, attempted, took)
@@ -245,7 +247,7 @@
 }
 
 // timeLeft returns the time until the results of the task's job are due.
-func (s *scorer) timeLeft(view *View, r taskResult) time.Duration {
+func (s *scorer) timeLeft(view *node.View, r taskResult) time.Duration {
 	j := r.scoring.job
 	route, found := view.Catalog.RouteByName(j.Route)
 	if !found {
@@ -256,7 +258,7 @@
 
 // age returns the time since the job's submission.
 func (s *scorer) age(j *job.Job) time.Duration {
-	return time.Duration(s.instance.clock.Wall().UnixMilli()-j.SubmittedAt) * time.Millisecond
+	return time.Duration(s.batch.Clock.Wall().UnixMilli()-j.SubmittedAt) * time.Millisecond
 }
 
 // retained reports whether the task may be given up, as the retention of its job is over.
@@ -267,11 +269,11 @@
 
 // scoreRequest returns the request of a score call. It carries no account and no key, and
 // may be repeated whatever the kind of its route.
-func scoreRequest(r *job.ScoreRequest, service string, route *catalog.Route, maxAttempts int) *plainRequest {
-	return &plainRequest{
-		id: r.ID, method: http.MethodPost, host: r.Host, header: platform.ScoreHeader(r), body: r.Body, service: service,
-		url:  func(address string) *url.URL { return &url.URL{Scheme: "http", Host: address, Opaque: r.Path} },
-		kind: catalog.Idempotent, maxAttempts: max(1, maxAttempts), targetLatency: route.TargetLatency,
+func scoreRequest(r *job.ScoreRequest, service string, route *catalog.Route, maxAttempts int) *forward.PlainRequest {
+	return &forward.PlainRequest{
+		ID: r.ID, Method: http.MethodPost, Host: r.Host, Header: platform.ScoreHeader(r), Body: r.Body, Service: service,
+		URL:  func(address string) *url.URL { return &url.URL{Scheme: "http", Host: address, Opaque: r.Path} },
+		Kind: catalog.Idempotent, MaxAttempts: max(1, maxAttempts), TargetLatency: route.TargetLatency,
 	}
 }
 
@@ -281,26 +283,26 @@
 		return
 	}
 	r.scoring.failures += count
-	s.instance.appendRecordAsync(job.Record{Progress: &job.Progress{
+	s.batch.AppendRecordAsync(job.Record{Progress: &job.Progress{
 		Job: r.job, Term: r.scoring.term, ScoreFailures: []job.ScoreFailure{{Task: r.task, Count: count}},
 	}})
 }
 
 // giveUp lists the task as not completed, with its output.
-func (s *scorer) giveUp(ctx context.Context, r taskResult, attempted *requestAttempts, took time.Duration) {
-	s.instance.metrics.unscorable.Inc()
-	s.instance.metrics.givenUp.Inc()
+func (s *scorer) giveUp(ctx context.Context, r taskResult, attempted *forward.Attempts, took time.Duration) {
+	s.batch.Metrics.Unscorable.Inc()
+	s.batch.Metrics.GivenUp.Inc()
 	r.completed = false
 	s.finish(ctx, r, "given up", attempted, took)
 }
 
 // finish queues the result for the log and removes it from the scorer.
-func (s *scorer) finish(ctx context.Context, r taskResult, outcome string, attempted *requestAttempts, took time.Duration) {
+func (s *scorer) finish(ctx context.Context, r taskResult, outcome string, attempted *forward.Attempts, took time.Duration) {
 	s.logCall(r, outcome, attempted, took)
 	k := r.scoring.item.Key
 	r.scoring = nil
 	select {
-	case s.instance.resultWriter.queue <- r:
+	case s.batch.resultWriter.queue <- r:
 	case <-ctx.Done():
 		return
 	}
@@ -312,32 +314,32 @@
 }
 
 // retry returns a result without a score to the queue.
-func (s *scorer) retry(r taskResult, outcome string, attempted *requestAttempts) {
-	in := s.instance
-	in.metrics.scoreRetries.Inc()
+func (s *scorer) retry(r taskResult, outcome string, attempted *forward.Attempts) {
+	b := s.batch
+	b.Metrics.ScoreRetries.Inc()
 	s.logCall(r, outcome, attempted, 0)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if p := s.pending[r.scoring.item.Key]; p != nil {
 		p.cancel = nil
 	}
-	s.queue.Retry(in.clock.Now(), r.scoring.item.Key)
+	s.queue.Retry(b.Clock.Now(), r.scoring.item.Key)
 	s.notify()
 }
 
 var errNoTarget = errors.New("no target is ready")
 
-func (s *scorer) logCall(r taskResult, outcome string, attempted *requestAttempts, took time.Duration) {
+func (s *scorer) logCall(r taskResult, outcome string, attempted *forward.Attempts, took time.Duration) {
 	target, status, err := "", 0, errNoTarget
-	if best := attempted.best; best != nil {
-		target, status, err = best.target.ID, best.status, best.err
+	if best := attempted.Best; best != nil {
+		target, status, err = best.Target.ID, best.Status, best.Err
 	}
 	state := retry.NotRun
-	if attempted.best != nil {
-		state = attempted.best.outcome
+	if attempted.Best != nil {
+		state = attempted.Best.Outcome
 	}
-	s.instance.log("score call", events.F("job", r.job), events.F("task", r.id), events.F("request", r.scoring.request.ID),
+	s.batch.Log("score call", events.F("job", r.job), events.F("task", r.id), events.F("request", r.scoring.request.ID),
 		events.F("outcome", outcome), events.F("target", target), events.F("status", fmt.Sprint(status)), events.F("attempt", state.String()),
-		events.F("tries", fmt.Sprint(attempted.startedAttempts)), events.F("failures", fmt.Sprint(r.scoring.failures)),
+		events.F("tries", fmt.Sprint(attempted.StartedAttempts)), events.F("failures", fmt.Sprint(r.scoring.failures)),
 		events.F("took", took.Round(time.Millisecond).String()), events.F("error", fmt.Sprint(err)))
 }
--- a/internal/hosted/stream.go
+++ b/internal/batch/stream.go
@@ -1,4 +1,4 @@
-package hosted
+package batch
 
 import (
 	"context"
@@ -12,6 +12,7 @@
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -51,29 +52,29 @@
 
 // runTask runs the task at the engine until the stream ends, and adds its events to the
 // output.
-func (in *Instance) runTask(ctx context.Context, r taskRun) runEnd {
+func (b *Batch) runTask(ctx context.Context, r taskRun) runEnd {
 	end := runEnd{run: r.id, key: r.key, taskID: r.task.ID, engine: r.target.ID, outcome: assign.Broken}
 	lastEvent := r.output.startRun(r.id, r.target.Software)
 	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.remaining, lastEvent)
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: r.target.Address, Opaque: r.task.Path}, Host: r.host,
 		Header:        header,
-		Body:          nonReplayableBody(http.MethodPost, header, r.task.Body),
+		Body:          forward.NonReplayableBody(http.MethodPost, header, r.task.Body),
 		ContentLength: int64(len(r.task.Body)),
 	}
-	sentAt := in.clock.Now()
-	res, err := in.targetClient.Do(req.WithContext(ctx))
+	sentAt := b.Clock.Now()
+	res, err := b.TargetClient.Do(req.WithContext(ctx))
 	if err != nil {
 		end.err = err
-		in.noteNoAnswer(ctx, r.target)
+		b.NoteNoAnswer(ctx, r.target)
 		return markCanceled(ctx, end)
 	}
 	defer res.Body.Close()
 	response := platform.DecodeResponseHeader(res)
-	in.noteResponse(ctx, r.target, response, r.task.ID, sentAt)
+	b.NoteResponse(ctx, r.target, response, r.task.ID, sentAt)
 	switch {
 	case response.RequestID != r.task.ID && (response.RequestID != "" || !response.NotRun):
-		end.err = fmt.Errorf("%w: %q", errRequestIDMismatch, response.RequestID)
+		end.err = fmt.Errorf("%w: %q", forward.ErrRequestIDMismatch, response.RequestID)
 	case response.NotRun:
 		end.outcome, end.err = assign.NotRun, fmt.Errorf("refused with status %d", res.StatusCode)
 	case res.StatusCode == http.StatusUnprocessableEntity:
@@ -83,7 +84,7 @@
 	case res.StatusCode != http.StatusOK || response.Signature == "":
 		end.err = fmt.Errorf("%w: status %d", errNotStream, res.StatusCode)
 	default:
-		end.outcome, end.err = in.readEvents(res.Body, r, response.Version)
+		end.outcome, end.err = b.readEvents(res.Body, r, response.Version)
 	}
 	return markCanceled(ctx, end)
 }
@@ -99,7 +100,7 @@
 
 // readEvents adds the events of a stream to the output until the stream ends. version is
 // the engine's weight version at the start of the stream.
-func (in *Instance) readEvents(body io.Reader, r taskRun, version int64) (assign.Outcome, error) {
+func (b *Batch) readEvents(body io.Reader, r taskRun, version int64) (assign.Outcome, error) {
 	reader := platform.NewEventReader(body)
 	for {
 		if version < r.minVersion {
@@ -115,7 +116,7 @@
 		if err != nil {
 			return assign.Broken, err
 		}
-		in.links.heard()
+		b.Links.Heard()
 		if e.Version > 0 && e.Version != version {
 			if r.singleVersion {
 				r.output.reset()
@@ -126,7 +127,7 @@
 				continue
 			}
 		}
-		if !r.output.addEvent(r.id, e.Number, e.Data, version, in.clock.Now()) {
+		if !r.output.addEvent(r.id, e.Number, e.Data, version, b.Clock.Now()) {
 			return assign.Broken, fmt.Errorf("%w: number %d", errEventGap, e.Number)
 		}
 	}
--- /dev/null
+++ b/internal/hosted/peers.go
@@ -0,0 +1,33 @@
+package hosted
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/amaranthfold/amaranthfold/internal/forward"
+	"github.com/amaranthfold/amaranthfold/internal/node"
+)
+
+// peerHandler serves the other instances.
+func (in *Instance) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(node.AllowancePath, in.node.Allowances.Serve)
+	mux.HandleFunc("/", in.node.LogTransport.Relay)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(forward.HeaderRelayed) != "" { // any path
+			in.forwarder.ServeRelayed(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// servePeers serves the other instances: it grants requests to targets that limit their rate,
+// and relays calls to the log and callers' requests for instances that reach neither the log nor
+// a target.
+func (in *Instance) servePeers(ctx context.Context) error {
+	if in.node.Settings.Peers == "" {
+		return nil
+	}
+	return in.serve(ctx, in.node.Settings.Peers, in.peerHandler(), nil)
+}
