core/size: a planner orders what a loss of targets takes from the peak

Cause: targets were ordered only where a job had come near its deadline while its tasks waited, so a reclaimed or evacuated data centre was replaced a step late. A data centre that refused was asked every second, and an order stated the ready targets only, so it could stop draining ones. Change: Forecast estimates the peak, the next step and the end of the demand; Planner keeps the targets, the observed boot time and the orders, and orders what is missing in the other data centres when it learns of the loss. Nothing uses the planner yet.

--- a/core/size/size.go
+++ b/core/size/size.go
@@ -1,15 +1,11 @@
-// Package size computes how many targets a service should have in each data centre.
+// Package size decides how many targets a service should have in each data centre.
 //
-// Its caller passes in the peak of tasks, the bounds with the prices and the present
-// targets, and sends the orders. The result covers the demand within the bounds and is
-// spread evenly. The package keeps no state and performs no I/O.
+// Its caller passes in the time, the jobs, the registered targets, the bounds with the prices
+// and the outcomes of orders, and sends the orders. A Forecast estimates the load from the jobs,
+// a Planner orders what is missing for it. The package performs no I/O.
 package size
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // Demand is the load of a service.
 type Demand struct {
@@ -48,13 +44,7 @@
 // Max targets. They are spread evenly, to minimise the loss when a data centre fails; at
 // equal numbers the cheapest data centre gets the next target.
 func DesiredTargets(d Demand, b Bounds, present map[string]int) map[string]int {
-	dataCentres := make([]string, 0, len(b.Prices))
-	for dc := range b.Prices {
-		dataCentres = append(dataCentres, dc)
-	}
-	slices.SortFunc(dataCentres, func(x, y string) int {
-		return cmp.Or(cmp.Compare(b.Prices[x], b.Prices[y]), cmp.Compare(x, y))
-	})
+	dataCentres := byPrice(b)
 	desired := make(map[string]int, len(dataCentres))
 	total := 0
 	for _, dc := range dataCentres {
