--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -77,6 +77,7 @@
 type Scaling struct {
 	Min, Max int
 	Prices   map[string]float64 // price of a target per second, by data centre
+	Boot     time.Duration      // from an order to the registration of the target; zero: not stated
 }
 
 // Service is a group of interchangeable targets.
