Hosted: the controller orders what the planner finds missing

Cause: scaling.go ordered for the peak once a job was nearly late, every second, and ended the holder's duties when a data centre had no targets. What is refused is asked of the other data centres in the same step; a log line for each order and for each change of what is missing, with the inputs and their age; metrics of orders, wanted and missing targets.

--- a/internal/hosted/duty.go
+++ b/internal/hosted/duty.go
@@ -95,8 +95,8 @@
 		if held {
 			in.reportUsage(ctx)
 			c.weightUpdater.step(ctx)
-			c.scaler.step(ctx)
 		}
+		c.scaler.step(ctx, held)
 	})
 }
 
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -219,7 +219,7 @@
 		UsageWindow: 500 * time.Millisecond, JobRetention: 120 * time.Second,
 		Store:        platform.StoreSettings{Address: address(server), Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, Retention: 2 * time.Second},
 		Cloud:        d.cloudAddress,
-		ReportsUsage: true,
+		ReportsUsage: true, Autoscales: true,
 	}
 	logOutput := logline.New(d.logs)
 	links := newTargetLinks()
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -1,6 +1,10 @@
 package hosted
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 // metricSet holds an instance's counters and histograms.
 type metricSet struct {
@@ -67,3 +71,15 @@
 		scoreTime:    set.NewHistogram("amaranth_hosted_score_seconds"),
 	}
 }
+
+// setTargets sets the number of targets that the load of a service calls for, and how many of
+// them are missing.
+func (m *metricSet) setTargets(service string, wanted, missing int) {
+	m.set.GetOrCreateGauge(fmt.Sprintf(`amaranth_hosted_targets_wanted{service=%q}`, service), nil).Set(float64(wanted))
+	m.set.GetOrCreateGauge(fmt.Sprintf(`amaranth_hosted_targets_missing{service=%q}`, service), nil).Set(float64(missing))
+}
+
+// targetOrder counts an order of targets by its outcome.
+func (m *metricSet) targetOrder(outcome string) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`amaranth_hosted_target_orders_total{outcome=%q}`, outcome)).Inc()
+}
--- a/internal/hosted/scaling.go
+++ b/internal/hosted/scaling.go
@@ -2,136 +2,209 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
-	"maps"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/size"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-const (
-	// peakWindow is the period over which the peak demand of a service is measured: several
-	// steps of its trainers.
-	peakWindow = 30 * time.Second
-	// scaleInterval is the time between adjustments of the number of targets. A new target
-	// takes seconds to start.
-	scaleInterval = time.Second
-)
+// scaleObserveInterval is the time between two observations of an instance that does not order
+// targets. It needs to know only what was there when it begins to.
+const scaleObserveInterval = time.Second
 
 // scaler orders targets from the platform for the services that the configuration allows
 // to scale. Only the controller's goroutine uses it.
 type scaler struct {
 	instance *Instance
-	ordered  map[scaleKey]int // number of targets ordered under term
-	term     int64            // of the controller lease
+	services map[string]*scaledService
+	term     int64 // of the controller lease
 	nextStep time.Duration
-	peaks    map[string]peakDemand // by service
 }
 
-type scaleKey struct{ service, dataCentre string }
-
-// peakDemand is a service's largest demand within peakWindow.
-type peakDemand struct {
-	tasks        int           // waiting or running
-	observedAt   time.Duration // when tasks was observed
-	lastShortage time.Duration // when a job last needed more targets; zero: never
+// scaledService is the planner of a service with what it was told last.
+type scaledService struct {
+	name     string
+	forecast *size.Forecast
+	planner  *size.Planner
+	input    size.Input
+	plan     size.Plan // the last one that was logged as without an order
 }
 
 func newScaler(in *Instance) *scaler {
-	return &scaler{instance: in, ordered: map[scaleKey]int{}, peaks: map[string]peakDemand{}}
+	return &scaler{instance: in, services: map[string]*scaledService{}}
 }
 
-// step orders more targets for the services whose demand requires them.
-func (s *scaler) step(ctx context.Context) {
+// step observes the services and, if the instance holds the controller lease, orders the targets
+// that are missing.
+func (s *scaler) step(ctx context.Context, held bool) {
 	in := s.instance
 	now := in.clock.Now()
 	view := in.stateLoop.view.Load()
-	if !in.cfg.Settings.Autoscales || in.cloud == nil || view.Catalog == nil || now < s.nextStep {
+	if !in.cfg.Settings.Autoscales || in.cloud == nil || view.Catalog == nil || !held && now < s.nextStep {
 		return
 	}
-	s.nextStep = now + scaleInterval
-	s.observe(ctx, view, now)
+	s.nextStep = now + scaleObserveInterval
+	jobs, evacuated := s.jobs(ctx, view)
 	for name, service := range view.Catalog.Services {
-		p := s.peaks[name]
-		if service.Scaling == nil || p.lastShortage == 0 || now-p.lastShortage > peakWindow {
+		if service.Scaling == nil {
 			continue
 		}
-		present, evacuated, slots := map[string]int{}, map[string]bool{}, 0
+		scaled := s.service(name, service.Scaling)
+		scaled.input = size.Input{
+			Evacuated: evacuated, Load: scaled.forecast.Observe(now, jobs[name]),
+			Bounds: size.Bounds{Min: service.Scaling.Min, Max: service.Scaling.Max, Prices: service.Scaling.Prices},
+		}
 		for _, t := range view.Targets {
-			switch {
-			case t.Service != name:
-			case t.Evacuated: // an order here would be for targets that get no requests
-				evacuated[t.DataCentre] = true
-			case t.Ready:
-				present[t.DataCentre]++
-				slots = max(slots, t.Slots)
+			if t.Service == name {
+				scaled.input.Targets = append(scaled.input.Targets, size.Target{
+					ID: t.ID, DataCentre: t.DataCentre, Slots: t.Slots, Ready: t.Ready,
+					LeavesIn: t.ReclaimedIn, Evacuated: t.Evacuated, Cold: t.Cold,
+				})
 			}
 		}
-		bounds := size.Bounds{Min: service.Scaling.Min, Max: service.Scaling.Max, Prices: maps.Clone(service.Scaling.Prices)}
-		maps.DeleteFunc(bounds.Prices, func(dataCentre string, _ float64) bool { return evacuated[dataCentre] })
-		for dataCentre, count := range size.DesiredTargets(size.Demand{PeakTasks: p.tasks, SlotsPerTarget: slots}, bounds, present) {
-			s.orderTargets(ctx, scaleKey{name, dataCentre}, count, present[dataCentre])
+		if !held {
+			scaled.planner.Observe(now, scaled.input)
+			continue
+		}
+		s.order(ctx, scaled)
+	}
+}
+
+// service returns the planner of a service.
+func (s *scaler) service(name string, scaling *catalog.Scaling) *scaledService {
+	if s.services[name] == nil {
+		in := s.instance
+		boot := scaling.Boot
+		if boot <= 0 {
+			boot = in.cfg.Settings.Boot
+		}
+		s.services[name] = &scaledService{
+			name: name, forecast: size.NewForecast(), planner: size.NewPlanner(size.Settings{Boot: boot, Lapse: in.registryDelay()}),
 		}
 	}
+	return s.services[name]
 }
 
-// observe updates the peak demand of each service, from the jobs that are open or were
-// closed within peakWindow.
-func (s *scaler) observe(ctx context.Context, view *View, now time.Duration) {
+// jobs returns the jobs by service, and the evacuated data centres.
+func (s *scaler) jobs(ctx context.Context, view *View) (jobs map[string][]size.Job, evacuated []string) {
 	in := s.instance
-	tasks, needsTargets := map[string]int{}, map[string]bool{}
+	jobs = map[string][]size.Job{}
 	in.stateLoop.do(ctx, func() {
+		evacuated = in.stateLoop.targets.Evacuated()
 		for _, j := range in.stateLoop.state.Jobs {
 			route, found := view.Catalog.RouteByName(j.Route)
-			if !found || len(route.Split) == 0 || !j.Open() && now-j.ClosedAt > peakWindow {
+			if !found || len(route.Split) == 0 {
 				continue
 			}
 			service := route.Split[0].Service
-			needsTargets[service] = needsTargets[service] || size.NeedsMoreTargets(j.MaxSlotWait, j.OpenDuration(now), route.ResultDeadline)
-			openTasks := 0
-			if j.Open() {
-				openTasks = len(j.Tasks) - len(j.Results)
-			}
-			tasks[service] += openTasks
+			jobs[service] = append(jobs[service], sizedJob(j, route))
 		}
 	})
-	for service, count := range tasks {
-		p := s.peaks[service]
-		if count >= p.tasks || now-p.observedAt > peakWindow {
-			p.tasks, p.observedAt = count, now
+	return jobs, evacuated
+}
+
+func sizedJob(j *job.Job, route *catalog.Route) size.Job {
+	out := size.Job{
+		Stream: j.Account + "/" + route.Name + "/" + j.Model, SubmittedAt: j.FirstSeenAt,
+		SlotWait: j.MaxSlotWait, Deadline: route.ResultDeadline,
+	}
+	if j.Open() {
+		out.OpenTasks = len(j.Tasks) - len(j.Results)
+	} else {
+		out.ClosedAt = max(j.ClosedAt, 1)
+	}
+	return out
+}
+
+// order sends the orders of the plan. What one data centre refuses is asked of the others at
+// once.
+func (s *scaler) order(ctx context.Context, scaled *scaledService) {
+	in := s.instance
+	for range 1 + len(scaled.input.Bounds.Prices) {
+		now := in.clock.Now()
+		plan := scaled.planner.Plan(now, scaled.input)
+		in.metrics.setTargets(scaled.name, plan.Wanted, plan.Missing)
+		if len(plan.Orders) == 0 {
+			s.logNoOrder(scaled, plan)
+			return
+		}
+		refused := false
+		for _, o := range plan.Orders {
+			outcome, sent := s.send(ctx, scaled, plan, o)
+			if !sent {
+				return
+			}
+			refused = refused || outcome == size.Refused
 		}
-		if needsTargets[service] {
-			p.lastShortage = now
+		if !refused {
+			return
 		}
-		s.peaks[service] = p
 	}
 }
 
-// orderTargets orders a number of targets of a service in a data centre, unless that many
-// are present or were ordered under this term.
-func (s *scaler) orderTargets(ctx context.Context, key scaleKey, count, present int) {
+// send sends an order. It reports false if the instance does not hold the lease any more.
+func (s *scaler) send(ctx context.Context, scaled *scaledService, plan size.Plan, o size.Order) (outcome size.Outcome, sent bool) {
 	in := s.instance
 	holder, held := in.controller.holder(ctx)
 	if !held {
-		return
+		return size.Unknown, false
 	}
 	if holder.Fencing != s.term {
 		s.term = holder.Fencing
-		clear(s.ordered)
-	}
-	if count <= max(present, s.ordered[key]) {
-		return
+		for _, other := range s.services {
+			other.planner.ForgetOrders() // another holder may have ordered since
+		}
 	}
 	callCtx, cancel := context.WithTimeout(ctx, in.controller.callTimeout())
 	defer cancel()
-	err := in.cloud.Scale(callCtx, holder, key.service, key.dataCentre, count)
-	in.log("targets ordered", events.F("service", key.service), events.F("data_centre", key.dataCentre),
-		events.F("count", fmt.Sprint(count)), events.F("present", fmt.Sprint(present)),
-		events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", fmt.Sprint(err)))
-	if err != nil {
-		in.controller.checkSuperseded(holder, err)
-		return
+	err := in.cloud.Scale(callCtx, holder, scaled.name, o.DataCentre, o.Count)
+	in.controller.checkSuperseded(holder, err)
+	if errors.Is(err, platform.ErrSuperseded) {
+		return size.Unknown, false
+	}
+	text := "accepted"
+	switch {
+	case err == nil:
+		outcome = size.Accepted
+	case errors.Is(err, platform.ErrNoneAvailable), errors.Is(err, platform.ErrRefused):
+		outcome, text = size.Refused, "refused"
+	default:
+		text = "unknown"
+	}
+	scaled.planner.SetOutcome(in.clock.Now(), o, outcome)
+	in.metrics.targetOrder(text)
+	in.log("targets ordered", append(s.planFields(scaled, plan),
+		events.F("data_centre", o.DataCentre), events.F("count", fmt.Sprint(o.Count)), events.F("present", fmt.Sprint(o.Running)),
+		events.F("repeat", fmt.Sprint(o.Repeat)), events.F("term", fmt.Sprint(holder.Fencing)),
+		events.F("outcome", text), events.F("error", fmt.Sprint(err)))...)
+	return outcome, true
+}
+
+// logNoOrder logs a plan that leaves targets missing, once until its reason or number changes.
+func (s *scaler) logNoOrder(scaled *scaledService, plan size.Plan) {
+	last := scaled.plan
+	scaled.plan = plan
+	if plan.Missing > 0 && (plan.Missing != last.Missing || plan.Reason != last.Reason) {
+		s.instance.log("targets not ordered", s.planFields(scaled, plan)...)
+	}
+}
+
+// planFields returns the inputs of a plan and their age.
+func (s *scaler) planFields(scaled *scaledService, plan size.Plan) []events.Field {
+	in := s.instance
+	load := scaled.input.Load
+	return []events.Field{
+		events.F("service", scaled.name), events.F("reason", plan.Reason), events.F("wanted", fmt.Sprint(plan.Wanted)),
+		events.F("usable", fmt.Sprint(plan.Usable)), events.F("absent", fmt.Sprint(plan.Absent)),
+		events.F("pending", fmt.Sprint(plan.Pending)), events.F("missing", fmt.Sprint(plan.Missing)),
+		events.F("peak", fmt.Sprint(load.PeakTasks)), events.F("peak_age", load.PeakAge.Round(time.Millisecond).String()),
+		events.F("ends_in", (load.Ends - in.clock.Now()).Round(time.Millisecond).String()),
+		events.F("boot", plan.Boot.String()),
+		events.F("registry_age", in.sinceLastRead(&in.stateLoop.lastRegistryRead).Round(time.Millisecond).String()),
 	}
-	s.ordered[key] = count
 }
--- a/internal/standin/hostplatform/cloud.go
+++ b/internal/standin/hostplatform/cloud.go
@@ -11,7 +11,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/standin"
 )
 
-// Cloud serves the /usage call of the platform's cloud interface. It accepts usage
+// Cloud serves the /usage and /scale calls of the platform's cloud interface. It accepts usage
 // reports whose fencing number is not stale. After LeaveUnchecked it accepts them all.
 type Cloud struct {
 	mu             sync.Mutex
@@ -24,11 +24,49 @@
 	holders        map[int64]string           // lease holders by fencing number
 	reportedCounts map[int64]map[string]int64 // requests by window, then by account
 	violations     []string
+	orders         []ScaleOrder
+	refusesOrders  map[string]bool // by data centre
+}
+
+// ScaleOrder is an accepted order of targets.
+type ScaleOrder struct {
+	Service    string `json:"service"`
+	DataCentre string `json:"zone"`
+	Count      int    `json:"group-count"`
+}
+
+// RefuseOrders makes a data centre answer orders of targets that none are available.
+func (c *Cloud) RefuseOrders(dataCentre string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refusesOrders[dataCentre] = true
+}
+
+// ScaleOrders returns the accepted orders of targets.
+func (c *Cloud) ScaleOrders() []ScaleOrder {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]ScaleOrder(nil), c.orders...)
+}
+
+// scale serves an order of targets, without its effect.
+func (c *Cloud) scale(w http.ResponseWriter, r *http.Request) {
+	var o ScaleOrder
+	if !standin.ReadJSON(w, r, &o) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refusesOrders[o.DataCentre] {
+		http.Error(w, "none available", http.StatusConflict)
+		return
+	}
+	c.orders = append(c.orders, o)
 }
 
 // NewCloud returns a Cloud that has received no reports.
 func NewCloud() *Cloud {
-	return &Cloud{holders: map[int64]string{}, reportedCounts: map[int64]map[string]int64{}, lastCall: map[string]time.Time{}, tookTurn: map[string]bool{}}
+	return &Cloud{holders: map[int64]string{}, reportedCounts: map[int64]map[string]int64{}, lastCall: map[string]time.Time{}, tookTurn: map[string]bool{}, refusesOrders: map[string]bool{}}
 }
 
 // LeaveUnchecked makes the platform accept stale fencing numbers. A call with one is then a
@@ -83,6 +121,10 @@
 		Window int64            `json:"window-id"`
 		Counts map[string]int64 `json:"counts"`
 	}
+	if r.URL.Path == "/scale" {
+		c.scale(w, r)
+		return
+	}
 	if r.URL.Path != "/usage" {
 		http.NotFound(w, r)
 		return
