--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -108,8 +108,8 @@
 		if held {
 			c.reportUsage(ctx)
 			c.weightUpdater.step(ctx)
-			c.scaler.step(ctx)
 		}
+		c.scaler.step(ctx, held)
 	})
 }
 
--- a/internal/node/availability.go
+++ b/internal/node/availability.go
@@ -29,7 +29,8 @@
 	return out
 }
 
-func (n *Node) registryDelay() time.Duration {
+// RegistryDelay returns how late the registry may tell of a change.
+func (n *Node) RegistryDelay() time.Duration {
 	if d := n.Settings.RegistryDelay; d > 0 {
 		return d
 	}
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -123,6 +123,9 @@
 	close(*s.changed.Swap(&next))
 }
 
+// Evacuated returns the evacuated data centres. It must run on the state goroutine.
+func (s *StateLoop) Evacuated() []string { return s.targets.Evacuated() }
+
 // NextChange returns a channel that is closed at the next change. A waiter must call it
 // before it reads the state, or it may miss a change.
 func (s *StateLoop) NextChange() <-chan struct{} { return *s.changed.Load() }
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -65,6 +65,9 @@
 // ConfigFresh reports whether the operator topic was read within StaleAfter.
 func (n *Node) ConfigFresh() bool { return n.ConfigAge() < StaleAfter }
 
+// RegistryAge returns the time since the registry was read.
+func (n *Node) RegistryAge() time.Duration { return n.sinceLastRead(&n.StateLoop.lastRegistryRead) }
+
 // RegistryRead reports whether the registry has been read.
 func (n *Node) RegistryRead() bool { return n.StateLoop.lastRegistryRead.Load() != 0 }
 
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -1,6 +1,10 @@
 package node
 
-import "github.com/VictoriaMetrics/metrics"
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+)
 
 // Metrics holds an instance's counters and histograms.
 type Metrics struct {
@@ -67,3 +71,15 @@
 		ScoreTime:    set.NewHistogram("amaranth_hosted_score_seconds"),
 	}
 }
+
+// SetTargets sets the number of targets that the load of a service calls for, and how many of
+// them are missing.
+func (m *Metrics) SetTargets(service string, wanted, missing int) {
+	m.Set.GetOrCreateGauge(fmt.Sprintf(`amaranth_hosted_targets_wanted{service=%q}`, service), nil).Set(float64(wanted))
+	m.Set.GetOrCreateGauge(fmt.Sprintf(`amaranth_hosted_targets_missing{service=%q}`, service), nil).Set(float64(missing))
+}
+
+// CountTargetOrder counts an order of targets by its outcome.
+func (m *Metrics) CountTargetOrder(outcome string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`amaranth_hosted_target_orders_total{outcome=%q}`, outcome)).Inc()
+}
