Hosted instances exchange the occupancy of engines

Cause: the exchange had neither peers nor loads. Change: hosted instances serve /occupancy to other instances and run the exchange. The runners are those that run an open job or ran the latest job of a model, with the incarnation that the log names. engineOccupancy has two function fields, loads and setOthers, for the scheduler; while they are nil, nothing is sent and the scheduler decides as before. Its loads are read at most every 20 ms, as each read goes through all runs.

--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -12,6 +12,7 @@
 
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -273,6 +274,7 @@
 func (in *Instance) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(allowancePath, in.allowances.serve)
+	mux.Handle(occupancy.Path, in.occupancy.exchange.Handler())
 	mux.HandleFunc("/", in.logTransport.relay)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerRelayed) != "" { // any path
@@ -284,7 +286,7 @@
 }
 
 // servePeers serves the other instances: it grants requests to targets that limit their rate,
-// and relays calls to the log and callers' requests for instances that reach neither the log nor
+// takes the occupancy of engines by other runners, and relays calls to the log and callers' requests for instances that reach neither the log nor
 // a target.
 func (in *Instance) servePeers(ctx context.Context) error {
 	if in.cfg.Settings.Peers == "" {
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -77,6 +77,7 @@
 	allowances    *allowances
 	links         *linkMonitor
 	relays        *relays
+	occupancy     *engineOccupancy
 	crashDetector *crashDetector
 	poisonGuard   *poisonGuard
 	runner        *runner
@@ -135,6 +136,7 @@
 	in.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
 	in.allowances = newAllowances(in)
 	in.relays = newRelays(in)
+	in.occupancy = newEngineOccupancy(in)
 	in.crashDetector = newCrashDetector(in)
 	in.poisonGuard = newPoisonGuard(in)
 	in.runner = newRunner(in)
@@ -170,7 +172,7 @@
 		in.stateLoop.run, in.controlLog.run, in.contentLog.run,
 		in.followLog, in.watchOperator, in.watchRegistry, in.publishWarmTargets,
 		in.serveFront, in.serveReadiness, in.serveMetrics, in.servePeers, in.logTransport.run, in.announce,
-		in.poisonGuard.run, in.links.run, in.runner.run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
+		in.poisonGuard.run, in.links.run, in.runner.run, in.occupancy.exchange.Run, in.resultWriter.run, in.scorer.run, in.claimOrphans, in.controller.run, in.usageCounter.run,
 	} {
 		group.Go(func() error { return f(ctx) })
 	}
--- /dev/null
+++ b/internal/hosted/occupancy.go
@@ -0,0 +1,105 @@
+package hosted
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/job"
+	core "github.com/amaranthfold/amaranthfold/core/occupancy"
+	"github.com/amaranthfold/amaranthfold/internal/occupancy"
+)
+
+const (
+	occupancyDialTimeout = 100 * time.Millisecond // another instance accepts a connection within milliseconds
+	occupancyIdleTimeout = 30 * time.Second       // shorter than the idle timeout of the listener
+	// loadsInterval is the shortest time between two reads of the scheduler's loads, which go
+	// through all its runs.
+	loadsInterval = 20 * time.Millisecond
+)
+
+// engineOccupancy connects the runner's scheduler to the exchange of occupancy with the other
+// runners. The exchange reads own and runners; only the runner's goroutine uses the other fields.
+type engineOccupancy struct {
+	exchange *occupancy.Exchange
+	own      atomic.Pointer[[]core.Load]
+	runners  atomic.Pointer[[]occupancy.Runner]
+
+	// loads returns the runs and tokens of the scheduler by engine, and setOthers gives it those
+	// of the other runners. nil: the scheduler decides without the other runners.
+	loads     func() []core.Load
+	setOthers func(map[string]core.Load)
+
+	sumVersion uint64        // of the sum that setOthers was last called with
+	readAt     time.Duration // when loads was last called
+	due        chan struct{} // receives a value when a read that was put off is due
+	readPutOff bool
+}
+
+func newEngineOccupancy(in *Instance) *engineOccupancy {
+	o := &engineOccupancy{due: make(chan struct{}, 1), readAt: -loadsInterval}
+	o.own.Store(&[]core.Load{})
+	o.runners.Store(&[]occupancy.Runner{})
+	o.exchange = occupancy.New(occupancy.Config{
+		Self: in.cfg.Settings.Instance, Incarnation: in.clock.Wall().UnixMilli(), Clock: in.clock,
+		Loads:   func() []core.Load { return *o.own.Load() },
+		Runners: func() []occupancy.Runner { return *o.runners.Load() },
+		Known:   func(name string) bool { return in.allowances.peers.Load().addresses[name] != "" },
+		Client: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: occupancyDialTimeout}).DialContext,
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: occupancyIdleTimeout, DisableCompression: true,
+		}},
+		Log: in.log, Metrics: in.metrics.set,
+	})
+	return o
+}
+
+// runnersOf returns the instances that run an open job or ran the latest job of a model. It runs
+// on the state goroutine.
+func runnersOf(s *job.State) []occupancy.Runner {
+	incarnations := map[string]bool{}
+	for _, j := range s.Jobs {
+		if j.Open() {
+			incarnations[j.Runner] = true
+		}
+	}
+	for _, r := range s.Runners {
+		incarnations[r.Name] = true
+	}
+	var out []occupancy.Runner
+	for incarnation := range incarnations {
+		name := incarnation[:max(0, strings.LastIndex(incarnation, "/"))]
+		if i := s.Instances[name]; i.Incarnation == incarnation && i.PeerAddress != "" {
+			out = append(out, occupancy.Runner{Name: name, Address: i.PeerAddress})
+		}
+	}
+	return out
+}
+
+// takeOthers gives the scheduler the loads of the other runners.
+func (o *engineOccupancy) takeOthers(now time.Duration) {
+	if o.setOthers == nil {
+		return
+	}
+	if sum := o.exchange.Sum(now); sum.Version != o.sumVersion {
+		o.sumVersion = sum.Version
+		o.setOthers(sum.Loads)
+	}
+}
+
+// readLoads passes the scheduler's loads to the exchange, at most once in loadsInterval.
+func (o *engineOccupancy) readLoads(now time.Duration) {
+	switch wait := o.readAt + loadsInterval - now; {
+	case o.loads == nil || wait > 0 && o.readPutOff:
+	case wait > 0:
+		o.readPutOff = true
+		time.AfterFunc(wait, func() { o.due <- struct{}{} })
+	default:
+		o.readAt = now
+		loads := o.loads()
+		o.own.Store(&loads)
+		o.exchange.Changed()
+	}
+}
--- a/internal/hosted/runner.go
+++ b/internal/hosted/runner.go
@@ -11,6 +11,7 @@
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/score"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 )
 
 const (
@@ -129,12 +130,16 @@
 		if r.syncJobs(ctx) {
 			reviewTimer.Reset(reviewInterval)
 		}
+		r.instance.occupancy.takeOthers(r.instance.clock.Now())
 		r.startRuns(ctx)
+		r.instance.occupancy.readLoads(r.instance.clock.Now())
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
 		case <-linksChanged:
+		case <-r.instance.occupancy.due:
+			r.instance.occupancy.readPutOff = false
 		case end := <-r.runEnds:
 			r.onRunEnd(end)
 			r.drainRunEnds()
@@ -189,7 +194,9 @@
 	assigned := map[string]jobSnapshot{}
 	var orders map[string]job.LoadOrder
 	var allowedStaleness map[string]int64
+	var runners []occupancy.Runner
 	in.stateLoop.do(ctx, func() {
+		runners = runnersOf(in.stateLoop.state)
 		for id, j := range in.stateLoop.state.Jobs {
 			released := j.Runner == "" && r.jobs[id] != nil // released for handover, not claimed yet
 			if (j.Runner == in.self || released) && j.Open() {
@@ -202,6 +209,7 @@
 		}
 		allowedStaleness = maps.Clone(in.stateLoop.allowedStaleness)
 	})
+	in.occupancy.runners.Store(&runners)
 	view := in.stateLoop.view.Load()
 	r.scheduler.SetEngines(schedulerEngines(view, orders, allowedStaleness))
 	if newest := latestOrderTime(orders); newest > r.latestOrderAt {
