--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
@@ -33,8 +34,11 @@
 // Loops returns the functions that run, record, score and claim jobs. Each runs until its
 // context ends.
 func (b *Batch) Loops() []func(context.Context) error {
-	return []func(context.Context) error{b.runner.run, b.resultWriter.run, b.scorer.run, b.claimOrphans}
+	return []func(context.Context) error{b.runner.run, b.runner.occupancy.exchange.Run, b.resultWriter.run, b.scorer.run, b.claimOrphans}
 }
 
+// OccupancyHandler serves messages of other runners about the engines that they use.
+func (b *Batch) OccupancyHandler() http.Handler { return b.runner.occupancy.exchange.Handler() }
+
 // WaitForHandover waits until this instance runs no job, or ctx ends.
 func (b *Batch) WaitForHandover(ctx context.Context) { b.runner.waitForHandover(ctx) }
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -12,6 +12,7 @@
 	"github.com/amaranthfold/amaranthfold/core/score"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 )
 
 const (
@@ -130,12 +131,16 @@
 		if r.syncJobs(ctx) {
 			reviewTimer.Reset(reviewInterval)
 		}
+		r.takeOthers()
 		r.startRuns(ctx)
+		r.occupancy.readLoads(r.batch.Clock.Now())
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-changed:
 		case <-linksChanged:
+		case <-r.occupancy.due:
+			r.occupancy.readPutOff = false
 		case end := <-r.runEnds:
 			r.onRunEnd(end)
 			r.drainRunEnds()
@@ -190,7 +195,9 @@
 	assigned := map[string]jobSnapshot{}
 	var orders map[string]job.LoadOrder
 	var allowedStaleness map[string]int64
+	var runners []occupancy.Runner
 	b.StateLoop.Do(ctx, func() {
+		runners = runnersOf(b.StateLoop.State)
 		for id, j := range b.StateLoop.State.Jobs {
 			released := j.Runner == "" && r.jobs[id] != nil // released for handover, not claimed yet
 			if (j.Runner == b.Self || released) && j.Open() {
@@ -203,6 +210,7 @@
 		}
 		allowedStaleness = maps.Clone(b.StateLoop.AllowedStaleness)
 	})
+	r.occupancy.runners.Store(&runners)
 	view := b.CurrentView()
 	r.scheduler.SetEngines(schedulerEngines(view, orders, allowedStaleness))
 	if newest := latestOrderTime(orders); newest > r.latestOrderAt {
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -6,12 +6,14 @@
 
 	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 )
 
 // peerHandler serves the other instances.
 func (in *Instance) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(node.AllowancePath, in.node.Allowances.Serve)
+	mux.Handle(occupancy.Path, in.batch.OccupancyHandler())
 	mux.HandleFunc("/", in.node.LogTransport.Relay)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(forward.HeaderRelayed) != "" { // any path
@@ -23,8 +25,8 @@
 }
 
 // servePeers serves the other instances: it grants requests to targets that limit their rate,
-// and relays calls to the log and callers' requests for instances that reach neither the log nor
-// a target.
+// takes the occupancy of engines by other runners, and relays calls to the log and callers'
+// requests for instances that reach neither the log nor a target.
 func (in *Instance) servePeers(ctx context.Context) error {
 	if in.node.Settings.Peers == "" {
 		return nil
