Placement: runs of the other runners take slots

Cause: each runner sees its own runs only. Change: SetOccupancy takes the runs and tokens of the other runners, Occupancy returns the own ones. A free slot is one that no runner uses. A runner uses engines that are not home to its model only with news newer than the task, or after 100 ms without. Without other runners, or without news for 3 s, it decides as before.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -64,6 +64,7 @@
 	MinVersion     int64
 	Group          string // tasks of a group have the same prompt
 	ExpectedTokens int64  // expected output; longer ones start first
+	PromptTokens   int64  // zero: unknown
 	// Resubmitted is set if an earlier job had the task. The task starts first, because its
 	// trainer waits for it in any case.
 	Resubmitted  bool
@@ -136,6 +137,8 @@
 type engine struct {
 	Engine
 	running           int
+	tokens            int64          // that the runs are expected to hold
+	others            Load           // of the other runners
 	backoffUntil      time.Duration  // no run starts on the engine earlier
 	eventInterval     float64        // seconds between events, moving average; zero: unknown
 	lastLoadOrderedAt time.Duration  // latest LoadOrderedAt so far; a load pauses the runs
@@ -155,6 +158,8 @@
 	nextRun        int64
 	medianInterval map[string]float64   // seconds, by service; zero: unknown
 	preference     map[string][]*engine // all engines in the order of preference, by model
+	newsKnown      bool                 // other runners are known
+	newsAt         time.Duration        // time of the news of the other runners
 	byHash         []*engine            // all engines in the order of their hashes; nil: not computed
 }
 
@@ -293,6 +298,7 @@
 	if e.runsByGroup[r.task.Group]--; e.runsByGroup[r.task.Group] <= 0 {
 		delete(e.runsByGroup, r.task.Group)
 	}
+	e.removeTokens(r.task)
 }
 
 // enqueue inserts a task into the waiting tasks, which are sorted in start order.
@@ -323,19 +329,24 @@
 // (PermitsWanted), so that the longest tasks get the engines that are used least.
 func (s *Scheduler) Assign(now time.Duration) []Start {
 	s.updateMedians()
+	s.expireNews(now)
 	var out []Start
 	stillWaiting := s.waiting[:0]
-	noEngine := map[class]bool{}
+	type place struct {
+		class
+		overflow bool // engines that are home to other models count, too
+	}
+	noEngine := map[place]bool{}
 	for _, e := range s.engines {
 		e.permits.wanted = 0
 	}
 	for _, t := range s.waiting {
-		required := s.class(now, t)
+		required := place{s.class(now, t), s.mayOverflow(now, t)}
 		if t.notBefore > now || noEngine[required] {
 			stillWaiting = append(stillWaiting, t)
 			continue
 		}
-		e := s.pickEngine(now, t, required)
+		e := s.pickEngine(now, t, required.class, required.overflow)
 		switch {
 		case e == nil:
 			noEngine[required] = true
@@ -349,6 +360,7 @@
 		s.nextRun++
 		r := &run{id: s.nextRun, task: t, engine: e.ID, started: now, lastEventAt: now}
 		s.runs[r.id], s.runByTask[t.Key] = r, r
+		e.addTokens(t)
 		e.running++
 		e.usePermit()
 		e.runsByGroup[t.Group]++
--- a/core/assign/permits.go
+++ b/core/assign/permits.go
@@ -30,7 +30,7 @@
 // obtained, or may be asked for.
 func (e *engine) mayPermit(now time.Duration) bool {
 	p := &e.permits
-	if !e.Limited || e.running+p.wanted >= e.Slots {
+	if !e.Limited || e.occupied()+p.wanted >= e.Slots {
 		return false
 	}
 	return p.wanted < p.asked || p.asked == 0 && now >= p.askAgain
--- a/core/assign/place.go
+++ b/core/assign/place.go
@@ -14,7 +14,7 @@
 // canRun reports whether a run of a task of the class may start on the engine now, or once
 // there is a permit for it.
 func (s *Scheduler) canRun(now time.Duration, e *engine, c class) bool {
-	if !e.Ready || e.Service != c.service || e.running >= e.Slots || now < e.backoffUntil {
+	if !e.Ready || e.Service != c.service || e.occupied() >= e.Slots || now < e.backoffUntil {
 		return false
 	}
 	if e.Versions[c.model] < c.minVersion || c.resumes && e.Software != c.software {
@@ -24,12 +24,12 @@
 }
 
 // pickEngine returns the engine with the highest score that can run the task, which is of the
-// class c, nil for none.
-func (s *Scheduler) pickEngine(now time.Duration, t *Task, c class) *engine {
+// class c, nil for none. Without overflow only engines that are home to its model count.
+func (s *Scheduler) pickEngine(now time.Duration, t *Task, c class, overflow bool) *engine {
 	var best *engine
 	var bestScore float64
 	for _, e := range s.preferred(t.Model) {
-		if !s.canRun(now, e, c) || !e.permitted(now) && !e.mayPermit(now) {
+		if !overflow && e.homeModel != t.Model || !s.canRun(now, e, c) || !e.permitted(now) && !e.mayPermit(now) {
 			continue
 		}
 		if score := s.score(e, t); best == nil || score > bestScore {
@@ -58,7 +58,7 @@
 
 // score rates an engine for a task: the higher, the better.
 func (s *Scheduler) score(e *engine, t *Task) float64 {
-	score := -float64(e.running+e.permits.wanted) / float64(max(1, e.Slots))
+	score := -float64(e.occupied()+e.permits.wanted) / float64(max(1, e.Slots))
 	if e.runsByGroup[t.Group] > 0 {
 		score += groupBonus
 	}
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -49,6 +49,7 @@
 // engines that can run them.
 func (s *Scheduler) RunsToMove(now time.Duration) []Stop {
 	s.updateMedians()
+	s.expireNews(now)
 	var out []Stop
 	type destination struct {
 		class
@@ -92,7 +93,7 @@
 	n := 0
 	for _, e := range s.engines {
 		if (!e.Limited || limited) && s.canRun(now, e, c) && s.slowdown(e) <= maxSlowdown {
-			n += e.Slots - e.running
+			n += e.Slots - e.occupied()
 		}
 	}
 	return n
@@ -154,7 +155,7 @@
 			continue
 		}
 		for _, e := range s.engines {
-			if e.Ready && e.Service == t.Service && e.Versions[t.Model] >= t.MinVersion && e.running >= e.Slots {
+			if e.Ready && e.Service == t.Service && e.Versions[t.Model] >= t.MinVersion && e.occupied() >= e.Slots {
 				longest = now - t.WaitingSince
 				break
 			}
