Runners know what the others have on the engines

Cause: each runner saw its own runs only, so several filled the same engine beyond its slots. Change: the scheduler gets the loads of the other runners from the exchange and passes on its own; a message of another runner wakes the runner.

--- a/internal/batch/occupancy.go
+++ b/internal/batch/occupancy.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	core "github.com/amaranthfold/amaranthfold/core/occupancy"
 	"github.com/amaranthfold/amaranthfold/internal/node"
@@ -28,19 +29,24 @@
 	own      atomic.Pointer[[]core.Load]
 	runners  atomic.Pointer[[]occupancy.Runner]
 
-	// loads returns the runs and tokens of the scheduler by engine, and setOthers gives it those
-	// of the other runners. nil: the scheduler decides without the other runners.
-	loads     func() []core.Load
-	setOthers func(map[string]core.Load)
-
-	sumVersion uint64        // of the sum that setOthers was last called with
-	readAt     time.Duration // when loads was last called
-	due        chan struct{} // receives a value when a read that was put off is due
+	sumVersion uint64                 // of the sum that others was made of
+	others     map[string]assign.Load // loads of the other runners
+	readAt     time.Duration          // when the scheduler's loads were last read
+	due        chan struct{}          // receives a value when a read that was put off is due
+	news       chan struct{}          // receives a value when another runner's loads have changed
 	readPutOff bool
 }
 
+// notify sends a value unless one is pending.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
+
 func newEngineOccupancy(b *Batch) *engineOccupancy {
-	o := &engineOccupancy{due: make(chan struct{}, 1), readAt: -loadsInterval}
+	o := &engineOccupancy{due: make(chan struct{}, 1), news: make(chan struct{}, 1), readAt: -loadsInterval}
 	o.own.Store(&[]core.Load{})
 	o.runners.Store(&[]occupancy.Runner{})
 	o.exchange = occupancy.New(occupancy.Config{
@@ -52,7 +58,7 @@
 			DialContext:         (&net.Dialer{Timeout: occupancyDialTimeout}).DialContext,
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: occupancyIdleTimeout, DisableCompression: true,
 		}},
-		Log: b.Log, Metrics: b.Metrics.Set,
+		Log: b.Log, Metrics: b.Metrics.Set, News: func() { notify(o.news) },
 	})
 	return o
 }
@@ -80,26 +86,42 @@
 }
 
 // takeOthers gives the scheduler the loads of the other runners.
-func (o *engineOccupancy) takeOthers(now time.Duration) {
-	if o.setOthers == nil {
+func (r *runner) takeOthers() {
+	o, now := r.occupancy, r.batch.Clock.Now()
+	sum := o.exchange.Sum(now)
+	if sum.Runners == 0 {
+		r.scheduler.SetOccupancy(now, nil)
 		return
 	}
-	if sum := o.exchange.Sum(now); sum.Version != o.sumVersion {
-		o.sumVersion = sum.Version
-		o.setOthers(sum.Loads)
+	if sum.Version != o.sumVersion || o.others == nil {
+		o.sumVersion, o.others = sum.Version, make(map[string]assign.Load, len(sum.Loads))
+		for engine, l := range sum.Loads {
+			o.others[engine] = assign.Load{Runs: l.Runs, Tokens: l.Tokens}
+		}
 	}
+	r.scheduler.SetOccupancy(now-sum.OldestNews, o.others)
+}
+
+// ownLoads returns the loads of the scheduler's runs.
+func ownLoads(s *assign.Scheduler) []core.Load {
+	occupancy := s.Occupancy()
+	out := make([]core.Load, 0, len(occupancy))
+	for engine, l := range occupancy {
+		out = append(out, core.Load{Engine: engine, Runs: l.Runs, Tokens: l.Tokens})
+	}
+	return out
 }
 
 // readLoads passes the scheduler's loads to the exchange, at most once in loadsInterval.
-func (o *engineOccupancy) readLoads(now time.Duration) {
+func (o *engineOccupancy) readLoads(now time.Duration, s *assign.Scheduler) {
 	switch wait := o.readAt + loadsInterval - now; {
-	case o.loads == nil || wait > 0 && o.readPutOff:
+	case wait > 0 && o.readPutOff:
 	case wait > 0:
 		o.readPutOff = true
-		time.AfterFunc(wait, func() { o.due <- struct{}{} })
+		time.AfterFunc(wait, func() { notify(o.due) })
 	default:
 		o.readAt = now
-		loads := o.loads()
+		loads := ownLoads(s)
 		o.own.Store(&loads)
 		o.exchange.Changed()
 	}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -37,6 +37,7 @@
 	lastHeartbeat time.Duration
 	latestOrderAt time.Duration // when the latest load order to an engine was read
 	saves         saveState
+	occupancy     *engineOccupancy
 
 	// mu guards taskCache and openJobs. Only the goroutine of run accesses partialOutputs.
 	mu             sync.Mutex
@@ -83,6 +84,7 @@
 		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16), saves: saveState{results: make(chan bool)},
 		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
 	}
+	r.occupancy = newEngineOccupancy(b)
 	return r
 }
 
@@ -133,7 +135,7 @@
 		}
 		r.takeOthers()
 		r.startRuns(ctx)
-		r.occupancy.readLoads(r.batch.Clock.Now())
+		r.occupancy.readLoads(r.batch.Clock.Now(), r.scheduler)
 		select {
 		case <-ctx.Done():
 			return nil
@@ -141,6 +143,7 @@
 		case <-linksChanged:
 		case <-r.occupancy.due:
 			r.occupancy.readPutOff = false
+		case <-r.occupancy.news:
 		case end := <-r.runEnds:
 			r.onRunEnd(end)
 			r.drainRunEnds()
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -113,6 +113,9 @@
 	}()
 }
 
+// Knows reports whether an instance with the name has announced itself.
+func (a *Allowances) Knows(name string) bool { return a.peers.Load().addresses[name] != "" }
+
 // requestFor returns the request for allowances of a target. That of a cold target keeps to the
 // bound in the settings.
 func (a *Allowances) requestFor(t directory.Target, count int) allowance.Request {
--- a/internal/node/detour.go
+++ b/internal/node/detour.go
@@ -12,7 +12,6 @@
 
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
-	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
--- a/internal/occupancy/calls.go
+++ b/internal/occupancy/calls.go
@@ -98,7 +98,13 @@
 	now := e.cfg.Clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.table.Apply(now, m.From, m)
+	if err := e.table.Apply(now, m.From, m); err != nil {
+		return err
+	}
+	if e.cfg.News != nil {
+		e.cfg.News()
+	}
+	return nil
 }
 
 // refuse answers a message that is not applied, and logs that with a bounded rate.
--- a/internal/occupancy/exchange.go
+++ b/internal/occupancy/exchange.go
@@ -47,7 +47,9 @@
 	// Runners returns the runners. This one may be among them.
 	Runners func() []Runner
 	// Known reports whether an instance of the name is known. Messages of others are refused.
-	Known   func(name string) bool
+	Known func(name string) bool
+	// News is called after each message that was applied. nil: nothing is called
+	News    func()
 	Client  *http.Client
 	Log     func(event string, fields ...events.Field)
 	Metrics *metrics.Set
