Batch: the spec of put-off reads of loads uses a scheduler

It set a function that the connection to the scheduler replaced, so the package's tests did not build since the merge. Same check: two reads within the interval are one, the third follows. Measured: specs of batch pass.

--- a/internal/batch/occupancy_test.go
+++ b/internal/batch/occupancy_test.go
@@ -1,11 +1,13 @@
 package batch
 
 import (
+	"io"
 	"testing"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/job"
-	core "github.com/amaranthfold/amaranthfold/core/occupancy"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -44,21 +46,36 @@
 
 // Guards against changes that are not passed on because they came shortly after others.
 func TestLoadsAreReadAgainAfterTheInterval(t *testing.T) {
-	var s platform.Settings
-	s.Store.Partitions = 1
-	o := New(Config{Settings: s}).occupancy
-	reads := 0
-	o.loads = func() []core.Load { reads++; return []core.Load{{Engine: "e", Runs: reads}} }
-	for range 3 {
-		o.readLoads(time.Second)
+	settings := platform.Settings{Store: platform.StoreSettings{Partitions: 1}}
+	o := newEngineOccupancy(&Batch{Node: node.New(node.Config{Settings: settings, LogOutput: io.Discard})})
+	s := assign.New(assign.DefaultLimits())
+	s.SetEngines([]assign.Engine{{ID: "e", Service: "models", Slots: 8, Ready: true, Versions: map[string]int64{"m": 1}}})
+	runs := func() int {
+		total := 0
+		for _, l := range *o.own.Load() {
+			total += l.Runs
+		}
+		return total
+	}
+	start := func(task int) {
+		s.Add(assign.Task{Key: assign.Key{Job: "j", Task: task}, Service: "models", Model: "m"})
+		if started := s.Assign(time.Second); len(started) != 1 {
+			t.Fatalf("%d runs started", len(started))
+		}
+	}
+	start(0)
+	o.readLoads(time.Second, s)
+	start(1)
+	for range 2 {
+		o.readLoads(time.Second, s)
 	}
-	if reads != 1 {
-		t.Fatalf("%d reads", reads)
+	if runs() != 1 {
+		t.Fatalf("%d runs read within the interval", runs())
 	}
 	<-o.due
 	o.readPutOff = false
-	o.readLoads(time.Second + loadsInterval)
-	if reads != 2 || (*o.own.Load())[0].Runs != 2 {
-		t.Fatalf("%d reads", reads)
+	o.readLoads(time.Second+loadsInterval, s)
+	if runs() != 2 {
+		t.Fatalf("%d runs read after the interval", runs())
 	}
 }
