--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -55,6 +55,7 @@
 	links            *targetLinks
 	frontAddress     string
 	readinessAddress string
+	peersAddress     string
 	cancel           context.CancelFunc
 	done             chan error // receives the result of Run
 }
@@ -227,7 +228,7 @@
 		Settings: settings, LogOutput: logOutput, Random: rand.New(rand.NewPCG(uint64(number), 1)), Listen: listeners.listen, DialTarget: links.dial,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testInstance{instance: instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, cancel: cancel, done: make(chan error, 1)}
+	started := &testInstance{instance: instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, peersAddress: settings.Peers, cancel: cancel, done: make(chan error, 1)}
 	go func() { started.done <- instance.Run(ctx) }()
 	d.instances = append(d.instances, started)
 	return started
