Announcements of instances carry the fingerprint of a key

Cause: the state had neither an instance's key nor the time of its latest announcement, and an instance that restarted after the wall clock of its machine was set back stayed unknown: its announcements were taken for late ones of an earlier process. Change: InstanceStarted has an optional fingerprint, Instance has it with the time and offset of the latest announcement. An incarnation that claims an earlier start replaces the current one once it has announced itself twice without the current one in between.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -221,6 +221,9 @@
 	Instance    string `cbor:"1,keyasint"`
 	PeerAddress string `cbor:"2,keyasint"` // listener for other instances, IP and port
 	StartedAt   int64  `cbor:"3,keyasint"` // start of the process, Unix milliseconds
+	// KeyFingerprint is that of the key with which the process proves its identity to other
+	// instances. Builds without such a key leave it empty.
+	KeyFingerprint string `cbor:"4,keyasint,omitempty"`
 }
 
 // StreamStarted records which software version began a caller's stream. The first one of a
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -78,6 +78,16 @@
 	Incarnation string // instance and incarnation, as in Record.Writer
 	PeerAddress string // listener for other instances, IP and port
 	StartedAt   int64  // start of the process, Unix milliseconds
+	// KeyFingerprint is that of its key; empty: its build has none.
+	KeyFingerprint string
+	// AnnouncedAt is when its latest announcement was read, by the reader's clock, and
+	// AnnouncedOffset is the offset of that record.
+	AnnouncedAt     time.Duration
+	AnnouncedOffset int64
+
+	// challenger is another incarnation that claims an earlier start and has announced itself
+	// since the latest announcement of this one; empty: none.
+	challenger string
 }
 
 // Runner is the instance that runs a model's jobs. LastSeen is when it was set or its latest
@@ -136,7 +146,7 @@
 		s.LoadOrders[r.LoadOrdered.Target] = LoadOrder{*r.LoadOrdered, now}
 		return true
 	case r.InstanceStarted != nil:
-		return s.applyStarted(r.Writer, *r.InstanceStarted)
+		return s.applyStarted(offset, now, r.Writer, *r.InstanceStarted)
 	case r.StreamStarted != nil:
 		return s.applyStreamStarted(now, *r.StreamStarted)
 	case r.InstanceLeaving != nil:
@@ -147,13 +157,26 @@
 }
 
 // applyStarted replaces an instance's incarnation and releases the jobs and leases of the
-// previous one. A record of the current or an earlier incarnation is rejected.
-func (s *State) applyStarted(writer string, started InstanceStarted) bool {
+// previous one. It rejects a record of the current incarnation, which renews the announcement,
+// and one of an incarnation that started earlier: it was appended late. An incarnation that
+// announces itself twice, without the current one in between, is no such case: it started after
+// the wall clock of its machine was set back.
+func (s *State) applyStarted(offset int64, now time.Duration, writer string, started InstanceStarted) bool {
 	previous := s.Instances[started.Instance]
-	if previous.Incarnation == writer || previous.StartedAt >= started.StartedAt {
+	switch {
+	case previous.Incarnation == writer:
+		previous.AnnouncedAt, previous.AnnouncedOffset, previous.challenger = now, offset, ""
+		s.Instances[started.Instance] = previous
+		return false
+	case previous.StartedAt >= started.StartedAt && previous.challenger != writer:
+		previous.challenger = writer
+		s.Instances[started.Instance] = previous
 		return false
 	}
-	s.Instances[started.Instance] = Instance{writer, started.PeerAddress, started.StartedAt}
+	s.Instances[started.Instance] = Instance{
+		Incarnation: writer, PeerAddress: started.PeerAddress, StartedAt: started.StartedAt,
+		KeyFingerprint: started.KeyFingerprint, AnnouncedAt: now, AnnouncedOffset: offset,
+	}
 	if previous.Incarnation == "" {
 		return true
 	}
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -215,6 +216,42 @@
 		Expect(s.Leases["l"].LastOffset).To(Equal(record.Offset(4)), "the next claim supersedes the last accepted record")
 		Expect(s.Instances["n1"].Incarnation).To(Equal("n1/b"))
 	})
+
+	It("are known with the key of their incarnation and the time of their latest announcement", func() {
+		keyed := started("n1/b", 20)
+		keyed.InstanceStarted.KeyFingerprint = "k"
+		s, _ := replay(started("n1/a", 10), keyed, started("n1/a", 10), keyed)
+		Expect(s.Instances["n1"].KeyFingerprint).To(Equal("k"))
+		Expect(s.Instances["n1"].AnnouncedAt).To(Equal(3 * time.Second))
+		Expect(s.Instances["n1"].AnnouncedOffset).To(Equal(int64(3)))
+		s, _ = replay(keyed, started("n1/c", 30))
+		Expect(s.Instances["n1"].KeyFingerprint).To(BeEmpty(), "an older build has taken its place")
+	})
+
+	// Guards against an instance that restarts and stays unknown, because the wall clock of its
+	// machine was set back.
+	It("are replaced by an incarnation that claims an earlier start once it has announced itself twice in a row", func() {
+		s, accepted := replay(started("n1/a", 20), started("n1/b", 10), started("n1/a", 20), started("n1/b", 10))
+		Expect(accepted).To(Equal([]bool{true, false, false, false}), "the announcement that was appended late")
+		Expect(s.Instances["n1"].Incarnation).To(Equal("n1/a"))
+		s, accepted = replay(started("n1/a", 20), submitted("j", "n1/a", "x"), started("n1/b", 10), started("n1/b", 10))
+		Expect(accepted).To(Equal([]bool{true, true, false, true}))
+		Expect(s.Instances["n1"].Incarnation).To(Equal("n1/b"))
+		Expect(s.Jobs["j"].Runner).To(BeEmpty())
+	})
+})
+
+// Guards against an upgrade during which old builds cannot read the records of new ones.
+var _ = Describe("Records of a newer build", func() {
+	It("are decoded without the fields that this build does not know", func() {
+		data, err := cbor.Marshal(map[int]any{1: "n1/a", 99: "new", 13: map[int]any{1: "n1", 2: "10.0.0.1:7001", 3: 5, 4: "k", 98: []int{1}}})
+		Expect(err).NotTo(HaveOccurred())
+		r, err := job.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(r).To(Equal(job.Record{Writer: "n1/a", InstanceStarted: &job.InstanceStarted{
+			Instance: "n1", PeerAddress: "10.0.0.1:7001", StartedAt: 5, KeyFingerprint: "k",
+		}}))
+	})
 })
 
 var _ = Describe("Usage", func() {
