--- a/core/peering/peering.go
+++ b/core/peering/peering.go
@@ -31,7 +31,7 @@
 // Peer is an instance as the log announces it.
 type Peer struct {
 	Name        string
-	Address     string // listener for other instances, IP and port
+	Address     string // listener for other instances, IP and port; empty: none
 	Fingerprint string // of its key; empty: its build has none
 	// AnnouncedAt is when its latest announcement was read, and Offset its place in the log.
 	AnnouncedAt time.Duration
@@ -71,7 +71,7 @@
 	}
 	var out []Peer
 	for _, p := range peers {
-		if latest[p.Address] == p.Offset && !r.Lapsed(now, p) {
+		if (p.Address == "" || latest[p.Address] == p.Offset) && !r.Lapsed(now, p) {
 			out = append(out, p)
 		}
 	}
@@ -85,10 +85,14 @@
 	known         map[netip.Addr]bool // addresses of instances; true: one of them speaks plain
 }
 
-// NewSet returns the set of the peers. Those without a valid address are left out.
+// NewSet returns the set of the peers. Those without a valid address can call, but nothing is
+// sent to them.
 func NewSet(peers []Peer) *Set {
 	s := &Set{byFingerprint: make(map[string]string, len(peers)), byAddress: make(map[string]Peer, len(peers)), known: map[netip.Addr]bool{}}
 	for _, p := range peers {
+		if p.Fingerprint != "" {
+			s.byFingerprint[p.Fingerprint] = p.Name
+		}
 		address, err := netip.ParseAddrPort(p.Address)
 		if err != nil {
 			continue
@@ -96,9 +100,6 @@
 		s.byAddress[p.Address] = p
 		ip := address.Addr().Unmap()
 		s.known[ip] = s.known[ip] || p.Fingerprint == ""
-		if p.Fingerprint != "" {
-			s.byFingerprint[p.Fingerprint] = p.Name
-		}
 	}
 	return s
 }
