Hosted: probes of readiness at the same time do not race

Cause: the handler of the readiness check kept the last state in a variable without synchronization; two probes at once raced. Change: the state is atomic.

--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -56,6 +56,7 @@
 	frontAddress     string
 	readinessAddress string
 	peersAddress     string
+	metricsAddress   string
 	cancel           context.CancelFunc
 	done             chan error // receives the result of Run
 }
@@ -215,7 +216,7 @@
 	DeferCleanup(server.Close)
 	listeners := reservedPorts{}
 	settings := platform.Settings{
-		Instance: fmt.Sprintf("n%d", number), DataCentre: "a", Front: listeners.reserve(), Readiness: listeners.reserve(), Peers: listeners.reserve(),
+		Instance: fmt.Sprintf("n%d", number), DataCentre: "a", Front: listeners.reserve(), Readiness: listeners.reserve(), Peers: listeners.reserve(), Metrics: listeners.reserve(),
 		MemoryBytes: 512 << 20, Grace: 8 * time.Second, LeaseTerm: 900 * time.Millisecond,
 		UsageWindow: 500 * time.Millisecond, JobRetention: 120 * time.Second,
 		Store:        platform.StoreSettings{Address: address(server), Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, Retention: 2 * time.Second},
@@ -228,7 +229,7 @@
 		Settings: settings, LogOutput: logOutput, Random: rand.New(rand.NewPCG(uint64(number), 1)), Listen: listeners.listen, DialTarget: links.dial,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testInstance{instance: instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, peersAddress: settings.Peers, cancel: cancel, done: make(chan error, 1)}
+	started := &testInstance{instance: instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, peersAddress: settings.Peers, metricsAddress: settings.Metrics, cancel: cancel, done: make(chan error, 1)}
 	go func() { started.done <- instance.Run(ctx) }()
 	d.instances = append(d.instances, started)
 	return started
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -52,11 +53,10 @@
 // serveReadiness serves the load balancer's health check: status 200 if the instance is
 // ready, else 503.
 func (in *Instance) serveReadiness(ctx context.Context) error {
-	wasReady := false
+	var wasReady atomic.Bool
 	return in.serve(ctx, in.cfg.Settings.Readiness, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		ready := in.ready()
-		if ready != wasReady {
-			wasReady = ready
+		if wasReady.Swap(ready) != ready {
 			in.log("readiness changed", events.F("ready", fmt.Sprint(ready)))
 		}
 		if !ready {
