Specs of strangers at the listeners for callers and of other deployments

Cause: no spec showed that callers cannot use the headers between instances or state an account, that jobs are hidden from other accounts, and that the product's instances refuse those of another deployment. Change: a spec for each. Result: they pass; no fault was found.

--- a/internal/hosted/probes_test.go
+++ b/internal/hosted/probes_test.go
@@ -8,8 +8,57 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
+// Guards against callers who take the place of an instance or of another account.
+var _ = Describe("The listener for callers", func() {
+	It("ignores the headers between instances and the account that a caller states", func() {
+		d := newDeployment(1, 1)
+		send := func(withKey string) int {
+			req := forgedRequest(http.MethodPost, "/confirm/x", []byte("b"), http.Header{
+				"Amaranthfold-Relayed-Config": {"0"}, "Tenant": {"other"}, "Request-Id": {"r"}, "Credential": {withKey},
+			})
+			req.URL.Host, req.Host = d.instances[0].frontAddress, host
+			res, err := http.DefaultClient.Do(req)
+			Expect(err).NotTo(HaveOccurred())
+			defer res.Body.Close()
+			return res.StatusCode
+		}
+		Expect(send("")).To(Equal(http.StatusUnauthorized))
+		Expect(send("wrong")).To(Equal(http.StatusUnauthorized))
+		Expect(send(key)).To(Equal(http.StatusOK))
+		for _, p := range d.plain {
+			for _, r := range p.Runs() {
+				Expect(r.Account).To(Equal("acme"))
+			}
+		}
+		for _, path := range []string{"/allowance", "/log-read?topic=control&part=0&from=0"} {
+			Expect(d.instances[0].call(http.MethodGet, path, "r", key, nil).status).To(Equal(http.StatusNotFound))
+		}
+	})
+
+	It("hides the jobs of an account from the others", func() {
+		d := newDeployment(1, 1)
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, tasks(1, 3))).status).To(Equal(http.StatusAccepted))
+		d.version++
+		config := hostplatform.Config(d.version, host, []string{key})
+		config["tenants"] = append(config["tenants"].([]map[string]any), map[string]any{"name": "other", "api-keys": []string{"secret-3"}})
+		d.store.Put(platform.OperatorTopic, "config", config)
+		Eventually(func() int {
+			return d.instances[0].call(http.MethodGet, "/confirm/x", "r", "secret-3", nil).status
+		}, eventuallyTimeout).Should(Equal(http.StatusOK))
+		for _, c := range []struct{ method, path string }{
+			{http.MethodGet, "/lots/j?after=0"}, {http.MethodGet, "/items/j?id=t0"}, {http.MethodDelete, "/lots/j"},
+		} {
+			Expect(d.instances[0].call(c.method, c.path, "r", "secret-3", nil).status).To(Equal(http.StatusNotFound), c.path)
+		}
+		d.instances[0].awaitResults("j", 1)
+	})
+})
+
 // Guards against probes that tell a stranger of accounts, keys, targets or requests, or that
 // disturb each other.
 var _ = Describe("The listeners for readiness and metrics", func() {
--- a/internal/peer/hostile_test.go
+++ b/internal/peer/hostile_test.go
@@ -64,6 +64,14 @@
 		Entry("nothing", []byte{}),
 	)
 
+	It("refuses calls of an instance of another deployment", func() {
+		pool := NewPool(Hello{ID: "a", Deployment: "other"}, nil)
+		defer pool.Close()
+		var out string
+		Expect(pool.Call(context.Background(), serve(releasedHandler()), KindTrainer, "x", &out)).NotTo(Succeed())
+		Expect(out).To(BeEmpty())
+	})
+
 	It("closes a connection that sends no hello before the timeout", func() {
 		client, server := net.Pipe()
 		defer client.Close()
