Hosted: the port between instances serves instances only

Cause: the port served whoever reached it: relayed requests on behalf of any account, allowances, and any call to the log. Change: allowances, relays and the log transport through a peer connect with peerlink, and the port yields checked connections only. Instances announce the fingerprint of their key; the accepted ones follow from each batch of the log. The relay to the log passes the calls of a store only and no headers; requests for allowances are checked. Refused connections and calls are counted and logged. In the specs' fixture an instance that starts again draws another incarnation than before.

--- a/internal/hosted/allowance.go
+++ b/internal/hosted/allowance.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -57,7 +56,7 @@
 	a := &allowances{
 		instance: in, granter: allowance.NewGranter(), owners: allowance.NewOwners(),
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: allowanceTimeout}).DialContext,
+			DialContext:         in.instanceLinks.DialWithin(allowanceTimeout),
 			MaxIdleConnsPerHost: allowanceIdleConns, IdleConnTimeout: allowanceIdleTimeout, DisableCompression: true,
 		}},
 	}
@@ -65,13 +64,17 @@
 	return a
 }
 
-// updatePeers replaces the known instances by those of the log. It runs on the state
-// goroutine.
-func (a *allowances) updatePeers() {
+// updatePeers replaces the known instances, if a batch of the log has changed them. It runs on
+// the state goroutine.
+func (a *allowances) updatePeers(now time.Duration) {
+	known, changed := a.instance.instanceLinks.update(now, a.instance.stateLoop.state.Instances)
+	if !changed {
+		return
+	}
 	addresses := map[string]string{a.instance.cfg.Settings.Instance: ""}
-	for name, i := range a.instance.stateLoop.state.Instances {
-		if i.PeerAddress != "" {
-			addresses[name] = i.PeerAddress
+	for _, p := range known {
+		if p.Address != "" {
+			addresses[p.Name] = p.Address
 		}
 	}
 	names := slices.Sorted(maps.Keys(addresses))
@@ -213,8 +216,8 @@
 // serve answers another instance's request for an allowance.
 func (a *allowances) serve(w http.ResponseWriter, r *http.Request) {
 	var request allowance.Request
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAllowanceBytes)).Decode(&request); err != nil || request.Target == "" || request.Count < 1 {
-		http.Error(w, "not a request for an allowance", http.StatusBadRequest)
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAllowanceBytes)).Decode(&request); err != nil || request.Check() != nil {
+		http.Error(w, allowance.ErrInvalid.Error(), http.StatusBadRequest)
 		return
 	}
 	data, err := json.Marshal(a.grant(request))
--- a/internal/hosted/detour.go
+++ b/internal/hosted/detour.go
@@ -63,8 +63,10 @@
 }
 
 func newLogTransport(in *Instance, logAddress string) *logTransport {
+	throughPeer := platform.NewTransport()
+	throughPeer.DialContext = in.instanceLinks.Dial
 	return &logTransport{
-		instance: in, direct: platform.NewTransport(), peerTransport: platform.NewTransport(), logAddress: logAddress,
+		instance: in, direct: platform.NewTransport(), peerTransport: throughPeer, logAddress: logAddress,
 		failedPeers: map[string]time.Duration{}, failoverStarted: make(chan struct{}, 1), relaySlots: make(chan struct{}, maxRelayedCalls),
 	}
 }
@@ -208,14 +210,10 @@
 		return
 	}
 	var peers []string
-	t.instance.stateLoop.do(ctx, func() {
-		for name, other := range t.instance.stateLoop.state.Instances {
-			if name != t.instance.cfg.Settings.Instance && other.PeerAddress != "" {
-				peers = append(peers, other.PeerAddress)
-			}
-		}
-	})
-	slices.Sort(peers)
+	known := t.instance.allowances.peers.Load()
+	for _, name := range known.others {
+		peers = append(peers, known.addresses[name])
+	}
 	now := t.instance.clock.Now()
 	t.mu.Lock()
 	peers = slices.DeleteFunc(peers, func(p string) bool { return now < t.failedPeers[p] })
@@ -237,6 +235,9 @@
 // relay sends a peer's call to the log on the direct path, and the log's response to the
 // peer.
 func (t *logTransport) relay(w http.ResponseWriter, r *http.Request) {
+	if t.instance.instanceLinks.refuseLogCall(w, r) {
+		return
+	}
 	t.mu.Lock()
 	unavailable := t.directDown
 	t.mu.Unlock()
@@ -253,7 +254,7 @@
 	}
 	req := r.Clone(r.Context())
 	req.URL.Scheme, req.URL.Host, req.Host = "http", t.logAddress, t.logAddress
-	req.RequestURI = ""
+	req.RequestURI, req.Header = "", http.Header{} // a store sends none
 	res, err := t.direct.RoundTrip(req)
 	t.trackResult(r.Context(), res, err)
 	if err != nil {
@@ -272,7 +273,7 @@
 // peerHandler serves the other instances.
 func (in *Instance) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(allowancePath, in.allowances.serve)
+	mux.HandleFunc("POST "+allowancePath, in.allowances.serve)
 	mux.HandleFunc("/", in.logTransport.relay)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(headerRelayed) != "" { // any path
@@ -283,12 +284,16 @@
 	})
 }
 
-// servePeers serves the other instances: it grants requests to targets that limit their rate,
+// servePeers serves the other instances, on checked connections: it grants requests to targets that limit their rate,
 // and relays calls to the log and callers' requests for instances that reach neither the log nor
 // a target.
 func (in *Instance) servePeers(ctx context.Context) error {
 	if in.cfg.Settings.Peers == "" {
 		return nil
 	}
-	return in.serve(ctx, in.cfg.Settings.Peers, in.peerHandler(), nil)
+	listener, err := in.cfg.Listen("tcp", in.cfg.Settings.Peers)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return in.serveOn(ctx, in.instanceLinks.Listen(listener), in.peerHandler(), nil)
 }
--- a/internal/hosted/duty.go
+++ b/internal/hosted/duty.go
@@ -60,6 +60,9 @@
 // onRecord updates the lease and the allowed staleness after a record of the log has been
 // applied. It runs on the state goroutine.
 func (in *Instance) onRecord(_ int64, now time.Duration, r job.Record, accepted bool) {
+	if r.InstanceStarted != nil {
+		in.instanceLinks.noteAnnouncement(now, r.Writer, accepted)
+	}
 	switch {
 	case r.Lease != nil && r.Lease.Body.Name == controllerLeaseName:
 		verdict := fold.Conflict
@@ -72,7 +75,6 @@
 			in.log("duty holder", events.F("holder", after.Holder), events.F("term", fmt.Sprint(after.Term)))
 		}
 	case r.InstanceStarted != nil && accepted: // may have released the lease of an earlier incarnation
-		in.allowances.updatePeers()
 		if current := in.stateLoop.state.Leases[controllerLeaseName]; current != in.controller.lease.Current() {
 			in.controller.lease.Observe(now, record.ID{}, fold.Accepted, current)
 		}
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -51,6 +51,7 @@
 // testInstance is an instance that reaches the log through its own fault proxy.
 type testInstance struct {
 	instance         *hosted.Instance
+	name             string
 	logProxy         *hostplatform.FaultProxy
 	links            *targetLinks
 	frontAddress     string
@@ -201,8 +202,8 @@
 
 func (p reservedPorts) listen(_, address string) (net.Listener, error) { return p[address], nil }
 
-// start starts an instance and adds it to the deployment. number sets its name and its
-// random seed.
+// start starts an instance and adds it to the deployment. number sets its name and, with the
+// number of its earlier starts, its random seed.
 func (d *deployment) start(number int) *testInstance {
 	return d.startWithLogFault(number, hostplatform.Healthy)
 }
@@ -225,11 +226,17 @@
 	}
 	logOutput := logline.New(d.logs)
 	links := newTargetLinks()
+	earlier := 0 // incarnations, which must not draw the same incarnation
+	for _, i := range d.instances {
+		if i.name == settings.Instance {
+			earlier++
+		}
+	}
 	instance := hosted.New(hosted.Config{
-		Settings: settings, LogOutput: logOutput, Random: rand.New(rand.NewPCG(uint64(number), 1)), Listen: listeners.listen, DialTarget: links.dial,
+		Settings: settings, LogOutput: logOutput, Random: rand.New(rand.NewPCG(uint64(number), uint64(1+earlier))), Listen: listeners.listen, DialTarget: links.dial,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testInstance{instance: instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, peersAddress: settings.Peers, metricsAddress: settings.Metrics, cancel: cancel, done: make(chan error, 1)}
+	started := &testInstance{instance: instance, name: settings.Instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, peersAddress: settings.Peers, metricsAddress: settings.Metrics, cancel: cancel, done: make(chan error, 1)}
 	go func() { started.done <- instance.Run(ctx) }()
 	d.instances = append(d.instances, started)
 	return started
--- a/internal/hosted/follow.go
+++ b/internal/hosted/follow.go
@@ -143,6 +143,7 @@
 			accepted := in.stateLoop.state.Apply(offset, now, r)
 			in.onRecord(offset, now, r, accepted)
 		}
+		in.allowances.updatePeers(now)
 		in.stateLoop.sharedNextOffset.Store(in.stateLoop.nextOffset)
 		in.pace.instances.Store(int32(len(in.stateLoop.state.Instances)))
 		if in.stateLoop.nextOffset >= batch.EndOffset {
--- a/internal/hosted/metrics.go
+++ b/internal/hosted/metrics.go
@@ -17,6 +17,7 @@
 	limitsNamed, streamsTakenUp      *metrics.Counter
 	linksLost, relayed               *metrics.Counter
 	targetsDoubted                   *metrics.Counter
+	peersRefused                     *metrics.Counter
 	targetsCrashed, condemned        *metrics.Counter
 	suspectsServed, condemnedRefused *metrics.Counter
 
@@ -51,6 +52,7 @@
 		targetsCrashed:   set.NewCounter("amaranth_hosted_targets_crashed_total"),
 		relayed:          set.NewCounter("amaranth_hosted_calls_relayed_total"),
 		targetsDoubted:   set.NewCounter("amaranth_hosted_targets_doubted_total"),
+		peersRefused:     set.NewCounter("amaranth_hosted_peer_connections_refused_total"),
 		linksLost:        set.NewCounter("amaranth_hosted_links_lost_total"),
 		condemned:        set.NewCounter("amaranth_hosted_calls_condemned_total"),
 		suspectsServed:   set.NewCounter("amaranth_hosted_suspects_served_total"),
--- a/internal/hosted/node.go
+++ b/internal/hosted/node.go
@@ -28,6 +28,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/hash"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/peering"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
@@ -74,6 +75,7 @@
 	contentLog    *appender // appends to the content topic
 	contentCache  *contentCache
 	plainTargets  *plainTargets
+	instanceLinks *instanceLinks
 	allowances    *allowances
 	links         *linkMonitor
 	relays        *relays
@@ -119,6 +121,7 @@
 	}
 	in.links = newLinkMonitor(in, cfg.DialTarget)
 	in.targetClient = &http.Client{Transport: platform.NewTargetTransport(idleConnsPerTarget, in.links.dialTarget), CheckRedirect: noRedirect}
+	in.instanceLinks = newInstanceLinks(in)
 	in.logTransport = newLogTransport(in, s.Store.Address)
 	in.store = platform.NewStore(s.Store.Address, in.logTransport)
 	in.self = fmt.Sprintf("%s/%x", s.Instance, in.rand64())
@@ -182,18 +185,16 @@
 	return err
 }
 
-// announceInterval is short enough that the log always retains an announcement of every
-// running instance.
-const announceInterval = time.Minute
-
-// announce appends the InstanceStarted record, at once and every announceInterval. It
-// publishes the incarnation and the address at which the instance listens for peers.
+// announce appends the InstanceStarted record, at once and every peering.AnnounceInterval. It
+// publishes the incarnation, the address at which the instance listens for peers and the
+// fingerprint of its key.
 func (in *Instance) announce(ctx context.Context) error {
 	started := &job.InstanceStarted{
 		Instance: in.cfg.Settings.Instance, PeerAddress: in.cfg.Settings.Peers, StartedAt: in.clock.Wall().UnixMilli(),
+		KeyFingerprint: in.instanceLinks.identity.Fingerprint(),
 	}
 	in.appendRecordAsync(job.Record{InstanceStarted: started})
-	return clock.Every(ctx, announceInterval, func() { in.appendRecordAsync(job.Record{InstanceStarted: started}) })
+	return clock.Every(ctx, peering.AnnounceInterval, func() { in.appendRecordAsync(job.Record{InstanceStarted: started}) })
 }
 
 // Stop starts the drain: the instance reports that it is not ready, so that the load
--- /dev/null
+++ b/internal/hosted/peers.go
@@ -0,0 +1,88 @@
+package hosted
+
+import (
+	"crypto/rand"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/peering"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/peerlink"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// instanceLinks are the connections between this instance and the others. The fields renewals
+// and changed belong to the state goroutine.
+type instanceLinks struct {
+	instance *Instance
+	identity *peerlink.Identity
+	*peerlink.Peers
+
+	renewals peering.Renewals
+	changed  bool // an announcement was read that may change who is accepted
+
+	refusedCallAt atomic.Int64 // reading of clock.Now when a refused call was logged; zero: never
+}
+
+func newInstanceLinks(in *Instance) *instanceLinks {
+	identity, err := peerlink.NewIdentity(rand.Reader)
+	if err != nil {
+		panic(err.Error()) // crypto/rand does not fail
+	}
+	return &instanceLinks{instance: in, identity: identity, Peers: peerlink.NewPeers(identity, peerlink.Options{
+		Clock:   in.clock,
+		Counted: in.metrics.peersRefused.Inc,
+		Refused: func(r peerlink.Refusal) {
+			in.log("connection refused", events.F("remote", r.Remote), events.F("reason", r.Reason), events.F("others", fmt.Sprint(r.Others)))
+		},
+	})}
+}
+
+// noteAnnouncement notes that an announcement was read. It runs on the state goroutine.
+func (l *instanceLinks) noteAnnouncement(now time.Duration, writer string, accepted bool) {
+	own := writer == l.instance.self
+	if own {
+		l.renewals.OwnRead(now)
+	}
+	l.changed = l.changed || own || accepted
+}
+
+// update replaces the instances that are accepted, if a batch of the log has changed them, and
+// returns the others. It runs on the state goroutine.
+func (l *instanceLinks) update(now time.Duration, instances map[string]job.Instance) (others []peering.Peer, changed bool) {
+	if !l.changed {
+		return nil, false
+	}
+	l.changed = false
+	for name, i := range instances {
+		if name != l.instance.cfg.Settings.Instance {
+			others = append(others, peering.Peer{
+				Name: name, Address: i.PeerAddress, Fingerprint: i.KeyFingerprint, AnnouncedAt: i.AnnouncedAt, Offset: i.AnnouncedOffset,
+			})
+		}
+	}
+	others = l.renewals.Current(now, others)
+	l.Update(others)
+	return others, true
+}
+
+// refusedCallInterval is the time between two log lines of refused calls.
+const refusedCallInterval = time.Second
+
+// refuseLogCall responds to a call that no instance makes, and reports whether it is one.
+func (l *instanceLinks) refuseLogCall(w http.ResponseWriter, r *http.Request) bool {
+	in := l.instance
+	status := platform.CheckLogCall(r, int64(in.cfg.Settings.Store.CallBytes))
+	if status == http.StatusOK {
+		return false
+	}
+	now, last := in.clock.Now(), l.refusedCallAt.Load()
+	if (last == 0 || now-time.Duration(last) >= refusedCallInterval) && l.refusedCallAt.CompareAndSwap(last, int64(now)) {
+		in.log("log call refused", events.F("remote", r.RemoteAddr), events.F("method", r.Method), events.F("path", r.URL.Path), events.F("status", fmt.Sprint(status)))
+	}
+	w.WriteHeader(status)
+	return true
+}
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -29,6 +29,10 @@
 	// Both are longer than the configured limits, with which callers comply.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 120 * time.Second
+
+	// maxHeaderBytes is the limit of all listeners: a relayed request has the headers of the
+	// caller's.
+	maxHeaderBytes = 1 << 20
 )
 
 // configFresh reports whether the operator topic was read within staleAfter.
@@ -87,14 +91,19 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	return in.serveOn(ctx, listener, handler, stop)
+}
+
+// serveOn is serve on an open listener.
+func (in *Instance) serveOn(ctx context.Context, listener net.Listener, handler http.Handler, stop func(context.Context, *http.Server) error) error {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve %s: %w", address, err)
+			return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 		}
 		return nil
 	})
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -26,7 +25,7 @@
 )
 
 // Headers between instances. Callers cannot set them: the listener for callers does not read
-// them, and the one for other instances is not open to callers.
+// them, and the one for other instances accepts instances only.
 const (
 	// headerRelayed marks a request that another instance relays. It holds the version of that
 	// instance's configuration.
@@ -57,7 +56,7 @@
 		client: &http.Client{
 			CheckRedirect: noRedirect,
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
+				DialContext:         in.instanceLinks.DialWithin(relayDialTimeout),
 				MaxIdleConnsPerHost: relayIdleConns, IdleConnTimeout: relayIdleTimeout, DisableCompression: true,
 			},
 		},
@@ -130,7 +129,7 @@
 }
 
 // serve serves a request that another instance relays. That instance has checked the caller's
-// key. The responses that this instance generates are marked, so that they cannot be taken for
+// key: the account that it states is trusted because the connection is checked. The responses that this instance generates are marked, so that they cannot be taken for
 // a target's.
 func (r *relays) serve(w http.ResponseWriter, req *http.Request) {
 	in := r.instance
