--- a/core/directory/warmup.go
+++ b/core/directory/warmup.go
@@ -15,10 +15,21 @@
 
 // warmUp is what is known about the warm-up of one start of a target.
 type warmUp struct {
-	coldUntil time.Duration // by the latest entry
-	// doubtfulUntil is until when an entry may still say that the target is cold: it has
-	// started, was readmitted, or did not answer.
-	doubtfulUntil time.Duration
+	stated       bool          // an entry says until when the target is cold
+	coldUntil    time.Duration // by the latest entry, if stated
+	registeredAt time.Duration // first entry of this start
+	// doubtedAt is when the target started, was readmitted, or did not answer: an entry may still
+	// say that it is cold.
+	doubtedAt time.Duration
+}
+
+// coldEnd returns when the target counts as warm.
+func (w warmUp) coldEnd(c ColdStart, entryDelay time.Duration) time.Duration {
+	end := w.registeredAt + c.Duration
+	if w.stated {
+		end = w.coldUntil
+	}
+	return max(end, w.doubtedAt+entryDelay)
 }
 
 // SetColdStarts replaces the cold starts of the services, by name. entryDelay is how late the
@@ -44,29 +55,28 @@
 
 func (d *Directory) doubt(now time.Duration, id string) {
 	w := d.warmUps[id]
-	w.doubtfulUntil = now + d.entryDelay
+	w.doubtedAt = now
 	d.warmUps[id] = w
 }
 
 // noteEntry updates the warm-up of a target from its new entry.
 func (d *Directory) noteEntry(now time.Duration, previous, t Target, known bool) {
-	if !known || t.StartedAt != previous.StartedAt || t.Ready && !previous.Ready {
-		d.doubt(now, t.ID)
-	}
 	w := d.warmUps[t.ID]
-	switch {
-	case t.ColdStated:
-		w.coldUntil = now + t.ColdFor
-	case t.StartedAt != previous.StartedAt || !known:
-		w.coldUntil = now + d.coldStarts[t.Service].Duration
+	if !known || t.StartedAt != previous.StartedAt {
+		w = warmUp{registeredAt: now, doubtedAt: now}
+	}
+	if t.Ready && !previous.Ready {
+		w.doubtedAt = now
+	}
+	if t.ColdStated {
+		w.stated, w.coldUntil = true, now+t.ColdFor
 	}
 	d.warmUps[t.ID] = w
 }
 
 // cold reports whether the target is cold at now, or may be.
 func (d *Directory) cold(now time.Duration, t Target) bool {
-	w := d.warmUps[t.ID]
-	return d.HasColdStart(t.Service) && now < max(w.coldUntil, w.doubtfulUntil)
+	return d.HasColdStart(t.Service) && now < d.warmUps[t.ID].coldEnd(d.coldStarts[t.Service], d.entryDelay)
 }
 
 // applyWarmUp sets the limit of a cold target.
@@ -87,8 +97,7 @@
 		if !d.cold(now, t) {
 			continue
 		}
-		w := d.warmUps[id]
-		if end := max(w.coldUntil, w.doubtfulUntil); !found || end < at {
+		if end := d.warmUps[id].coldEnd(d.coldStarts[t.Service], d.entryDelay); !found || end < at {
 			at, found = end, true
 		}
 	}
--- a/core/directory/warmup_test.go
+++ b/core/directory/warmup_test.go
@@ -74,6 +74,15 @@
 		Expect(at).To(Equal(43 * time.Second))
 	})
 
+	It("applies a configuration that is read after the entries", func() {
+		late := directory.New(2 * time.Second)
+		late.Put(0, entry(1, 10, 0))
+		Expect(late.Targets(time.Second)[0].Cold).To(BeFalse(), "no service with a cold start is known")
+		late.SetColdStarts(map[string]directory.ColdStart{"models": {PerSecond: 8}}, entryDelay)
+		Expect(late.Targets(time.Second)[0].Cold).To(BeTrue())
+		Expect(late.Targets(entryDelay)[0].Cold).To(BeFalse())
+	})
+
 	It("keeps the lower of two limits", func() {
 		d.SetLimit(time.Second, "a", 10, 2)
 		Expect(d.Targets(time.Second)[0].RequestLimit).To(Equal(2.0))
--- a/internal/batch/occupancy.go
+++ b/internal/batch/occupancy.go
@@ -1,7 +1,6 @@
 package batch
 
 import (
-	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -55,7 +54,7 @@
 		Runners: func() []occupancy.Runner { return *o.runners.Load() },
 		Known:   func(name string) bool { return b.Allowances.Knows(name) },
 		Client: &http.Client{CheckRedirect: node.NoRedirect, Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: occupancyDialTimeout}).DialContext,
+			DialContext:         b.Peers.DialWithin(occupancyDialTimeout),
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: occupancyIdleTimeout, DisableCompression: true,
 		}},
 		Log: b.Log, Metrics: b.Metrics.Set, News: func() { notify(o.news) },
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -27,7 +26,7 @@
 )
 
 // Headers between instances. Callers cannot set them: the listener for callers does not read
-// them, and the one for other instances is not open to callers.
+// them, and the one for other instances accepts instances only.
 const (
 	// HeaderRelayed marks a request that another instance relays. It holds the version of that
 	// instance's configuration.
@@ -58,7 +57,7 @@
 		client: &http.Client{
 			CheckRedirect: node.NoRedirect,
 			Transport: &http.Transport{
-				DialContext:         (&net.Dialer{Timeout: relayDialTimeout}).DialContext,
+				DialContext:         f.Peers.DialWithin(relayDialTimeout),
 				MaxIdleConnsPerHost: relayIdleConns, IdleConnTimeout: relayIdleTimeout, DisableCompression: true,
 			},
 		},
@@ -131,8 +130,8 @@
 }
 
 // serve serves a request that another instance relays. That instance has checked the caller's
-// key. The responses that this instance generates are marked, so that they cannot be taken for
-// a target's.
+// key: the account that it states is trusted because the connection is checked. The responses
+// that this instance generates are marked, so that they cannot be taken for a target's.
 func (r *relays) serve(w http.ResponseWriter, req *http.Request) {
 	f := r.forwarder
 	c := f.NewRequest(w, req)
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 
 	"github.com/amaranthfold/amaranthfold/internal/forward"
@@ -12,7 +13,7 @@
 // peerHandler serves the other instances.
 func (in *Instance) peerHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc(node.AllowancePath, in.node.Allowances.Serve)
+	mux.HandleFunc("POST "+node.AllowancePath, in.node.Allowances.Serve)
 	mux.Handle(occupancy.Path, in.batch.OccupancyHandler())
 	mux.HandleFunc("/", in.node.LogTransport.Relay)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -24,12 +25,16 @@
 	})
 }
 
-// servePeers serves the other instances: it grants requests to targets that limit their rate,
+// servePeers serves the other instances, on checked connections: it grants requests to targets that limit their rate,
 // takes the occupancy of engines by other runners, and relays calls to the log and callers'
 // requests for instances that reach neither the log nor a target.
 func (in *Instance) servePeers(ctx context.Context) error {
 	if in.node.Settings.Peers == "" {
 		return nil
 	}
-	return in.serve(ctx, in.node.Settings.Peers, in.peerHandler(), nil)
+	listener, err := in.listen("tcp", in.node.Settings.Peers)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return in.serveOn(ctx, in.node.Peers.Listen(listener), in.peerHandler(), nil)
 }
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -25,6 +26,10 @@
 	// Both are longer than the configured limits, with which callers comply.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 120 * time.Second
+
+	// maxHeaderBytes is the limit of all listeners: a relayed request has the headers of the
+	// caller's.
+	maxHeaderBytes = 1 << 20
 )
 
 // ready reports whether the load balancer may send requests to the instance: it is not
@@ -38,11 +43,10 @@
 // serveReadiness serves the load balancer's health check: status 200 if the instance is
 // ready, else 503.
 func (in *Instance) serveReadiness(ctx context.Context) error {
-	wasReady := false
+	var wasReady atomic.Bool
 	return in.serve(ctx, in.node.Settings.Readiness, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		ready := in.ready()
-		if ready != wasReady {
-			wasReady = ready
+		if wasReady.Swap(ready) != ready {
 			in.node.Log("readiness changed", events.F("ready", fmt.Sprint(ready)))
 		}
 		if !ready {
@@ -73,14 +77,19 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	return in.serveOn(ctx, listener, handler, stop)
+}
+
+// serveOn is serve on an open listener.
+func (in *Instance) serveOn(ctx context.Context, listener net.Listener, handler http.Handler, stop func(context.Context, *http.Server) error) error {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve %s: %w", address, err)
+			return fmt.Errorf("serve %s: %w", listener.Addr(), err)
 		}
 		return nil
 	})
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -59,7 +58,7 @@
 	a := &Allowances{
 		node: n, granter: allowance.NewGranter(), owners: allowance.NewOwners(),
 		client: &http.Client{Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: allowanceTimeout}).DialContext,
+			DialContext:         n.Peers.DialWithin(allowanceTimeout),
 			MaxIdleConnsPerHost: allowanceIdleConns, IdleConnTimeout: allowanceIdleTimeout, DisableCompression: true,
 		}},
 	}
@@ -67,13 +66,17 @@
 	return a
 }
 
-// updatePeers replaces the known instances by those of the log. It runs on the state
-// goroutine.
-func (a *Allowances) updatePeers() {
+// updatePeers replaces the known instances, if a batch of the log has changed them. It runs on
+// the state goroutine.
+func (a *Allowances) updatePeers(now time.Duration) {
+	known, changed := a.node.Peers.update(now, a.node.StateLoop.State.Instances)
+	if !changed {
+		return
+	}
 	addresses := map[string]string{a.node.Settings.Instance: ""}
-	for name, i := range a.node.StateLoop.State.Instances {
-		if i.PeerAddress != "" {
-			addresses[name] = i.PeerAddress
+	for _, p := range known {
+		if p.Address != "" {
+			addresses[p.Name] = p.Address
 		}
 	}
 	names := slices.Sorted(maps.Keys(addresses))
@@ -225,8 +228,8 @@
 // Serve answers another instance's request for an allowance.
 func (a *Allowances) Serve(w http.ResponseWriter, r *http.Request) {
 	var request allowance.Request
-	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAllowanceBytes)).Decode(&request); err != nil || request.Target == "" || request.Count < 1 {
-		http.Error(w, "not a request for an allowance", http.StatusBadRequest)
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAllowanceBytes)).Decode(&request); err != nil || request.Check() != nil {
+		http.Error(w, allowance.ErrInvalid.Error(), http.StatusBadRequest)
 		return
 	}
 	data, err := json.Marshal(a.grant(request))
--- a/internal/node/detour.go
+++ b/internal/node/detour.go
@@ -63,8 +63,10 @@
 }
 
 func newLogTransport(n *Node, logAddress string) *LogTransport {
+	throughPeer := platform.NewTransport()
+	throughPeer.DialContext = n.Peers.Dial
 	return &LogTransport{
-		node: n, direct: platform.NewTransport(), peerTransport: platform.NewTransport(), logAddress: logAddress,
+		node: n, direct: platform.NewTransport(), peerTransport: throughPeer, logAddress: logAddress,
 		failedPeers: map[string]time.Duration{}, failoverStarted: make(chan struct{}, 1), relaySlots: make(chan struct{}, maxRelayedCalls),
 	}
 }
@@ -208,14 +210,10 @@
 		return
 	}
 	var peers []string
-	t.node.StateLoop.Do(ctx, func() {
-		for name, other := range t.node.StateLoop.State.Instances {
-			if name != t.node.Settings.Instance && other.PeerAddress != "" {
-				peers = append(peers, other.PeerAddress)
-			}
-		}
-	})
-	slices.Sort(peers)
+	names, addresses := t.node.Allowances.OtherInstances()
+	for _, name := range names {
+		peers = append(peers, addresses[name])
+	}
 	now := t.node.Clock.Now()
 	t.mu.Lock()
 	peers = slices.DeleteFunc(peers, func(p string) bool { return now < t.failedPeers[p] })
@@ -237,6 +235,9 @@
 // Relay sends a peer's call to the log on the direct path, and the log's response to the
 // peer.
 func (t *LogTransport) Relay(w http.ResponseWriter, r *http.Request) {
+	if t.node.Peers.refuseLogCall(w, r) {
+		return
+	}
 	t.mu.Lock()
 	unavailable := t.directDown
 	t.mu.Unlock()
@@ -253,7 +254,7 @@
 	}
 	req := r.Clone(r.Context())
 	req.URL.Scheme, req.URL.Host, req.Host = "http", t.logAddress, t.logAddress
-	req.RequestURI = ""
+	req.RequestURI, req.Header = "", http.Header{} // a store sends none
 	res, err := t.direct.RoundTrip(req)
 	t.trackResult(r.Context(), res, err)
 	if err != nil {
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -166,6 +166,7 @@
 			accepted := n.StateLoop.State.Apply(offset, now, r)
 			n.onApplied(now, r, accepted)
 		}
+		n.Allowances.updatePeers(now)
 		n.StateLoop.sharedNextOffset.Store(n.StateLoop.nextOffset)
 		n.Pace.Instances.Store(int32(len(n.StateLoop.State.Instances)))
 		if n.StateLoop.nextOffset >= batch.EndOffset {
@@ -181,8 +182,8 @@
 // state goroutine.
 func (n *Node) onApplied(now time.Duration, r job.Record, accepted bool) {
 	switch {
-	case r.InstanceStarted != nil && accepted:
-		n.Allowances.updatePeers()
+	case r.InstanceStarted != nil:
+		n.Peers.noteAnnouncement(now, r.Writer, accepted)
 	case r.Submitted != nil && accepted:
 		if desired := n.StateLoop.desiredVersions[r.Submitted.Model]; desired > 0 {
 			n.StateLoop.AllowedStaleness[r.Submitted.Model] = max(0, desired-r.Submitted.MinVersion)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -21,6 +21,7 @@
 	limitsNamed, StreamsTakenUp      *metrics.Counter
 	linksLost, Relayed               *metrics.Counter
 	targetsDoubted                   *metrics.Counter
+	peersRefused                     *metrics.Counter
 	TargetsCrashed, Condemned        *metrics.Counter
 	SuspectsServed, CondemnedRefused *metrics.Counter
 
@@ -54,6 +55,7 @@
 		StreamsTakenUp:   set.NewCounter("amaranth_hosted_streams_taken_up_total"),
 		TargetsCrashed:   set.NewCounter("amaranth_hosted_targets_crashed_total"),
 		Relayed:          set.NewCounter("amaranth_hosted_calls_relayed_total"),
+		peersRefused:     set.NewCounter("amaranth_hosted_peer_connections_refused_total"),
 		targetsDoubted:   set.NewCounter("amaranth_hosted_targets_doubted_total"),
 		linksLost:        set.NewCounter("amaranth_hosted_links_lost_total"),
 		Condemned:        set.NewCounter("amaranth_hosted_calls_condemned_total"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/hash"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/peering"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/platform"
@@ -53,6 +54,7 @@
 	Allowances   *Allowances
 	Links        *LinkMonitor
 	LogTransport *LogTransport
+	Peers        *PeerLinks
 	// OnRecord is called on the state goroutine with each record of the log, after it was
 	// applied to the state, and whether the state accepted it. Set before the loops start.
 	OnRecord func(now time.Duration, r job.Record, accepted bool)
@@ -93,6 +95,7 @@
 	}
 	n.Links = newLinkMonitor(n, cfg.DialTarget)
 	n.TargetClient = &http.Client{Transport: platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget), CheckRedirect: NoRedirect}
+	n.Peers = newPeerLinks(n)
 	n.LogTransport = newLogTransport(n, s.Store.Address)
 	n.store = platform.NewStore(s.Store.Address, n.LogTransport)
 	n.Self = fmt.Sprintf("%s/%x", s.Instance, n.Rand64())
@@ -131,18 +134,16 @@
 	}
 }
 
-// announceInterval is short enough that the log always retains an announcement of every
-// running instance.
-const announceInterval = time.Minute
-
-// announce appends the InstanceStarted record, at once and every announceInterval. It
-// publishes the incarnation and the address at which the instance listens for peers.
+// announce appends the InstanceStarted record, at once and every peering.AnnounceInterval. It
+// publishes the incarnation, the address at which the instance listens for peers and the
+// fingerprint of its key.
 func (n *Node) announce(ctx context.Context) error {
 	started := &job.InstanceStarted{
 		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
+		KeyFingerprint: n.Peers.identity.Fingerprint(),
 	}
 	n.AppendRecordAsync(job.Record{InstanceStarted: started})
-	return clock.Every(ctx, announceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
+	return clock.Every(ctx, peering.AnnounceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
 }
 
 // Stop makes IsStopping true and closes the channel stopping.
