Placement: slack, expected completion and estimated speeds decide

Cause: tasks started by their hints alone, whatever their due times; an engine's load, its memory and its reclaim were not considered; thresholds of moves held the figures of one deployment. Choosing an engine took time in proportion to tasks and engines. Change: the estimates of core/speed replace the constants. The remaining time of a task follows from its hint, the events observed for each hinted token and, beyond the hint, from recent outputs that were longer. SetJob states when a job's groups are due: groups that can be in time start before others, the needed ones first, then by slack; the rest keeps one start in eight. Long tasks go to fast engines with little load, short ones avoid the engines of long ones; memory is respected where known. A run moves if the expected gain is three times the cost and it is among the last of its group, and off engines about to be reclaimed, the least slack first. On an engine that is home to another model, runners take free slots in turns of 300 ms. Candidates are kept in heaps that are shared by tasks with the same requirements.

--- a/core/assign/occupancy.go
+++ b/core/assign/occupancy.go
@@ -10,6 +10,11 @@
 	// trainers that submit together do so (50 ms) and a message takes, and shorter than the
 	// wait at an engine that several runners have filled (0.5 to 0.9 s).
 	newsWait = 100 * time.Millisecond
+	// overflowTurn is how long a free slot is left to each of the models that come before one in
+	// the order of an engine that is home to neither: more than the interval between the messages
+	// of a runner. maxOverflowPosition bounds the time for which a slot stays free.
+	overflowTurn        = 300 * time.Millisecond
+	maxOverflowPosition = 2
 	// newsLifetime is how old news may be to be used at all.
 	newsLifetime = 3 * time.Second
 	// maxTaskTokens bounds the tokens that one run counts for.
@@ -30,6 +35,12 @@
 	for id, e := range s.engines {
 		load := others[id]
 		e.others = Load{max(0, load.Runs), max(0, load.Tokens)}
+		switch full := e.occupied() >= e.Slots; {
+		case full:
+			e.full = true
+		case e.full:
+			e.full, e.freeSince = false, at
+		}
 	}
 }
 
@@ -38,6 +49,7 @@
 func (s *Scheduler) Occupancy() map[string]Load {
 	out := map[string]Load{}
 	for id, e := range s.engines {
+		e.published = e.running
 		if e.running > 0 {
 			out[id] = Load{e.running, e.tokens}
 		}
@@ -84,3 +96,30 @@
 
 func (t *Task) outputTokens() int64 { return min(max(0, t.ExpectedTokens), maxTaskTokens) }
 func (t *Task) promptTokens() int64 { return min(max(0, t.PromptTokens), maxTaskTokens) }
+
+// mayOverflowOnto reports whether a run of the model may start on the engine. On an engine that
+// is not home to it, it takes slots again that the others know as taken, and others in the
+// engine's order of the models, so that several runners do not take the same free slot before
+// they hear of each other.
+func (s *Scheduler) mayOverflowOnto(now time.Duration, e *engine, model string) bool {
+	if !s.newsKnown || e.homeModel == model || e.running < e.published {
+		return true
+	}
+	return now-e.freeSince >= time.Duration(e.overflowPosition(model))*overflowTurn
+}
+
+// overflowPosition returns how many other models come before this one, up to a bound.
+func (e *engine) overflowPosition(model string) int {
+	position, known := e.positions[model]
+	if known {
+		return position
+	}
+	own := rank(model, e.ID)
+	for _, other := range e.Serves {
+		if other != e.homeModel && other != model && rank(other, e.ID) > own {
+			position++
+		}
+	}
+	e.positions[model] = min(position, maxOverflowPosition)
+	return e.positions[model]
+}
--- a/core/assign/replay_test.go
+++ b/core/assign/replay_test.go
@@ -29,6 +29,7 @@
 	trainers, engines, steps int
 	tasks                    [2]int        // of a step, smallest and largest number
 	apart                    time.Duration // between the first and the last trainer's submission
+	means                    [2]float64    // of the outputs of a step without the long ones, in events
 	hintError                float64       // sigma of the lognormal error of the hints
 	speedClasses             []float64     // factors of the event interval
 	slowUntil                time.Duration // one in five engines is three times as slow from 1 s until then
@@ -41,6 +42,8 @@
 	due        = 7500 * ms
 	credited   = 8200 * ms // a group that is whole by then counts in full
 	slots      = 8
+
+	promptTokens = 1000
 )
 
 type simTask struct {
@@ -81,7 +84,8 @@
 	sentAt    time.Duration
 	news      time.Duration // when the others have them
 	reviewAt  time.Duration
-	changed   bool
+	changed   bool // a run may start
+	acted     bool // a run has started or ended since the latest message
 }
 
 // result holds the figures of a replay.
@@ -145,7 +149,7 @@
 func (s *sim) advanceEngines(now time.Duration) {
 	for _, e := range s.engines {
 		if e.reclaims && now >= s.reclaimAt {
-			for _, r := range append(e.running, e.queue...) {
+			for _, r := range slices.Concat(e.running, e.queue) {
 				s.endRun(now, r, assign.Broken)
 			}
 			e.running, e.queue = nil, nil
@@ -153,9 +157,9 @@
 		}
 		tokens := 0.0
 		for _, r := range e.running {
-			tokens += 500 + 67*float64(r.task.events)
+			tokens += promptTokens + 67*float64(r.task.events)
 		}
-		interval := 48e-3 * e.factor * (1 + 0.004*float64(len(e.running)-1) + 4e-6*tokens)
+		interval := 48e-3 * e.factor * (1 + 0.004*float64(len(e.running)-1) + 5e-6*tokens)
 		if e.slow && now >= time.Second && now < s.slowUntil {
 			interval *= 3
 		}
@@ -192,7 +196,7 @@
 		return
 	}
 	delete(r.runner.runs, r.start.Run)
-	r.runner.changed = true
+	r.runner.changed, r.runner.acted = true, true
 	if outcome == assign.Canceled {
 		return
 	}
@@ -231,7 +235,7 @@
 	job := fmt.Sprint(r.model, "/", r.step)
 	size := 8 << s.rng.IntN(2)
 	n := (s.tasks[0] + s.rng.IntN(s.tasks[1]-s.tasks[0]+1)) / size * size
-	mean := 13 + 8*s.rng.Float64()
+	mean := s.means[0] + (s.means[1]-s.means[0])*s.rng.Float64()
 	for _, t := range left {
 		t.task.Resubmitted = true
 		s.add(now, r, t, job, "left/"+t.task.Group)
@@ -246,6 +250,10 @@
 		s.add(now, r, t, job, fmt.Sprint(job, "/", i/size))
 	}
 	r.wanted = int(math.Ceil(0.9 * float64(len(r.groups))))
+	if scheduler, knows := r.policy.(*assign.Scheduler); knows {
+		scheduler.RemoveJob(fmt.Sprint(r.model, "/", r.step-1))
+		scheduler.SetJob(job, assign.Job{Due: now + due, GroupsWanted: r.wanted, Groups: len(r.groups)})
+	}
 	s.result.groups += len(r.groups)
 	r.step++
 }
@@ -253,6 +261,7 @@
 func (s *sim) add(now time.Duration, r *simRunner, t *simTask, job, group string) {
 	t.task.Key = assign.Key{Job: job, Task: len(r.tasks)}
 	t.task.Service, t.task.Model, t.task.MinVersion, t.task.Group = "s", r.model, 1, group
+	t.task.PromptTokens = promptTokens
 	t.task.Submitted, t.task.WaitingSince, t.task.Kept = now, now, assign.Kept{Events: t.events}
 	r.tasks[t.task.Key] = t
 	r.groups[group]++
@@ -290,7 +299,7 @@
 	r.changed = false
 	for _, start := range r.policy.Assign(now) {
 		run := &simRun{runner: r, start: start, task: r.tasks[start.Task], sent: now}
-		r.runs[start.Run] = run
+		r.runs[start.Run], r.acted = run, true
 		s.byID[start.Engine].queue = append(s.byID[start.Engine].queue, run)
 		s.result.runs++
 	}
@@ -299,23 +308,27 @@
 // exchange publishes the runner's occupancy at most every 200 ms, and at least every 2 s, and
 // passes on what the others have published, 5 ms after it.
 func (s *sim) exchange(now time.Duration, r *simRunner, scheduler *assign.Scheduler) {
-	own := scheduler.Occupancy()
-	if now >= r.sentAt+2*time.Second || now >= r.sentAt+200*ms && !maps.Equal(own, r.published) {
-		r.published, r.sentAt = own, now
+	if now >= r.sentAt+200*ms && (r.acted || now >= r.sentAt+2*time.Second) {
+		r.published, r.sentAt, r.acted = scheduler.Occupancy(), now, false
 	}
 	others, oldest, newest := map[string]assign.Load{}, now, time.Duration(0)
 	for _, other := range s.runners {
-		if other == r || now < other.sentAt+replayTick {
+		if other != r {
+			oldest, newest = min(oldest, other.sentAt), max(newest, other.sentAt)
+		}
+	}
+	if newest+replayTick > now || newest <= r.news {
+		return
+	}
+	r.news, r.changed = newest, true
+	for _, other := range s.runners {
+		if other == r {
 			continue
 		}
-		oldest, newest = min(oldest, other.sentAt), max(newest, other.sentAt)
 		for id, l := range other.published {
 			others[id] = assign.Load{Runs: others[id].Runs + l.Runs, Tokens: others[id].Tokens + l.Tokens}
 		}
 	}
-	if newest > r.news {
-		r.news, r.changed = newest, true
-	}
 	scheduler.SetOccupancy(oldest, others)
 }
 
@@ -323,6 +336,9 @@
 	var out []assign.Engine
 	for _, e := range s.engines {
 		listed := assign.Engine{ID: e.id, Service: "s", Slots: slots, Ready: !e.reclaims || now < s.reclaimAt, Versions: map[string]int64{}}
+		if e.reclaims && now >= s.reclaimAt-2500*ms {
+			listed.ReclaimedAt = s.reclaimAt
+		}
 		for _, r := range s.runners {
 			listed.Versions[r.model] = 1
 			listed.Serves = append(listed.Serves, r.model)
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -6,142 +6,163 @@
 	"time"
 )
 
-// minEnginesForMedian is how many engines of a service must have an event interval: a median
-// of fewer is not meaningful.
-const minEnginesForMedian = 3
+const (
+	// A run stalls after stallFactor times the duration of a load of weights, which pauses it,
+	// and not before minStallTimeout.
+	stallFactor     = 1.2
+	minStallTimeout = 600 * time.Millisecond
+)
 
-// maxFastSlowdown is the highest slowdown of an engine that counts as one of the faster half.
-const maxFastSlowdown = 1.07
+// Reasons why a run moves.
+const (
+	noFirstEvent = "no first event"
+	stalled      = "stalled"
+	reclaimed    = "engine is reclaimed"
+	loadsWeights = "engine loads weights"
+	slowEngine   = "another engine is faster"
+)
 
-// updateMedians computes the median event interval of each service's engines.
-func (s *Scheduler) updateMedians() {
-	clear(s.medianInterval)
-	intervals := map[string][]float64{}
-	for _, e := range s.engines {
-		if e.eventInterval > 0 {
-			intervals[e.Service] = append(intervals[e.Service], e.eventInterval)
-		}
-	}
-	for service, values := range intervals {
-		if len(values) >= minEnginesForMedian {
-			slices.Sort(values)
-			s.medianInterval[service] = values[len(values)/2]
-		}
-	}
+// move is a run that should move if there is an engine for it.
+type move struct {
+	*run
+	reason   string
+	left     time.Duration // expected time until it is complete, where it is
+	events   float64       // expected to be left
+	interval time.Duration
+	pause    time.Duration // for a load of weights
 }
 
-// slowdown returns the engine's event interval divided by the median of its service, 1 if
-// either is unknown. An engine with a slowdown of 2 takes twice the median time for an event.
-func (s *Scheduler) slowdown(e *engine) float64 {
-	median := s.medianInterval[e.Service]
-	if e.eventInterval == 0 || median == 0 {
-		return 1
-	}
-	return e.eventInterval / median
+// destinations are the engines with free slots for tasks of a class, the fastest first.
+type destinations struct {
+	class
+	limited bool // engines that limit their requests count, too
 }
 
-// slow reports whether the engine's slowdown is above SlowFactor.
-func (s *Scheduler) slow(e *engine) bool { return s.slowdown(e) > s.limits.SlowFactor }
+type destination struct {
+	engine   *engine
+	slowdown float64
+	slots    int
+}
 
-// RunsToMove returns the runs that the caller must end and requeue: those without an event
-// for too long, those of engines that are slow or load weights, and long runs of engines
-// slower than others with free slots. It returns no more runs than there are free slots on
-// engines that can run them.
+// RunsToMove returns the runs that the caller must end and requeue: those without an event for
+// too long, those of engines that are about to be reclaimed and that do not end before, and
+// those whose expected gain on another engine exceeds the expected cost. It returns no more
+// runs than there are free slots on engines that can run them. The ones with the least slack
+// come first.
 func (s *Scheduler) RunsToMove(now time.Duration) []Stop {
-	s.updateMedians()
-	s.expireNews(now)
-	var out []Stop
-	type destination struct {
-		class
-		maxSlowdown float64 // highest slowdown of an engine to move to
-		limited     bool    // engines that limit their requests count, too
-	}
-	slotsLeft := map[destination]int{}
-	for _, r := range s.runsByID() {
-		reason, maxSlowdown := s.moveReason(now, r)
-		if reason == "" {
-			continue
+	s.refresh(now)
+	s.rateTasks(now)
+	var moves []move
+	for _, r := range s.runs {
+		if m := s.moveOf(now, r); m.reason != "" {
+			moves = append(moves, m)
 		}
+	}
+	slices.SortFunc(moves, func(a, b move) int {
+		return cmp.Or(cmp.Compare(moveRank[a.reason], moveRank[b.reason]), cmp.Compare(s.slackOf(now, a), s.slackOf(now, b)), cmp.Compare(a.id, b.id))
+	})
+	free := map[destinations][]destination{}
+	var out []Stop
+	for _, m := range moves {
 		// A run that makes progress is not worth a permit.
-		dest := destination{s.classToMove(now, r), maxSlowdown, s.stuck(now, r) != ""}
-		if _, counted := slotsLeft[dest]; !counted {
-			slotsLeft[dest] = s.freeSlots(now, dest.class, maxSlowdown, dest.limited)
+		d := destinations{s.classToMove(now, m.run), m.reason == noFirstEvent || m.reason == stalled}
+		if _, listed := free[d]; !listed {
+			free[d] = s.destinations(now, d)
 		}
-		if slotsLeft[dest] <= 0 {
+		if !s.takeDestination(now, m, free[d]) {
 			continue
 		}
-		slotsLeft[dest]--
-		out = append(out, Stop{r.id, r.task.Key, r.engine, reason})
+		m.moving, m.stuck = true, m.reason == noFirstEvent || m.reason == stalled
+		out = append(out, Stop{m.id, m.task.Key, m.engine.ID, m.reason})
 	}
 	return out
 }
 
-// runsByID returns the runs in ascending order of their ids.
-func (s *Scheduler) runsByID() []*run {
-	runs := make([]*run, 0, len(s.runs))
-	for _, r := range s.runs {
-		runs = append(runs, r)
-	}
-	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.id, b.id) })
-	return runs
+// moveRank is the order of the reasons.
+var moveRank = map[string]int{noFirstEvent: 0, stalled: 0, reclaimed: 1, loadsWeights: 2, slowEngine: 2}
+
+func (s *Scheduler) slackOf(now time.Duration, m move) time.Duration {
+	return s.jobs[m.task.Key.Job].Due - now - m.left
 }
 
-// freeSlots counts the free slots of the engines that can run a task of the class and whose
-// slowdown is at most maxSlowdown. Engines that limit their requests count only if limited is
-// set, and then whether there is a permit or not.
-func (s *Scheduler) freeSlots(now time.Duration, c class, maxSlowdown float64, limited bool) int {
-	n := 0
-	for _, e := range s.engines {
-		if (!e.Limited || limited) && s.canRun(now, e, c) && s.slowdown(e) <= maxSlowdown {
-			n += e.Slots - e.occupied()
-		}
+// moveOf returns why a run should move if there is an engine for it, without a reason if it
+// should not.
+func (s *Scheduler) moveOf(now time.Duration, r *run) move {
+	e := r.engine
+	interval := s.interval(now, e, r.task.Model)
+	m := move{run: r, interval: interval, events: s.lengths.remaining(r.task.ExpectedTokens, r.resumed+r.events)}
+	if m.events == 0 { // as many as it has, until something is known of the lengths
+		m.events = max(1, float64(r.resumed+r.events))
+	}
+	m.left = time.Duration(m.events * float64(interval))
+	loadTime := e.service.LoadTime()
+	loading := e.LoadingModel == r.task.Model && r.started < e.LoadOrderedAt && now < e.LoadOrderedAt+loadTime
+	if loading { // which pauses the run
+		m.pause = e.LoadOrderedAt + loadTime - now
+		m.left += m.pause
 	}
-	return n
+	switch {
+	case r.events == 0 && now-r.started > e.service.FirstEventTimeout():
+		m.reason = noFirstEvent
+	case r.events > 0 && now-r.lastEventAt > max(minStallTimeout, time.Duration(stallFactor*float64(loadTime))):
+		m.reason = stalled
+	case e.ReclaimedAt > 0 && now+m.left > e.ReclaimedAt:
+		m.reason = reclaimed
+	case loading:
+		m.reason = loadsWeights
+	case r.events > 0 && now-r.started > s.limits.MinRunAge && (r.task.group.unknown || float64(m.left) >= 0.7*float64(r.task.group.slowest)):
+		m.reason = slowEngine
+	}
+	return m
 }
 
-// moveReason returns why a run should move to another engine, and the highest slowdown of an
-// engine to move to. The reason is empty if the run should not move.
-func (s *Scheduler) moveReason(now time.Duration, r *run) (reason string, maxSlowdown float64) {
-	e := s.engines[r.engine]
-	switch reason := s.stuck(now, r); {
-	case reason != "":
-		return reason, s.limits.SlowFactor
-	case now-r.started > s.limits.MinRunAge && r.events > 0 && s.slow(e):
-		return "slow engine", s.limits.SlowFactor
-	case e.LoadingModel == r.task.Model && r.started < e.LoadOrderedAt && now < e.LoadOrderedAt+s.limits.LoadTime:
-		return "engine loads weights", s.limits.SlowFactor // a load pauses runs
-	case now-r.started > s.limits.LongRunAge && r.events > 0 && s.slowdown(e) > s.limits.LongRunSlowFactor:
-		return "faster engines are free", maxFastSlowdown
-	default:
-		return "", 0
+// destinations lists the free slots of engines that can run a task of the class and are not
+// about to be reclaimed.
+func (s *Scheduler) destinations(now time.Duration, d destinations) []destination {
+	var out []destination
+	for _, e := range s.preferred(d.model) {
+		if (!e.Limited || d.limited) && e.ReclaimedAt == 0 && s.canRun(now, e, d.class) {
+			out = append(out, destination{e, e.speed(d.model).Slowdown(now), e.Slots - e.occupied()})
+		}
 	}
+	slices.SortStableFunc(out, func(a, b destination) int { return cmp.Compare(a.slowdown, b.slowdown) })
+	return out
 }
 
-// stuck returns why a run counts as one that makes no progress, empty if it does not.
-func (s *Scheduler) stuck(now time.Duration, r *run) string {
-	switch {
-	case r.events == 0 && now-r.started > s.limits.FirstEventTimeout:
-		return "no first event"
-	case r.events > 0 && now-r.lastEventAt > s.limits.StallTimeout:
-		return "stalled"
-	default:
-		return ""
+// takeDestination takes a slot of the fastest engine with a free one, if the run gains by the
+// move or makes no progress.
+func (s *Scheduler) takeDestination(now time.Duration, m move, list []destination) bool {
+	for i := range list {
+		d := &list[i]
+		if d.slots <= 0 || d.engine == m.engine && m.reason != noFirstEvent && m.reason != stalled {
+			continue
+		}
+		if m.reason == loadsWeights || m.reason == slowEngine {
+			here := m.engine.speed(m.task.Model).Slowdown(now)
+			gain := m.pause.Seconds() + m.events*m.interval.Seconds()*(1-d.slowdown/here)
+			if gain <= s.limits.GainOverCost*m.engine.service.FirstEvent().Seconds() {
+				return false
+			}
+		}
+		d.slots--
+		return true
 	}
+	return false
 }
 
 // Requeue releases a run's slot and makes its task wait again. The next run resumes after the
-// kept events. If the run still has a reason to move, its engine gets no run until the backoff
-// has passed.
+// kept events. If RunsToMove has returned the run, its engine gets no run until the backoff has
+// passed.
 func (s *Scheduler) Requeue(now time.Duration, id int64, kept Kept) {
 	r := s.runs[id]
 	if r == nil {
 		return
 	}
 	s.release(r)
-	if reason, _ := s.moveReason(now, r); reason != "" {
-		s.engines[r.engine].backoffUntil = max(s.engines[r.engine].backoffUntil, now+s.limits.Backoff)
+	if r.stuck {
+		r.engine.backoffUntil = max(r.engine.backoffUntil, now+s.limits.Backoff)
 	}
-	r.task.Kept, r.task.avoidEngine, r.task.WaitingSince = kept, r.engine, now
+	r.task.Kept, r.task.avoidEngine, r.task.WaitingSince, r.task.moved = kept, r.engine.ID, now, r.moving
 	s.enqueue(r.task)
 }
 
@@ -150,19 +171,33 @@
 // does not wait for weights alone.
 func (s *Scheduler) MaxSlotWait(now time.Duration) time.Duration {
 	longest := time.Duration(0)
+	full := map[class]bool{}
 	for _, t := range s.waiting {
 		if now-t.WaitingSince <= longest {
 			continue
 		}
-		for _, e := range s.engines {
-			if e.Ready && e.Service == t.Service && e.Versions[t.Model] >= t.MinVersion && e.occupied() >= e.Slots {
-				longest = now - t.WaitingSince
-				break
-			}
+		c := class{service: t.Service, model: t.Model, minVersion: t.MinVersion}
+		isFull, known := full[c]
+		if !known {
+			isFull = s.anyFull(c)
+			full[c] = isFull
+		}
+		if isFull {
+			longest = now - t.WaitingSince
 		}
 	}
 	return longest
 }
 
+// anyFull reports whether an engine that could run a task of the class has no free slot.
+func (s *Scheduler) anyFull(c class) bool {
+	for _, e := range s.engines {
+		if e.Ready && e.Service == c.service && e.Versions[c.model] >= c.minVersion && e.occupied() >= e.Slots {
+			return true
+		}
+	}
+	return false
+}
+
 // Counts returns how many tasks wait and how many run.
 func (s *Scheduler) Counts() (waiting, running int) { return len(s.waiting), len(s.runs) }
--- a/core/assign/software.go
+++ b/core/assign/software.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// defaultEventInterval is the expected time between events while none has been observed.
-const defaultEventInterval = 40 * time.Millisecond
+// assumedEventInterval is the expected time between events until enough engines have been
+// observed. It decides only how long kept events are worth waiting for.
+const assumedEventInterval = 40 * time.Millisecond
 
 // Kept is the part of a task's output that earlier runs have left. A run resumes after it only
 // on an engine with the same software version, because the events of two versions do not fit
@@ -37,7 +38,7 @@
 func (s *Scheduler) classToMove(now time.Duration, r *run) class {
 	t := *r.task
 	if r.events > 0 {
-		t.Kept, t.WaitingSince = Kept{r.events, s.engines[r.engine].Software}, now
+		t.Kept, t.WaitingSince = Kept{r.events, r.engine.Software}, now
 	}
 	return s.class(now, &t)
 }
@@ -46,14 +47,17 @@
 // kept of it, no engine is left that it could resume on, or it has waited for one longer than
 // it takes to generate the kept events again.
 func (s *Scheduler) mayStartOver(now time.Duration, t *Task) bool {
-	if t.Kept.Events == 0 {
-		return true
-	}
-	interval := defaultEventInterval
-	if median := s.medianInterval[t.Service]; median > 0 {
-		interval = time.Duration(median * float64(time.Second))
+	return t.Kept.Events == 0 || s.waitedLong(now, t) || !s.canResume(t)
+}
+
+// waitedLong reports whether the task has waited longer than it takes to generate its kept
+// events again.
+func (s *Scheduler) waitedLong(now time.Duration, t *Task) bool {
+	interval := s.service(t.Service).Median()
+	if interval == 0 {
+		interval = assumedEventInterval
 	}
-	return now-t.WaitingSince > time.Duration(t.Kept.Events)*interval || !s.canResume(t)
+	return now-t.WaitingSince > time.Duration(t.Kept.Events)*interval
 }
 
 // canResume reports whether there is an engine on which the task can resume, now or later.
--- a/core/speed/delays.go
+++ b/core/speed/delays.go
@@ -34,9 +34,11 @@
 	size   int
 	values []time.Duration
 	next   int
+	sorted []time.Duration // nil: not computed since the latest value
 }
 
 func (r *recent) add(v time.Duration) {
+	r.sorted = nil
 	if len(r.values) < r.size {
 		r.values = append(r.values, v)
 		return
@@ -50,8 +52,10 @@
 	if len(r.values) == 0 {
 		return 0
 	}
-	sorted := slices.Sorted(slices.Values(r.values))
-	return sorted[int(share*float64(len(sorted)-1))]
+	if r.sorted == nil {
+		r.sorted = slices.Sorted(slices.Values(r.values))
+	}
+	return r.sorted[int(share*float64(len(r.sorted)-1))]
 }
 
 // ObserveLoad adds the time by which a load of weights has paused a run.
