Batch: due times, wanted groups and reclaims for placement; how runs were placed

Cause: the scheduler decides by due times, wanted groups and the time when an engine goes, which the runner did not pass on; nothing said on which inputs a run was placed. Change: the runner sets the due time of a job (result-due-ms of its route), the wanted number of groups and ReclaimedAt of engines that have given notice. Events run placed (expected duration, slack, own and other runs, age of the news, wait) and task ended (events, delay of the first one, runs); metrics of waits, slack, late starts and moves by reason. Not yet measured in a deployment.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -241,7 +241,7 @@
 }
 
 func (s *Scheduler) inputs(now time.Duration, t *Task, e *engine) Inputs {
-	in := Inputs{Own: e.running, Others: e.others.Runs}
+	in := Inputs{Waited: now - t.WaitingSince, Runs: t.runs, Own: e.running, Others: e.others.Runs}
 	in.Remaining = s.remainingTime(now, t)
 	if due := s.jobs[t.Key.Job].Due; due != 0 && in.Remaining > 0 {
 		in.Slack, in.SlackKnown = due-now-in.Remaining, true
--- a/core/assign/types.go
+++ b/core/assign/types.go
@@ -95,6 +95,8 @@
 	Remaining  time.Duration // expected duration of the run; zero: unknown
 	Slack      time.Duration // until the task must have started to be in time
 	SlackKnown bool
+	Waited     time.Duration // since the task could start
+	Runs       int           // of the task, with this one
 	Own        int           // runs on the engine, with this one
 	Others     int           // runs of the other runners on the engine
 	NewsAge    time.Duration // of the runs of the others; zero: no other runner is known
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -107,6 +107,7 @@
 		return
 	}
 	j.tasks, j.outputs, j.loading = loaded.tasks, loaded.outputs, false
+	r.setJob(r.batch.CurrentView(), loaded.id, j)
 	for i := range j.tasks {
 		key := j.job.Account + "/" + j.job.Tasks[i].ID
 		p, found := r.partialOutputs[key]
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -31,6 +31,8 @@
 	jobs          map[string]*claimedJob
 	cancels       map[int64]context.CancelFunc // by run
 	outputs       map[int64]*taskOutput        // of the task, by run
+	placed        map[int64]placedRun          // by run
+	reclaims      reclaims
 	runEnds       chan runEnd
 	loadedJobs    chan loadedJob
 	permits       chan permitReply
@@ -81,6 +83,7 @@
 	r := &runner{
 		batch: b, scheduler: assign.New(assign.DefaultLimits()), jobs: map[string]*claimedJob{},
 		cancels: map[int64]context.CancelFunc{}, outputs: map[int64]*taskOutput{},
+		placed: map[int64]placedRun{}, reclaims: reclaims{},
 		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16), saves: saveState{results: make(chan bool)},
 		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
 	}
@@ -215,7 +218,9 @@
 	})
 	r.occupancy.runners.Store(&runners)
 	view := b.CurrentView()
-	r.scheduler.SetEngines(schedulerEngines(view, orders, allowedStaleness))
+	engines := schedulerEngines(view, orders, allowedStaleness)
+	r.reclaims.set(b.Clock.Now(), view, engines)
+	r.scheduler.SetEngines(engines)
 	if newest := latestOrderTime(orders); newest > r.latestOrderAt {
 		r.latestOrderAt = newest
 		r.reviewRuns() // at once, as an engine that loads weights pauses its runs
@@ -357,6 +362,7 @@
 	}
 	delete(r.cancels, run)
 	delete(r.outputs, run)
+	delete(r.placed, run)
 }
 
 // dropJob removes a job and cancels all its runs. The outputs of its unfinished tasks are
@@ -378,6 +384,7 @@
 		}
 	}
 	delete(r.jobs, id)
+	r.scheduler.RemoveJob(id)
 	r.batch.scorer.removeJob(id)
 	r.batch.Log("job left", events.F("job", id))
 }
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -38,6 +38,7 @@
 		r.cancels[s.Run], r.outputs[s.Run] = cancel, j.outputs[s.Task.Task]
 		b.Metrics.Runs.Inc()
 		r.logResume(j, s, targets[s.Engine].Software)
+		r.notePlaced(now, s, j.job.Tasks[s.Task.Task].ID)
 		remaining := time.Duration(j.job.SubmittedAt+j.job.Retention-b.Clock.Wall().UnixMilli()) * time.Millisecond
 		run := taskRun{
 			id: s.Run, key: s.Task, task: &j.tasks[s.Task.Task], output: j.outputs[s.Task.Task], host: j.job.Host,
@@ -86,6 +87,7 @@
 		// it again when the failure record has been applied.
 		outcome = assign.Canceled
 	}
+	placed := r.placed[end.run]
 	current := r.scheduler.Finish(b.Clock.Now(), end.run, outcome, kept)
 	r.cancelRun(end.run)
 	if end.outcome == assign.Broken || end.outcome == assign.Stale {
@@ -105,6 +107,7 @@
 		b.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: j.term, Failed: []int{i}}})
 	case end.outcome == assign.Completed:
 		b.Metrics.Listed.Inc()
+		r.noteEnded(b.Clock.Now(), end, placed, j.outputs[i])
 		output, versions, _ := j.outputs[i].snapshot()
 		b.Metrics.TaskTime.Update(float64(b.Clock.Wall().UnixMilli()-j.job.SubmittedAt) / 1000)
 		r.completeTask(j, taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, output: output, versions: versions}, 0)
@@ -129,6 +132,7 @@
 		r.cancelRun(s.Run)
 		r.scheduler.Requeue(now, s.Run, kept)
 		r.batch.Metrics.RunsMoved.Inc()
+		r.batch.Metrics.CountMove(s.Reason)
 		r.batch.Log("run moved", events.F("job", s.Task.Job), events.F("task", r.jobs[s.Task.Job].job.Tasks[s.Task.Task].ID),
 			events.F("target", s.Engine), events.F("events", fmt.Sprint(kept.Events)), events.F("reason", s.Reason))
 	}
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -22,7 +22,8 @@
 	// activeSoftware is the version of the active run's engine. If it is another one than that
 	// of the events, they are replaced by the run's first event.
 	activeSoftware string
-	runEvents      int64 // added by the active run
+	runEvents      int64         // added by the active run
+	firstEventAt   time.Duration // arrival of the first event of the active run; zero: none yet
 
 	// The part of the output that takeUnsaved has returned or that was loaded from the log.
 	savedLastEvent int64 // number of its last event
@@ -35,7 +36,7 @@
 func (t *taskOutput) startRun(run int64, software string) (resumeAfter int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.activeRun, t.activeSoftware, t.runEvents = run, software, 0
+	t.activeRun, t.activeSoftware, t.runEvents, t.firstEventAt = run, software, 0, 0
 	if t.software != software {
 		return 0
 	}
@@ -72,7 +73,9 @@
 	if t.software != t.activeSoftware || number != t.lastEvent+1 {
 		return false
 	}
-	t.runEvents++
+	if t.runEvents++; t.runEvents == 1 {
+		t.firstEventAt = now
+	}
 	if t.lastEvent > 0 {
 		t.data = append(t.data, '\n')
 	}
@@ -112,6 +115,13 @@
 	return t.runEvents, t.lastEventAt
 }
 
+// firstEvent returns when the first event of the active run was added, zero if there is none.
+func (t *taskOutput) firstEvent() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.firstEventAt
+}
+
 // kept returns the events that a later run can go on after.
 func (t *taskOutput) kept() assign.Kept {
 	t.mu.Lock()
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -16,7 +16,8 @@
 	Jobs, Listed, GivenUp, Claims    *metrics.Counter
 	Runs, RunsBroken, RunsMoved      *metrics.Counter
 	RunsResumed, RunsStartedOver     *metrics.Counter
-	TaskTime                         *metrics.Histogram
+	TaskTime, TaskWait, StartSlack   *metrics.Histogram
+	StartsLate                       *metrics.Counter
 	Orders, Reports                  *metrics.Counter
 	limitsNamed, StreamsTakenUp      *metrics.Counter
 	linksLost, Relayed               *metrics.Counter
@@ -49,6 +50,9 @@
 		RunsResumed:      set.NewCounter("amaranth_hosted_runs_resumed_total"),
 		RunsStartedOver:  set.NewCounter("amaranth_hosted_runs_started_over_total"),
 		TaskTime:         set.NewHistogram("amaranth_hosted_task_seconds"),
+		TaskWait:         set.NewHistogram("amaranth_hosted_task_wait_seconds"),
+		StartSlack:       set.NewHistogram("amaranth_hosted_start_slack_seconds"),
+		StartsLate:       set.NewCounter("amaranth_hosted_starts_late_total"),
 		Orders:           set.NewCounter("amaranth_hosted_weight_orders_total"),
 		Reports:          set.NewCounter("amaranth_hosted_usage_reports_total"),
 		StreamsTakenUp:   set.NewCounter("amaranth_hosted_streams_taken_up_total"),
@@ -72,6 +76,11 @@
 	}
 }
 
+// CountMove counts a run that moves off an engine for one of the reasons of package assign.
+func (m *Metrics) CountMove(reason string) {
+	m.Set.GetOrCreateCounter(fmt.Sprintf(`amaranth_hosted_moves_total{reason=%q}`, reason)).Inc()
+}
+
 // SetTargets sets the number of targets that the load of a service calls for, and how many of
 // them are missing.
 func (m *Metrics) SetTargets(service string, wanted, missing int) {
