Placement: moves count only slots that the run may take

Cause: a run could move although its runner had no turn for the free slot, or the engine no memory for it; its task then waited without a run. News that had expired came back into force for up to 50 ms with each report. Resubmitted tasks of small groups started before longer ones. A due time near the limits of its type counted as one far in the future. Change: destinations are checked as starts are; news expires at each decision; tasks that come first in any case are ordered by the longest hint, as before; due times are bounded. Measured: specs of assign, speed, batch and reference pass.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -266,5 +266,4 @@
 		service.Refresh(now)
 	}
 	s.lengths.refresh()
-	s.expireNews(now)
 }
--- a/core/assign/order.go
+++ b/core/assign/order.go
@@ -21,6 +21,9 @@
 	Groups       int           // number of its groups
 }
 
+// maxDue bounds due times, so that their differences do not overflow.
+const maxDue = time.Duration(1 << 60)
+
 type groupKey struct{ job, group string }
 
 // group is the state of a group with tasks that wait or run.
@@ -45,6 +48,7 @@
 
 // SetJob sets what is known of a job. RemoveJob must follow.
 func (s *Scheduler) SetJob(id string, j Job) {
+	j.Due = min(max(j.Due, -maxDue), maxDue)
 	if s.jobs[id] != j {
 		s.jobs[id] = j
 		s.unsorted = true
@@ -167,14 +171,14 @@
 // than the error of what it is computed from.
 const slackStep = 100 * time.Millisecond
 
-// orderSlack returns the slack of the task in steps. It is the same for all tasks whose order
-// does not depend on it: those whose remaining time is not known, and those that cannot be in
-// time or come first in any case.
-func (t *Task) orderSlack() time.Duration {
+// order returns the slack of the task in steps and the number of open tasks of its group. They
+// are zero for all tasks whose order does not depend on them: those whose remaining time is not
+// known, and those that cannot be in time or come first in any case.
+func (t *Task) order() (slack time.Duration, open int) {
 	if t.group.unknown || t.tier() == first || t.tier() == late {
-		return 0
+		return 0, 0
 	}
-	return t.slack / slackStep
+	return t.slack / slackStep, t.group.open
 }
 
 // compareStartOrder sorts by tier, then the least slack first, then the groups closest to
@@ -184,22 +188,15 @@
 // short tasks of a group with a long one take the slots that the long tasks of other groups
 // need, and the wanted groups are complete 0.2 s later (see the specs of replayed loads).
 func compareStartOrder(a, b *Task) int {
+	slackA, openA := a.order()
+	slackB, openB := b.order()
 	return cmp.Or(
 		cmp.Compare(a.tier(), b.tier()),
-		cmp.Compare(a.orderSlack(), b.orderSlack()),
-		cmp.Compare(a.group.orderOpen(), b.group.orderOpen()),
+		cmp.Compare(slackA, slackB),
+		cmp.Compare(openA, openB),
 		cmp.Compare(b.ExpectedTokens, a.ExpectedTokens),
 		cmp.Compare(a.Submitted, b.Submitted),
 		cmp.Compare(a.Key.Job, b.Key.Job),
 		cmp.Compare(a.Key.Task, b.Key.Task),
 	)
 }
-
-// orderOpen returns the number of open tasks, by which groups of tasks with equal slack are
-// sorted; zero if the slack is not known.
-func (g *group) orderOpen() int {
-	if g.unknown || g.tier == late {
-		return 0
-	}
-	return g.open
-}
--- a/core/assign/order_test.go
+++ b/core/assign/order_test.go
@@ -127,7 +127,7 @@
 	})
 
 	It("is the longest expected output first where no due time is known, or it has passed", func() {
-		for _, due := range []time.Duration{0, time.Second, -time.Hour, math.MinInt64 / 2} {
+		for _, due := range []time.Duration{0, time.Second, -time.Hour, math.MinInt64, math.MinInt64 / 2} {
 			scheduler.SetJob("j", assign.Job{Due: due, Groups: 3})
 			add("j", "b", 0, 1, 2000)
 			add("j", "a", 1, 1, 3000)
--- a/core/assign/place.go
+++ b/core/assign/place.go
@@ -9,6 +9,7 @@
 // (PermitsWanted), so that the longest tasks get the engines that are used least.
 func (s *Scheduler) Assign(now time.Duration) []Start {
 	s.refresh(now)
+	s.expireNews(now)
 	s.sortWaiting(now)
 	for _, e := range s.wanted {
 		e.permits.wanted = 0
@@ -179,6 +180,11 @@
 	if e.ReclaimedAt > 0 && e.ReclaimedAt < p.now+t.remaining {
 		return false
 	}
+	return e.fits(t)
+}
+
+// fits reports whether the task fits into the memory of the engine.
+func (e *engine) fits(t *Task) bool {
 	if e.MemoryTokens <= 0 || e.occupied() == 0 {
 		return true
 	}
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -51,6 +51,7 @@
 // come first.
 func (s *Scheduler) RunsToMove(now time.Duration) []Stop {
 	s.refresh(now)
+	s.expireNews(now)
 	s.rateTasks(now)
 	var moves []move
 	for _, r := range s.runs {
@@ -121,7 +122,7 @@
 func (s *Scheduler) destinations(now time.Duration, d destinations) []destination {
 	var out []destination
 	for _, e := range s.preferred(d.model) {
-		if (!e.Limited || d.limited) && e.ReclaimedAt == 0 && s.canRun(now, e, d.class) {
+		if (!e.Limited || d.limited) && e.ReclaimedAt == 0 && s.canRun(now, e, d.class) && s.mayOverflowOnto(now, e, d.model) {
 			out = append(out, destination{e, e.speed(d.model).Slowdown(now), e.Slots - e.occupied()})
 		}
 	}
@@ -134,7 +135,7 @@
 func (s *Scheduler) takeDestination(now time.Duration, m move, list []destination) bool {
 	for i := range list {
 		d := &list[i]
-		if d.slots <= 0 || d.engine == m.engine && m.reason != noFirstEvent && m.reason != stalled {
+		if d.slots <= 0 || !d.engine.fits(m.task) || d.engine == m.engine && m.reason != noFirstEvent && m.reason != stalled {
 			continue
 		}
 		if m.reason == loadsWeights || m.reason == slowEngine {
