Placement: runs do not move between equal engines, nor off a leaving one before they must

Runs left an engine at the notice of its reclaim, though they could go on there until shortly before. Change: a move for speed has to gain 12 % of the remaining time at least; runs leave an engine 0.6 s before it is reclaimed.

--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -11,6 +11,10 @@
 	// and not before minStallTimeout.
 	stallFactor     = 1.2
 	minStallTimeout = 600 * time.Millisecond
+	// reclaimMargin is how long before an engine is reclaimed its runs move: a few reviews, each
+	// of which moves as many as there are slots elsewhere. Until then a run goes on there and
+	// leaves the slots of the other engines to tasks that wait.
+	reclaimMargin = 600 * time.Millisecond
 )
 
 // Reasons why a run moves.
@@ -107,7 +111,7 @@
 		m.reason = noFirstEvent
 	case r.events > 0 && now-r.lastEventAt > max(minStallTimeout, time.Duration(stallFactor*float64(loadTime))):
 		m.reason = stalled
-	case e.ReclaimedAt > 0 && now+m.left > e.ReclaimedAt:
+	case e.ReclaimedAt > 0 && now+m.left > e.ReclaimedAt && e.ReclaimedAt-now <= reclaimMargin:
 		m.reason = reclaimed
 	case loading:
 		m.reason = loadsWeights
@@ -140,8 +144,9 @@
 		}
 		if m.reason == loadsWeights || m.reason == slowEngine {
 			here := m.engine.speed(m.task.Model).Slowdown(now)
-			gain := m.pause.Seconds() + m.events*m.interval.Seconds()*(1-d.slowdown/here)
-			if gain <= s.limits.GainOverCost*m.engine.service.FirstEvent().Seconds() {
+			share := 1 - d.slowdown/here
+			gain := m.pause.Seconds() + m.events*m.interval.Seconds()*share
+			if gain <= s.limits.GainOverCost*m.engine.service.FirstEvent().Seconds() || m.reason == slowEngine && share < s.limits.MinSpeedGain {
 				return false
 			}
 		}
--- a/core/assign/types.go
+++ b/core/assign/types.go
@@ -16,6 +16,9 @@
 	MinRunAge time.Duration
 	// GainOverCost is by how much the expected gain of a move must exceed its expected cost.
 	GainOverCost float64
+	// MinSpeedGain is the smallest part of its remaining time that a run must gain on a faster
+	// engine.
+	MinSpeedGain float64
 }
 
 // DefaultLimits returns the limits of the service.
@@ -27,6 +30,9 @@
 		// Intervals and lengths are estimates; a move that gains little is not worth the prefill
 		// that it takes from the runs of the other engine.
 		GainOverCost: 3,
+		// The estimates of equal engines differ by some percent. Without a margin a run moves from
+		// one to the other again and again.
+		MinSpeedGain: 0.12,
 	}
 }
 
