Placement: tasks of a slow but sound service end

Cause: a run moved after 0.4 to 2 s without its first event, or 0.6 to 1.2 s without a further one, whatever its service usually takes. With first events after 5 s, or 1.5 s between events, every run was cut again and again and no task ended. Change: a pause of six expected intervals is none, and each run of a task that was moved for want of events doubles the time that the next one may go without, up to 64 times.

--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -11,6 +11,12 @@
 	// and not before minStallTimeout.
 	stallFactor     = 1.2
 	minStallTimeout = 600 * time.Millisecond
+	// stallIntervals is how many expected intervals between events a run may pause.
+	stallIntervals = 6
+	// maxPatience bounds how often the time that a run may go without events doubles: each run of a
+	// task that was moved for want of events doubles it for the next one. Otherwise tasks of a slow
+	// but sound service would move for ever and never end.
+	maxPatience = 6
 	// reclaimMargin is how long before an engine is reclaimed its runs move: a few reviews, each
 	// of which moves as many as there are slots elsewhere. Until then a run goes on there and
 	// leaves the slots of the other engines to tasks that wait.
@@ -107,9 +113,9 @@
 		m.left += m.pause
 	}
 	switch {
-	case r.events == 0 && now-r.started > e.service.FirstEventTimeout():
+	case r.events == 0 && now-r.started > r.patience(e.service.FirstEventTimeout()):
 		m.reason = noFirstEvent
-	case r.events > 0 && now-r.lastEventAt > max(minStallTimeout, time.Duration(stallFactor*float64(loadTime))):
+	case r.events > 0 && now-r.lastEventAt > r.patience(max(minStallTimeout, time.Duration(stallFactor*float64(loadTime)), stallIntervals*interval)):
 		m.reason = stalled
 	case e.ReclaimedAt > 0 && now+m.left > e.ReclaimedAt && e.ReclaimedAt-now <= reclaimMargin:
 		m.reason = reclaimed
@@ -121,6 +127,11 @@
 	return m
 }
 
+// patience returns a time that a run may go without events, for the runs that its task has had.
+func (r *run) patience(timeout time.Duration) time.Duration {
+	return timeout << min(r.task.stuckRuns, maxPatience)
+}
+
 // destinations lists the free slots of engines that can run a task of the class and are not
 // about to be reclaimed.
 func (s *Scheduler) destinations(now time.Duration, d destinations) []destination {
@@ -166,6 +177,7 @@
 	}
 	s.release(r)
 	if r.stuck {
+		r.task.stuckRuns++
 		r.engine.backoffUntil = max(r.engine.backoffUntil, now+s.limits.Backoff)
 	}
 	r.task.Kept, r.task.avoidEngine, r.task.WaitingSince, r.task.moved = kept, r.engine.ID, now, r.moving
--- a/core/assign/types.go
+++ b/core/assign/types.go
@@ -63,6 +63,7 @@
 	runs        int           // runs started
 	run         *run          // nil: the task waits
 	moved       bool          // its last run was moved: it starts first
+	stuckRuns   int           // runs that were moved for want of events
 	group       *group
 	remaining   time.Duration // expected, as of the latest order; zero: unknown
 	slack       time.Duration // until it must start to be in time, as of the latest order
