A submission under the id of another account's job is not accepted

Cause: it was answered 202 and appended, but the log keeps the first job of an id: the submission was lost. The cache of accepted tasks was keyed by the id alone, so the runner of one account's job could take the other's tasks. Change: 409 where the first job has been read; the cache is keyed by account and id.

--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -42,9 +42,13 @@
 	}
 	ctx, cancel := b.submitContext(c)
 	defer cancel()
-	if b.hasJob(ctx, c, c.ID) {
+	switch owner, known := b.jobOwner(ctx, c.ID); {
+	case known && owner == c.Account:
 		b.respondAccepted(c, len(sub.Tasks), "known")
 		return
+	case known: // the log keeps one job of an id: this one would be lost
+		b.forwarder.Respond(c, http.StatusConflict, "another job has the request id")
+		return
 	}
 	if err := checkScorers(c.View.Catalog, sub.Tasks); err != nil {
 		b.forwarder.Deny(c, http.StatusBadRequest, err.Error())
@@ -60,7 +64,7 @@
 		b.forwarder.Refuse(c, "the tasks were not stored: "+err.Error()) // without the Submitted record the job never runs
 		return
 	}
-	b.runner.cacheTasks(c.ID, sub.Tasks)
+	b.runner.cacheTasks(cacheKey(c.Account, c.ID), sub.Tasks)
 	switch err := b.AppendRecord(ctx, job.Record{Submitted: b.newSubmitted(c, sub, locations, b.chooseRunner(ctx, sub.Model))}); {
 	case err == nil:
 		b.respondAccepted(c, len(sub.Tasks), "new")
@@ -148,6 +152,16 @@
 	c.Writer.WriteHeader(http.StatusAccepted)
 }
 
+// jobOwner returns the account of the job of the id, as far as the log was read.
+func (b *Batch) jobOwner(ctx context.Context, id string) (account string, known bool) {
+	b.StateLoop.Do(ctx, func() {
+		if j := b.StateLoop.State.Jobs[id]; j != nil {
+			account, known = j.Account, true
+		}
+	})
+	return account, known
+}
+
 // hasJob reports whether the account of the request has a job of the id, as far as the
 // log was read.
 func (b *Batch) hasJob(ctx context.Context, c *forward.CallerRequest, id string) (found bool) {
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -18,8 +18,9 @@
 func (r *runner) loadJob(ctx context.Context, snapshot jobSnapshot) {
 	loaded := loadedJob{id: snapshot.job.Job}
 	r.mu.Lock()
-	cached, found := r.taskCache[loaded.id]
-	delete(r.taskCache, loaded.id)
+	key := cacheKey(snapshot.job.Account, loaded.id)
+	cached, found := r.taskCache[key]
+	delete(r.taskCache, key)
 	r.mu.Unlock()
 	if found {
 		loaded.tasks = cached.tasks
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -43,7 +43,7 @@
 
 	// mu guards taskCache and openJobs. Only the goroutine of run accesses partialOutputs.
 	mu             sync.Mutex
-	taskCache      map[string]cachedTasks   // of jobs that this instance accepted, by job
+	taskCache      map[string]cachedTasks   // of jobs that this instance accepted, by cacheKey
 	partialOutputs map[string]partialOutput // of unfinished tasks of dropped jobs, by account and task
 	openJobs       int                      // len(jobs), for other goroutines
 }
@@ -91,9 +91,13 @@
 	return r
 }
 
+// cacheKey is the key of a job's tasks in the cache. Two accounts may submit jobs of one id at the
+// same moment, of which the log keeps one.
+func cacheKey(account, id string) string { return account + "/" + id }
+
 // cacheTasks keeps the tasks of a job that this instance accepts for taskCacheTTL, so
 // that it need not read them from the log if it becomes the runner.
-func (r *runner) cacheTasks(id string, tasks []job.Task) {
+func (r *runner) cacheTasks(key string, tasks []job.Task) {
 	now := r.batch.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -102,7 +106,7 @@
 			delete(r.taskCache, other)
 		}
 	}
-	r.taskCache[id] = cachedTasks{tasks, now}
+	r.taskCache[key] = cachedTasks{tasks, now}
 }
 
 // WaitForHandover waits until this instance runs no job, or ctx ends.
