Plain requests are admitted by the queue of their service

An instance sent a plain request to every target in turn, whether it could have a free slot or not, and repeated that every 30 ms. Each attempt is now admitted by core/intake first: it waits for a slot in a fair queue of accounts, or is refused at once with the expected wait as Retry-After if none will be free before its deadline.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/core/intake"
 	"github.com/amaranthfold/amaranthfold/core/poison"
 	"github.com/amaranthfold/amaranthfold/core/relay"
 	"github.com/amaranthfold/amaranthfold/core/retry"
@@ -35,6 +36,10 @@
 	refusedByResponse bool            // since all targets were tried last, one of them answered
 	noneAccepts       bool            // no target of the service accepts a connection
 	heldBack          int             // attempts that were not sent, as their targets limit the rate of requests
+	// granted is the target that has a slot for the next attempt; empty: none is known.
+	granted string
+	// refusal is the decision that ended the attempts for lack of a free slot; nil: none.
+	refusal *intake.Decision
 	// condemned is the verdict that ended the attempts; nil: none.
 	condemned *poison.Verdict
 	// allowedIn is the time until the first of these targets takes a request; zero: unknown.
@@ -60,7 +65,11 @@
 func (a *Attempts) run(ctx context.Context) {
 	f := a.forwarder
 	for {
+		if a.running == 0 && !a.admit(ctx) {
+			return
+		}
 		if a.running == 0 && !a.start(ctx, false) {
+			a.returnGrant()
 			if a.condemned != nil || a.relaying || a.heldBack > 0 || !a.allTargetsRefused() {
 				return
 			}
@@ -104,6 +113,40 @@
 	}
 }
 
+// admit waits until a target may have a free slot for the next attempt. It reports false if there
+// will be none before the deadline, or ctx has ended. Requests through other instances wait there.
+func (a *Attempts) admit(ctx context.Context) bool {
+	f := a.forwarder
+	if !f.intakes.covers(a.request) || a.relaying || a.request.relayable && f.Links.IsCut() {
+		return true
+	}
+	if a.countedAttempts >= a.request.MaxAttempts {
+		if a.refusedByResponse {
+			d := f.intakes.refusal(a.request)
+			a.refusal = &d
+		}
+		return true // start reports the rest
+	}
+	d := f.intakes.admit(ctx, a.request, a.deadline, a.StartedAttempts > 0)
+	switch d.Verdict {
+	case intake.Send:
+		a.granted = d.Target
+		return true
+	case intake.Refuse:
+		a.refusal = &d
+	default:
+	}
+	return false
+}
+
+// returnGrant returns the slot of an attempt that was not started.
+func (a *Attempts) returnGrant() {
+	if a.granted != "" {
+		a.forwarder.intakes.withdrawn(a.request, a.granted)
+		a.granted = ""
+	}
+}
+
 // start sends the request to one more target. It reports false if the request is condemned,
 // MaxAttempts is reached or every ready target was tried. A hedge is not sent to a target that
 // limits its rate.
@@ -130,6 +173,8 @@
 		return false
 	}
 	a.tried[target.ID] = true
+	f.intakes.sent(a.request, target.ID, a.granted)
+	a.granted = ""
 	a.countStart()
 	go func() {
 		a.results <- f.sendAttempt(ctx, a.request, target, suspected, a.deadline, countReadyTargets(view, a.request.Service))
@@ -189,14 +234,18 @@
 	a.start(ctx, false)
 }
 
-// excluded returns the targets that must not get the next attempt: the tried ones, those of
-// another software version than the request needs, and for a hedge those that limit the rate
-// of their requests.
+// excluded returns the targets that must not get the next attempt: the tried ones, those without
+// a free slot, those of another software version than the request needs, and for a hedge those
+// that limit the rate of their requests.
 func (a *Attempts) excluded(view *node.View, hedge bool) map[string]bool {
-	if !hedge && a.request.software == nil {
+	full, _ := a.forwarder.intakes.full(a.request)
+	if !hedge && a.request.software == nil && len(full) == 0 {
 		return a.tried
 	}
 	excluded := maps.Clone(a.tried)
+	for id := range full {
+		excluded[id] = excluded[id] || id != a.granted
+	}
 	for i := range view.Targets {
 		t := &view.Targets[i]
 		if hedge && t.Limited || a.request.software != nil && t.Software != *a.request.software {
@@ -226,7 +275,8 @@
 // mayHedge reports whether a slow request may be sent to a second target while the first
 // attempt is in flight.
 func (a *Attempts) mayHedge() bool {
-	return a.request.Kind == catalog.Idempotent && a.countedAttempts < a.request.MaxAttempts
+	_, waiting := a.forwarder.intakes.full(a.request)
+	return a.request.Kind == catalog.Idempotent && a.countedAttempts < a.request.MaxAttempts && !waiting
 }
 
 // handleResult updates a with the result of an attempt, and reports whether the request
@@ -237,6 +287,9 @@
 		a.countedAttempts = max(0, a.countedAttempts-1) // it was not sent
 	}
 	a.refusedByResponse = a.refusedByResponse || r.Err == nil
+	if r.Outcome == retry.NotRun && r.Err == nil && a.forwarder.intakes.covers(a.request) {
+		delete(a.tried, r.Target.ID) // admit tells when it may have a free slot
+	}
 	var noAllowance *noAllowanceError
 	if errors.As(r.Err, &noAllowance) {
 		a.heldBack++
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -26,6 +26,7 @@
 	*node.Node
 	countRequest  func(account string, wall time.Time) // counts a request that a target has run
 	plainTargets  *plainTargets
+	intakes       *intakes
 	relays        *relays
 	crashDetector *crashDetector
 	poisonGuard   *poisonGuard
@@ -36,6 +37,7 @@
 func New(n *node.Node, countRequest func(account string, wall time.Time)) *Forwarder {
 	f := &Forwarder{Node: n, countRequest: countRequest}
 	f.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
+	f.intakes = newIntakes(f)
 	f.relays = newRelays(f)
 	f.crashDetector = newCrashDetector(f)
 	f.poisonGuard = newPoisonGuard(f)
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -133,6 +133,8 @@
 		f.Log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
 	case attempted.heldBack > 0 && best.Outcome == retry.NotRun:
 		f.refuseFor(c, f.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
+	case attempted.refusal != nil && (best == nil || best.Outcome == retry.NotRun):
+		f.refuseForRoom(c, request, *attempted.refusal)
 	case attempted.condemned != nil && (best == nil || best.Outcome == retry.NotRun):
 		f.refuseCondemned(c, *attempted.condemned)
 	case best != nil && best.refused:
@@ -211,6 +213,7 @@
 	if err := f.awaitAllowance(ctx, p, target.ID); err != nil {
 		f.plainTargets.withdraw(target, suspected)
 		r.Err = err
+		f.intakes.ended(ctx, p, r, false)
 		f.Log("request held back", events.F("request", p.ID), events.F("target", target.ID), events.F("error", err.Error()))
 		return r
 	}
@@ -227,6 +230,7 @@
 	} else if !r.PlatformHeader.NotRun {
 		r.Outcome = retry.Ran
 	}
+	f.intakes.ended(ctx, p, r, true)
 	ok := r.Err == nil || ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled)
 	if f.plainTargets.release(f.Clock.Now(), target, suspected, readyTargets, ok, float64(f.Rand64()%1000)/1000) {
 		f.Log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.Err)))
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -13,6 +13,9 @@
 	Requests, Retries, Refused, Failed *metrics.Counter
 	RequestTime                        *metrics.Histogram
 
+	CallsWaited, NotAdmitted *metrics.Counter
+	CallWait                 *metrics.Histogram
+
 	Jobs, Listed, GivenUp, Claims    *metrics.Counter
 	Runs, RunsBroken, RunsMoved      *metrics.Counter
 	RunsResumed, RunsStartedOver     *metrics.Counter
@@ -36,6 +39,9 @@
 	set := metrics.NewSet()
 	return &Metrics{
 		Set:              set,
+		CallsWaited:      set.NewCounter("amaranth_hosted_calls_waited_total"),
+		NotAdmitted:      set.NewCounter("amaranth_hosted_calls_not_admitted_total"),
+		CallWait:         set.NewHistogram("amaranth_hosted_call_wait_seconds"),
 		Requests:         set.NewCounter("amaranth_hosted_calls_total"),
 		Retries:          set.NewCounter("amaranth_hosted_call_retries_total"),
 		Refused:          set.NewCounter("amaranth_hosted_calls_refused_total"),
