--- a/internal/batch/claims.go
+++ b/internal/batch/claims.go
@@ -4,30 +4,22 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/pace"
+	"github.com/amaranthfold/amaranthfold/core/takeover"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 )
 
 const (
-	// runnerTimeout is the time without a heartbeat of its runner after which a job may be
-	// claimed: three heartbeat intervals.
-	runnerTimeout = 1500 * time.Millisecond
-	// confirmTimeout is how long a new runner may take to confirm that it runs the job:
-	// two appends to a slow log.
-	confirmTimeout = 700 * time.Millisecond
-	// claimJitter is the longest random delay of a claim on a small deployment. It keeps the
-	// instances from claiming a job all at once.
-	claimJitter = 300 * time.Millisecond
-	// handoverClaimJitter is that delay for jobs without a runner. It is shorter, as such a
-	// job may have no runs until it is claimed.
-	handoverClaimJitter = 60 * time.Millisecond
-	claimCheckInterval  = 100 * time.Millisecond
+	claimCheckInterval = 100 * time.Millisecond
 	// claimReadTimeout bounds the read of the log before a claim.
 	claimReadTimeout = 400 * time.Millisecond
+	// claimRepeat is how long a claim may be pending until it is repeated.
+	claimRepeat = 1500 * time.Millisecond
 )
 
 // claimOrphans claims jobs that have no runner or whose runner sends no heartbeats.
@@ -44,7 +36,7 @@
 			return
 		}
 		for _, c := range b.dueClaims(ctx, claimAt) {
-			claimAt[c.Job] = b.Clock.Now() + runnerTimeout // do not claim again while the claim is pending
+			claimAt[c.Job] = b.Clock.Now() + claimRepeat // do not claim again while the claim is pending
 			b.Metrics.Claims.Inc()
 			b.Log("job claimed", events.F("job", c.Job), events.F("term", fmt.Sprint(c.Term)))
 			b.AppendRecordAsync(job.Record{Claimed: &c})
@@ -72,18 +64,14 @@
 	jitters := map[string]time.Duration{} // of the jobs that need a claim
 	b.StateLoop.Do(ctx, func() {
 		for id, j := range b.StateLoop.State.Jobs {
-			sinceSeen := now - max(j.RunnerSeenAt, time.Duration(b.StateLoop.LogContinuousSince.Load()))
-			timeout := runnerTimeout
-			if !j.RunnerConfirmed {
-				timeout = confirmTimeout
-			}
-			if !j.Open() || j.Runner == b.Self || j.Runner != "" && sinceSeen < timeout {
+			if !j.Open() || j.Runner == b.Self {
 				continue
 			}
-			jitters[id] = claimJitter
-			if j.Runner == "" {
-				jitters[id] = handoverClaimJitter
+			mayClaim, jitter := takeover.Claim(b.runnerOf(now, j))
+			if !mayClaim {
+				continue
 			}
+			jitters[id] = jitter
 			if at, planned := claimAt[id]; planned && now >= at {
 				due = append(due, job.Claimed{Job: id, Term: j.Term + 1, Runner: b.Self})
 			}
@@ -102,3 +90,23 @@
 	slices.SortFunc(due, func(a, b job.Claimed) int { return int(a.Term - b.Term) })
 	return due
 }
+
+// runnerOf returns what is known of the runner of a job. It runs on the state goroutine.
+func (b *Batch) runnerOf(now time.Duration, j *job.Job) takeover.Runner {
+	r := takeover.Runner{
+		Named: j.Runner != "", Confirmed: j.RunnerConfirmed,
+		SinceSeen: now - max(j.RunnerSeenAt, time.Duration(b.StateLoop.LogContinuousSince.Load())),
+	}
+	name := instanceOf(j.Runner)
+	current, known := b.StateLoop.State.Instances[name]
+	r.Replaced = known && current.Incarnation != j.Runner
+	if at, refused := b.runner.occupancy.refusedAt(name); refused && !r.Replaced {
+		r.Refused, r.SinceRefused = true, now-at
+	}
+	return r
+}
+
+// instanceOf returns the instance of an incarnation.
+func instanceOf(incarnation string) string {
+	return incarnation[:max(0, strings.LastIndex(incarnation, "/"))]
+}
--- a/internal/batch/occupancy.go
+++ b/internal/batch/occupancy.go
@@ -2,7 +2,7 @@
 
 import (
 	"net/http"
-	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +34,24 @@
 	due        chan struct{}          // receives a value when a read that was put off is due
 	news       chan struct{}          // receives a value when another runner's loads have changed
 	readPutOff bool
+
+	refusalsMu sync.Mutex
+	refusals   map[string]time.Duration // when the listener of a runner last refused a connection, by instance
+}
+
+// noteRefused notes that nothing listens at a runner's address.
+func (o *engineOccupancy) noteRefused(now time.Duration, instance string) {
+	o.refusalsMu.Lock()
+	defer o.refusalsMu.Unlock()
+	o.refusals[instance] = now
+}
+
+// refusedAt returns when the listener of a runner last refused a connection.
+func (o *engineOccupancy) refusedAt(instance string) (at time.Duration, refused bool) {
+	o.refusalsMu.Lock()
+	defer o.refusalsMu.Unlock()
+	at, refused = o.refusals[instance]
+	return at, refused
 }
 
 // notify sends a value unless one is pending.
@@ -45,7 +63,7 @@
 }
 
 func newEngineOccupancy(b *Batch) *engineOccupancy {
-	o := &engineOccupancy{due: make(chan struct{}, 1), news: make(chan struct{}, 1), readAt: -loadsInterval}
+	o := &engineOccupancy{refusals: map[string]time.Duration{}, due: make(chan struct{}, 1), news: make(chan struct{}, 1), readAt: -loadsInterval}
 	o.own.Store(&[]core.Load{})
 	o.runners.Store(&[]occupancy.Runner{})
 	o.exchange = occupancy.New(occupancy.Config{
@@ -58,6 +76,7 @@
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: occupancyIdleTimeout, DisableCompression: true,
 		}},
 		Log: b.Log, Metrics: b.Metrics.Set, News: func() { notify(o.news) },
+		Gone: func(name string) { o.noteRefused(b.Clock.Now(), name) },
 	})
 	return o
 }
@@ -76,7 +95,7 @@
 	}
 	var out []occupancy.Runner
 	for incarnation := range incarnations {
-		name := incarnation[:max(0, strings.LastIndex(incarnation, "/"))]
+		name := instanceOf(incarnation)
 		if i := s.Instances[name]; i.Incarnation == incarnation && i.PeerAddress != "" {
 			out = append(out, occupancy.Runner{Name: name, Address: i.PeerAddress})
 		}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/score"
+	"github.com/amaranthfold/amaranthfold/core/takeover"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/internal/occupancy"
@@ -17,10 +18,10 @@
 
 const (
 	reviewInterval     = 150 * time.Millisecond // a slow or stalled engine is detected a few events late
-	heartbeatInterval  = 500 * time.Millisecond // a third of runnerTimeout: two heartbeats may be lost
-	minChunkEvents     = 8                      // fewer new events are not worth a record
-	taskCacheTTL       = 20 * time.Second       // of an accepted job's tasks and a dropped task's output
-	idleReviewInterval = 5 * time.Second        // between reviews while the runner has no jobs
+	heartbeatInterval  = takeover.HeartbeatInterval
+	minChunkEvents     = 8                // fewer new events are not worth a record
+	taskCacheTTL       = 20 * time.Second // of an accepted job's tasks and a dropped task's output
+	idleReviewInterval = 5 * time.Second  // between reviews while the runner has no jobs
 )
 
 // runner runs the tasks of the jobs that the log assigns to this instance. Only the
--- a/internal/occupancy/exchange.go
+++ b/internal/occupancy/exchange.go
@@ -49,7 +49,9 @@
 	// Known reports whether an instance of the name is known. Messages of others are refused.
 	Known func(name string) bool
 	// News is called after each message that was applied. nil: nothing is called
-	News    func()
+	News func()
+	// Gone is called when the listener of a runner refuses connections. nil: nothing is called
+	Gone    func(name string)
 	Client  *http.Client
 	Log     func(event string, fields ...events.Field)
 	Metrics *metrics.Set
@@ -183,5 +185,8 @@
 		e.mu.Lock()
 		e.table.Drop(r.runner)
 		e.mu.Unlock()
+		if e.cfg.Gone != nil {
+			e.cfg.Gone(r.runner)
+		}
 	}
 }
