A run that resumes after the last event completes its task

Cause: a run that was stopped just after its last event left a complete output. Change: a response without events needs no version; an event without one is still refused. Measured: the spec fails on the code before for the first case.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -103,7 +103,9 @@
 func (b *Batch) readEvents(body io.Reader, r taskRun, version int64) (assign.Outcome, error) {
 	reader := platform.NewEventReader(body)
 	for {
-		if version < r.minVersion {
+		// A response without events states no version: that to a run which resumes after the last
+		// event, because an earlier run was stopped just before the end of its stream.
+		if version > 0 && version < r.minVersion {
 			return assign.Stale, fmt.Errorf("%w: %d, oldest %d", errStale, version, r.minVersion)
 		}
 		e, err := reader.Next()
@@ -123,9 +125,9 @@
 				return assign.Broken, errVersionChanged
 			}
 			version = e.Version
-			if version < r.minVersion {
-				continue
-			}
+		}
+		if version < r.minVersion {
+			return assign.Stale, fmt.Errorf("%w: %d, oldest %d", errStale, version, r.minVersion)
 		}
 		if !r.output.addEvent(r.id, e.Number, e.Data, version, b.Clock.Now()) {
 			return assign.Broken, fmt.Errorf("%w: number %d", errEventGap, e.Number)
--- /dev/null
+++ b/internal/batch/stream_test.go
@@ -0,0 +1,43 @@
+package batch
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/amaranthfold/amaranthfold/core/assign"
+	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// Guards against a task whose last event was received just before its run was stopped: the engine
+// answered each further run with an empty stream without a version, which counted as too old
+// weights, and the task ran again for ever.
+func TestRunThatResumesAfterTheLastEventCompletesTheTask(t *testing.T) {
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	for _, c := range []struct {
+		name, body string
+		version    int64
+		kept       bool
+		want       assign.Outcome
+	}{
+		{"an empty stream after all events", "", 0, true, assign.Completed},
+		{"an event without a version", "id: 2\ndata: b\n\n", 0, true, assign.Stale},
+		{"an event of too old weights", "id: 2\ndata: b\n\n", 7, true, assign.Stale},
+		{"weights that are too old before any event", "", 7, false, assign.Stale},
+		{"a further event of recent weights", "id: 2\ndata: b\n\n", 8, true, assign.Completed},
+		{"weights that become recent with the event", "weight-versions: 8\nid: 2\ndata: b\n\n", 0, true, assign.Completed},
+	} {
+		output := &taskOutput{}
+		if c.kept {
+			output.startRun(1, "v1")
+			output.addEvent(1, 1, []byte("a"), 8, time.Second)
+		}
+		output.startRun(2, "v1")
+		got, err := b.readEvents(strings.NewReader(c.body), taskRun{id: 2, output: output, minVersion: 8}, c.version)
+		if got != c.want {
+			t.Errorf("%s: outcome %v, want %v (%v)", c.name, got, c.want, err)
+		}
+	}
+}
