Placement: a move for speed gains a share of the time until the job is due

Cause: runs moved for gains of a tenth of a second long before their jobs were due; each move takes a connection. Change: the expected gain has to be 6 % of the time until the job is due.

--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -157,7 +157,11 @@
 			here := m.engine.speed(m.task.Model).Slowdown(now)
 			share := 1 - d.slowdown/here
 			gain := m.pause.Seconds() + m.events*m.interval.Seconds()*share
-			if gain <= s.limits.GainOverCost*m.engine.service.FirstEvent().Seconds() || m.reason == slowEngine && share < s.limits.MinSpeedGain {
+			if gain <= s.limits.GainOverCost*m.engine.service.FirstEvent().Seconds() {
+				return false
+			}
+			untilDue := (s.jobs[m.task.Key.Job].Due - now).Seconds() // negative if it is late, or not known
+			if m.reason == slowEngine && (share < s.limits.MinSpeedGain || gain < s.limits.MinDueGain*untilDue) {
 				return false
 			}
 		}
--- a/core/assign/types.go
+++ b/core/assign/types.go
@@ -19,6 +19,8 @@
 	// MinSpeedGain is the smallest part of its remaining time that a run must gain on a faster
 	// engine.
 	MinSpeedGain float64
+	// MinDueGain is the smallest part of the time until its job is due that it must gain as well.
+	MinDueGain float64
 }
 
 // DefaultLimits returns the limits of the service.
@@ -33,6 +35,9 @@
 		// The estimates of equal engines differ by some percent. Without a margin a run moves from
 		// one to the other again and again.
 		MinSpeedGain: 0.12,
+		// A group that is whole a moment earlier long before it is due helps nobody, while each move
+		// takes a connection and a prefill.
+		MinDueGain: 0.06,
 	}
 }
 
