An instance that knows of a refused connection claims two jobs at most

Cause: after the loss of half of the instances one runner was left that knew, and it claimed the jobs of all four models: on a small machine, and to be handed over again at its own stop. Change: an instance with two jobs leaves further ones to the others, who miss the heartbeats. Measured: specs of takeover and batch pass.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -21,6 +21,9 @@
 	// refusalValidity is how long a refused connection counts. By then the process has started again
 	// and announced itself, or the heartbeats are missing.
 	refusalValidity = 2 * time.Second
+	// maxEarlyJobs bounds the jobs of an instance that claims early: few instances know of a refused
+	// connection, after a loss of many perhaps one, and it must not run all jobs.
+	maxEarlyJobs = 2
 	// claimJitter is the longest random delay of a claim on a small deployment. It keeps the
 	// instances from claiming a job all at once.
 	claimJitter = 300 * time.Millisecond
@@ -40,6 +43,8 @@
 	// there.
 	Refused      bool
 	SinceRefused time.Duration
+	// OwnJobs is the number of open jobs that the instance runs or is about to claim.
+	OwnJobs int
 }
 
 // Claim reports whether the job may be claimed, and the longest random delay of the claim.
@@ -47,7 +52,7 @@
 	switch {
 	case !r.Named:
 		return true, urgentJitter
-	case r.Refused && r.SinceRefused <= refusalValidity:
+	case r.Refused && r.SinceRefused <= refusalValidity && r.OwnJobs < maxEarlyJobs:
 		return true, urgentJitter
 	case r.Replaced:
 		return true, claimJitter
--- a/core/takeover/takeover_test.go
+++ b/core/takeover/takeover_test.go
@@ -56,6 +56,7 @@
 		"two heartbeats lost":            {Named: true, Confirmed: true, SinceSeen: 1400 * ms},
 		"just named":                     {Named: true, SinceSeen: 300 * ms},
 		"refused long ago, sends again":  {Named: true, Confirmed: true, SinceSeen: 100 * ms, Refused: true, SinceRefused: 3 * time.Second},
+		"refused, but has enough jobs":   {Named: true, Confirmed: true, SinceSeen: 600 * ms, Refused: true, OwnJobs: 2},
 		"negative time since it is seen": {Named: true, Confirmed: true, SinceSeen: -time.Second},
 	} {
 		if due, _ := takeover.Claim(r); due {
--- a/internal/batch/claims.go
+++ b/internal/batch/claims.go
@@ -62,15 +62,17 @@
 	now := b.Clock.Now()
 	var due []job.Claimed
 	jitters := map[string]time.Duration{} // of the jobs that need a claim
+	ownJobs := b.runner.openJobCount()
 	b.StateLoop.Do(ctx, func() {
 		for id, j := range b.StateLoop.State.Jobs {
 			if !j.Open() || j.Runner == b.Self {
 				continue
 			}
-			mayClaim, jitter := takeover.Claim(b.runnerOf(now, j))
+			mayClaim, jitter := takeover.Claim(b.runnerOf(now, j, ownJobs))
 			if !mayClaim {
 				continue
 			}
+			ownJobs++
 			jitters[id] = jitter
 			if at, planned := claimAt[id]; planned && now >= at {
 				due = append(due, job.Claimed{Job: id, Term: j.Term + 1, Runner: b.Self})
@@ -92,9 +94,9 @@
 }
 
 // runnerOf returns what is known of the runner of a job. It runs on the state goroutine.
-func (b *Batch) runnerOf(now time.Duration, j *job.Job) takeover.Runner {
+func (b *Batch) runnerOf(now time.Duration, j *job.Job, ownJobs int) takeover.Runner {
 	r := takeover.Runner{
-		Named: j.Runner != "", Confirmed: j.RunnerConfirmed,
+		Named: j.Runner != "", Confirmed: j.RunnerConfirmed, OwnJobs: ownJobs,
 		SinceSeen: now - max(j.RunnerSeenAt, time.Duration(b.StateLoop.LogContinuousSince.Load())),
 	}
 	name := instanceOf(j.Runner)
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -110,14 +110,18 @@
 	r.taskCache[key] = cachedTasks{tasks, now}
 }
 
-// WaitForHandover waits until this instance runs no job, or ctx ends.
+// openJobCount returns the number of jobs that run here.
+func (r *runner) openJobCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.openJobs
+}
+
+// waitForHandover waits until this instance runs no job, or ctx ends.
 func (r *runner) waitForHandover(ctx context.Context) {
 	for {
 		changed := r.batch.StateLoop.NextChange()
-		r.mu.Lock()
-		open := r.openJobs
-		r.mu.Unlock()
-		if open == 0 {
+		if r.openJobCount() == 0 {
 			return
 		}
 		select {
