Placement: runs that stall on all engines at once end

Cause: a run without events moved only while another engine had a free slot. The time that a run may go without events doubled up to 64 times, a minute. Change: such a run ends after three times that time in any case, and the doubling stops at 8. Measured: the spec of stalled runs fails on the code before; specs of assign pass.

--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -16,7 +16,10 @@
 	// maxPatience bounds how often the time that a run may go without events doubles: each run of a
 	// task that was moved for want of events doubles it for the next one. Otherwise tasks of a slow
 	// but sound service would move for ever and never end.
-	maxPatience = 6
+	maxPatience = 3
+	// overdueFactor is how much longer than that a run is kept while no other engine has a free
+	// slot. Then it ends all the same: stalled runs would hold the slots of all engines for ever.
+	overdueFactor = 3
 	// reclaimMargin is how long before an engine is reclaimed its runs move: a few reviews, each
 	// of which moves as many as there are slots elsewhere. Until then a run goes on there and
 	// leaves the slots of the other engines to tasks that wait.
@@ -40,6 +43,7 @@
 	events   float64       // expected to be left
 	interval time.Duration
 	pause    time.Duration // for a load of weights
+	overdue  bool          // it ends even if no other engine has a free slot
 }
 
 // destinations are the engines with free slots for tasks of a class, the fastest first.
@@ -80,7 +84,7 @@
 		if _, listed := free[d]; !listed {
 			free[d] = s.destinations(now, d)
 		}
-		if !s.takeDestination(now, m, free[d]) {
+		if !s.takeDestination(now, m, free[d]) && !m.overdue {
 			continue
 		}
 		m.moving, m.stuck = true, m.reason == noFirstEvent || m.reason == stalled
@@ -112,11 +116,13 @@
 		m.pause = e.LoadOrderedAt + loadTime - now
 		m.left += m.pause
 	}
+	firstTimeout := r.patience(e.service.FirstEventTimeout())
+	stallTimeout := r.patience(max(minStallTimeout, time.Duration(stallFactor*float64(loadTime)), stallIntervals*interval))
 	switch {
-	case r.events == 0 && now-r.started > r.patience(e.service.FirstEventTimeout()):
-		m.reason = noFirstEvent
-	case r.events > 0 && now-r.lastEventAt > r.patience(max(minStallTimeout, time.Duration(stallFactor*float64(loadTime)), stallIntervals*interval)):
-		m.reason = stalled
+	case r.events == 0 && now-r.started > firstTimeout:
+		m.reason, m.overdue = noFirstEvent, now-r.started > overdueFactor*firstTimeout
+	case r.events > 0 && now-r.lastEventAt > stallTimeout:
+		m.reason, m.overdue = stalled, now-r.lastEventAt > overdueFactor*stallTimeout
 	case e.ReclaimedAt > 0 && now+m.left > e.ReclaimedAt && e.ReclaimedAt-now <= reclaimMargin:
 		m.reason = reclaimed
 	case loading:
--- a/core/assign/slow_test.go
+++ b/core/assign/slow_test.go
@@ -10,6 +10,33 @@
 	"github.com/amaranthfold/amaranthfold/core/assign"
 )
 
+// Guards against stalled runs that hold the slots of all engines for ever, because a run moved only
+// while another engine had a free slot.
+var _ = It("Runs that stall on all engines at once end, and their tasks run again", func() {
+	s := assign.New(assign.DefaultLimits())
+	var engines []assign.Engine
+	for i := range 3 {
+		engines = append(engines, assign.Engine{ID: fmt.Sprint("e", i), Service: "models", Software: "v1", Slots: 2, Ready: true, Versions: map[string]int64{"m": 1}})
+	}
+	s.SetEngines(engines)
+	for i := range 8 {
+		s.Add(assign.Task{Key: assign.Key{Job: "j", Task: i}, Service: "models", Model: "m", Group: "g", ExpectedTokens: 100})
+	}
+	starts := s.Assign(0)
+	Expect(starts).To(HaveLen(6), "all slots")
+	s.Progress(starts[0].Run, 1, 10*ms) // the others get no event at all
+	stopped := map[int64]bool{}
+	for now := 150 * ms; now < 20*time.Second && len(stopped) < 6; now += 150 * ms {
+		for _, stop := range s.RunsToMove(now) {
+			Expect(stopped[stop.Run]).To(BeFalse())
+			stopped[stop.Run] = true
+			s.Requeue(now, stop.Run, assign.Kept{})
+		}
+	}
+	Expect(stopped).To(HaveLen(6))
+	Expect(s.Assign(30 * time.Second)).To(HaveLen(6))
+})
+
 // Guards against slow but sound streams that are cut again and again, so that no task ever ends.
 var _ = DescribeTable("Tasks of a slow but sound service end", func(firstEvent, interval time.Duration) {
 	const events = 6
