soak: two trainers compete for the slots of the same engines

The fault soak had one model and 8 slots per engine, so that slots were never scarce and the runners of different models never had to share engines.

Engines now serve two models with 3 slots. Submissions alternate between the models, and every fourth tick submits two jobs of each at once. The stand-in of an engine keeps a weight version per model and reports requests and orders for a model that it does not serve; the soak checks that no engine loads a version that the model's trainer has not announced.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -81,7 +81,7 @@
 	case keyRotation:
 		e.rotateKey(ctx)
 	case newWeightVersion:
-		e.announceVersion()
+		e.announceVersion(models[f.index%len(models)])
 	default:
 		e.applyTargetFault(ctx, f)
 	}
@@ -124,15 +124,6 @@
 	}
 }
 
-// announceVersion publishes the next desired weight version, as the trainer does.
-func (e *environment) announceVersion() {
-	e.mu.Lock()
-	e.weightVersion++
-	version := e.weightVersion
-	e.mu.Unlock()
-	e.logStore.Put(platform.OperatorTopic, "version/m", map[string]any{"model": "m", "version": version})
-}
-
 // restart starts the instance unless it runs. A failed start counts as a violation.
 func (e *environment) restart(p *process) {
 	if err := p.start(); err != nil {
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -33,6 +33,7 @@
 	client *http.Client
 
 	mu       sync.Mutex
+	ticks    int // of the jobs
 	jobs     map[string]*jobState
 	statuses map[string]int // of plain requests, by id; zero: no complete response
 }
@@ -76,9 +77,9 @@
 			wg.Wait()
 			return
 		case <-jobs.C:
-			id, events := fmt.Sprintf("job-%d", n), l.randomTasks(n)
-			firstInstance := l.random.IntN(len(l.env.instances))
-			wg.Go(func() { l.submit(id, events, firstInstance) })
+			for _, s := range l.nextSubmissions(n) {
+				wg.Go(func() { l.submit(s) })
+			}
 		case <-poison.C:
 			id, instance := fmt.Sprintf("poison-%d", n), l.random.IntN(len(l.env.instances))
 			wg.Go(func() { l.sendPoison(id, instance) })
@@ -93,15 +94,6 @@
 	}
 }
 
-// randomTasks returns the tasks of job n with a random number of events each.
-func (l *load) randomTasks(n int) map[string]int {
-	events := map[string]int{}
-	for i := range tasksPerJob {
-		events[fmt.Sprintf("task-%d-%d", n, i)] = 1 + l.random.IntN(maxEvents)
-	}
-	return events
-}
-
 // send makes one request to an instance. Status zero means that no complete response
 // arrived.
 func (l *load) send(instance int, method, path, id, key string, body []byte) (int, []byte) {
@@ -147,15 +139,17 @@
 
 // submit sends a job, with up to three attempts at successive instances, and reads its
 // results once it is accepted.
-func (l *load) submit(id string, events map[string]int, firstInstance int) {
-	j := &jobState{events: events, scored: l.env.cfg.Seed%2 == 0}
+func (l *load) submit(s submission) {
+	id, firstInstance := s.id, s.firstInstance
+	j := &jobState{events: s.events, scored: l.env.cfg.Seed%2 == 0}
 	l.mu.Lock()
 	l.jobs[id] = j
 	l.mu.Unlock()
-	body := hostplatform.Submission(1, events)
+	scorePath := ""
 	if j.scored {
-		body = hostplatform.ScoredSubmission(1, events, routeHost, "/score/x")
+		scorePath = "/score/x"
 	}
+	body := hostplatform.ModelSubmission(s.model, 1, s.events, routeHost, scorePath)
 	for i := range 3 {
 		status, _ := l.send(firstInstance+i, http.MethodPost, "/train/"+id, id, l.env.key(), body)
 		l.mu.Lock()
@@ -250,6 +244,7 @@
 func (e *environment) check(l *load) {
 	e.checkLimits()
 	e.checkEvacuations()
+	e.checkVersions()
 	runs, accounts, scoreAccounts := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, t := range e.targets {
 		for _, r := range t.engine.Runs() {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,7 +6,8 @@
 //
 // A request that crashes its targets comes again and again, and single instances lose their
 // links to all targets. Callers' streams and the tasks of jobs must hold events of one software version, and targets
-// that name a limit must not get more requests than they may. Engines differ in speed, and the
+// that name a limit must not get more requests than they may. The trainers of two models compete
+// for the slots of the same engines. Engines differ in speed, and the
 // targets of an evacuated data centre must not get requests.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
@@ -55,7 +56,8 @@
 const (
 	routeHost      = "soak.example" // host of every route
 	plainTargets   = 2              // number of targets of the plain service
-	slotsPerTarget = 8
+	slotsPerTarget = 8              // of the plain service
+	slotsPerEngine = 3              // few, so that the runs of two models contend for them
 )
 
 // environment holds the platform, the targets and the instances of a run, and its results.
@@ -73,7 +75,7 @@
 	resumedAt     time.Time // when a paused process or a link was last resumed
 	keys          []string  // of the client account, oldest first
 	configVersion int64
-	weightVersion int64
+	announced     map[string]int64 // desired weight versions by model
 	violations    []string
 	limitPeriods  []limitPeriod
 	evacuating    bool // a data centre is evacuated
@@ -97,7 +99,7 @@
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	e := &environment{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)), logStore: hostplatform.NewStore(),
-		cloud: hostplatform.NewCloud(), keys: []string{"key-0"}, weightVersion: 1, started: time.Now(),
+		cloud: hostplatform.NewCloud(), keys: []string{"key-0"}, announced: firstVersions(), started: time.Now(),
 	}
 	defer e.close()
 	if err := e.setUp(); err != nil {
@@ -131,7 +133,7 @@
 }
 
 // setUp starts the platform, the targets and the proxies and prepares the instances. The
-// first cfg.Engines targets run the model, the others serve plain requests. Targets have two
+// first cfg.Engines targets run both models, the others serve plain requests. Targets have two
 // software versions.
 func (e *environment) setUp() error {
 	logAddress, err := e.serve(e.logStore)
@@ -146,12 +148,7 @@
 		return err
 	}
 	for i := range e.cfg.Engines + plainTargets {
-		engine := hostplatform.NewEngine(fmt.Sprintf("t%d", i), "m", slotsPerTarget)
-		engine.SetSoftware(softwareVersions[i/len(dataCentres)%len(softwareVersions)])
-		engine.SetEventInterval(slowInterval / 4)
-		if i%3 == 2 {
-			engine.SetEventInterval(slowInterval)
-		}
+		engine := e.newEngine(i)
 		address, err := e.serve(engine)
 		if err != nil {
 			return err
@@ -177,6 +174,24 @@
 	return nil
 }
 
+// newEngine returns the stand-in of the target with the index.
+func (e *environment) newEngine(index int) *hostplatform.Engine {
+	slots := slotsPerTarget
+	if index < e.cfg.Engines {
+		slots = slotsPerEngine
+	}
+	engine := hostplatform.NewEngine(fmt.Sprintf("t%d", index), models[0], slots)
+	for _, model := range models[1:] {
+		engine.AddModel(model)
+	}
+	engine.SetSoftware(softwareVersions[index/len(dataCentres)%len(softwareVersions)])
+	engine.SetEventInterval(slowInterval / 4)
+	if index%3 == 2 {
+		engine.SetEventInterval(slowInterval)
+	}
+	return engine
+}
+
 // thawGrace is how long after a pause a call may arrive that was checked before it.
 const thawGrace = 300 * time.Millisecond
 
@@ -230,7 +245,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.configVersion += 2
-	e.logStore.Put(platform.OperatorTopic, "config", hostplatform.Config(e.configVersion, routeHost, e.keys))
+	e.logStore.Put(platform.OperatorTopic, "config", hostplatform.Config(e.configVersion, routeHost, e.keys, models[1:]...))
 }
 
 // awaitReady waits until every instance is ready, each for at most the settle timeout.
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -1,6 +1,7 @@
 package hostplatform
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -15,12 +16,12 @@
 // weights. It also serves plain requests, those without a Token-Usage header.
 type Engine struct {
 	ID    string
-	Model string
 	Slots int // streams that can run at once
 
 	mu              sync.Mutex
-	software        string // version of the program, in the registry entry and in the events
-	version         int64
+	software        string           // version of the program, in the registry entry and in the events
+	models          []string         // the first one is that of requests that name none
+	versions        map[string]int64 // by model
 	sequence        int64
 	highestFencing  int64
 	holders         map[int64]string
@@ -47,14 +48,22 @@
 	Body    string
 }
 
-// NewEngine returns an engine at weight version 1.
+// NewEngine returns an engine that serves the model at weight version 1.
 func NewEngine(id, model string, slots int) *Engine {
 	return &Engine{
-		ID: id, Model: model, Slots: slots, software: FirstSoftware, version: 1, startedAt: 1, eventInterval: 2 * time.Millisecond,
-		statusByRequest: map[string]int{}, holders: map[int64]string{},
+		ID: id, Slots: slots, software: FirstSoftware, startedAt: 1, eventInterval: 2 * time.Millisecond,
+		models: []string{model}, versions: map[string]int64{model: 1}, statusByRequest: map[string]int{}, holders: map[int64]string{},
 	}
 }
 
+// AddModel makes the engine serve a further model, at weight version 1.
+func (e *Engine) AddModel(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.models = append(e.models, name)
+	e.versions[name] = 1
+}
+
 // AbortAfterEvents makes each stream abort its connection after n complete events and
 // a part of the next one. Zero turns the fault off.
 func (e *Engine) AbortAfterEvents(n int) {
@@ -118,15 +127,19 @@
 	return append([]Run(nil), e.runs...)
 }
 
-// Version returns the engine's weight version.
-func (e *Engine) Version() int64 {
+// Version returns the weight version of the engine's first model.
+func (e *Engine) Version() int64 { return e.VersionOf(e.models[0]) }
+
+// VersionOf returns the weight version of a model.
+func (e *Engine) VersionOf(model string) int64 {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.version
+	return e.versions[model]
 }
 
 // Violations returns descriptions of calls that must never happen: two lease holders
-// with one fencing number, or a caller's key that was forwarded to the engine.
+// with one fencing number, a request or an order for a model that the engine does not serve, or
+// a caller's key that was forwarded to the engine.
 func (e *Engine) Violations() []string {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -134,17 +147,30 @@
 }
 
 // RegistryEntry returns the engine's registry entry. Its sequence is derived from the
-// weight version, as it only has to increase.
+// weight versions, as it only has to increase.
 func (e *Engine) RegistryEntry(service, address, dataCentre, state string) map[string]any {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	models, sum := e.modelList(), int64(0)
+	for _, version := range e.versions {
+		sum += version
+	}
 	return map[string]any{
 		"service": service, "address": address, "zone": dataCentre, "version": e.software, "slots": e.Slots, "state": state,
-		"models":   []map[string]any{{"name": e.Model, "version": e.version, "adapters": []string{}}},
-		"sequence": 100 + e.version, "born": e.startedAt,
+		"models":   models,
+		"sequence": 100 + sum, "born": e.startedAt,
 	}
 }
 
+// modelList returns the models with their weight versions. The caller holds the lock.
+func (e *Engine) modelList() []map[string]any {
+	var list []map[string]any
+	for _, name := range e.models {
+		list = append(list, map[string]any{"name": name, "version": e.versions[name], "adapters": []string{}})
+	}
+	return list
+}
+
 // Output returns the complete output of a task with n events, numbered from 1: the data of
 // the events, joined by line breaks.
 func Output(id string, n int) string { return OutputOf(FirstSoftware, id, n) }
@@ -187,7 +213,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{
-		"busy": false, "sequence": e.sequence, "models": []map[string]any{{"name": e.Model, "version": e.version}},
+		"busy": false, "sequence": e.sequence, "models": e.modelList(),
 	})
 }
 
@@ -195,6 +221,7 @@
 // unexpected order sequence.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
 	var o struct {
+		Model    string `json:"model"`
 		Version  int64  `json:"version"`
 		Holder   string `json:"holder"`
 		Fence    int64  `json:"fence"`
@@ -210,6 +237,9 @@
 		e.violations = append(e.violations, fmt.Sprintf("%s and %s both used the fencing number %d", previous, o.Holder, o.Fence))
 	}
 	e.holders[o.Fence] = o.Holder
+	if e.versions[o.Model] == 0 {
+		e.violations = append(e.violations, fmt.Sprintf("an order to engine %s is for model %q", e.ID, o.Model))
+	}
 	switch {
 	case o.Fence < e.highestFencing:
 		w.WriteHeader(http.StatusPreconditionFailed)
@@ -218,7 +248,7 @@
 	default:
 		e.highestFencing = o.Fence
 		e.sequence++
-		e.version = o.Version
+		e.versions[o.Model] = o.Version
 		w.WriteHeader(http.StatusAccepted)
 	}
 }
@@ -296,6 +326,17 @@
 	}
 }
 
+// modelOf returns the model that the request names, or the first one.
+func (e *Engine) modelOf(r *http.Request) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	model := cmp.Or(r.Header.Get("Model"), e.models[0])
+	if e.versions[model] == 0 {
+		e.violations = append(e.violations, fmt.Sprintf("a request to engine %s is for model %q", e.ID, model))
+	}
+	return model
+}
+
 // stream sends the events after Last-Event-Id. The number of the last one is the second
 // value of the Token-Usage header.
 func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string) {
@@ -309,14 +350,15 @@
 	if err != nil {
 		from = 0 // no header: from the start
 	}
-	version := e.Version()
+	model := e.modelOf(r)
+	version := e.VersionOf(model)
 	w.Header().Set("Server-Stamp", "s")
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", strconv.FormatInt(version, 10))
 	flusher := http.NewResponseController(w)
 	for n := from + 1; n <= total; n++ {
 		e.mu.Lock()
-		abortAfter, stalled, current, interval, software := e.abortAfter, e.stalled, e.version, e.eventInterval, e.software
+		abortAfter, stalled, current, interval, software := e.abortAfter, e.stalled, e.versions[model], e.eventInterval, e.software
 		e.mu.Unlock()
 		if stalled {
 			<-r.Context().Done()
