soak: engines of a data centre are reclaimed and come back

No fault of the soak took engines away as the platform does: with a notice, a removed registry entry, and a later start of the same engine.

The fault "data centre reclaimed" marks the entries of a data centre's engines as draining with leaves_ms, resets their connections and removes the entries when the notice ends, and starts them again 4 s later with a higher start. Proxies note when clients send, so that bytes which a proxy holds back do not count late. Anything sent to such an engine later than 2 s after its notice breaks a promise, unless an instance could not read the log. Entries now count heartbeats in their sequence. The first submissions of the two models go to different instances, as otherwise one instance ran both models in some runs and no occupancy was exchanged.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -42,6 +42,9 @@
 	case dataCentreEvacuated:
 		e.evacuate(ctx, f)
 		return
+	case dataCentreReclaimed:
+		e.reclaim(ctx, f)
+		return
 	}
 	switch f.kind {
 	case killInstance:
--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -42,6 +42,7 @@
 	cut      map[int]proxyMode // for the connections of single instances
 	changed  chan struct{}     // closed when a mode changes
 	conns    map[net.Conn]int  // owners of the open connections, to clients and to the server
+	sent     []time.Time       // when clients sent bytes, or opened connections while the proxy refused them
 }
 
 // newFaultProxy starts a proxy in mode forwarding for the server at the address upstream. owners
@@ -129,6 +130,46 @@
 	}
 }
 
+// refuse resets every connection, open ones and those that clients open, as an address does whose
+// server is gone, until the returned function is called.
+func (p *faultProxy) refuse() (restart func() error, err error) {
+	listenAgain := p.crash()
+	listener, err := net.Listen("tcp", p.address())
+	if err != nil {
+		return listenAgain, fmt.Errorf("listen to refuse: %w", err)
+	}
+	go func() {
+		for {
+			client, err := listener.Accept()
+			if err != nil {
+				return // the listener is closed
+			}
+			p.noteSent()
+			if tcp, ok := client.(*net.TCPConn); ok {
+				_ = tcp.SetLinger(0) // Close sends a reset in place of a FIN
+			}
+			_ = client.Close() // the client receives a reset
+		}
+	}()
+	return func() error {
+		_ = listener.Close() // the proxy is its only user
+		return listenAgain()
+	}, nil
+}
+
+func (p *faultProxy) noteSent() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent = append(p.sent, time.Now())
+}
+
+// sentTimes returns when clients sent bytes, whether or not they have reached the server.
+func (p *faultProxy) sentTimes() []time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]time.Time(nil), p.sent...)
+}
+
 func (p *faultProxy) accept(listener net.Listener) {
 	for {
 		client, err := listener.Accept()
@@ -181,6 +222,9 @@
 	for {
 		n, err := src.Read(buffer)
 		if n > 0 {
+			if !responses {
+				p.noteSent()
+			}
 			p.waitWhileBlocked(owner, responses)
 			if _, writeErr := dst.Write(buffer[:n]); writeErr != nil {
 				return
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -244,6 +244,7 @@
 func (e *environment) check(l *load) {
 	e.checkLimits()
 	e.checkEvacuations()
+	e.checkReclamations()
 	e.checkVersions()
 	runs, accounts, scoreAccounts := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, t := range e.targets {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,7 @@
 	targetLimit                          // one target names a limit of 1 to 3 requests a second
 	linksCut                             // one instance loses its links to all targets
 	dataCentreEvacuated                  // the operator evacuates a data centre
+	dataCentreReclaimed                  // the engines of a data centre are removed after a notice, and come back
 	numFaultKinds
 )
 
@@ -34,7 +35,7 @@
 var faultKindNames = [...]string{
 	"kill", "pause", "stop", "log proxy", "log fault", "partition down", "topics trimmed", "target proxy",
 	"engine stalled", "engine aborts", "key rotation", "new weight version", "target limit", "links cut",
-	"data centre evacuated",
+	"data centre evacuated", "data centre reclaimed",
 }
 
 // fault is one fault of a run. start counts from the start of the load.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -8,7 +8,8 @@
 // links to all targets. Callers' streams and the tasks of jobs must hold events of one software version, and targets
 // that name a limit must not get more requests than they may. The trainers of two models compete
 // for the slots of the same engines. Engines differ in speed, and the
-// targets of an evacuated data centre must not get requests.
+// targets of an evacuated data centre must not get requests, nor must engines that are about to be
+// reclaimed, or are.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
 // results, requests and faults, and every broken promise. The seed fixes the faults and
@@ -80,6 +81,8 @@
 	limitPeriods  []limitPeriod
 	evacuating    bool // a data centre is evacuated
 	evacuations   []evacuation
+	reclaiming    bool // the engines of a data centre are reclaimed
+	reclamations  []reclamation
 	disturbances  []period // in which instances may not read the log, or do not run
 	crashes       int      // of targets, under the poison request
 	report        Report
@@ -92,6 +95,11 @@
 	proxy   *faultProxy
 	limited bool // names a limit; guarded by the environment's mu, as is crashed
 	crashed bool // it is down
+
+	entryMu   sync.Mutex // held while the entry is written, and guards the fields below
+	heartbeat int64
+	leavesAt  time.Time // zero: no notice
+	removed   bool
 }
 
 // Run executes one seeded run. It fails when the environment cannot be set up; broken
@@ -226,20 +234,44 @@
 func (e *environment) runHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		for i, t := range e.targets {
-			service := "models"
-			if i >= e.cfg.Engines {
-				service = "desk"
-			}
-			entry := t.engine.RegistryEntry(service, t.proxy.address(), dataCentreOf(i), "ready")
-			if service == "desk" {
-				delete(entry, "models")
-			}
-			e.logStore.Put(platform.RegistryTopic, t.engine.ID, entry)
+			t.changeEntry(e.logStore, i < e.cfg.Engines, dataCentreOf(i), func() {})
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
+// changeEntry calls change, which may change the fields that entryMu guards, and writes the
+// target's registry entry.
+func (t *target) changeEntry(log *hostplatform.Store, isEngine bool, dataCentre string, change func()) {
+	t.entryMu.Lock()
+	defer t.entryMu.Unlock()
+	wasRemoved := t.removed
+	change()
+	if t.removed {
+		if !wasRemoved {
+			log.Put(platform.RegistryTopic, t.engine.ID, nil)
+		}
+		return
+	}
+	service, state := "desk", "ready"
+	if isEngine {
+		service = "models"
+	}
+	if !t.leavesAt.IsZero() {
+		state = "draining"
+	}
+	entry := t.engine.RegistryEntry(service, t.proxy.address(), dataCentre, state)
+	t.heartbeat++
+	entry["sequence"] = t.heartbeat
+	if !isEngine {
+		delete(entry, "models")
+	}
+	if !t.leavesAt.IsZero() {
+		entry["leaves_ms"] = max(1, time.Until(t.leavesAt).Milliseconds())
+	}
+	log.Put(platform.RegistryTopic, t.engine.ID, entry)
+}
+
 // writeConfig writes the configuration with the current keys and raises its version by 2.
 func (e *environment) writeConfig() {
 	e.mu.Lock()
--- a/internal/soak/trainers.go
+++ b/internal/soak/trainers.go
@@ -31,7 +31,11 @@
 func (l *load) nextSubmissions(n int) []submission {
 	l.ticks++
 	if l.ticks%burstTicks != 0 {
-		return []submission{l.randomSubmission(fmt.Sprint(n), models[l.ticks%len(models)])}
+		s := l.randomSubmission(fmt.Sprint(n), models[l.ticks%len(models)])
+		if l.ticks <= len(models) {
+			s.firstInstance = l.ticks // the first instance becomes the runner: one for each model
+		}
+		return []submission{s}
 	}
 	var burst []submission
 	for i := range burstJobs * len(models) {
