soak: a stranger calls the listeners between instances

The soak never called the listeners between instances from outside, so a way in that opens only during restarts or outages of the log would have gone unseen.

Every 200 ms, a client that is no instance relays a request, appends to the log or sends occupancy to a random instance in plain HTTP. Any answer breaks a promise, and so does a target that ran the request.

The specs of internal/soak pass.

--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -68,6 +68,8 @@
 	defer poison.Stop()
 	streams := time.NewTicker(talkInterval)
 	defer streams.Stop()
+	strangers := time.NewTicker(strangerInterval)
+	defer strangers.Stop()
 	elapsed := time.After(l.env.cfg.Duration)
 	for n := 0; ; n++ {
 		select {
@@ -86,6 +88,9 @@
 		case <-streams.C:
 			id, instance := fmt.Sprintf("talk-%d", n), l.random.IntN(len(l.env.instances))
 			wg.Go(func() { l.talk(id, instance) })
+		case <-strangers.C:
+			call, instance := n, l.random.IntN(len(l.env.instances))
+			wg.Go(func() { l.callAsStranger(call, instance) })
 		case <-requests.C:
 			id, nonIdempotent := fmt.Sprintf("call-%d", n), n%2 == 0
 			instance := l.random.IntN(len(l.env.instances))
@@ -263,6 +268,7 @@
 	for _, violation := range e.cloud.Violations() {
 		e.recordViolation("%s", violation)
 	}
+	e.checkStranger(runs)
 	for account := range accounts {
 		if account != "acme" {
 			e.recordViolation("a request ran for account %q", account)
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -25,6 +25,7 @@
 	logPath       string
 	callerAddress string
 	readyAddress  string
+	peersAddress  string      // listener between instances
 	logProxy      *faultProxy // between this instance and the log
 
 	mu     sync.Mutex
@@ -77,6 +78,7 @@
 		name: fmt.Sprintf("n%d", index), binary: cfg.Binary, logProxy: logProxy,
 		callerAddress: fmt.Sprintf("127.0.0.1:%d", ports[0]),
 		readyAddress:  fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		peersAddress:  fmt.Sprintf("127.0.0.1:%d", ports[2]+1),
 	}
 	p.settingsPath = filepath.Join(cfg.Dir, p.name+".toml")
 	p.logPath = filepath.Join(cfg.Dir, p.name+".log")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -9,7 +9,8 @@
 // that name a limit must not get more requests than they may. The trainers of two models compete
 // for the slots of the same engines. Engines differ in speed, and the
 // targets of an evacuated data centre must not get requests, nor must engines that are about to be
-// reclaimed, or are.
+// reclaimed, or are. A client that is no instance must get no answer from the listeners between
+// instances.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
 // results, requests and faults, and every broken promise. The seed fixes the faults and
