--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -251,6 +251,7 @@
 	e.checkEvacuations()
 	e.checkReclamations()
 	e.checkVersions()
+	e.checkCold()
 	runs, accounts, scoreAccounts := map[string]int{}, map[string]bool{}, map[string]bool{}
 	for _, t := range e.targets {
 		for _, r := range t.engine.Runs() {
--- a/internal/soak/poison.go
+++ b/internal/soak/poison.go
@@ -43,6 +43,7 @@
 				return
 			}
 			t.engine.Restart()
+			e.noteCold(t)
 			if err := restart(); err != nil {
 				e.recordViolation("target %s: %v", t.engine.ID, err)
 			}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -55,6 +55,8 @@
 usage-late-s = 6
 status-s = 120
 require-fence = true
+cold-overshoot = %g
+cold-slack = %d
 [platform]
 address = %q
 parts = %d
@@ -82,7 +84,7 @@
 	}
 	p.settingsPath = filepath.Join(cfg.Dir, p.name+".toml")
 	p.logPath = filepath.Join(cfg.Dir, p.name+".log")
-	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, leaseTerm.Milliseconds(), logProxy.address(), logPartitions, cloudAddress)
+	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, leaseTerm.Milliseconds(), coldOvershoot, coldSlack, logProxy.address(), logPartitions, cloudAddress)
 	return p, writeFile(p.settingsPath, settings)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -10,7 +10,7 @@
 // for the slots of the same engines. Engines differ in speed, and the
 // targets of an evacuated data centre must not get requests, nor must engines that are about to be
 // reclaimed, or are. A client that is no instance must get no answer from the listeners between
-// instances.
+// instances. In some runs, plain targets that start again are cold and must get few requests.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
 // results, requests and faults, and every broken promise. The seed fixes the faults and
@@ -79,6 +79,7 @@
 	configVersion int64
 	announced     map[string]int64 // desired weight versions by model
 	violations    []string
+	coldPeriods   []coldPeriod
 	limitPeriods  []limitPeriod
 	evacuating    bool // a data centre is evacuated
 	evacuations   []evacuation
@@ -101,6 +102,9 @@
 	heartbeat int64
 	leavesAt  time.Time // zero: no notice
 	removed   bool
+	coldUntil time.Time // zero: not cold
+
+	statesCold bool // the entry says how long the target stays cold
 }
 
 // Run executes one seeded run. It fails when the environment cannot be set up; broken
@@ -166,7 +170,7 @@
 		if err != nil {
 			return err
 		}
-		e.targets = append(e.targets, &target{engine: engine, proxy: proxy})
+		e.targets = append(e.targets, &target{engine: engine, proxy: proxy, statesCold: i >= e.cfg.Engines && e.hasCold()})
 	}
 	e.writeConfig()
 	for i := range e.cfg.Instances {
@@ -267,6 +271,9 @@
 	if !isEngine {
 		delete(entry, "models")
 	}
+	if t.statesCold {
+		entry["cold-remaining-ms"] = max(0, time.Until(t.coldUntil).Milliseconds())
+	}
 	if !t.leavesAt.IsZero() {
 		entry["leaves_ms"] = max(1, time.Until(t.leavesAt).Milliseconds())
 	}
@@ -278,7 +285,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.configVersion += 2
-	e.logStore.Put(platform.OperatorTopic, "config", hostplatform.Config(e.configVersion, routeHost, e.keys, models[1:]...))
+	config := hostplatform.Config(e.configVersion, routeHost, e.keys, models[1:]...)
+	e.stateColdRate(config)
+	e.logStore.Put(platform.OperatorTopic, "config", config)
 }
 
 // awaitReady waits until every instance is ready, each for at most the settle timeout.
--- a/internal/standin/hostplatform/limit.go
+++ b/internal/standin/hostplatform/limit.go
@@ -30,6 +30,12 @@
 // those from one time to another, and how many the platform allows for the limit. Each of the
 // instances may send one more, from which it learns the limit.
 func (e *Engine) CheckLimit(perSecond float64, instances int, from, to time.Time) (most, allowed int) {
+	return e.MostArrivals(limitWindow, from, to), int(limitTolerance*perSecond*limitWindow.Seconds()) + limitSlack + instances
+}
+
+// MostArrivals returns the largest number of requests that arrived within a window, out of those
+// from one time to another.
+func (e *Engine) MostArrivals(window time.Duration, from, to time.Time) (most int) {
 	var arrivals []time.Time
 	for _, at := range e.Arrivals() {
 		if !at.Before(from) && !at.After(to) {
@@ -38,10 +44,10 @@
 	}
 	first := 0
 	for i := range arrivals {
-		for arrivals[i].Sub(arrivals[first]) >= limitWindow {
+		for arrivals[i].Sub(arrivals[first]) >= window {
 			first++
 		}
 		most = max(most, i-first+1)
 	}
-	return most, int(limitTolerance*perSecond*limitWindow.Seconds()) + limitSlack + instances
+	return most
 }
