--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -25,6 +25,7 @@
 	logPath       string
 	callerAddress string
 	readyAddress  string
+	peersAddress  string      // listener between instances
 	logProxy      *faultProxy // between this instance and the log
 
 	mu     sync.Mutex
@@ -54,6 +55,8 @@
 usage-late-s = 6
 status-s = 120
 require-fence = true
+cold-overshoot = %g
+cold-slack = %d
 [platform]
 address = %q
 parts = %d
@@ -77,10 +80,11 @@
 		name: fmt.Sprintf("n%d", index), binary: cfg.Binary, logProxy: logProxy,
 		callerAddress: fmt.Sprintf("127.0.0.1:%d", ports[0]),
 		readyAddress:  fmt.Sprintf("127.0.0.1:%d", ports[1]),
+		peersAddress:  fmt.Sprintf("127.0.0.1:%d", ports[2]+1),
 	}
 	p.settingsPath = filepath.Join(cfg.Dir, p.name+".toml")
 	p.logPath = filepath.Join(cfg.Dir, p.name+".log")
-	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, leaseTerm.Milliseconds(), logProxy.address(), logPartitions, cloudAddress)
+	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, leaseTerm.Milliseconds(), coldOvershoot, coldSlack, logProxy.address(), logPartitions, cloudAddress)
 	return p, writeFile(p.settingsPath, settings)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,8 +6,11 @@
 //
 // A request that crashes its targets comes again and again, and single instances lose their
 // links to all targets. Callers' streams and the tasks of jobs must hold events of one software version, and targets
-// that name a limit must not get more requests than they may. Engines differ in speed, and the
-// targets of an evacuated data centre must not get requests.
+// that name a limit must not get more requests than they may. The trainers of two models compete
+// for the slots of the same engines. Engines differ in speed, and the
+// targets of an evacuated data centre must not get requests, nor must engines that are about to be
+// reclaimed, or are. A client that is no instance must get no answer from the listeners between
+// instances. In some runs, plain targets that start again are cold and must get few requests.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
 // results, requests and faults, and every broken promise. The seed fixes the faults and
@@ -55,7 +58,8 @@
 const (
 	routeHost      = "soak.example" // host of every route
 	plainTargets   = 2              // number of targets of the plain service
-	slotsPerTarget = 8
+	slotsPerTarget = 8              // of the plain service
+	slotsPerEngine = 3              // few, so that the runs of two models contend for them
 )
 
 // environment holds the platform, the targets and the instances of a run, and its results.
@@ -73,11 +77,14 @@
 	resumedAt     time.Time // when a paused process or a link was last resumed
 	keys          []string  // of the client account, oldest first
 	configVersion int64
-	weightVersion int64
+	announced     map[string]int64 // desired weight versions by model
 	violations    []string
+	coldPeriods   []coldPeriod
 	limitPeriods  []limitPeriod
 	evacuating    bool // a data centre is evacuated
 	evacuations   []evacuation
+	reclaiming    bool // the engines of a data centre are reclaimed
+	reclamations  []reclamation
 	disturbances  []period // in which instances may not read the log, or do not run
 	crashes       int      // of targets, under the poison request
 	report        Report
@@ -90,6 +97,14 @@
 	proxy   *faultProxy
 	limited bool // names a limit; guarded by the environment's mu, as is crashed
 	crashed bool // it is down
+
+	entryMu   sync.Mutex // held while the entry is written, and guards the fields below
+	heartbeat int64
+	leavesAt  time.Time // zero: no notice
+	removed   bool
+	coldUntil time.Time // zero: not cold
+
+	statesCold bool // the entry says how long the target stays cold
 }
 
 // Run executes one seeded run. It fails when the environment cannot be set up; broken
@@ -97,7 +112,7 @@
 func Run(ctx context.Context, cfg Config) (Report, error) {
 	e := &environment{
 		cfg: cfg, random: rand.New(rand.NewPCG(cfg.Seed, 1)), logStore: hostplatform.NewStore(),
-		cloud: hostplatform.NewCloud(), keys: []string{"key-0"}, weightVersion: 1, started: time.Now(),
+		cloud: hostplatform.NewCloud(), keys: []string{"key-0"}, announced: firstVersions(), started: time.Now(),
 	}
 	defer e.close()
 	if err := e.setUp(); err != nil {
@@ -131,7 +146,7 @@
 }
 
 // setUp starts the platform, the targets and the proxies and prepares the instances. The
-// first cfg.Engines targets run the model, the others serve plain requests. Targets have two
+// first cfg.Engines targets run both models, the others serve plain requests. Targets have two
 // software versions.
 func (e *environment) setUp() error {
 	logAddress, err := e.serve(e.logStore)
@@ -146,12 +161,7 @@
 		return err
 	}
 	for i := range e.cfg.Engines + plainTargets {
-		engine := hostplatform.NewEngine(fmt.Sprintf("t%d", i), "m", slotsPerTarget)
-		engine.SetSoftware(softwareVersions[i/len(dataCentres)%len(softwareVersions)])
-		engine.SetEventInterval(slowInterval / 4)
-		if i%3 == 2 {
-			engine.SetEventInterval(slowInterval)
-		}
+		engine := e.newEngine(i)
 		address, err := e.serve(engine)
 		if err != nil {
 			return err
@@ -160,7 +170,7 @@
 		if err != nil {
 			return err
 		}
-		e.targets = append(e.targets, &target{engine: engine, proxy: proxy})
+		e.targets = append(e.targets, &target{engine: engine, proxy: proxy, statesCold: i >= e.cfg.Engines && e.hasCold()})
 	}
 	e.writeConfig()
 	for i := range e.cfg.Instances {
@@ -177,6 +187,24 @@
 	return nil
 }
 
+// newEngine returns the stand-in of the target with the index.
+func (e *environment) newEngine(index int) *hostplatform.Engine {
+	slots := slotsPerTarget
+	if index < e.cfg.Engines {
+		slots = slotsPerEngine
+	}
+	engine := hostplatform.NewEngine(fmt.Sprintf("t%d", index), models[0], slots)
+	for _, model := range models[1:] {
+		engine.AddModel(model)
+	}
+	engine.SetSoftware(softwareVersions[index/len(dataCentres)%len(softwareVersions)])
+	engine.SetEventInterval(slowInterval / 4)
+	if index%3 == 2 {
+		engine.SetEventInterval(slowInterval)
+	}
+	return engine
+}
+
 // thawGrace is how long after a pause a call may arrive that was checked before it.
 const thawGrace = 300 * time.Millisecond
 
@@ -211,26 +239,55 @@
 func (e *environment) runHeartbeats(ctx context.Context) {
 	for ctx.Err() == nil {
 		for i, t := range e.targets {
-			service := "models"
-			if i >= e.cfg.Engines {
-				service = "desk"
-			}
-			entry := t.engine.RegistryEntry(service, t.proxy.address(), dataCentreOf(i), "ready")
-			if service == "desk" {
-				delete(entry, "models")
-			}
-			e.logStore.Put(platform.RegistryTopic, t.engine.ID, entry)
+			t.changeEntry(e.logStore, i < e.cfg.Engines, dataCentreOf(i), func() {})
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
 }
 
+// changeEntry calls change, which may change the fields that entryMu guards, and writes the
+// target's registry entry.
+func (t *target) changeEntry(log *hostplatform.Store, isEngine bool, dataCentre string, change func()) {
+	t.entryMu.Lock()
+	defer t.entryMu.Unlock()
+	wasRemoved := t.removed
+	change()
+	if t.removed {
+		if !wasRemoved {
+			log.Put(platform.RegistryTopic, t.engine.ID, nil)
+		}
+		return
+	}
+	service, state := "desk", "ready"
+	if isEngine {
+		service = "models"
+	}
+	if !t.leavesAt.IsZero() {
+		state = "draining"
+	}
+	entry := t.engine.RegistryEntry(service, t.proxy.address(), dataCentre, state)
+	t.heartbeat++
+	entry["sequence"] = t.heartbeat
+	if !isEngine {
+		delete(entry, "models")
+	}
+	if t.statesCold {
+		entry["cold-remaining-ms"] = max(0, time.Until(t.coldUntil).Milliseconds())
+	}
+	if !t.leavesAt.IsZero() {
+		entry["leaves_ms"] = max(1, time.Until(t.leavesAt).Milliseconds())
+	}
+	log.Put(platform.RegistryTopic, t.engine.ID, entry)
+}
+
 // writeConfig writes the configuration with the current keys and raises its version by 2.
 func (e *environment) writeConfig() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.configVersion += 2
-	e.logStore.Put(platform.OperatorTopic, "config", hostplatform.Config(e.configVersion, routeHost, e.keys))
+	config := hostplatform.Config(e.configVersion, routeHost, e.keys, models[1:]...)
+	e.stateColdRate(config)
+	e.logStore.Put(platform.OperatorTopic, "config", config)
 }
 
 // awaitReady waits until every instance is ready, each for at most the settle timeout.
