A success of a target that does not state its end is not passed on

Cause: a response with neither Content-Length nor chunks ends with the connection, so one that is cut by a clean close looks complete.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -83,6 +83,8 @@
 		end.serverError, end.err = true, errors.New("the engine responded with a server error")
 	case res.StatusCode != http.StatusOK || response.Signature == "":
 		end.err = fmt.Errorf("%w: status %d", errNotStream, res.StatusCode)
+	case !platform.StatesEnd(res):
+		end.err = forward.ErrEndNotStated
 	default:
 		end.outcome, end.err = b.readEvents(res.Body, r, response.Version)
 	}
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -318,6 +318,11 @@
 	if timeLeft > 0 {
 		req.Header.Set("Deadline-Ms", fmt.Sprint(timeLeft.Milliseconds()))
 	}
+	return receive(req)
+}
+
+// receive sends the request and reads the complete response.
+func receive(req *http.Request) response {
 	res, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return response{}
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -30,6 +30,7 @@
 	stalled         bool // streams send no more events, connections stay open
 	statusByRequest map[string]int
 	plainHandler    func(w http.ResponseWriter, r *http.Request) bool
+	streamHandler   func(w http.ResponseWriter, r *http.Request) bool
 	eventInterval   time.Duration
 	violations      []string
 	startedAt       int64       // "born" of the registry entry
@@ -94,6 +95,13 @@
 	e.plainHandler = f
 }
 
+// SetStreamHandler is SetPlainHandler for requests for a stream.
+func (e *Engine) SetStreamHandler(f func(w http.ResponseWriter, r *http.Request) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.streamHandler = f
+}
+
 // FirstSoftware is the software version that engines have unless another one is set.
 const FirstSoftware = "v1"
 
@@ -255,12 +263,15 @@
 	defer e.releaseSlot()
 	e.recordRun(r, body)
 	e.mu.Lock()
-	status := e.statusByRequest[id]
+	status, streamHandler := e.statusByRequest[id], e.streamHandler
 	e.mu.Unlock()
 	if status != 0 {
 		w.WriteHeader(status)
 		return
 	}
+	if streamHandler != nil && streamHandler(w, r) {
+		return
+	}
 	e.stream(w, r, id)
 }
 
