A planned stop answers requests on kept connections and lets relayed ones end

Cause: an instance that began to stop closed its idle connections at once, 2.5 s before the load balancer removes it, so a request that arrived on one, or had arrived by half, was lost; and it ended with its own callers' requests, also if requests were in flight that other instances relayed through it. Before, two of three specs failed: a request begun on a kept connection got an unexpected EOF, and the instance ended 2.5 s after Stop with a relayed request in flight. The listener for other instances drains after the handover of jobs. Result: the three specs pass, also that of a stream and a submission during the stop, which passed before, and the earlier specs of planned stops.

--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -61,11 +61,14 @@
 	forwarder  *forward.Forwarder
 	batch      *batch.Batch
 	controller *duty.Controller
+
+	frontDrained chan context.Context // receives the context of the grace period
+	peersDrained chan struct{}        // closed when the listener for other instances has drained
 }
 
 // New returns an instance that has not been started.
 func New(cfg Config) *Instance {
-	in := &Instance{listen: cfg.Listen}
+	in := &Instance{listen: cfg.Listen, frontDrained: make(chan context.Context, 1), peersDrained: make(chan struct{})}
 	if in.listen == nil {
 		in.listen = net.Listen
 	}
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -30,11 +30,12 @@
 // requests for instances that reach neither the log nor a target.
 func (in *Instance) servePeers(ctx context.Context) error {
 	if in.node.Settings.Peers == "" {
+		close(in.peersDrained)
 		return nil
 	}
 	listener, err := in.listen("tcp", in.node.Settings.Peers)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	return in.serveOn(ctx, in.node.Peers.Listen(listener), in.peerHandler(), nil)
+	return in.serveOn(ctx, in.node.Peers.Listen(listener), in.peerHandler(), in.drainPeers)
 }
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -67,7 +67,12 @@
 
 // serveFront serves callers and trainers until the instance has drained.
 func (in *Instance) serveFront(ctx context.Context) error {
-	return in.serve(ctx, in.node.Settings.Front, http.HandlerFunc(in.serveCaller), in.drain)
+	return in.serve(ctx, in.node.Settings.Front, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if in.node.IsStopping() {
+			w.Header().Set("Connection", "close")
+		}
+		in.serveCaller(w, r)
+	}), in.drain)
 }
 
 // serve runs an HTTP server until ctx ends. If stop is not nil, the server runs until
@@ -108,7 +113,9 @@
 var ErrStopped = errors.New("instance stopped")
 
 // drain waits for Stop. Then it waits, all within the grace period, for
-// deregistrationDelay, for the requests in flight and for the handover of the jobs.
+// deregistrationDelay, for the requests in flight, for the handover of the jobs and for the
+// requests of other instances. Until the end of the delay, kept connections stay open if they
+// are idle: the load balancer may be sending a request on them.
 func (in *Instance) drain(ctx context.Context, server *http.Server) error {
 	select {
 	case <-ctx.Done():
@@ -116,7 +123,6 @@
 	case <-in.node.StopStarted():
 	}
 	in.node.Log("instance stopping", events.F("grace", in.node.Settings.Grace.String()))
-	server.SetKeepAlivesEnabled(false)
 	graceCtx, cancel := context.WithTimeout(ctx, in.node.Settings.Grace-shutdownMargin)
 	defer cancel()
 	select {
@@ -127,5 +133,25 @@
 		in.node.Log("instance cut requests", events.F("error", err.Error()))
 	}
 	in.batch.WaitForHandover(graceCtx)
+	in.frontDrained <- graceCtx
+	select {
+	case <-in.peersDrained:
+	case <-graceCtx.Done():
+	}
 	return ErrStopped
 }
+
+// drainPeers waits until the listener for callers has drained, and then for the requests of
+// other instances in flight: they relay callers' requests.
+func (in *Instance) drainPeers(ctx context.Context, server *http.Server) error {
+	defer close(in.peersDrained)
+	select {
+	case <-ctx.Done():
+		return server.Close()
+	case graceCtx := <-in.frontDrained:
+		if err := server.Shutdown(graceCtx); err != nil {
+			in.node.Log("instance cut requests of other instances", events.F("error", err.Error()))
+		}
+		return nil
+	}
+}
