Streams end at their route's timeout also if the caller reads nothing

Cause: the timeout of the route ended the response of the target, but not a write to a caller that had stopped reading, so the request never ended. Before, the spec failed: an instance with such a stream, whose timeout was 1 s, used up its grace period in a planned stop and logged that it had cut a request. Change: writes of a stream have the deadline of the request. Result: it ends. Three more specs passed before and after: a stream of one event a second for 13 s is not cut, one of single bytes without a complete event ends at the timeout of its route, and a task whose engine sends such bytes is completed at another engine.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -128,7 +128,7 @@
 	}
 	switch {
 	case best != nil && best.HasResponse():
-		f.forwardResponse(c, request, best, attempts, took)
+		f.forwardResponse(ctx, c, request, best, attempts, took)
 	case c.Request.Context().Err() != nil:
 		f.Log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
 	case attempted.heldBack > 0 && best.Outcome == retry.NotRun:
@@ -150,7 +150,7 @@
 	}
 }
 
-func (f *Forwarder) forwardResponse(c *CallerRequest, request *PlainRequest, r *AttemptResult, attempts int, took time.Duration) {
+func (f *Forwarder) forwardResponse(ctx context.Context, c *CallerRequest, request *PlainRequest, r *AttemptResult, attempts int, took time.Duration) {
 	f.Log("request passed", events.F("request", c.ID), events.F("route", c.Route.Name), events.F("target", r.Target.ID),
 		events.F("software", r.Target.Software), events.F("status", fmt.Sprint(r.Status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
 		events.F("took", took.Round(time.Millisecond).String()))
@@ -158,7 +158,7 @@
 	c.Writer.Header().Del(headerOwnResponse) // only this instance may set it
 	if r.stream != nil {
 		f.recordStream(c, r)
-		f.forwardStream(c, request, r)
+		f.forwardStream(ctx, c, request, r)
 		return
 	}
 	c.Writer.Header().Set("Content-Length", fmt.Sprint(len(r.body)))
@@ -170,12 +170,17 @@
 }
 
 // forwardStream forwards a streamed body as it arrives. If the stream is interrupted, it
-// cuts the connection to the caller, so that the response does not look complete.
-func (f *Forwarder) forwardStream(c *CallerRequest, request *PlainRequest, r *AttemptResult) {
+// cuts the connection to the caller, so that the response does not look complete. The deadline
+// of ctx ends it, also while the caller reads nothing.
+func (f *Forwarder) forwardStream(ctx context.Context, c *CallerRequest, request *PlainRequest, r *AttemptResult) {
 	defer r.stream.Close()
 	c.Writer.Header().Del("Content-Length")
 	c.Writer.WriteHeader(r.Status)
 	flusher := http.NewResponseController(c.Writer)
+	if deadline, limited := ctx.Deadline(); limited {
+		_ = flusher.SetWriteDeadline(deadline)                       // the server's connections support it
+		defer func() { _ = flusher.SetWriteDeadline(time.Time{}) }() // for later requests on the connection
+	}
 	buffer := make([]byte, 16<<10)
 	for {
 		k, err := r.stream.Read(buffer)
