--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -128,7 +128,7 @@
 	}
 	switch {
 	case best != nil && best.HasResponse():
-		f.forwardResponse(c, request, best, attempts, took)
+		f.forwardResponse(ctx, c, request, best, attempts, took)
 	case c.Request.Context().Err() != nil:
 		f.Log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
 	case attempted.heldBack > 0 && best.Outcome == retry.NotRun:
@@ -150,7 +150,7 @@
 	}
 }
 
-func (f *Forwarder) forwardResponse(c *CallerRequest, request *PlainRequest, r *AttemptResult, attempts int, took time.Duration) {
+func (f *Forwarder) forwardResponse(ctx context.Context, c *CallerRequest, request *PlainRequest, r *AttemptResult, attempts int, took time.Duration) {
 	f.Log("request passed", events.F("request", c.ID), events.F("route", c.Route.Name), events.F("target", r.Target.ID),
 		events.F("software", r.Target.Software), events.F("status", fmt.Sprint(r.Status)), events.F("tries", fmt.Sprint(attempts)), events.F("config", c.configVersion()),
 		events.F("took", took.Round(time.Millisecond).String()))
@@ -158,7 +158,7 @@
 	c.Writer.Header().Del(headerOwnResponse) // only this instance may set it
 	if r.stream != nil {
 		f.recordStream(c, r)
-		f.forwardStream(c, request, r)
+		f.forwardStream(ctx, c, request, r)
 		return
 	}
 	c.Writer.Header().Set("Content-Length", fmt.Sprint(len(r.body)))
@@ -170,12 +170,17 @@
 }
 
 // forwardStream forwards a streamed body as it arrives. If the stream is interrupted, it
-// cuts the connection to the caller, so that the response does not look complete.
-func (f *Forwarder) forwardStream(c *CallerRequest, request *PlainRequest, r *AttemptResult) {
+// cuts the connection to the caller, so that the response does not look complete. The deadline
+// of ctx ends it, also while the caller reads nothing.
+func (f *Forwarder) forwardStream(ctx context.Context, c *CallerRequest, request *PlainRequest, r *AttemptResult) {
 	defer r.stream.Close()
 	c.Writer.Header().Del("Content-Length")
 	c.Writer.WriteHeader(r.Status)
 	flusher := http.NewResponseController(c.Writer)
+	if deadline, limited := ctx.Deadline(); limited {
+		_ = flusher.SetWriteDeadline(deadline)                       // the server's connections support it
+		defer func() { _ = flusher.SetWriteDeadline(time.Time{}) }() // for later requests on the connection
+	}
 	buffer := make([]byte, 16<<10)
 	for {
 		k, err := r.stream.Read(buffer)
@@ -201,8 +206,12 @@
 	}
 }
 
-// ErrRequestIDMismatch is the error of a response that names another request.
-var ErrRequestIDMismatch = errors.New("the answer belongs to another request")
+var (
+	// ErrRequestIDMismatch is the error of a response that names another request.
+	ErrRequestIDMismatch = errors.New("the answer belongs to another request")
+	// ErrEndNotStated is the error of a response that may be cut without a sign of it.
+	ErrEndNotStated = errors.New("the answer does not state where it ends")
+)
 
 // sendAttempt sends the request to one target, returns the result and releases the
 // target. It does not send it if the target limits its rate and grants no allowance soon. An
@@ -247,7 +256,7 @@
 
 // roundTrip sends the request to r's target and sets the other fields of r from the
 // response. It sets r.err for a response that belongs to another request, lacks the
-// target's signature or has a content encoding.
+// target's signature, does not state its end or has a content encoding.
 func (f *Forwarder) roundTrip(ctx context.Context, p *PlainRequest, r *AttemptResult, deadline time.Duration) {
 	req := &http.Request{
 		Method: p.Method, URL: p.URL(r.Target.Address), Host: p.Host,
@@ -279,6 +288,8 @@
 	switch {
 	case res.StatusCode/100 == 2 && r.PlatformHeader.Signature == "":
 		r.Err = errors.New("the answer is not signed")
+	case res.StatusCode/100 == 2 && !platform.StatesEnd(res):
+		r.Err = ErrEndNotStated
 	case res.Header.Get("Content-Encoding") != "":
 		r.Err = errors.New("the answer is encoded, which nobody asked for")
 	case p.Kind == catalog.Stream && res.StatusCode == http.StatusOK:
