A stream of a task that ends with its connection is checked by a further run

The refusal of every success that does not state its end is taken back for callers: such a body is complete by the platform's protocol when the connection is closed, and an answer that is ready is delivered. A task's stream without a stated end that brought events is followed by a run after its last event, which completes the task if there are none.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -47,6 +47,7 @@
 	errVersionChanged = errors.New("the weights changed within an output that allows one version")
 	errEventGap       = errors.New("event is not the next in sequence")
 	errNoEvents       = errors.New("the stream ended before its first event")
+	errEndNotStated   = errors.New("the stream ended with its connection, so it may have been cut")
 	errNotStream      = errors.New("the engine did not respond with a stream")
 )
 
@@ -83,10 +84,11 @@
 		end.serverError, end.err = true, errors.New("the engine responded with a server error")
 	case res.StatusCode != http.StatusOK || response.Signature == "":
 		end.err = fmt.Errorf("%w: status %d", errNotStream, res.StatusCode)
-	case !platform.StatesEnd(res):
-		end.err = forward.ErrEndNotStated
 	default:
 		end.outcome, end.err = b.readEvents(res.Body, r, response.Version)
+		if added, _ := r.output.runProgress(); added > 0 && end.outcome == assign.Completed && !platform.StatesEnd(res) {
+			end.outcome, end.err = assign.Broken, errEndNotStated // a further run tells whether there are more events
+		}
 	}
 	return markCanceled(ctx, end)
 }
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -206,12 +206,8 @@
 	}
 }
 
-var (
-	// ErrRequestIDMismatch is the error of a response that names another request.
-	ErrRequestIDMismatch = errors.New("the answer belongs to another request")
-	// ErrEndNotStated is the error of a response that may be cut without a sign of it.
-	ErrEndNotStated = errors.New("the answer does not state where it ends")
-)
+// ErrRequestIDMismatch is the error of a response that names another request.
+var ErrRequestIDMismatch = errors.New("the answer belongs to another request")
 
 // sendAttempt sends the request to one target, returns the result and releases the
 // target. It does not send it if the target limits its rate and grants no allowance soon. An
@@ -256,7 +252,7 @@
 
 // roundTrip sends the request to r's target and sets the other fields of r from the
 // response. It sets r.err for a response that belongs to another request, lacks the
-// target's signature, does not state its end or has a content encoding.
+// target's signature or has a content encoding.
 func (f *Forwarder) roundTrip(ctx context.Context, p *PlainRequest, r *AttemptResult, deadline time.Duration) {
 	req := &http.Request{
 		Method: p.Method, URL: p.URL(r.Target.Address), Host: p.Host,
@@ -288,8 +284,6 @@
 	switch {
 	case res.StatusCode/100 == 2 && r.PlatformHeader.Signature == "":
 		r.Err = errors.New("the answer is not signed")
-	case res.StatusCode/100 == 2 && !platform.StatesEnd(res):
-		r.Err = ErrEndNotStated
 	case res.Header.Get("Content-Encoding") != "":
 		r.Err = errors.New("the answer is encoded, which nobody asked for")
 	case p.Kind == catalog.Stream && res.StatusCode == http.StatusOK:
