--- a/internal/hosted/cut_test.go
+++ b/internal/hosted/cut_test.go
@@ -97,7 +97,7 @@
 		d.handlePlain(func(w http.ResponseWriter, r *http.Request) bool { cut{}.respond(w, r, "whole"); return true })
 		res := d.instances[0].call(http.MethodPost, "/once/x", "direct", key, nil)
 		Expect(res.status).To(Equal(http.StatusOK))
-		Expect(string(res.body)).To(Equal("whole"))
+		Expect(res.body).To(Equal("whole"))
 	})
 
 	DescribeTable("is no complete stream of a caller, also through another instance", func(c cut) {
