--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -152,8 +152,11 @@
 	return false
 }
 
-// RouteByName returns the first route with the name.
+// RouteByName returns the first route with the name. A nil catalog has none.
 func (c *Catalog) RouteByName(name string) (*Route, bool) {
+	if c == nil {
+		return nil, false
+	}
 	for i := range c.Routes {
 		if c.Routes[i].Name == name {
 			return &c.Routes[i], true
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -275,7 +275,7 @@
 // After a server error a task is scheduled again only when its failure record has been
 // applied.
 func (r *runner) updateTasks(view *node.View, id string, j *claimedJob, status []job.TaskStatus) {
-	if j.loading {
+	if j.loading || view.Catalog == nil { // nothing tells yet whether the route is there
 		return
 	}
 	b := r.batch
--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
+	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -41,3 +42,18 @@
 		}
 	}
 }
+
+// Guards against a record that names this instance as a runner before it has read the
+// configuration: that ended the process.
+func TestTasksWaitForTheConfiguration(t *testing.T) {
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	r := newRunner(b)
+	j := &claimedJob{
+		job: &job.Job{Submitted: job.Submitted{Job: "j", Route: "r", Tasks: []job.TaskRef{{ID: "t"}}}}, tasks: make([]job.Task, 1),
+		outputs: []*taskOutput{{}}, recorded: make([]bool, 1), failures: make([]int, 1),
+	}
+	r.updateTasks(b.CurrentView(), "j", j, make([]job.TaskStatus, 1))
+	if r.scheduler.Has(assign.Key{Job: "j"}) || j.recorded[0] {
+		t.Fatal("the task was started or given up")
+	}
+}
