Soak: the forged calls stand with the platform's stand-in

Cause: the soak's strangers named the path and headers of the users' wire outside platform/ and its stand-in.

--- a/internal/soak/stranger.go
+++ b/internal/soak/stranger.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/binary"
 	"fmt"
 	"net/http"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/amaranthfold/amaranthfold/core/occupancy"
 	"github.com/amaranthfold/amaranthfold/internal/forward"
 	exchange "github.com/amaranthfold/amaranthfold/internal/occupancy"
+	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
 )
 
 const (
@@ -38,11 +38,10 @@
 
 // strangerRequest returns the call with the number; from is the name of an instance.
 func strangerRequest(n int, address, from string) (*http.Request, error) {
-	record := "record of a stranger"
 	path, body := "/confirm/x", []byte(strangerTask)
 	switch n % 3 {
 	case 1:
-		path, body = "/log-append?topic=control&part=0", append(binary.BigEndian.AppendUint32(nil, uint32(len(record))), record...)
+		path, body = hostplatform.ForgedAppend("record of a stranger")
 	case 2:
 		data, err := occupancy.Encode(occupancy.Message{From: from, Incarnation: time.Now().UnixMilli(), Sequence: 1, Full: true})
 		if err != nil {
@@ -58,8 +57,7 @@
 	if n%3 == 0 {
 		req.Host = routeHost
 		req.Header.Set(forward.HeaderRelayed, "0")
-		req.Header.Set("Tenant", "acme")
-		req.Header.Set("Request-Id", strangerTask)
+		hostplatform.SetForgedRequest(req.Header, strangerTask)
 	}
 	return req, nil
 }
