Delays of hedges and assumed intervals come from what is observed

Cause: a request counted as slow after 40 ms at least, twice the service time of one deployment's plain requests, and core/assign held its own assumed time between events. Change: core/retry has the delay, twice the service time that core/intake observes or half of the target latency; the assumed interval stands with the other assumptions in core/speed; the share of its group's slowest task below which a run stays has a name.

--- a/core/assign/length.go
+++ b/core/assign/length.go
@@ -124,11 +124,7 @@
 
 // interval returns the expected time between events on the engine with its present load.
 func (s *Scheduler) interval(now time.Duration, e *engine, model string) time.Duration {
-	median := e.service.Median()
-	if median == 0 {
-		median = assumedEventInterval
-	}
-	return time.Duration(float64(median) * e.speed(model).Factor(now, e.load(0)))
+	return time.Duration(float64(e.service.Interval()) * e.speed(model).Factor(now, e.load(0)))
 }
 
 // remainingTime returns the expected time until the task is complete from now on, or from its
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -20,6 +20,9 @@
 	// overdueFactor is how much longer than that a run is kept while no other engine has a free
 	// slot. Then it ends all the same: stalled runs would hold the slots of all engines for ever.
 	overdueFactor = 3
+	// slowestShare is the part of the expected time of its group's slowest task that a run must
+	// have left to move for speed: the others end before the group does in any case.
+	slowestShare = 0.7
 	// reclaimMargin is how long before an engine is reclaimed its runs move: a few reviews, each
 	// of which moves as many as there are slots elsewhere. Until then a run goes on there and
 	// leaves the slots of the other engines to tasks that wait.
@@ -127,7 +130,7 @@
 		m.reason = reclaimed
 	case loading:
 		m.reason = loadsWeights
-	case r.events > 0 && now-r.started > s.limits.MinRunAge && (r.task.group.unknown || float64(m.left) >= 0.7*float64(r.task.group.slowest)):
+	case r.events > 0 && now-r.started > s.limits.MinRunAge && (r.task.group.unknown || float64(m.left) >= slowestShare*float64(r.task.group.slowest)):
 		m.reason = slowEngine
 	}
 	return m
--- a/core/assign/software.go
+++ b/core/assign/software.go
@@ -2,10 +2,6 @@
 
 import "time"
 
-// assumedEventInterval is the expected time between events until enough engines have been
-// observed. It decides only how long kept events are worth waiting for.
-const assumedEventInterval = 40 * time.Millisecond
-
 // Kept is the part of a task's output that earlier runs have left. A run resumes after it only
 // on an engine with the same software version, because the events of two versions do not fit
 // together; on any other it starts from the first event.
@@ -53,11 +49,7 @@
 // waitedLong reports whether the task has waited longer than it takes to generate its kept
 // events again.
 func (s *Scheduler) waitedLong(now time.Duration, t *Task) bool {
-	interval := s.service(t.Service).Median()
-	if interval == 0 {
-		interval = assumedEventInterval
-	}
-	return now-t.WaitingSince > time.Duration(t.Kept.Events)*interval
+	return now-t.WaitingSince > time.Duration(t.Kept.Events)*s.service(t.Service).Interval()
 }
 
 // canResume reports whether there is an engine on which the task can resume, now or later.
--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -310,15 +310,20 @@
 	return min(time.Duration(float64(ahead)/perSecond*float64(time.Second)), maxExpectedWait)
 }
 
+// ServiceTime returns the mean time that a request took at a target lately, or the one that is
+// assumed before any has been observed.
+func (q *Queue) ServiceTime(now time.Duration) time.Duration {
+	if service := q.service.value(now); service > 0 {
+		return service
+	}
+	return defaultService
+}
+
 // perSecond returns how many requests a second find a slot while the targets are full; zero:
 // unknown. It is the highest of the rate of the latest answers, of the requests in flight and of
 // the next probes: each of them is low for a moment where few requests arrive, and what is refused
 // by mistake is not served.
 func (q *Queue) perSecond(now time.Duration) float64 {
-	service := q.service.value(now)
-	if service <= 0 {
-		service = defaultService
-	}
 	inFlight, probes := 0, 0.0
 	for _, t := range q.targets {
 		inFlight += t.inFlight
@@ -326,7 +331,7 @@
 			probes += 1 / t.interval().Seconds()
 		}
 	}
-	return max(q.flow.perSecond(now), float64(inFlight)/service.Seconds(), probes*q.success())
+	return max(q.flow.perSecond(now), float64(inFlight)/q.ServiceTime(now).Seconds(), probes*q.success())
 }
 
 // success returns the share of the latest requests that found a slot, at first a half.
--- a/core/speed/delays.go
+++ b/core/speed/delays.go
@@ -11,6 +11,10 @@
 	minLoadTime     = 200 * time.Millisecond
 	maxLoadTime     = 5 * time.Second
 	assumedLoadTime = time.Second
+	// assumedInterval is the time between events that is assumed until enough engines have been
+	// observed. It decides only how long kept events are worth waiting for, and which part of a
+	// gap between events is a pause.
+	assumedInterval = 40 * time.Millisecond
 	// A shorter gap between two events is not a load.
 	minPause = 100 * time.Millisecond
 
--- a/core/speed/speed.go
+++ b/core/speed/speed.go
@@ -148,6 +148,14 @@
 	return e.Slowdown(now) * e.service.effect.factor(load)
 }
 
+// Interval returns the median time between events, or the one that is assumed until it is known.
+func (s *Service) Interval() time.Duration {
+	if s.median == 0 {
+		return assumedInterval
+	}
+	return s.Median()
+}
+
 // Median returns the median time between events on an engine without other load, zero if it is
 // not known.
 func (s *Service) Median() time.Duration { return time.Duration(s.median * float64(time.Second)) }
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -268,7 +268,7 @@
 	if !a.relaying && (a.running != 1 || a.StartedAttempts > 1 || a.slow) {
 		return nil, func() {}
 	}
-	timer := time.NewTimer(max(hedgeDelayMin, time.Duration(hedgeDelayFraction*float64(a.request.TargetLatency))))
+	timer := time.NewTimer(retry.HedgeDelay(a.forwarder.intakes.serviceTime(a.request), a.request.TargetLatency))
 	return timer.C, func() { timer.Stop() }
 }
 
--- a/internal/forward/intake.go
+++ b/internal/forward/intake.go
@@ -199,6 +199,13 @@
 	return s.queue.Full(now), waiting
 }
 
+// serviceTime returns how long a request of the service takes at a target.
+func (n *intakes) serviceTime(p *PlainRequest) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.service(p.Service).queue.ServiceTime(n.forwarder.Clock.Now())
+}
+
 // refusal returns the decision on a request that targets have refused too often.
 func (n *intakes) refusal(p *PlainRequest) intake.Decision {
 	n.mu.Lock()
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -22,10 +22,6 @@
 )
 
 const (
-	// hedgeDelayFraction is the fraction of the target latency after which an idempotent
-	// request is sent to a second target. The remaining half suffices for that attempt.
-	hedgeDelayFraction = 0.5
-	hedgeDelayMin      = 40 * time.Millisecond // twice the mean service time of a plain request
 	// allRefusedBackoff is the delay before a request that every target refused is sent
 	// again.
 	allRefusedBackoff = 30 * time.Millisecond
