--- a/internal/ctl/soak.go
+++ b/internal/ctl/soak.go
@@ -13,7 +13,7 @@
 )
 
 func soakCommand() *command {
-	var binary, dir string
+	var binary, earlier, dir string
 	seed, seeds, instances, engines, faults := 1, 1, 4, 4, 8
 	length, settle := 12*time.Second, time.Minute
 	return &command{
@@ -21,6 +21,7 @@
 		example: "amaranthctl soak --binary ./amaranthfold --seed 1 --seeds 50",
 		setup: func(sub *flaggy.Subcommand) {
 			sub.String(&binary, "", "binary", "path of the built amaranthfold")
+			sub.String(&earlier, "", "earlier", "path of an earlier build that the instances start with; they are replaced while the load runs")
 			sub.String(&dir, "", "dir", "directory that keeps the settings and logs of failed runs (default: a temporary directory)")
 			sub.Int(&seed, "", "seed", "first seed")
 			sub.Int(&seeds, "", "seeds", "number of runs, with consecutive seeds")
@@ -41,7 +42,7 @@
 				}
 			}
 			return runSeeds(ctx, env, soak.Config{
-				Binary: binary, Dir: dir, Duration: length, SettleTimeout: settle, Instances: instances, Engines: engines, Faults: faults,
+				Binary: binary, EarlierBinary: earlier, Dir: dir, Duration: length, SettleTimeout: settle, Instances: instances, Engines: engines, Faults: faults,
 			}, seed, seeds)
 		},
 	}
--- a/internal/soak/cold.go
+++ b/internal/soak/cold.go
@@ -21,7 +21,7 @@
 }
 
 // hasCold reports whether the targets of the plain service are cold after a start.
-func (e *environment) hasCold() bool { return e.cfg.Seed%coldSeeds == 0 }
+func (e *environment) hasCold() bool { return e.cfg.Seed%coldSeeds == 0 && !e.upgrades() }
 
 // stateColdRate adds the rate for cold targets to the plain service of the configuration.
 func (e *environment) stateColdRate(config map[string]any) {
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -26,6 +26,9 @@
 			return
 		case <-time.After(f.start - time.Since(start)):
 		}
+		if e.upgrades() && (f.kind == dataCentreEvacuated || f.kind == dataCentreReclaimed) {
+			continue
+		}
 		e.report.Faults++
 		e.printf("fault %s", f)
 		wg.Go(func() { e.applyFault(ctx, f) })
--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -89,6 +89,9 @@
 			id, instance := fmt.Sprintf("talk-%d", n), l.random.IntN(len(l.env.instances))
 			wg.Go(func() { l.talk(id, instance) })
 		case <-strangers.C:
+			if l.env.upgrades() {
+				continue
+			}
 			call, instance := n, l.random.IntN(len(l.env.instances))
 			wg.Go(func() { l.callAsStranger(call, instance) })
 		case <-requests.C:
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net"
@@ -77,7 +78,7 @@
 		return nil, err
 	}
 	p := &process{
-		name: fmt.Sprintf("n%d", index), binary: cfg.Binary, logProxy: logProxy,
+		name: fmt.Sprintf("n%d", index), binary: cmp.Or(cfg.EarlierBinary, cfg.Binary), logProxy: logProxy,
 		callerAddress: fmt.Sprintf("127.0.0.1:%d", ports[0]),
 		readyAddress:  fmt.Sprintf("127.0.0.1:%d", ports[1]),
 		peersAddress:  fmt.Sprintf("127.0.0.1:%d", ports[2]+1),
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -36,10 +36,13 @@
 
 // Config describes a run.
 type Config struct {
-	Binary   string        // the built amaranthfold
-	Dir      string        // for the settings and logs of the instances
-	Seed     uint64        // of faults and load
-	Duration time.Duration // of load and faults
+	Binary string // the built amaranthfold
+	// EarlierBinary is an earlier build that the instances start with, if it is set. They are
+	// replaced while the load runs.
+	EarlierBinary string
+	Dir           string        // for the settings and logs of the instances
+	Seed          uint64        // of faults and load
+	Duration      time.Duration // of load and faults
 	// SettleTimeout is the limit for each instance to become ready, and for the accepted
 	// jobs to complete after the faults have ended.
 	SettleTimeout time.Duration
@@ -136,6 +139,7 @@
 	var wg sync.WaitGroup
 	wg.Go(func() { load.run(ctx) })
 	wg.Go(func() { e.injectFaults(ctx) })
+	wg.Go(func() { e.upgradeInstances(ctx) })
 	wg.Wait()
 	e.clearFaults()
 	load.waitForJobs(ctx)
