Metrics: which account waits and which is refused

Cause: the metrics of waits and refusals had no account; only lines named it. Change: amaranth_hosted_calls_not_admitted_total, _calls_waited_total, _call_wait_seconds and _task_wait_seconds have the label account. 64 accounts of the running configuration have a value of their own, the rest is "other", requests without an account are "none"; the series of an account go when it leaves the configuration. `run placed` and `task ended` have the account. Measured: 4,000 accounts make 65 series; names with quotes, line breaks and invalid UTF-8 keep the page readable. Without the bound, the removal of an account or that of its series the spec fails. An observation takes 406 ns instead of 42 ns, once per run or wait. Specs of jobs in internal/hosted pass.

--- a/internal/batch/placed.go
+++ b/internal/batch/placed.go
@@ -32,10 +32,10 @@
 }
 
 // notePlaced logs what a run was placed on.
-func (r *runner) notePlaced(now time.Duration, s assign.Start, taskID string) {
+func (r *runner) notePlaced(now time.Duration, s assign.Start, j *claimedJob) {
 	in := s.Inputs
 	r.placed[s.Run] = placedRun{now, in}
-	r.batch.Metrics.TaskWait.Update(in.Waited.Seconds())
+	r.batch.Metrics.ObserveTaskWait(j.job.Account, in.Waited)
 	slack := "unknown"
 	if in.SlackKnown {
 		slack = in.Slack.Round(time.Millisecond).String()
@@ -44,19 +44,21 @@
 			r.batch.Metrics.StartsLate.Inc()
 		}
 	}
-	r.batch.Log("run placed", events.F("job", s.Task.Job), events.F("task", taskID), events.F("target", s.Engine),
+	r.batch.Log("run placed", events.F("account", j.job.Account), events.F("job", s.Task.Job),
+		events.F("task", j.job.Tasks[s.Task.Task].ID), events.F("target", s.Engine),
 		events.F("remaining", in.Remaining.Round(time.Millisecond).String()), events.F("slack", slack),
 		events.F("own", fmt.Sprint(in.Own)), events.F("others", fmt.Sprint(in.Others)),
 		events.F("news_age", in.NewsAge.Round(time.Millisecond).String()), events.F("waited", in.Waited.Round(time.Millisecond).String()))
 }
 
 // noteEnded logs how the run of a task went that is complete.
-func (r *runner) noteEnded(now time.Duration, end runEnd, p placedRun, output *taskOutput) {
+func (r *runner) noteEnded(now time.Duration, end runEnd, p placedRun, j *claimedJob) {
+	output := j.outputs[end.key.Task]
 	first := "none"
 	if at := output.firstEvent(); at > 0 {
 		first = (at - p.at).Round(time.Millisecond).String()
 	}
-	r.batch.Log("task ended", events.F("job", end.key.Job), events.F("task", end.taskID), events.F("target", end.engine),
+	r.batch.Log("task ended", events.F("account", j.job.Account), events.F("job", end.key.Job), events.F("task", end.taskID), events.F("target", end.engine),
 		events.F("events", fmt.Sprint(output.kept().Events)), events.F("first_event", first),
 		events.F("waited", p.inputs.Waited.Round(time.Millisecond).String()), events.F("runs", fmt.Sprint(p.inputs.Runs)),
 		events.F("expected", p.inputs.Remaining.Round(time.Millisecond).String()), events.F("took", (now-p.at).Round(time.Millisecond).String()))
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -38,7 +38,7 @@
 		r.cancels[s.Run], r.outputs[s.Run] = cancel, j.outputs[s.Task.Task]
 		b.Metrics.Runs.Inc()
 		r.logResume(j, s, targets[s.Engine].Software)
-		r.notePlaced(now, s, j.job.Tasks[s.Task.Task].ID)
+		r.notePlaced(now, s, j)
 		remaining := time.Duration(j.job.SubmittedAt+j.job.Retention-b.Clock.Wall().UnixMilli()) * time.Millisecond
 		run := taskRun{
 			id: s.Run, key: s.Task, task: &j.tasks[s.Task.Task], output: j.outputs[s.Task.Task], host: j.job.Host,
@@ -107,7 +107,7 @@
 		b.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: j.term, Failed: []int{i}}})
 	case end.outcome == assign.Completed:
 		b.Metrics.Listed.Inc()
-		r.noteEnded(b.Clock.Now(), end, placed, j.outputs[i])
+		r.noteEnded(b.Clock.Now(), end, placed, j)
 		output, versions, _ := j.outputs[i].snapshot()
 		b.Metrics.TaskTime.Update(float64(b.Clock.Wall().UnixMilli()-j.job.SubmittedAt) / 1000)
 		r.completeTask(j, taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, output: output, versions: versions}, 0)
--- a/internal/forward/intake.go
+++ b/internal/forward/intake.go
@@ -85,8 +85,8 @@
 	s.waiting[id] = decided
 	n.step(s)
 	n.mu.Unlock()
-	n.forwarder.Metrics.CallsWaited.Inc()
-	defer func() { n.forwarder.Metrics.CallWait.Update((n.forwarder.Clock.Now() - arrived).Seconds()) }()
+	n.forwarder.Metrics.CountCallWaiting(p.account)
+	defer func() { n.forwarder.Metrics.ObserveCallWait(p.account, n.forwarder.Clock.Now()-arrived) }()
 	select {
 	case d = <-decided:
 		return d
@@ -208,7 +208,7 @@
 
 // refuseForRoom responds that no slot is free for the request before its deadline.
 func (f *Forwarder) refuseForRoom(c *CallerRequest, p *PlainRequest, d intake.Decision) {
-	f.Metrics.NotAdmitted.Inc()
+	f.Metrics.CountNotAdmitted(p.account)
 	delay := intake.RetryAfter(d.ExpectedWait, float64(f.Rand64()%1000)/1000)
 	if leftOut, logs := f.intakes.logsRefusal(); logs {
 		f.Log("request not admitted", events.F("request", c.ID), events.F("account", p.account), events.F("service", p.Service),
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -115,6 +115,7 @@
 			switch {
 			case record.Catalog != nil && (s.catalog == nil || record.Catalog.Version > s.catalog.Version):
 				s.catalog = record.Catalog
+				n.Metrics.keepAccounts(record.Catalog.Accounts)
 				s.targets.SetColdStarts(coldStarts(record.Catalog), n.RegistryDelay())
 				n.Log("config applied", events.F("version", fmt.Sprint(record.Catalog.Version)))
 			case record.Weights != nil && record.Weights.Version > s.desiredVersions[record.Weights.Model]:
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -13,13 +14,10 @@
 	Requests, Retries, Refused, Failed *metrics.Counter
 	RequestTime                        *metrics.Histogram
 
-	CallsWaited, NotAdmitted *metrics.Counter
-	CallWait                 *metrics.Histogram
-
 	Jobs, Listed, GivenUp, Claims    *metrics.Counter
 	Runs, RunsBroken, RunsMoved      *metrics.Counter
 	RunsResumed, RunsStartedOver     *metrics.Counter
-	TaskTime, TaskWait, StartSlack   *metrics.Histogram
+	TaskTime, StartSlack             *metrics.Histogram
 	StartsLate                       *metrics.Counter
 	Orders, Reports                  *metrics.Counter
 	limitsNamed, StreamsTakenUp      *metrics.Counter
@@ -33,15 +31,16 @@
 
 	Scored, ScoreRetries, Unscorable *metrics.Counter
 	ScoreTime                        *metrics.Histogram
+
+	accountsMu sync.Mutex
+	accounts   *accountLabels
 }
 
 func newMetricSet() *Metrics {
 	set := metrics.NewSet()
 	return &Metrics{
 		Set:              set,
-		CallsWaited:      set.NewCounter("amaranth_hosted_calls_waited_total"),
-		NotAdmitted:      set.NewCounter("amaranth_hosted_calls_not_admitted_total"),
-		CallWait:         set.NewHistogram("amaranth_hosted_call_wait_seconds"),
+		accounts:         newAccountLabels(maxAccountLabels),
 		Requests:         set.NewCounter("amaranth_hosted_calls_total"),
 		Retries:          set.NewCounter("amaranth_hosted_call_retries_total"),
 		Refused:          set.NewCounter("amaranth_hosted_calls_refused_total"),
@@ -57,7 +56,6 @@
 		RunsResumed:      set.NewCounter("amaranth_hosted_runs_resumed_total"),
 		RunsStartedOver:  set.NewCounter("amaranth_hosted_runs_started_over_total"),
 		TaskTime:         set.NewHistogram("amaranth_hosted_task_seconds"),
-		TaskWait:         set.NewHistogram("amaranth_hosted_task_wait_seconds"),
 		StartSlack:       set.NewHistogram("amaranth_hosted_start_slack_seconds"),
 		StartsLate:       set.NewCounter("amaranth_hosted_starts_late_total"),
 		Orders:           set.NewCounter("amaranth_hosted_weight_orders_total"),
