Runner: counts and logs each group of tasks when it ends

Cause: nothing said which groups of which trainer were complete in time. Change: the runner counts amaranth_hosted_groups_total by account and outcome (in time, late, given up, unfinished) and writes one `group ended` line with waits, longest run, runs and moves. It reads each result of the log once. The number of results at the latest claim, which the state keeps now, decides which runner counts a group.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -27,6 +27,8 @@
 	RunnerConfirmed bool
 	// MaxSlotWait is the longest wait of a task for a free slot that a runner has reported.
 	MaxSlotWait time.Duration
+	// ListedAtClaim is the number of results at the latest accepted claim.
+	ListedAtClaim int
 
 	taskIndex map[string]int
 }
@@ -235,6 +237,7 @@
 		return false
 	}
 	j.Term, j.Runner, j.RunnerSeenAt, j.RunnerConfirmed = c.Term, c.Runner, now, false
+	j.ListedAtClaim = len(j.Results)
 	s.Runners[j.Model] = Runner{c.Runner, now}
 	return true
 }
--- a/internal/batch/placed.go
+++ b/internal/batch/placed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
+	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 )
@@ -13,28 +14,42 @@
 type placedRun struct {
 	at     time.Duration // of its start
 	inputs assign.Inputs
+	group  *taskGroup
 }
 
 // setJob tells the scheduler when the groups of a job are due and how many its caller waits for.
 func (r *runner) setJob(view *node.View, id string, j *claimedJob) {
-	groups := map[int]bool{}
-	for _, t := range j.job.Tasks {
-		groups[t.Group] = true
-	}
-	info := assign.Job{GroupsWanted: j.job.GroupsWanted, Groups: len(groups)}
-	if view.Catalog != nil {
-		if route, found := view.Catalog.RouteByName(j.job.Route); found && route.ResultDeadline > 0 {
-			age := time.Duration(r.batch.Clock.Wall().UnixMilli()-j.job.SubmittedAt) * time.Millisecond
-			info.Due = r.batch.Clock.Now() - age + route.ResultDeadline
-		}
+	info := assign.Job{GroupsWanted: j.job.GroupsWanted, Groups: len(j.groups.byNumber)}
+	if deadline := resultDeadline(view, j.job); deadline > 0 {
+		info.Due = r.batch.Clock.Now() - r.age(j.job) + deadline
 	}
 	r.scheduler.SetJob(id, info)
 }
 
+// resultDeadline returns how long after its submission the results of a job are due; zero: it is
+// not known.
+func resultDeadline(view *node.View, j *job.Job) time.Duration {
+	if view.Catalog == nil {
+		return 0
+	}
+	route, found := view.Catalog.RouteByName(j.Route)
+	if !found {
+		return 0
+	}
+	return max(0, route.ResultDeadline)
+}
+
+// age returns the time since the job's submission.
+func (r *runner) age(j *job.Job) time.Duration {
+	return time.Duration(r.batch.Clock.Wall().UnixMilli()-j.SubmittedAt) * time.Millisecond
+}
+
 // notePlaced logs what a run was placed on.
 func (r *runner) notePlaced(now time.Duration, s assign.Start, j *claimedJob) {
 	in := s.Inputs
-	r.placed[s.Run] = placedRun{now, in}
+	group := j.groups.of(s.Task.Task)
+	group.runStarted(in)
+	r.placed[s.Run] = placedRun{now, in, group}
 	r.batch.Metrics.ObserveTaskWait(j.job.Account, in.Waited)
 	slack := "unknown"
 	if in.SlackKnown {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"sync"
 	"time"
 
@@ -13,7 +12,6 @@
 	"github.com/amaranthfold/amaranthfold/core/takeover"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/node"
-	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 )
 
 const (
@@ -67,6 +65,7 @@
 	recorded []bool // by task: recorded in the log, or about to be
 	failures []int  // by task: server errors, including those whose records are not yet applied
 	term     int64
+	groups   *jobGroups
 	loading  bool
 	released bool // released for handover, and not claimed yet
 }
@@ -194,56 +193,35 @@
 	}
 }
 
-// jobSnapshot is a copy of a job's state that is read outside the state goroutine.
-type jobSnapshot struct {
-	job    *job.Job
-	runner string
-	term   int64
-	status []job.TaskStatus
-}
-
 // syncJobs adds the jobs of which this instance has become the runner and drops those
 // that are complete, ended or run by another instance. It reports whether the runner had
 // no job before and now has one.
 func (r *runner) syncJobs(ctx context.Context) (becameBusy bool) {
 	b := r.batch
-	assigned := map[string]jobSnapshot{}
-	var orders map[string]job.LoadOrder
-	var allowedStaleness map[string]int64
-	var runners []occupancy.Runner
-	b.StateLoop.Do(ctx, func() {
-		runners = runnersOf(b.StateLoop.State)
-		for id, j := range b.StateLoop.State.Jobs {
-			released := j.Runner == "" && r.jobs[id] != nil // released for handover, not claimed yet
-			if (j.Runner == b.Self || released) && j.Open() {
-				assigned[id] = jobSnapshot{j, j.Runner, j.Term, append([]job.TaskStatus(nil), j.Status...)}
-			}
-		}
-		orders = make(map[string]job.LoadOrder, len(b.StateLoop.State.LoadOrders))
-		for id, o := range b.StateLoop.State.LoadOrders {
-			orders[id] = o
-		}
-		allowedStaleness = maps.Clone(b.StateLoop.AllowedStaleness)
-	})
-	r.occupancy.runners.Store(&runners)
+	state := r.readState(ctx)
+	r.occupancy.runners.Store(&state.runners)
 	view := b.CurrentView()
-	engines := schedulerEngines(view, orders, allowedStaleness)
+	engines := schedulerEngines(view, state.orders, state.allowedStaleness)
 	r.reclaims.set(b.Clock.Now(), view, engines)
 	r.scheduler.SetEngines(engines)
-	if newest := latestOrderTime(orders); newest > r.latestOrderAt {
+	if newest := latestOrderTime(state.orders); newest > r.latestOrderAt {
 		r.latestOrderAt = newest
 		r.reviewRuns() // at once, as an engine that loads weights pauses its runs
 	}
 	for id, j := range r.jobs {
-		if _, stillAssigned := assigned[id]; !stillAssigned {
+		if _, stillAssigned := state.assigned[id]; !stillAssigned {
 			r.dropJob(id, j)
+			if last, known := state.left[id]; known {
+				r.noteLeft(view, j, last)
+			}
 		}
 	}
-	for id, snapshot := range assigned {
+	for id, snapshot := range state.assigned {
 		j := r.jobs[id]
 		if j == nil {
 			j = &claimedJob{
 				job: snapshot.job, loading: true, recorded: make([]bool, len(snapshot.job.Tasks)), failures: make([]int, len(snapshot.job.Tasks)),
+				groups: newJobGroups(snapshot.job.Tasks, snapshot.results[:snapshot.listedAtClaim]),
 			}
 			for i := range snapshot.status {
 				j.failures[i] = snapshot.status[i].Failures
@@ -259,6 +237,9 @@
 		}
 		j.term = snapshot.term
 		r.updateTasks(view, id, j, snapshot.status)
+		if !j.loading { // a job that cannot be read is dropped and taken again, with new groups
+			r.noteListed(view, j, snapshot.results)
+		}
 	}
 	r.mu.Lock()
 	wasIdle := r.openJobs == 0
@@ -307,6 +288,7 @@
 	if length == 0 {
 		length = t.MaxTokens
 	}
+	j.groups.of(i).taskWaits(r.batch.Clock.Now())
 	r.scheduler.Add(assign.Task{
 		Key: assign.Key{Job: j.job.Job, Task: i}, Service: service, Model: j.job.Model, MinVersion: j.job.MinVersion,
 		Group: j.job.Job + "/" + fmt.Sprint(j.job.Tasks[i].Group), ExpectedTokens: length, Resubmitted: status.Resubmitted,
@@ -369,6 +351,9 @@
 	if cancel := r.cancels[run]; cancel != nil {
 		cancel()
 	}
+	if p, running := r.placed[run]; running {
+		p.group.longestRun = max(p.group.longestRun, r.batch.Clock.Now()-p.at)
+	}
 	delete(r.cancels, run)
 	delete(r.outputs, run)
 	delete(r.placed, run)
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -129,6 +129,7 @@
 		output := r.outputs[s.Run]
 		output.stopRun()
 		kept := output.kept()
+		r.placed[s.Run].group.moved++
 		r.cancelRun(s.Run)
 		r.scheduler.Requeue(now, s.Run, kept)
 		r.batch.Metrics.RunsMoved.Inc()
--- a/internal/node/accounts.go
+++ b/internal/node/accounts.go
@@ -123,3 +123,8 @@
 func (m *Metrics) ObserveTaskWait(account string, wait time.Duration) {
 	m.accountHistogram("amaranth_hosted_task_wait_seconds", account).Update(wait.Seconds())
 }
+
+// CountGroup counts a group of tasks that has ended, by its outcome.
+func (m *Metrics) CountGroup(account, outcome string) {
+	m.accountCounter("amaranth_hosted_groups_total", account, `,outcome="`+outcome+`"`).Inc()
+}
