Streams go on only where the start of the target is confirmed

Cause: the software version of a target was taken from its registry entry. An entry may describe a start that is gone: a target that starts again under its id with another version is read by its old entry for up to some seconds, and after the loss of all instances nobody remembers better. Streams that callers took up, and tasks that went on after kept events, could then hold events of two versions. Besides, the first of several records of one request won, and an unknown version equalled an unknown one.

Change: an engine's report states its start, and a connection leads to one start only. What comes over a connection counts as made by the entry's version only if the engine has reported that start since the connection was opened or has sent something since then over one of which it is known. Otherwise the report is read: when a caller's stream begins, around a take-up, and before events of a task are stored, kept for another run or joined with those of one. Unconfirmed ones are rolled back. Take-ups are recorded, so that the next one may name either request. Requests whose records differ cannot be taken up.

--- a/core/job/streams.go
+++ b/core/job/streams.go
@@ -8,7 +8,7 @@
 
 // streams holds the software versions that began the streams of the latest records.
 type streams struct {
-	software map[string]string // by request
+	software map[string]string // by request; empty: records of the request name several versions
 	order    []startedStream   // oldest first
 }
 
@@ -17,8 +17,8 @@
 	readAt  time.Duration
 }
 
-// applyStreamStarted records the software version that began a stream. The first record of a
-// request is accepted.
+// applyStreamStarted records the software version that began a stream. Where the records of one
+// request name several versions, nothing is known of its streams.
 func (s *State) applyStreamStarted(now time.Duration, r StreamStarted) bool {
 	t := &s.streams
 	expired := 0
@@ -27,7 +27,13 @@
 		expired++
 	}
 	t.order = t.order[expired:]
-	if _, known := t.software[r.Request]; known || r.Request == "" {
+	if known, found := t.software[r.Request]; found {
+		if known != r.Software {
+			t.software[r.Request] = ""
+		}
+		return false
+	}
+	if r.Request == "" || r.Software == "" {
 		return false
 	}
 	t.software[r.Request] = r.Software
@@ -36,8 +42,8 @@
 }
 
 // StreamSoftware returns the software version of the target that began the stream of the
-// request. It reports false if no record of the stream is known.
+// request. It reports false if that is not known.
 func (s *State) StreamSoftware(request string) (string, bool) {
-	software, known := s.streams.software[request]
-	return software, known
+	software := s.streams.software[request]
+	return software, software != ""
 }
--- a/internal/batch/placed.go
+++ b/internal/batch/placed.go
@@ -74,7 +74,7 @@
 		first = (at - p.at).Round(time.Millisecond).String()
 	}
 	r.batch.Log("task ended", events.F("account", j.job.Account), events.F("job", end.key.Job), events.F("task", end.taskID), events.F("target", end.engine),
-		events.F("events", fmt.Sprint(output.kept().Events)), events.F("first_event", first),
+		events.F("events", fmt.Sprint(output.eventCount())), events.F("first_event", first),
 		events.F("waited", p.inputs.Waited.Round(time.Millisecond).String()), events.F("runs", fmt.Sprint(p.inputs.Runs)),
 		events.F("expected", p.inputs.Remaining.Round(time.Millisecond).String()), events.F("took", (now-p.at).Round(time.Millisecond).String()))
 }
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -168,7 +168,7 @@
 		case stored := <-r.saves.results:
 			r.onSaved(ctx, stored)
 		case <-reviewTimer.C:
-			r.reviewRuns()
+			r.reviewRuns(ctx)
 			r.sendHeartbeats(ctx)
 			reviewTimer.Reset(r.nextReviewInterval())
 		}
@@ -206,7 +206,7 @@
 	r.scheduler.SetEngines(engines)
 	if newest := latestOrderTime(state.orders); newest > r.latestOrderAt {
 		r.latestOrderAt = newest
-		r.reviewRuns() // at once, as an engine that loads weights pauses its runs
+		r.reviewRuns(ctx) // at once, as an engine that loads weights pauses its runs
 	}
 	for id, j := range r.jobs {
 		if _, stillAssigned := state.assigned[id]; !stillAssigned {
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -15,6 +15,10 @@
 // events of one run.
 const quietRunsLimit = 300 * time.Millisecond
 
+// minConfirmEvents is the number of events of a run that are worth asking its engine whether it
+// still is what its registry entry describes: half of what is stored at once.
+const minConfirmEvents = minChunkEvents / 2
+
 // startRuns starts the runs that the scheduler has assigned to engines, and asks for permits
 // for the others.
 func (r *runner) startRuns(ctx context.Context) {
@@ -116,7 +120,7 @@
 
 // reviewRuns reports the progress of all runs to the scheduler. It cancels the runs at
 // stalled or slow engines and queues their tasks again, to resume on another engine.
-func (r *runner) reviewRuns() {
+func (r *runner) reviewRuns(ctx context.Context) {
 	now := r.batch.Clock.Now()
 	if len(r.outputs) > 0 {
 		r.batch.Links.QuietSince(now - quietRunsLimit)
@@ -124,6 +128,9 @@
 	for run, output := range r.outputs {
 		added, at := output.runProgress()
 		r.scheduler.Progress(run, added, at)
+		if m := output.makerToAsk(minConfirmEvents); m != nil {
+			go func() { _ = m.ask(ctx) }() // asked again at the next review
+		}
 	}
 	for _, s := range r.scheduler.RunsToMove(now) {
 		output := r.outputs[s.Run]
--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -5,13 +5,16 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -64,7 +67,10 @@
 		ContentLength: int64(len(r.task.Body)),
 	}
 	sentAt := b.Clock.Now()
-	res, err := b.TargetClient.Do(req.WithContext(ctx))
+	var connection net.Conn
+	res, err := b.TargetClient.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
+	})))
 	if err != nil {
 		end.err = err
 		b.NoteNoAnswer(ctx, r.target)
@@ -85,14 +91,36 @@
 	case res.StatusCode != http.StatusOK || response.Signature == "":
 		end.err = fmt.Errorf("%w: status %d", errNotStream, res.StatusCode)
 	default:
-		end.outcome, end.err = b.readEvents(res.Body, r, response.Version)
+		r.output.expectMaker(r.id, &maker{
+			known: func() bool { return b.StartKnown(r.target, connection) },
+			ask:   func(ctx context.Context) error { return b.ConfirmStart(ctx, r.target, connection) },
+		})
+		end.outcome, end.err = b.readEvents(res.Body, r, response.Version, connection)
 		if added, _ := r.output.runProgress(); added > 0 && end.outcome == assign.Completed && !platform.StatesEnd(res) {
 			end.outcome, end.err = assign.Broken, errEndNotStated // a further run tells whether there are more events
 		}
+		if lastEvent > 0 || end.outcome != assign.Completed { // another run has made a part, or may have to
+			if err := b.confirmMaker(ctx, r, connection); err != nil && end.outcome == assign.Completed {
+				end.outcome, end.err = assign.Broken, err
+			}
+		}
 	}
 	return markCanceled(ctx, end)
 }
 
+// confirmMaker finds out at the end of a run whether its engine has the software version that the
+// registry states.
+func (b *Batch) confirmMaker(ctx context.Context, r taskRun, connection net.Conn) error {
+	if r.output.makerToAsk(0) == nil {
+		return nil
+	}
+	err := b.ConfirmStart(ctx, r.target, connection)
+	if err != nil && ctx.Err() == nil {
+		b.Log("run at unknown software", events.F("job", r.key.Job), events.F("task", r.task.ID), events.F("target", r.target.ID), events.F("error", err.Error()))
+	}
+	return err
+}
+
 // markCanceled sets the outcome to Canceled if this instance has canceled the run: its
 // error is then no failure of the engine.
 func markCanceled(ctx context.Context, end runEnd) runEnd {
@@ -104,7 +132,7 @@
 
 // readEvents adds the events of a stream to the output until the stream ends. version is
 // the engine's weight version at the start of the stream.
-func (b *Batch) readEvents(body io.Reader, r taskRun, version int64) (assign.Outcome, error) {
+func (b *Batch) readEvents(body io.Reader, r taskRun, version int64, connection net.Conn) (assign.Outcome, error) {
 	reader := platform.NewEventReader(body)
 	for {
 		// A response without events states no version: that to a run which resumes after the last
@@ -122,7 +150,7 @@
 		if err != nil {
 			return assign.Broken, err
 		}
-		b.Links.Heard()
+		b.HeardOn(r.target, connection)
 		if e.Version > 0 && e.Version != version {
 			if r.singleVersion {
 				r.output.reset()
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
@@ -17,32 +18,90 @@
 	lastEvent   int64         // number of the last event; zero: none
 	versions    []int64       // weight versions that generated the events, ascending
 	lastEventAt time.Duration // arrival of the last event
-	software    string        // software version of the engines that generated the events
+	software    string        // version of the engines that generated the events; empty: not known
 	activeRun   int64         // run that may add events; zero: none
-	// activeSoftware is the version of the active run's engine. If it is another one than that
-	// of the events, they are replaced by the run's first event.
+	// startsOver is set until the first event of an active run that does not go on after the
+	// events. Its first event replaces them; activeSoftware is its engine's version.
+	startsOver     bool
 	activeSoftware string
-	runEvents      int64         // added by the active run
-	firstEventAt   time.Duration // arrival of the first event of the active run; zero: none yet
+	runEvents      int64 // added by the active run
+	// maker is set while it is not known whether the events since before are made by an engine with
+	// the version software.
+	maker        *maker
+	before       outputMark
+	firstEventAt time.Duration // arrival of the first event of the active run; zero: none yet
 
 	// The part of the output that takeUnsaved has returned or that was loaded from the log.
 	savedLastEvent int64 // number of its last event
 	savedBytes     int
 }
 
+// maker tells whether the engine of a run has the software version that is stated of it.
+type maker struct {
+	known func() bool                     // without asking the engine
+	ask   func(ctx context.Context) error // asks it; nil: it has the version
+}
+
+// outputMark is an earlier state of an output.
+type outputMark struct {
+	bytes     int
+	lastEvent int64
+	versions  []int64
+	software  string
+}
+
 // startRun makes run, at an engine with the software version, the only run that may add
 // events. It returns the number of the event after which the run resumes, zero if it starts
 // from the first event.
 func (t *taskOutput) startRun(run int64, software string) (resumeAfter int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if !t.settle() {
+		t.rollBack()
+	}
 	t.activeRun, t.activeSoftware, t.runEvents, t.firstEventAt = run, software, 0, 0
-	if t.software != software {
+	t.startsOver = t.lastEvent == 0 || software == "" || t.software != software
+	if t.startsOver {
 		return 0
 	}
 	return t.lastEvent
 }
 
+// expectMaker sets how to find out whether the engine of the run, which has added no event, has
+// the software version that is stated of it.
+func (t *taskOutput) expectMaker(run int64, m *maker) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.activeRun == run {
+		t.maker, t.before = m, outputMark{len(t.data), t.lastEvent, t.versions, t.software}
+	}
+}
+
+// makerToAsk returns the maker of the events that the active run has added, if nothing is known of
+// it and there are minEvents of them. nil: there is no need to ask.
+func (t *taskOutput) makerToAsk(minEvents int64) *maker {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.runEvents < minEvents || t.settle() {
+		return nil
+	}
+	return t.maker
+}
+
+// settle reports whether the maker of all events is known. It is called with mu held.
+func (t *taskOutput) settle() bool {
+	if t.maker != nil && t.maker.known() {
+		t.maker = nil
+	}
+	return t.maker == nil
+}
+
+// rollBack discards the events of a run whose maker is not known. It is called with mu held.
+func (t *taskOutput) rollBack() {
+	t.data, t.lastEvent, t.versions, t.software = t.data[:t.before.bytes], t.before.lastEvent, t.before.versions, t.before.software
+	t.maker = nil
+}
+
 // stopRun ignores further events of the active run.
 func (t *taskOutput) stopRun() {
 	t.mu.Lock()
@@ -50,12 +109,12 @@
 	t.activeRun = 0
 }
 
-// startedOver reports whether the active run has replaced the events of another software
-// version, if there were any.
+// startedOver reports whether the active run has replaced the events that it does not go on
+// after, if there were any.
 func (t *taskOutput) startedOver() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lastEvent == 0 || t.software == t.activeSoftware
+	return t.lastEvent == 0 || !t.startsOver
 }
 
 // addEvent appends an event of a run. It reports false if the run is not the active one
@@ -66,11 +125,11 @@
 	if t.activeRun != run {
 		return false
 	}
-	if t.software != t.activeSoftware && number == 1 {
+	if t.startsOver && number == 1 {
 		t.discard()
-		t.software = t.activeSoftware
+		t.software, t.startsOver = t.activeSoftware, false
 	}
-	if t.software != t.activeSoftware || number != t.lastEvent+1 {
+	if t.startsOver || number != t.lastEvent+1 {
 		return false
 	}
 	if t.runEvents++; t.runEvents == 1 {
@@ -81,7 +140,7 @@
 	}
 	t.data = append(t.data, event...)
 	t.lastEvent, t.lastEventAt = number, now
-	t.versions = withVersion(t.versions, version)
+	t.versions = withVersion(slices.Clip(t.versions), version)
 	return true
 }
 
@@ -95,6 +154,7 @@
 // discard is called with mu held.
 func (t *taskOutput) discard() {
 	t.data, t.lastEvent, t.versions, t.savedLastEvent, t.savedBytes = nil, 0, nil, 0, 0
+	t.before = outputMark{}
 }
 
 // withVersion returns the ascending versions with v added, unless v is zero.
@@ -122,11 +182,25 @@
 	return t.firstEventAt
 }
 
-// kept returns the events that a later run can go on after.
+// eventCount returns the number of the last event.
+func (t *taskOutput) eventCount() int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastEvent
+}
+
+// kept returns the events that a later run can go on after: those whose software version is known.
 func (t *taskOutput) kept() assign.Kept {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return assign.Kept{Events: t.lastEvent, Software: t.software}
+	kept := assign.Kept{Events: t.lastEvent, Software: t.software}
+	if !t.settle() {
+		kept = assign.Kept{Events: t.before.lastEvent, Software: t.before.software}
+	}
+	if kept.Software == "" {
+		return assign.Kept{}
+	}
+	return kept
 }
 
 // snapshot returns copies of the data and the versions, and the number of the last event.
@@ -138,11 +212,11 @@
 
 // takeUnsaved returns the events that no earlier call has returned, as a chunk without its
 // task and location, and their data. The chunk has the weight versions of the whole output.
-// If there are fewer than minEvents, it reports false.
+// If there are fewer than minEvents, or no run can go on after them, it reports false.
 func (t *taskOutput) takeUnsaved(minEvents int64) (chunk job.Chunk, data []byte, found bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.lastEvent-t.savedLastEvent < minEvents || t.lastEvent == t.savedLastEvent {
+	if t.lastEvent-t.savedLastEvent < minEvents || t.lastEvent == t.savedLastEvent || t.software == "" || !t.settle() {
 		return job.Chunk{}, nil, false
 	}
 	from := t.savedBytes
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -82,8 +83,9 @@
 	stream         io.ReadCloser // replaces body for a response that is forwarded as it arrives
 	Err            error
 	sentAt         time.Duration
-	brokenOff      bool // the connection broke off before the response was complete
-	relayed        bool // the request went through another instance, which counts it
+	connection     net.Conn // that the request was sent on; nil: none
+	brokenOff      bool     // the connection broke off before the response was complete
+	relayed        bool     // the request went through another instance, which counts it
 	// refused is set if the other instance refuses the request for a reason that holds at all
 	// instances; retryAfter is its Retry-After.
 	refused    bool
@@ -153,7 +155,7 @@
 	platform.CopyResponseHeader(c.Writer.Header(), r.header)
 	c.Writer.Header().Del(headerOwnResponse) // only this instance may set it
 	if r.stream != nil {
-		f.recordStream(c, r)
+		go f.recordStream(context.WithoutCancel(ctx), c, r)
 		f.forwardStream(ctx, c, request, r)
 		return
 	}
@@ -211,21 +213,29 @@
 // has responded, does not count as a failure of the target.
 func (f *Forwarder) sendAttempt(ctx context.Context, p *PlainRequest, target directory.Target, suspected bool, deadline time.Duration, readyTargets int) *AttemptResult {
 	r := &AttemptResult{Target: target, Outcome: retry.NotRun}
-	if err := f.awaitAllowance(ctx, p, target.ID); err != nil {
+	err := f.awaitAllowance(ctx, p, target.ID)
+	if err == nil && p.software != nil {
+		err = f.CheckStart(ctx, target)
+	}
+	if err != nil {
 		f.plainTargets.withdraw(target, suspected)
 		r.Err = err
 		f.intakes.ended(ctx, p, r, false)
 		f.Log("request held back", events.F("request", p.ID), events.F("target", target.ID), events.F("error", err.Error()))
 		return r
 	}
-	connected := false
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected = true },
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { r.connection = info.Conn },
 	})
-	f.roundTrip(ctx, p, r, deadline)
+	f.roundTrip(traced, p, r, deadline)
+	if r.stream != nil && p.software != nil {
+		if r.Err = f.ConfirmStart(ctx, target, r.connection); r.Err != nil {
+			_ = r.stream.Close() // the rest of the stream may be of another software version
+		}
+	}
 	if r.Err != nil {
 		r.Outcome = retry.Unknown
-		if !connected {
+		if r.connection == nil {
 			r.Outcome = retry.NotRun
 		}
 	} else if !r.PlatformHeader.NotRun {
--- a/internal/forward/takeup.go
+++ b/internal/forward/takeup.go
@@ -17,11 +17,16 @@
 
 var errStreamUnknown = errors.New("it is not known which software version began the stream")
 
-// recordStream records in the log which software version begins a caller's stream, so that
-// every instance can send the rest of the stream to that version. It does not wait for the
-// log: a stream whose record is lost cannot be taken up.
-func (f *Forwarder) recordStream(c *CallerRequest, r *AttemptResult) {
-	if !c.Route.Resumable || c.TakesUpStream || r.relayed { // the instance that relays it knows the version
+// recordStream records in the log which software version makes a caller's stream, so that every
+// instance can send the rest of the stream to that version. It records it only once it is sure
+// that the target is still the one that its registry entry describes. The stream does not wait
+// for that: one without a record cannot be taken up.
+func (f *Forwarder) recordStream(ctx context.Context, c *CallerRequest, r *AttemptResult) {
+	if !c.Route.Resumable || r.relayed || r.Target.Software == "" { // the instance that relays it records it
+		return
+	}
+	if err := f.ConfirmStart(ctx, r.Target, r.connection); err != nil {
+		f.Log("stream not recorded", events.F("request", c.ID), events.F("target", r.Target.ID), events.F("error", err.Error()))
 		return
 	}
 	f.AppendRecordAsync(job.Record{StreamStarted: &job.StreamStarted{Request: c.ID, Software: r.Target.Software}})
--- a/internal/hosted/software_test.go
+++ b/internal/hosted/software_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -131,6 +132,117 @@
 	})
 })
 
+// restartUnnoticed starts an engine again under its id with another software version. Its registry
+// entry stays that of the earlier start.
+func (d *deployment) restartUnnoticed(number int, software string) {
+	id := d.engines[number].ID
+	d.mu.Lock()
+	entry := d.entries[id]()
+	d.mu.Unlock()
+	d.register(id, func() map[string]any { return entry })
+	d.engines[number].Restart()
+	d.engines[number].SetSoftware(software)
+}
+
+// killAll kills all instances at once, lets the targets change, and starts the instances again.
+func (d *deployment) killAll(change func()) {
+	for _, in := range d.instances {
+		in.cancel()
+	}
+	for _, in := range d.instances {
+		in.kill()
+	}
+	change()
+	count := len(d.instances)
+	for i := range count {
+		Eventually(d.start(i).isReady, eventuallyTimeout).Should(BeTrue())
+	}
+	d.instances = d.instances[count:]
+}
+
+// streamRecords returns the number of streams in the log whose software version is recorded.
+func (d *deployment) streamRecords() int {
+	n := 0
+	for _, data := range d.store.Records("control", 0) {
+		r, err := job.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		if r.StreamStarted != nil {
+			n++
+		}
+	}
+	return n
+}
+
+var _ = Describe("After the loss of all instances a stream", func() {
+	const total = 30
+	var d *deployment
+	BeforeEach(func() {
+		d = newMixedDeployment(2, oldSoftware, oldSoftware)
+		for _, e := range d.engines {
+			e.AbortAfterEvents(4)
+		}
+	})
+
+	It("is taken up again and again at its version, by the request that began it or the latest one", func() {
+		_, events, _ := d.instances[0].talk("first", total, "", 0)
+		Eventually(d.streamRecords, eventuallyTimeout).Should(Equal(1))
+		resumes := []string{"first", "again-0", "again-1", "first"}
+		for n, request := range resumes {
+			d.killAll(func() {})
+			status, further, _ := d.instances[n%2].talk(fmt.Sprint("again-", n), total, request, len(events))
+			Expect(status).To(Equal(http.StatusOK))
+			events = append(events, further...)
+			Eventually(d.streamRecords, eventuallyTimeout).Should(Equal(n + 2))
+		}
+		Expect(events).To(HaveLen(4 * (1 + len(resumes))))
+		Expect(hostplatform.IsOutputOfOne([]string{oldSoftware}, events)).To(BeTrue())
+	})
+
+	It("is refused as not run at targets that have started again with another version since their entries were written", func() {
+		_, events, _ := d.instances[0].talk("first", total, "", 0)
+		Eventually(d.streamRecords, eventuallyTimeout).Should(Equal(1))
+		d.killAll(func() {
+			for i := range d.engines {
+				d.restartUnnoticed(i, newSoftware)
+			}
+		})
+		status, _, _ := d.instances[0].talk("again", total, "first", len(events))
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+		for _, e := range d.engines {
+			for _, r := range e.Runs() {
+				Expect(r.ID).NotTo(Equal("again"))
+			}
+		}
+	})
+
+	It("that began at a target with an outdated entry is not taken up at the version of the entry", func() {
+		restore := func() {}
+		d.killAll(func() {
+			d.restartUnnoticed(0, newSoftware)
+			restore = d.remove("e1")
+		})
+		_, events, _ := d.instances[0].talk("first", total, "", 0)
+		Expect(hostplatform.IsOutputOfOne([]string{newSoftware}, events)).To(BeTrue())
+		Eventually(func() bool { return d.streamRecords() > 0 || strings.Contains(d.logged(), "stream not recorded") }, eventuallyTimeout).Should(BeTrue())
+		d.killAll(func() {
+			d.remove("e0")
+			restore()
+		})
+		status, _, _ := d.instances[0].talk("again", total, "first", len(events))
+		Expect(status).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	It("of a task holds no events of two versions where a target's entry is outdated", func() {
+		d.killAll(func() { d.restartUnnoticed(0, newSoftware) })
+		d.engines[0].AbortAfterEvents(7)
+		events := tasks(8, 23)
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		Eventually(func() int { return len(d.engines[0].Runs()) }, eventuallyTimeout).Should(BeNumerically(">=", 8))
+		d.engines[0].AbortAfterEvents(0)
+		checkSoftware(d.instances[1].awaitResults("j", 8), events)
+	})
+})
+
 var _ = Describe("A caller's stream", func() {
 	It("is not passed on as a success without the target's signature", func() {
 		d := newDeployment(1, 1)
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -75,13 +75,15 @@
 func (m *LinkMonitor) dialTarget(ctx context.Context, network, address string) (net.Conn, error) {
 	started := int64(m.node.Clock.Now())
 	connection, err := m.dial(ctx, network, address)
-	switch {
-	case err == nil:
-		m.lastConnected.Store(int64(m.node.Clock.Now()))
-	case !errors.Is(ctx.Err(), context.Canceled) && m.lastConnected.Load() < started:
+	if err == nil {
+		now := m.node.Clock.Now()
+		m.lastConnected.Store(int64(now))
+		return &targetConn{Conn: connection, openedAt: now}, nil
+	}
+	if !errors.Is(ctx.Err(), context.Canceled) && m.lastConnected.Load() < started {
 		m.suspect()
 	}
-	return connection, err
+	return nil, err
 }
 
 // Heard notes that a target has sent something.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -22,7 +22,7 @@
 	Orders, Reports                  *metrics.Counter
 	limitsNamed, StreamsTakenUp      *metrics.Counter
 	linksLost, Relayed               *metrics.Counter
-	targetsDoubted                   *metrics.Counter
+	targetsDoubted, startsRead       *metrics.Counter
 	peersRefused                     *metrics.Counter
 	TargetsCrashed, Condemned        *metrics.Counter
 	SuspectsServed, CondemnedRefused *metrics.Counter
@@ -65,6 +65,7 @@
 		Relayed:          set.NewCounter("amaranth_hosted_calls_relayed_total"),
 		peersRefused:     set.NewCounter("amaranth_hosted_peer_connections_refused_total"),
 		targetsDoubted:   set.NewCounter("amaranth_hosted_targets_doubted_total"),
+		startsRead:       set.NewCounter("amaranth_hosted_target_starts_read_total"),
 		linksLost:        set.NewCounter("amaranth_hosted_links_lost_total"),
 		Condemned:        set.NewCounter("amaranth_hosted_calls_condemned_total"),
 		SuspectsServed:   set.NewCounter("amaranth_hosted_suspects_served_total"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,7 @@
 	contentLog   *appender // appends to the content topic
 	contentCache *contentCache
 	dependencies dependencyStatus
+	starts       starts
 	stopping     chan struct{} // closed by stop
 	stopOnce     sync.Once
 	randomMu     sync.Mutex
--- /dev/null
+++ b/internal/node/starts.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/singleflight"
+
+	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+const (
+	// startReportTimeout bounds the read of an engine's report, which needs no slot.
+	startReportTimeout = 250 * time.Millisecond
+	// flightTime is longer than what a target sends is on its way.
+	flightTime = 20 * time.Millisecond
+)
+
+// errStartUnknown is the error of a target of which it is not known whether it still is the start
+// that its registry entry describes.
+var errStartUnknown = errors.New("the target may have started again since its entry was written")
+
+// targetConn is a connection to a target. It leads to one start of the target only: it breaks
+// when the target's process ends.
+type targetConn struct {
+	net.Conn
+	openedAt  time.Duration // by clock.Now
+	confirmed atomic.Int64  // the start that it leads to, Unix milliseconds; zero: not known
+}
+
+// starts holds when each engine was last known to be which start. A target may start again under
+// its id with another software version, and its entry says so seconds later; until then the entry
+// describes a start that is gone. It is safe for concurrent use.
+type starts struct {
+	reads singleflight.Group // by target
+
+	mu        sync.Mutex
+	confirmed map[string]confirmedStart // by target
+}
+
+// confirmedStart is the start that ran at the time at: it answered a report that was requested
+// then, or sent something over a connection that leads to it.
+type confirmedStart struct {
+	startedAt int64
+	at        time.Duration
+}
+
+// StartKnown reports whether what comes over the connection is known to be made by the start of
+// the target that the entry t describes, without asking the target.
+func (n *Node) StartKnown(t directory.Target, connection net.Conn) bool {
+	if len(t.Models) == 0 {
+		return true // it has no report: the entry is believed
+	}
+	c, ok := connection.(*targetConn)
+	if !ok || t.StartedAt == 0 {
+		return false
+	}
+	if c.confirmed.Load() == t.StartedAt {
+		return true
+	}
+	known := n.starts.since(t.ID, c.openedAt) == t.StartedAt
+	if known {
+		c.confirmed.Store(t.StartedAt)
+	}
+	return known
+}
+
+// HeardOn notes that something has arrived on the connection to the target. If the start is
+// known to which it leads, so is that of connections opened before.
+func (n *Node) HeardOn(t directory.Target, connection net.Conn) {
+	n.Links.Heard()
+	if len(t.Models) > 0 && n.StartKnown(t, connection) {
+		n.starts.set(t.ID, confirmedStart{t.StartedAt, n.Clock.Now() - flightTime})
+	}
+}
+
+// ConfirmStart returns nil if StartKnown, after it has asked the engine for its report if need be.
+func (n *Node) ConfirmStart(ctx context.Context, t directory.Target, connection net.Conn) error {
+	if n.StartKnown(t, connection) {
+		return nil
+	}
+	return n.CheckStart(ctx, t)
+}
+
+// CheckStart asks the engine for its report. It returns nil if the engine is the start that the
+// entry t describes.
+func (n *Node) CheckStart(ctx context.Context, t directory.Target) error {
+	if len(t.Models) == 0 {
+		return nil
+	}
+	asked := n.Clock.Now()
+	for n.starts.since(t.ID, asked) == 0 { // a read that was under way began too early
+		if _, err, _ := n.starts.reads.Do(t.ID, func() (any, error) { return nil, n.readStart(ctx, t) }); err != nil {
+			return fmt.Errorf("%w: %w", errStartUnknown, err)
+		}
+	}
+	if started := n.starts.since(t.ID, asked); started != t.StartedAt {
+		return fmt.Errorf("%w: it started at %d, by its entry at %d", errStartUnknown, started, t.StartedAt)
+	}
+	return nil
+}
+
+func (n *Node) readStart(ctx context.Context, t directory.Target) error {
+	ctx, cancel := context.WithTimeout(ctx, startReportTimeout)
+	defer cancel()
+	at := n.Clock.Now()
+	report, err := platform.ReadTargetReport(ctx, n.TargetClient, t.Address)
+	if err != nil {
+		return err
+	}
+	if report.StartedAt == 0 {
+		return errors.New("the report does not state the start")
+	}
+	n.Metrics.startsRead.Inc()
+	n.starts.set(t.ID, confirmedStart{report.StartedAt, at})
+	n.starts.retain(n.CurrentView())
+	return nil
+}
+
+// since returns the start that the target reported when it was asked at that time or later, zero
+// if it has not been asked since.
+func (s *starts) since(target string, at time.Duration) int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c := s.confirmed[target]; c.at >= at {
+		return c.startedAt
+	}
+	return 0
+}
+
+// set keeps the start unless a later one is known.
+func (s *starts) set(target string, c confirmedStart) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.confirmed == nil {
+		s.confirmed = map[string]confirmedStart{}
+	}
+	if c.at > s.confirmed[target].at {
+		s.confirmed[target] = c
+	}
+}
+
+// retain forgets targets that are gone, when there are many.
+func (s *starts) retain(view *View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.confirmed) <= 2*len(view.Targets) {
+		return
+	}
+	for id := range s.confirmed {
+		if _, found := view.Target(id); !found {
+			delete(s.confirmed, id)
+		}
+	}
+}
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -34,7 +34,7 @@
 	streamHandler   func(w http.ResponseWriter, r *http.Request) bool
 	eventInterval   time.Duration
 	violations      []string
-	startedAt       int64       // "born" of the registry entry
+	startedAt       int64       // "born" of the registry entry and the report
 	limit           float64     // requests a second that responses name as the limit; zero: none
 	arrivals        []time.Time // of all requests
 }
@@ -121,7 +121,7 @@
 	e.software = version
 }
 
-// Restart changes the start time in the registry entry.
+// Restart changes the start time in the registry entry and the report.
 func (e *Engine) Restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -221,7 +221,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	writeJSON(w, http.StatusOK, map[string]any{
-		"busy": false, "sequence": e.sequence, "models": e.modelList(),
+		"busy": false, "sequence": e.sequence, "models": e.modelList(), "born": e.startedAt,
 	})
 }
 
