--- a/internal/batch/occupancy.go
+++ b/internal/batch/occupancy.go
@@ -11,6 +11,7 @@
 	core "github.com/amaranthfold/amaranthfold/core/occupancy"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/internal/occupancy"
+	"github.com/amaranthfold/amaranthfold/internal/peerlink"
 )
 
 const (
@@ -71,6 +72,7 @@
 		Loads:   func() []core.Load { return *o.own.Load() },
 		Runners: func() []occupancy.Runner { return *o.runners.Load() },
 		Known:   func(name string) bool { return b.Allowances.Knows(name) },
+		MaySend: peerlink.MaySend,
 		Client: &http.Client{CheckRedirect: node.NoRedirect, Transport: &http.Transport{
 			DialContext:         b.Peers.DialWithin(occupancyDialTimeout),
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: occupancyIdleTimeout, DisableCompression: true,
--- a/internal/ctl/soak.go
+++ b/internal/ctl/soak.go
@@ -69,11 +69,18 @@
 		if err != nil {
 			return fmt.Errorf("seed %d: %w", cfg.Seed, err)
 		}
-		fmt.Fprintf(env.Out, "seed %d: %d jobs, %d results, %d requests, %d faults, %d broken\n",
-			cfg.Seed, report.Jobs, report.Results, report.Requests, report.Faults, len(report.Violations))
+		verdict := fmt.Sprintf("%d broken", len(report.Violations))
+		if report.Partial {
+			verdict = fmt.Sprintf("partial (cut off), %d broken so far", len(report.Violations))
+		}
+		fmt.Fprintf(env.Out, "seed %d: %d jobs, %d results, %d requests, %d faults, %s\n",
+			cfg.Seed, report.Jobs, report.Results, report.Requests, report.Faults, verdict)
 		for _, violation := range report.Violations {
 			fmt.Fprintf(env.Out, "  %s\n", violation)
 		}
+		if report.Partial {
+			return fmt.Errorf("seed %d: %w; logs in %s", cfg.Seed, context.Cause(ctx), cfg.Dir)
+		}
 		if len(report.Violations) > 0 {
 			failed++
 			fmt.Fprintf(env.Out, "  logs in %s\n", cfg.Dir)
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
@@ -119,15 +120,27 @@
 	}
 }
 
-// ReadBody reads the complete request body. If that fails, it responds and reports false.
+// ReadBody reads the complete request body, until the response is due at the latest. If that
+// fails, it responds and reports false.
 func (f *Forwarder) ReadBody(c *CallerRequest) bool {
 	limit := c.View.Catalog.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	connection := http.NewResponseController(c.Writer)
+	_ = connection.SetReadDeadline(time.Now().Add(c.deadline() - f.Clock.Now())) // the server's connections support it
 	body, err := io.ReadAll(http.MaxBytesReader(c.Writer, c.Request.Body, limit))
+	if err == nil {
+		_ = connection.SetReadDeadline(time.Time{})
+	} else {
+		// The deadline stays: the server reads what is left of the body before it closes.
+		c.Writer.Header().Set("Connection", "close")
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		f.Respond(c, http.StatusRequestTimeout, "the body did not arrive in time")
+		return false
 	case errors.As(err, &tooLarge):
 		f.Respond(c, http.StatusRequestEntityTooLarge, fmt.Sprintf("the body exceeds %d bytes", limit))
 		return false
--- a/internal/hosted/occupancy_test.go
+++ b/internal/hosted/occupancy_test.go
@@ -20,6 +20,9 @@
 		identity, err := peerlink.NewIdentity(rand.Reader)
 		Expect(err).NotTo(HaveOccurred())
 		d.announceInstance("n8", "127.0.0.1:1", identity.Fingerprint())
+		another, err := peerlink.NewIdentity(rand.Reader)
+		Expect(err).NotTo(HaveOccurred())
+		d.announceInstance("n9", "127.0.0.1:2", another.Fingerprint())
 		peers := peerlink.NewPeers(identity, peerlink.Options{})
 		peers.Update([]peerlink.Peer{{Name: "n0", Address: d.instances[0].peersAddress, Fingerprint: d.fingerprintOf("n0")}})
 		transport := &http.Transport{DialContext: peers.Dial}
@@ -37,6 +40,7 @@
 		Expect(post(transport, "n8")).To(Equal(http.StatusNoContent))
 		Expect(post(transport, "")).To(Equal(http.StatusBadRequest))
 		Expect(post(transport, "n0")).To(Equal(http.StatusForbidden), "a message in the name of its receiver")
+		Expect(post(transport, "n9")).To(Equal(http.StatusForbidden), "a message in the name of another instance")
 		Expect(post(transport, "stranger")).To(Equal(http.StatusForbidden))
 		_, err = post(http.DefaultTransport, "n8")
 		Expect(err).To(HaveOccurred(), "a response to a stranger")
--- a/internal/occupancy/calls.go
+++ b/internal/occupancy/calls.go
@@ -75,6 +75,10 @@
 		e.refuse(w, r, http.StatusForbidden, fmt.Errorf("unknown instance %q", m.From))
 		return
 	}
+	if err == nil && e.cfg.MaySend != nil && !e.cfg.MaySend(r.Context(), m.From) {
+		e.refuse(w, r, http.StatusForbidden, fmt.Errorf("the sender is not the instance %q", m.From))
+		return
+	}
 	if err == nil {
 		err = e.apply(m)
 	}
--- a/internal/occupancy/exchange.go
+++ b/internal/occupancy/exchange.go
@@ -48,6 +48,8 @@
 	Runners func() []Runner
 	// Known reports whether an instance of the name is known. Messages of others are refused.
 	Known func(name string) bool
+	// MaySend reports whether a request may come from the instance of the name. nil: it may
+	MaySend func(ctx context.Context, name string) bool
 	// News is called after each message that was applied. nil: nothing is called
 	News func()
 	// Gone is called when the listener of a runner refuses connections. nil: nothing is called
--- a/internal/peerlink/listener.go
+++ b/internal/peerlink/listener.go
@@ -179,6 +179,7 @@
 		return err
 	}
 	fingerprint := fingerprintOf(secured.ConnectionState().PeerCertificates[0])
+	c.fingerprint = fingerprint
 	c.Conn, c.stillAccepted = secured, func() bool {
 		_, found := l.peers.set.Load().AcceptsKey(fingerprint)
 		return found
--- a/internal/peerlink/peers.go
+++ b/internal/peerlink/peers.go
@@ -178,6 +178,28 @@
 	raw           net.Conn // without TLS
 	peers         *Peers
 	stillAccepted func() bool
+	fingerprint   string // of the key of the other side; empty: it has proved none
+}
+
+type senderKey struct{}
+
+// ConnContext adds the connection to the context of its requests; for http.Server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	if checked, ok := c.(*conn); ok {
+		return context.WithValue(ctx, senderKey{}, checked)
+	}
+	return ctx
+}
+
+// MaySend reports whether the sender of a request may be the instance of the name: it has the
+// key that the instance has announced, or has come over a connection that is accepted without one.
+func MaySend(ctx context.Context, name string) bool {
+	c, ok := ctx.Value(senderKey{}).(*conn)
+	if !ok || c.fingerprint == "" {
+		return ok
+	}
+	holder, found := c.peers.set.Load().AcceptsKey(c.fingerprint)
+	return found && holder == name
 }
 
 // Close implements net.Conn.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -56,6 +56,7 @@
 type Report struct {
 	Jobs, Results, Requests, Faults int
 	Violations                      []string // broken promises, with the time in the run
+	Partial                         bool     // the run was cut off: what it did not reach is not checked
 }
 
 const (
@@ -145,7 +146,7 @@
 	load.waitForJobs(ctx)
 	e.checkPoison(load)
 	e.check(load)
-	e.report.Violations = e.violations
+	e.report.Violations, e.report.Partial = e.violations, ctx.Err() != nil
 	return e.report, nil
 }
 
