Metrics: new connections to targets by their cause

Change: a connection knows how it ended; the next one to the same address replaces it and is counted by that cause.

--- /dev/null
+++ b/internal/node/connections_test.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// Guards against a cause that is charged to the wrong connection: operators tell from the counts
+// what destroys connections.
+func TestConnectionsAreCountedByTheLossThatTheyReplace(t *testing.T) {
+	n := New(Config{
+		Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard,
+		DialTarget: (&net.Dialer{}).DialContext,
+	})
+	block := make(chan struct{})
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/close":
+			w.Header().Set("Connection", "close")
+		case "/block":
+			w.WriteHeader(http.StatusOK)
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+			case <-block:
+			}
+		}
+	}))
+	defer target.Close()
+	get := func(path string) *http.Response {
+		t.Helper()
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.URL+path, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := n.TargetClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res
+	}
+	finish := func(res *http.Response) {
+		_, _ = io.Copy(io.Discard, res.Body)
+		_ = res.Body.Close()
+	}
+	finish(get("/"))          // first
+	canceled := get("/block") // on the connection of the first
+	beside := get("/block")   // more at once
+	_ = canceled.Body.Close() // closes its connection: the body is unread
+	finish(get("/"))          // replaces the canceled one
+	finish(get("/close"))     // on the same, which the target closes
+	finish(get("/"))          // replaces that
+	close(block)
+	finish(beside)
+	var text strings.Builder
+	n.Metrics.Set.WritePrometheus(&text)
+	for _, want := range []string{`{cause="first"} 1`, `{cause="more at once"} 1`, `{cause="canceled"} 1`, `{cause="closed by target"} 1`} {
+		if !strings.Contains(text.String(), "amaranth_hosted_target_connections_total"+want) {
+			t.Errorf("the metrics lack %s:\n%s", want, text.String())
+		}
+	}
+}
--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -76,9 +76,8 @@
 	started := int64(m.node.Clock.Now())
 	connection, err := m.dial(ctx, network, address)
 	if err == nil {
-		now := m.node.Clock.Now()
-		m.lastConnected.Store(int64(now))
-		return &targetConn{Conn: connection, openedAt: now}, nil
+		m.lastConnected.Store(int64(m.node.Clock.Now()))
+		return m.node.connections.opened(connection, address), nil
 	}
 	if !errors.Is(ctx.Err(), context.Canceled) && m.lastConnected.Load() < started {
 		m.suspect()
@@ -233,6 +232,7 @@
 		return err
 	}
 	m.lastConnected.Store(int64(m.node.Clock.Now()))
+	m.node.connections.count(dialCheck)
 	_ = connection.Close() // nothing was sent
 	return nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,7 @@
 	contentCache *contentCache
 	dependencies dependencyStatus
 	starts       starts
+	connections  connections
 	stopping     chan struct{} // closed by stop
 	stopOnce     sync.Once
 	randomMu     sync.Mutex
@@ -94,8 +95,9 @@
 		stopping:     make(chan struct{}),
 		OnRecord:     func(time.Duration, job.Record, bool) {},
 	}
+	n.connections = connections{node: n, lost: map[string][]*targetConn{}}
 	n.Links = newLinkMonitor(n, cfg.DialTarget)
-	n.TargetClient = &http.Client{Transport: platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget), CheckRedirect: NoRedirect}
+	n.TargetClient = &http.Client{Transport: targetTransport{platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget)}, CheckRedirect: NoRedirect}
 	n.Peers = newPeerLinks(n)
 	n.LogTransport = newLogTransport(n, s.Store.Address)
 	n.store = platform.NewStore(s.Store.Address, n.LogTransport)
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/singleflight"
@@ -26,14 +25,6 @@
 // that its registry entry describes.
 var errStartUnknown = errors.New("the target may have started again since its entry was written")
 
-// targetConn is a connection to a target. It leads to one start of the target only: it breaks
-// when the target's process ends.
-type targetConn struct {
-	net.Conn
-	openedAt  time.Duration // by clock.Now
-	confirmed atomic.Int64  // the start that it leads to, Unix milliseconds; zero: not known
-}
-
 // starts holds when each engine was last known to be which start. A target may start again under
 // its id with another software version, and its entry says so seconds later; until then the entry
 // describes a start that is gone. It is safe for concurrent use.
