Placement: runs stay on engines that load weights

Cause: a run that moves costs its connection, which cannot be used again, and a prefill elsewhere.

Hypothesis: since tasks are placed by slack and by the observed speeds, the moves gain nothing that the load's short pause costs.

The spec that expected the moves now expects that such runs stay.

--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -34,7 +34,6 @@
 	noFirstEvent = "no first event"
 	stalled      = "stalled"
 	reclaimed    = "engine is reclaimed"
-	loadsWeights = "engine loads weights"
 	slowEngine   = "another engine is faster"
 )
 
@@ -97,7 +96,7 @@
 }
 
 // moveRank is the order of the reasons.
-var moveRank = map[string]int{noFirstEvent: 0, stalled: 0, reclaimed: 1, loadsWeights: 2, slowEngine: 2}
+var moveRank = map[string]int{noFirstEvent: 0, stalled: 0, reclaimed: 1, slowEngine: 2}
 
 func (s *Scheduler) slackOf(now time.Duration, m move) time.Duration {
 	return s.jobs[m.task.Key.Job].Due - now - m.left
@@ -115,7 +114,7 @@
 	m.left = time.Duration(m.events * float64(interval))
 	loadTime := e.service.LoadTime()
 	loading := e.LoadingModel == r.task.Model && r.started < e.LoadOrderedAt && now < e.LoadOrderedAt+loadTime
-	if loading { // which pauses the run
+	if loading { // which pauses the run; it stays, as the load ends soon
 		m.pause = e.LoadOrderedAt + loadTime - now
 		m.left += m.pause
 	}
@@ -128,8 +127,6 @@
 		m.reason, m.overdue = stalled, now-r.lastEventAt > overdueFactor*stallTimeout
 	case e.ReclaimedAt > 0 && now+m.left > e.ReclaimedAt && e.ReclaimedAt-now <= reclaimMargin:
 		m.reason = reclaimed
-	case loading:
-		m.reason = loadsWeights
 	case r.events > 0 && now-r.started > s.limits.MinRunAge && (r.task.group.unknown || float64(m.left) >= slowestShare*float64(r.task.group.slowest)):
 		m.reason = slowEngine
 	}
@@ -162,7 +159,7 @@
 		if d.slots <= 0 || !d.engine.fits(m.task) || d.engine == m.engine && m.reason != noFirstEvent && m.reason != stalled {
 			continue
 		}
-		if m.reason == loadsWeights || m.reason == slowEngine {
+		if m.reason == slowEngine {
 			here := m.engine.speed(m.task.Model).Slowdown(now)
 			share := 1 - d.slowdown/here
 			gain := m.pause.Seconds() + m.events*m.interval.Seconds()*share
@@ -170,7 +167,7 @@
 				return false
 			}
 			untilDue := (s.jobs[m.task.Key.Job].Due - now).Seconds() // negative if it is late, or not known
-			if m.reason == slowEngine && (share < s.limits.MinSpeedGain || gain < s.limits.MinDueGain*untilDue) {
+			if share < s.limits.MinSpeedGain || gain < s.limits.MinDueGain*untilDue {
 				return false
 			}
 		}
