Plain requests stay with targets to which a connection is idle

Change: an idle connection counts as three requests of a target with six slots in the choice; it replaces the preference for the target used last.

--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -36,7 +36,7 @@
 // have run at a target, with its account and the wall time.
 func New(n *node.Node, countRequest func(account string, wall time.Time)) *Forwarder {
 	f := &Forwarder{Node: n, countRequest: countRequest}
-	f.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare})
+	f.plainTargets = newPlainTargets(retry.EjectionLimits{Failures: ejectFailures, BaseDuration: ejectBase, MaxDuration: ejectMax, Share: ejectShare}, n.OpenConnections)
 	f.intakes = newIntakes(f)
 	f.relays = newRelays(f)
 	f.crashDetector = newCrashDetector(f)
--- a/internal/forward/plain_targets.go
+++ b/internal/forward/plain_targets.go
@@ -14,18 +14,19 @@
 type plainTargets struct {
 	mu       sync.Mutex
 	health   *retry.OutlierDetector
-	inFlight map[string]int    // requests of this instance, by target
-	lastUsed map[string]string // target of the last request, by service
-	suspects map[string]int    // requests in flight under which targets have crashed, by target
+	inFlight map[string]int // requests of this instance, by target
+	// openConnections returns the number of open connections to the address of a target.
+	openConnections func(address string) int
+	suspects        map[string]int // requests in flight under which targets have crashed, by target
 }
 
-func newPlainTargets(l retry.EjectionLimits) *plainTargets {
-	return &plainTargets{health: retry.NewOutlierDetector(l), inFlight: map[string]int{}, lastUsed: map[string]string{}, suspects: map[string]int{}}
+func newPlainTargets(l retry.EjectionLimits, openConnections func(address string) int) *plainTargets {
+	return &plainTargets{health: retry.NewOutlierDetector(l), inFlight: map[string]int{}, openConnections: openConnections, suspects: map[string]int{}}
 }
 
 // choose returns a ready target of the service that is not in tried: the one with the
 // fewest requests in flight per slot, with a preference for targets without a limit of
-// requests, for the local data centre and for the target used last. Requests under which targets
+// requests, for the local data centre and for targets to which a connection is idle. Requests under which targets
 // have crashed are kept apart from each other and from the rest, so that a further crash shows
 // which one causes it. An ejected target is returned only if there is no other. release must
 // follow.
@@ -45,8 +46,8 @@
 		if t.DataCentre == dataCentre {
 			rank -= localDataCentreBonus
 		}
-		if p.lastUsed[service] == t.ID {
-			rank -= openConnectionBonus
+		if p.openConnections(t.Address) > p.inFlight[t.ID] {
+			rank -= idleConnectionBonus
 		}
 		if t.Limited {
 			rank += limitedPenalty
@@ -73,17 +74,17 @@
 	if suspected {
 		p.suspects[best.ID]++
 	}
-	p.lastUsed[service] = best.ID
 	return best, true
 }
 
-// Preferences among targets, in requests in flight per slot. Their sum is less than one
-// request at a target of six slots.
+// Preferences among targets, in requests in flight per slot.
 const (
-	localDataCentreBonus = 0.08 // target in the local data centre
-	openConnectionBonus  = 0.07 // target used last, to which a connection is open
-	limitedPenalty       = 1.0  // target that limits its rate: as if all its slots were in use
-	suspectPenalty       = 2.0  // request that runs beside one under which targets have crashed
+	localDataCentreBonus = 0.08 // target in the local data centre: half a request at six slots
+	// idleConnectionBonus keeps an instance with the targets that it has connections to until half
+	// of the slots of one are in use by its own requests.
+	idleConnectionBonus = 0.5
+	limitedPenalty      = 1.0 // target that limits its rate: as if all its slots were in use
+	suspectPenalty      = 2.0 // request that runs beside one under which targets have crashed
 )
 
 // withdraw ends a request to a target that choose returned, which was not sent.
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -34,6 +34,7 @@
 
 	mu   sync.Mutex
 	lost map[string][]*targetConn // closed and not replaced, by address
+	open map[string]int           // by address
 }
 
 // targetConn is a connection to a target. It leads to one start of the target only: it breaks
@@ -69,10 +70,18 @@
 		clear(c.lost) // addresses of targets that are gone
 	}
 	c.lost[address] = lost
+	c.open[address]++
 	c.count(cause)
 	return &targetConn{Conn: connection, connections: c, address: address, openedAt: now}
 }
 
+// OpenConnections returns the number of open connections to the address of a target.
+func (n *Node) OpenConnections(address string) int {
+	n.connections.mu.Lock()
+	defer n.connections.mu.Unlock()
+	return n.connections.open[address]
+}
+
 func (c *connections) count(cause string) {
 	c.node.Metrics.Set.GetOrCreateCounter(fmt.Sprintf(`amaranth_hosted_target_connections_total{cause=%q}`, cause)).Inc()
 }
@@ -129,6 +138,9 @@
 		if lost := cs.lost[c.address]; len(lost) < maxLostPerTarget {
 			cs.lost[c.address] = append(lost, c)
 		}
+		if cs.open[c.address]--; cs.open[c.address] <= 0 {
+			delete(cs.open, c.address)
+		}
 		cs.mu.Unlock()
 	}
 	return c.Conn.Close()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -95,7 +95,7 @@
 		stopping:     make(chan struct{}),
 		OnRecord:     func(time.Duration, job.Record, bool) {},
 	}
-	n.connections = connections{node: n, lost: map[string][]*targetConn{}}
+	n.connections = connections{node: n, lost: map[string][]*targetConn{}, open: map[string]int{}}
 	n.Links = newLinkMonitor(n, cfg.DialTarget)
 	n.TargetClient = &http.Client{Transport: targetTransport{platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget)}, CheckRedirect: NoRedirect}
 	n.Peers = newPeerLinks(n)
