--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -17,7 +17,7 @@
 	// A target in the region accepts or refuses a connection within milliseconds. A check starts
 	// with firstWitnesses targets, and needs the refusal or silence of linkWitnesses.
 	firstCheckTimeout = 100 * time.Millisecond
-	firstWitnesses    = 2
+	firstWitnesses    = 1 // each takes a connection, and hardly ever the one that is down is drawn
 	linkWitnesses     = 8
 	// linkCheckInterval is the shortest time between two checks.
 	linkCheckInterval = 400 * time.Millisecond
@@ -25,8 +25,9 @@
 	// that ends later was paused, so that its timeouts say nothing of the links.
 	pauseMargin = 200 * time.Millisecond
 	// confirmedFor is how long after the last sign of life of a target an instance takes over the
-	// work of others without a check of its own links.
-	confirmedFor = time.Second
+	// work of others without a check of its own links. One that is cut off finds out by its first
+	// runs within quietRunsLimit of package batch.
+	confirmedFor = 3 * time.Second
 )
 
 // LinkCheckTimeout bounds a check of whether targets accept connections.
