Stored events of a task follow those of their own runner only

Cause: for a moment two instances may run a task, each with a run that went on after what was stored. The log kept a chunk that began after the latest one, by numbers and software version alone. A second chunk of one instance could follow one of the other: its run had been asked to go on after event 8 and stood after event 16.

Change: a chunk follows the latest one if the same writer has stored that, or if the writer has loaded it. The spec in core/job fails without the condition.

--- a/core/job/output.go
+++ b/core/job/output.go
@@ -17,7 +17,13 @@
 
 // appendChunk appends a chunk that continues the stored ones without a gap. A chunk that
 // starts with event 1 replaces all stored ones; any other is ignored.
-// Invariant: the chunks of a task are contiguous and of one software version.
+//
+// Two instances may run a task for a moment, each with a run of its own. A run that was asked to go
+// on after event 8 must not follow the other one's events 9 to 16, though its next chunk may begin
+// with 17: the chunks of a writer follow its own, or those that it has loaded.
+//
+// Invariant: the chunks of a task are contiguous and of one software version, and each was generated
+// by runs that went on after the ones before it.
 func (s *TaskStatus) appendChunk(c Chunk) {
 	if c.First == 1 {
 		s.Chunks = []Chunk{c}
@@ -26,7 +32,8 @@
 	if len(s.Chunks) == 0 {
 		return
 	}
-	if latest := s.Chunks[len(s.Chunks)-1]; c.First == latest.Last+1 && c.Software == latest.Software {
+	latest := s.Chunks[len(s.Chunks)-1]
+	if c.First == latest.Last+1 && c.Software == latest.Software && (c.Loaded || c.writer == latest.writer) {
 		s.Chunks = append(s.Chunks[:len(s.Chunks):len(s.Chunks)], c) // append copies: later jobs share the old slice
 	}
 }
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -158,6 +158,11 @@
 	Versions []int64  `cbor:"4,keyasint"`
 	Location Location `cbor:"5,keyasint"`
 	Software string   `cbor:"6,keyasint,omitempty"` // version of the target's program
+	// Loaded is set if the events go on after the stored chunks up to First, as the writer has
+	// loaded them. Other chunks go on after the writer's own latest one.
+	Loaded bool `cbor:"7,keyasint,omitempty"`
+
+	writer string // of the record; set when it is applied
 }
 
 // Listed contains results of a job's tasks. The first result of a task is accepted, later ones
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -256,6 +256,7 @@
 	}
 	for _, c := range p.Chunks {
 		if c.Task >= 0 && c.Task < len(j.Status) {
+			c.writer = writer
 			j.Status[c.Task].appendChunk(c)
 		}
 	}
--- a/core/job/streams_test.go
+++ b/core/job/streams_test.go
@@ -59,4 +59,27 @@
 		Expect(chunks).To(HaveLen(1))
 		Expect(chunks[0].Software).To(Equal("v2"))
 	})
+
+	It("do not make the events of two runs fit: a writer's events follow its own or those that it has loaded", func() {
+		s.Apply(0, 0, job.Record{Writer: "n1", Submitted: &job.Submitted{Job: "j", Account: "a", Tasks: []job.TaskRef{{ID: "t"}}, Runner: "n1"}})
+		store := func(writer string, first, last int64, loaded bool) {
+			c := job.Chunk{First: first, Last: last, Versions: []int64{1}, Software: "v1", Loaded: loaded}
+			s.Apply(0, 0, job.Record{Writer: writer, Progress: &job.Progress{Job: "j", Chunks: []job.Chunk{c}}})
+		}
+		lasts := func() (out []int64) {
+			for _, c := range s.Jobs["j"].Status[0].ContiguousChunks(0) {
+				out = append(out, c.Last)
+			}
+			return out
+		}
+		store("n1", 1, 8, false)
+		store("n1", 9, 16, false) // arrives while n2, which has loaded 1 to 8, takes the job over
+		store("n2", 9, 16, true)
+		store("n2", 17, 24, false)
+		Expect(lasts()).To(Equal([]int64{8, 16}), "n2's run went on after event 8 of n1")
+		store("n3", 17, 20, true)
+		store("n1", 21, 24, false)
+		store("n3", 21, 28, false)
+		Expect(lasts()).To(Equal([]int64{8, 16, 20, 28}))
+	})
 })
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -91,7 +91,7 @@
 			t.versions = withVersion(t.versions, v)
 		}
 	}
-	t.savedLastEvent, t.savedBytes = t.lastEvent, len(t.data)
+	t.savedLastEvent, t.savedBytes, t.loaded = t.lastEvent, len(t.data), true
 	return t
 }
 
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -34,6 +34,7 @@
 	// The part of the output that takeUnsaved has returned or that was loaded from the log.
 	savedLastEvent int64 // number of its last event
 	savedBytes     int
+	loaded         bool // nothing was stored since it was loaded
 }
 
 // maker tells whether the engine of a run has the software version that is stated of it.
@@ -153,7 +154,7 @@
 
 // discard is called with mu held.
 func (t *taskOutput) discard() {
-	t.data, t.lastEvent, t.versions, t.savedLastEvent, t.savedBytes = nil, 0, nil, 0, 0
+	t.data, t.lastEvent, t.versions, t.savedLastEvent, t.savedBytes, t.loaded = nil, 0, nil, 0, 0, false
 	t.before = outputMark{}
 }
 
@@ -223,8 +224,8 @@
 	if t.savedLastEvent > 0 {
 		from++ // the line feed between the parts
 	}
-	chunk = job.Chunk{First: t.savedLastEvent + 1, Last: t.lastEvent, Versions: slices.Clone(t.versions), Software: t.software}
+	chunk = job.Chunk{First: t.savedLastEvent + 1, Last: t.lastEvent, Versions: slices.Clone(t.versions), Software: t.software, Loaded: t.loaded}
 	data = slices.Clone(t.data[from:])
-	t.savedLastEvent, t.savedBytes = t.lastEvent, len(t.data)
+	t.savedLastEvent, t.savedBytes, t.loaded = t.lastEvent, len(t.data), false
 	return chunk, data, true
 }
