Placement: the rule on the memory of engines goes

Cause: the rule that keeps what runs hold within an engine's memory had no source: neither registry entries nor reports of the engines are decoded into it, so it never had an effect on any deployment.

Change: the field, the check in the choice and in moves, and its spec go.

Measured: no difference possible, as the field was zero; specs of core/assign pass.

--- a/core/assign/place.go
+++ b/core/assign/place.go
@@ -119,8 +119,8 @@
 	return resuming
 }
 
-// maxSetAside bounds how many candidates are passed over for one task because it does not fit
-// into their memory: a choice costs a bounded time.
+// maxSetAside bounds how many candidates are passed over for one task because they are reclaimed
+// before it ends: a choice costs a bounded time.
 const maxSetAside = 16
 
 // pick returns the engine with the highest score for the task, nil for none.
@@ -173,26 +173,9 @@
 	return p.s.canRun(p.now, e, c.class) && p.s.mayOverflowOnto(p.now, e, c.model) && (e.permitted(p.now) || e.mayPermit(p.now))
 }
 
-// suits reports whether the task fits into the memory of the engine, with what its runs are
-// expected to hold, and ends before the engine is reclaimed. An engine without runs takes any
-// task: one with a wrong hint would wait for ever.
+// suits reports whether the task ends before the engine is reclaimed.
 func (p *placement) suits(e *engine, t *Task) bool {
-	if e.ReclaimedAt > 0 && e.ReclaimedAt < p.now+t.remaining {
-		return false
-	}
-	return e.fits(t)
-}
-
-// fits reports whether the task fits into the memory of the engine.
-func (e *engine) fits(t *Task) bool {
-	if e.MemoryTokens <= 0 || e.occupied() == 0 {
-		return true
-	}
-	tokens := e.tokens + e.others.Tokens + t.outputTokens()
-	if e.runsByGroup[t.Group] == 0 {
-		tokens += t.promptTokens()
-	}
-	return tokens <= e.MemoryTokens
+	return e.ReclaimedAt <= 0 || e.ReclaimedAt >= p.now+t.remaining
 }
 
 // Bonuses and penalties in the score of an engine that can run a task. The engine's
--- a/core/assign/place_test.go
+++ b/core/assign/place_test.go
@@ -1,7 +1,6 @@
 package assign_test
 
 import (
-	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -50,29 +49,6 @@
 		Expect(used).NotTo(ContainElement("e1"))
 	})
 
-	It("respects the memory of engines, but lets one task run alone whatever its hint", func() {
-		scheduler := assign.New(assign.DefaultLimits())
-		e := engine("e1", 8, 2)
-		e.MemoryTokens = 10_000
-		scheduler.SetEngines([]assign.Engine{e})
-		for i := range 4 {
-			t := task(i, 2000)
-			t.Group, t.PromptTokens = "g", 4000
-			scheduler.Add(t)
-		}
-		starts := scheduler.Assign(0)
-		Expect(starts).To(HaveLen(3), "one prompt and three outputs")
-		scheduler.SetOccupancy(ms, map[string]assign.Load{})
-		for _, start := range starts {
-			scheduler.Finish(0, start.Run, assign.Canceled, assign.Kept{})
-		}
-		scheduler.SetOccupancy(ms, map[string]assign.Load{"e1": {Runs: 1, Tokens: 6000}})
-		Expect(scheduler.Assign(200*ms)).To(BeEmpty(), "the other runner's run holds the rest")
-		scheduler.SetOccupancy(201*ms, map[string]assign.Load{})
-		scheduler.Add(task(9, math.MaxInt64))
-		Expect(scheduler.Assign(400 * ms)).To(HaveLen(1))
-	})
-
 	It("uses an engine that is about to be reclaimed only for a task that ends before, if no other has a slot", func() {
 		scheduler, engines := taught(1)
 		engines[0].ReclaimedAt = lesson + 2*time.Second
--- a/core/assign/review.go
+++ b/core/assign/review.go
@@ -156,7 +156,7 @@
 func (s *Scheduler) takeDestination(now time.Duration, m move, list []destination) bool {
 	for i := range list {
 		d := &list[i]
-		if d.slots <= 0 || !d.engine.fits(m.task) || d.engine == m.engine && m.reason != noFirstEvent && m.reason != stalled {
+		if d.slots <= 0 || d.engine == m.engine && m.reason != noFirstEvent && m.reason != stalled {
 			continue
 		}
 		if m.reason == slowEngine {
--- a/core/assign/types.go
+++ b/core/assign/types.go
@@ -85,7 +85,6 @@
 	LoadOrderedAt time.Duration    // time of the latest order to load weights; zero: none
 	LoadingModel  string           // model of that order
 	ReclaimedAt   time.Duration    // when the engine goes; zero: unknown
-	MemoryTokens  int64            // that prompts and outputs of its runs may hold; zero: unknown
 	// Limited is set for an engine that limits the rate of its requests: a run needs a permit.
 	Limited bool
 	// Serves lists the models whose next job the engine can run. Of these models one is the
