Intake: requests that a target gave up are no service times

Cause: the mean time of a service's requests decides after how long a slow one is sent a second time.

Change: an answer with status 5xx ends a request, and says nothing of the time.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -225,11 +225,14 @@
 	Refused                 // the target has not run it for lack of a free slot
 )
 
-// Ended records the end of a request that was sent to a target and took a time.
+// Ended records the end of a request that was sent to a target. took is its service time; zero: it
+// is not known, as the target gave up.
 func (q *Queue) Ended(now time.Duration, id string, took time.Duration, outcome Outcome) {
 	switch outcome {
 	case Ran:
-		q.service.observe(now, took)
+		if took > 0 {
+			q.service.observe(now, took)
+		}
 		q.flow.add(now)
 		q.ran, q.refused = outcomeWeight*q.ran+1, outcomeWeight*q.refused
 	case Refused:
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -34,6 +34,18 @@
 		Expect(granted).To(HaveLen(1))
 		Expect(granted[0].ID).To(Equal(uint64(3)))
 	})
+	It("does not take requests that a target gave up for the time of others", func() {
+		for i := range uint64(40) {
+			send(0, 2*i, "a")
+			q.Ended(work, "t", work, intake.Ran)
+			send(0, 2*i+1, "a")
+			q.Ended(work, "t", 0, intake.Ran)
+		}
+		Expect(q.ServiceTime(work)).To(Equal(work))
+		send(work, 100, "a")
+		send(work, 101, "a")
+		Expect(arrive(work, 102, "a").Verdict).To(Equal(intake.Wait), "slots of given up requests are free, no more")
+	})
 	It("keeps the slot of a granted request that is not sent for others", func() {
 		send(0, 1, "a")
 		d := arrive(0, 2, "a")
--- a/internal/forward/intake.go
+++ b/internal/forward/intake.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -181,10 +182,22 @@
 	defer n.mu.Unlock()
 	now := n.forwarder.Clock.Now()
 	s := n.service(p.Service)
-	s.queue.Ended(now, r.Target.ID, now-r.sentAt, outcome)
+	s.queue.Ended(now, r.Target.ID, r.serviceTime(now), outcome)
 	n.step(s)
 }
 
+// serviceTime returns how long the target took for an attempt that has ended; zero: it failed. A
+// target that gives up a request at the end of its time says nothing of how long others take.
+//
+// Load pattern: one route in several of a service has requests that take longer than its timeout,
+// while those of the others take a fiftieth of it and are sent a second time when they are slow.
+func (r *AttemptResult) serviceTime(now time.Duration) time.Duration {
+	if r.Status >= http.StatusInternalServerError {
+		return 0
+	}
+	return now - r.sentAt
+}
+
 // full returns the targets of the request's service that are not known to have a free slot, and
 // whether requests wait for one.
 func (n *intakes) full(p *PlainRequest) (targets map[string]bool, waiting bool) {
