Intake: a request goes to the target that was granted to it if the chosen one is full

The queue grants a request the slot of a target; the choice may take another one with room. Two requests at the same moment both saw the last slot of that one. It could happen before; since the choice prefers idle connections, it differs from the granted target more often.

Change: the queue checks the chosen target's room again when the request is sent, under its lock; if others have taken it, the granted target is used.

The spec now waits until the entries are read.

--- a/core/intake/intake.go
+++ b/core/intake/intake.go
@@ -196,15 +196,22 @@
 }
 
 // Sent records that a request is on its way to a target. granted is the one that the decision
-// named; empty: there was no decision.
-func (q *Queue) Sent(now time.Duration, id, granted string) {
+// named; empty: there was no decision. Sent reports false and records nothing if another target
+// than the granted one was chosen and has no free slot any more: the request must go to the granted
+// one.
+func (q *Queue) Sent(now time.Duration, id, granted string) bool {
+	t := q.targets[id]
+	if t != nil && id != granted && q.targets[granted] != nil && !t.mayHaveRoom(now) {
+		return false
+	}
 	q.Withdrawn(granted)
-	if t := q.targets[id]; t != nil {
+	if t != nil {
 		if id != granted {
 			t.use(now)
 		}
 		t.inFlight++
 	}
+	return true
 }
 
 // Withdrawn records that a request is not sent although a decision named a target for it.
--- a/core/intake/intake_test.go
+++ b/core/intake/intake_test.go
@@ -46,6 +46,15 @@
 		send(work, 101, "a")
 		Expect(arrive(work, 102, "a").Verdict).To(Equal(intake.Wait), "slots of given up requests are free, no more")
 	})
+	It("sends a request to the target that was granted to it if others have the last slots of the chosen one", func() {
+		q.SetTargets([]intake.Target{{ID: "t", Slots: 1}, {ID: "u", Slots: 1}})
+		first, second := arrive(0, 1, "a"), arrive(0, 2, "a")
+		Expect([]string{first.Target, second.Target}).To(ConsistOf("t", "u"))
+		Expect(q.Sent(0, second.Target, first.Target)).To(BeFalse(), "the slot is the second one's")
+		Expect(q.Sent(0, first.Target, first.Target)).To(BeTrue())
+		Expect(q.Sent(0, second.Target, second.Target)).To(BeTrue())
+		Expect(arrive(0, 3, "a").Verdict).To(Equal(intake.Wait))
+	})
 	It("keeps the slot of a granted request that is not sent for others", func() {
 		send(0, 1, "a")
 		d := arrive(0, 2, "a")
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -172,8 +172,14 @@
 	if !found {
 		return false
 	}
+	if !f.intakes.sent(a.request, target.ID, a.granted) { // others have taken its last slots meanwhile
+		f.plainTargets.withdraw(target, suspected)
+		target, found = f.plainTargets.choose(f.Clock.Now(), view, a.request.Service, f.Settings.DataCentre, allBut(view, a.granted), suspected, f.Rand64())
+		if !found || !f.intakes.sent(a.request, target.ID, a.granted) {
+			return false
+		}
+	}
 	a.tried[target.ID] = true
-	f.intakes.sent(a.request, target.ID, a.granted)
 	a.granted = ""
 	a.countStart()
 	go func() {
@@ -255,6 +261,15 @@
 	return excluded
 }
 
+// allBut returns all targets of the view but one.
+func allBut(view *node.View, id string) map[string]bool {
+	out := make(map[string]bool, len(view.Targets))
+	for i := range view.Targets {
+		out[view.Targets[i].ID] = view.Targets[i].ID != id
+	}
+	return out
+}
+
 // allTargetsRefused reports whether no target has run the request, so that all of them
 // may be tried again.
 func (a *Attempts) allTargetsRefused() bool {
--- a/internal/forward/intake.go
+++ b/internal/forward/intake.go
@@ -141,14 +141,15 @@
 }
 
 // sent records that a request is on its way to a target. granted is the target of its decision;
-// empty: there was none.
-func (n *intakes) sent(p *PlainRequest, target, granted string) {
+// empty: there was none. It reports false if the request must go to the granted one, as the other
+// has no free slot any more.
+func (n *intakes) sent(p *PlainRequest, target, granted string) bool {
 	if !n.covers(p) {
-		return
+		return true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.service(p.Service).queue.Sent(n.forwarder.Clock.Now(), target, granted)
+	return n.service(p.Service).queue.Sent(n.forwarder.Clock.Now(), target, granted)
 }
 
 // withdrawn records that a request is not sent after all.
--- a/internal/hosted/availability_test.go
+++ b/internal/hosted/availability_test.go
@@ -56,6 +56,7 @@
 	It("gets no request from any instance, also one that starts later, until it is readmitted", func() {
 		d := newDeployment(2, 1)
 		d.alter("p1", map[string]any{"zone": "b"})
+		d.awaitRegistryRead()
 		d.awaitAnnouncements()
 		d.evacuate("b", true)
 		d.awaitLogged("data centre evacuated", 2)
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -166,6 +166,17 @@
 	return func() { d.register(id, entry) }
 }
 
+// awaitRegistryRead returns once running instances have read all entries that were written before:
+// they read one of a service that nobody uses, and its removal, after them.
+func (d *deployment) awaitRegistryRead() {
+	d.mu.Lock()
+	entry := d.entries["p0"]()
+	d.mu.Unlock()
+	entry["service"] = "nobody's"
+	d.register("marker", func() map[string]any { return entry })
+	d.remove("marker")
+}
+
 // running returns the number of instances that were not killed.
 func (d *deployment) running() int {
 	n := 0
