Starts of engines: those that leave are not asked for their reports

Change: an engine that is not ready is not asked; what is not confirmed of it is not kept for other runs.

--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -85,6 +85,9 @@
 	if len(t.Models) == 0 {
 		return nil
 	}
+	if latest, found := n.CurrentView().Target(t.ID); !found || !latest.Ready {
+		return fmt.Errorf("%w: it leaves, and gets nothing new", errStartUnknown)
+	}
 	asked := n.Clock.Now()
 	for n.starts.since(t.ID, asked) == 0 { // a read that was under way began too early
 		if _, err, _ := n.starts.reads.Do(t.ID, func() (any, error) { return nil, n.readStart(ctx, t) }); err != nil {
