review: an answer without a stated end and without an event counts as whole

Cause: an answer that does not state its end is run again to find out whether there are more events, but only if the run has added one. One without any is taken for the end of the output, also that of a first run. Change: case 2, crash of one of six samplers whose answers state no length, before the first event, rule MIXED.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,7 +6,7 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/amaranthfold ] && [ -x target/review-harness ] || exit 2
-timeout -k 3 116 target/review-harness move "$here"
+timeout -k 3 116 target/review-harness single "$here"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -31,6 +31,7 @@
 	"gone":   goneCase,
 	"move":   moveCase,
 	"large":  largeCase,
+	"cutoff": cutoffCase,
 }
 
 func main() { os.Exit(runCase()) }
--- a/review/harness/sampler.go
+++ b/review/harness/sampler.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -20,6 +21,8 @@
 	slots             int
 	eventInterval     time.Duration
 	loadTime          time.Duration // of an order
+	prefill           time.Duration // from the start of an answer to its first event, besides eventInterval
+	withoutLength     bool          // answers to items state no length and end with their connection
 	born              int64         // start, Unix milliseconds
 	record            *record
 
@@ -37,13 +40,15 @@
 	address  string
 	crashed  bool
 	draining bool
-	changed  bool // the next heartbeat is due at once
+	changed  bool              // the next heartbeat is due at once
+	raw      map[net.Conn]bool // connections of answers without a length
 }
 
 func newSampler(id, service, zone string, slots int, models ...string) *sampler {
 	s := &sampler{
 		id: id, service: service, zone: zone, slots: slots, eventInterval: 40 * time.Millisecond, loadTime: versionLoadTime,
 		versions: map[string]int64{}, streams: map[string]int64{}, ended: map[string]time.Time{}, finished: map[string]bool{},
+		raw: map[net.Conn]bool{},
 	}
 	for _, m := range models {
 		s.versions[m] = 1
@@ -73,6 +78,11 @@
 	server := s.server
 	s.mu.Unlock()
 	_ = server.Close() // nothing is to be saved
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.raw {
+		_ = c.Close() // as the end of the process does
+	}
 }
 
 // drain makes the sampler report that it drains. It goes on serving.
@@ -113,6 +123,19 @@
 	return list
 }
 
+// waiting returns how many streams are in progress that have sent no event.
+func (s *sampler) waiting() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, last := range s.streams {
+		if last == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // state returns the version of a model, and the largest number of events that a stream in
 // progress has sent.
 func (s *sampler) state(model string) (version, events int64) {
@@ -263,11 +286,51 @@
 	w.Header().Set("Server-Stamp", "stamp."+id)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", fmt.Sprint(version))
-	s.sendEvents(r.Context(), w, id, model, version, from, total)
+	flush := http.NewResponseController(w).Flush
+	var out io.Writer = w
+	if s.withoutLength {
+		connection, err := s.sendRawHeader(w)
+		if err != nil {
+			return
+		}
+		defer s.closeRaw(connection)
+		out, flush = connection, func() error { return nil }
+	}
+	if flush() != nil {
+		return
+	}
+	time.Sleep(s.prefill)
+	s.sendEvents(r.Context(), out, flush, id, model, version, from, total)
+}
+
+// sendRawHeader sends the header of an answer that states no length, and returns its connection.
+func (s *sampler) sendRawHeader(w http.ResponseWriter) (net.Conn, error) {
+	connection, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.raw[connection] = true
+	s.mu.Unlock()
+	w.Header().Set("Connection", "close")
+	var head bytes.Buffer
+	head.WriteString("HTTP/1.1 200 OK\r\n")
+	if err := w.Header().Write(&head); err != nil {
+		return nil, err
+	}
+	head.WriteString("\r\n")
+	_, err = connection.Write(head.Bytes())
+	return connection, err
+}
+
+func (s *sampler) closeRaw(connection net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.raw, connection)
+	_ = connection.Close() // all of the answer is sent, or the sampler has crashed
 }
 
-func (s *sampler) sendEvents(ctx context.Context, w http.ResponseWriter, id, model string, version, from, total int64) {
-	flusher := http.NewResponseController(w)
+func (s *sampler) sendEvents(ctx context.Context, w io.Writer, flush func() error, id, model string, version, from, total int64) {
 	for n := from + 1; n <= total; n++ {
 		select {
 		case <-ctx.Done():
@@ -282,8 +345,8 @@
 			version = current
 			fmt.Fprintf(w, "weight-versions: %d\n", version)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n))
-		if flusher.Flush() != nil {
+		_, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(id, n))
+		if err != nil || flush() != nil {
 			return
 		}
 	}
