--- a/core/job/output.go
+++ b/core/job/output.go
@@ -15,6 +15,15 @@
 	return out
 }
 
+// Writer returns the instance and incarnation that has stored the chunk.
+func (c *Chunk) Writer() string { return c.writer }
+
+// IsLatestChunk reports whether the chunk, as its record states it, is the task's latest one.
+func (s *TaskStatus) IsLatestChunk(c Chunk) bool {
+	n := len(s.Chunks)
+	return n > 0 && s.Chunks[n-1].Last == c.Last && s.Chunks[n-1].Location == c.Location
+}
+
 // appendChunk appends a chunk that continues the stored ones without a gap. A chunk that
 // starts with event 1 replaces all stored ones; any other is ignored.
 //
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
@@ -67,10 +69,9 @@
 // loadOutput returns the stored part of a task's output. If it cannot be read, loadOutput
 // returns an empty output: the task then starts from its first event.
 func (r *runner) loadOutput(ctx context.Context, snapshot jobSnapshot, i int) *taskOutput {
-	t := &taskOutput{}
 	chunks := snapshot.status[i].ContiguousChunks(snapshot.job.MinVersion)
 	if len(chunks) == 0 || snapshot.status[i].Listed || snapshot.job.SingleVersion {
-		return t
+		return &taskOutput{}
 	}
 	locations := make([]job.Location, len(chunks))
 	for k, c := range chunks {
@@ -79,22 +80,23 @@
 	parts, err := r.batch.LoadContent(ctx, locations)
 	if err != nil {
 		r.batch.Log("text unreadable", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID), events.F("error", err.Error()))
-		return t
+		return &taskOutput{}
 	}
-	for k, c := range chunks {
-		if k > 0 {
-			t.data = append(t.data, '\n')
-		}
-		t.data = append(t.data, parts[k]...)
-		t.lastEvent, t.software = c.Last, c.Software
-		for _, v := range c.Versions {
-			t.versions = withVersion(t.versions, v)
-		}
-	}
-	t.savedLastEvent, t.savedBytes, t.loaded = t.lastEvent, len(t.data), true
+	t := outputOf(chunks, parts)
+	r.batch.Log("stored events loaded", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID),
+		events.F("events", fmt.Sprint(t.lastEvent)), events.F("parts", fmt.Sprint(len(chunks))), events.F("writers", strings.Join(writersOf(chunks), ",")))
 	return t
 }
 
+// writersOf returns the writers of the chunks, each once for contiguous chunks of it.
+func writersOf(chunks []job.Chunk) []string {
+	var out []string
+	for i := range chunks {
+		out = append(out, chunks[i].Writer())
+	}
+	return slices.Compact(out)
+}
+
 // onLoaded sets the tasks and outputs of a loaded job and queues the reused results for
 // the log. An output in partialOutputs replaces a shorter stored one.
 func (r *runner) onLoaded(loaded loadedJob) {
@@ -107,6 +109,7 @@
 		delete(r.jobs, loaded.id) // syncJobs adds and loads it again
 		return
 	}
+	r.batch.Log("job loaded", events.F("job", loaded.id), events.F("again", fmt.Sprint(!j.loading)))
 	j.tasks, j.outputs, j.loading = loaded.tasks, loaded.outputs, false
 	r.setJob(r.batch.CurrentView(), loaded.id, j)
 	for i := range j.tasks {
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -51,6 +51,23 @@
 	software  string
 }
 
+// outputOf returns the output that contiguous chunks from event 1 on hold, with the data of each.
+func outputOf(chunks []job.Chunk, parts [][]byte) *taskOutput {
+	t := &taskOutput{}
+	for k, c := range chunks {
+		if k > 0 {
+			t.data = append(t.data, '\n')
+		}
+		t.data = append(t.data, parts[k]...)
+		t.lastEvent, t.software = c.Last, c.Software
+		for _, v := range c.Versions {
+			t.versions = withVersion(t.versions, v)
+		}
+	}
+	t.savedLastEvent, t.savedBytes, t.loaded = t.lastEvent, len(t.data), true
+	return t
+}
+
 // startRun makes run, at an engine with the software version, the only run that may add
 // events. It returns the number of the event after which the run resumes, zero if it starts
 // from the first event.
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -107,6 +107,7 @@
 func (in *Instance) applyRecord(now time.Duration, r job.Record, accepted bool) {
 	in.controller.OnRecord(now, r, accepted)
 	in.forwarder.OnRecord(r)
+	in.batch.OnRecord(r)
 }
 
 // Stop starts the drain: the instance reports that it is not ready, so that the load
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,6 +17,7 @@
 	Jobs, Listed, GivenUp, Claims    *metrics.Counter
 	Runs, RunsBroken, RunsMoved      *metrics.Counter
 	RunsResumed, RunsStartedOver     *metrics.Counter
+	PartsKept, PartsRefused          *metrics.Counter
 	TaskTime, StartSlack             *metrics.Histogram
 	StartsLate                       *metrics.Counter
 	Orders, Reports                  *metrics.Counter
@@ -55,6 +56,8 @@
 		RunsMoved:        set.NewCounter("amaranth_hosted_runs_moved_total"),
 		RunsResumed:      set.NewCounter("amaranth_hosted_runs_resumed_total"),
 		RunsStartedOver:  set.NewCounter("amaranth_hosted_runs_started_over_total"),
+		PartsKept:        set.NewCounter(`amaranth_hosted_stored_parts_total{outcome="kept"}`),
+		PartsRefused:     set.NewCounter(`amaranth_hosted_stored_parts_total{outcome="refused"}`),
 		TaskTime:         set.NewHistogram("amaranth_hosted_task_seconds"),
 		StartSlack:       set.NewHistogram("amaranth_hosted_start_slack_seconds"),
 		StartsLate:       set.NewCounter("amaranth_hosted_starts_late_total"),
