Stored events of a task name the part that they go on after

While the log is slow or answers no appends, jobs are claimed from live runners, and parts of several outputs of one task reach the log in any order: of two instances (the numbers of n2's second part fit to n1's late one), of one instance that lost the job and got it back, and those that go on after a part which was replaced since.

Change: a part carries the location of the part before it, as its writer has stored or loaded it, and is kept only if that is the latest one; as lease records name the record that they supersede. Parts of earlier builds, which name none, are not kept unless they begin with the first event.

The specs of core/job say the same in terms of locations; chunks in their other specs name the one before, so that numbers and software versions decide there.

--- a/core/job/output.go
+++ b/core/job/output.go
@@ -24,12 +24,12 @@
 	return n > 0 && s.Chunks[n-1].Last == c.Last && s.Chunks[n-1].Location == c.Location
 }
 
-// appendChunk appends a chunk that continues the stored ones without a gap. A chunk that
-// starts with event 1 replaces all stored ones; any other is ignored.
+// appendChunk appends a chunk that goes on after the latest one. A chunk that starts with event 1
+// replaces all stored ones; any other is ignored.
 //
-// Two instances may run a task for a moment, each with a run of its own. A run that was asked to go
-// on after event 8 must not follow the other one's events 9 to 16, though its next chunk may begin
-// with 17: the chunks of a writer follow its own, or those that it has loaded.
+// Several outputs of one task may exist for a while, at two instances or at one that has lost the
+// job and got it back. The numbers of their chunks may fit though a run of the one was not asked to
+// go on after the events of the other. A chunk therefore names the one before it.
 //
 // Invariant: the chunks of a task are contiguous and of one software version, and each was generated
 // by runs that went on after the ones before it.
@@ -38,11 +38,11 @@
 		s.Chunks = []Chunk{c}
 		return
 	}
-	if len(s.Chunks) == 0 {
+	if len(s.Chunks) == 0 || c.After == nil {
 		return
 	}
-	latest := s.Chunks[len(s.Chunks)-1]
-	if c.First == latest.Last+1 && c.Software == latest.Software && (c.Loaded || c.writer == latest.writer) {
+	latest := &s.Chunks[len(s.Chunks)-1]
+	if *c.After == latest.Location && c.First == latest.Last+1 && c.Software == latest.Software {
 		s.Chunks = append(s.Chunks[:len(s.Chunks):len(s.Chunks)], c) // append copies: later jobs share the old slice
 	}
 }
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -158,9 +158,10 @@
 	Versions []int64  `cbor:"4,keyasint"`
 	Location Location `cbor:"5,keyasint"`
 	Software string   `cbor:"6,keyasint,omitempty"` // version of the target's program
-	// Loaded is set if the events go on after the stored chunks up to First, as the writer has
-	// loaded them. Other chunks go on after the writer's own latest one.
-	Loaded bool `cbor:"7,keyasint,omitempty"`
+	// After is the location of the chunk that the events go on after: the writer has stored it
+	// before this one, or has loaded it. nil: the events begin with the first one. Key 7 was used by
+	// earlier builds.
+	After *Location `cbor:"8,keyasint,omitempty"`
 
 	writer string // of the record; set when it is applied
 }
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -43,7 +43,9 @@
 	return job.Record{Writer: runner, Claimed: &job.Claimed{Job: id, Term: term, Runner: runner}}
 }
 
+// chunk returns a record with a chunk of a location that all chunks share, and that it goes on after.
 func chunk(id string, c job.Chunk) job.Record {
+	c.After = &c.Location
 	return job.Record{Writer: "n1", Progress: &job.Progress{Job: id, Chunks: []job.Chunk{c}}}
 }
 
--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -57,23 +57,23 @@
 		minEvents = 1
 	}
 	var progress []*job.Progress
-	var outputs [][]byte
+	var parts []outputPart
 	for id, p := range r.heartbeats() {
 		j := r.jobs[id]
 		for i := range j.outputs {
 			if j.recorded[i] || j.job.SingleVersion {
 				continue
 			}
-			if chunk, data, found := j.outputs[i].takeUnsaved(minEvents); found {
+			if chunk, data, part := j.outputs[i].takeUnsaved(minEvents); part != nil {
 				chunk.Task = i
 				p.Chunks = append(p.Chunks, chunk)
-				outputs = append(outputs, data)
+				parts = append(parts, outputPart{j.outputs[i], part, data})
 			}
 		}
 		progress = append(progress, p)
 	}
 	go func() {
-		stored := r.storeProgress(ctx, progress, outputs)
+		stored := r.storeProgress(ctx, progress, parts)
 		select {
 		case r.saves.results <- stored:
 		case <-ctx.Done():
@@ -82,29 +82,50 @@
 	return true
 }
 
-// storeProgress stores the outputs and appends the heartbeats that refer to them. If the
-// outputs cannot be stored, it appends heartbeats without events and returns false.
-func (r *runner) storeProgress(ctx context.Context, progress []*job.Progress, outputs [][]byte) (stored bool) {
+// outputPart is a part of an output to be stored.
+type outputPart struct {
+	output *taskOutput
+	part   *unstoredPart
+	data   []byte
+}
+
+// storeProgress stores the parts, one for each chunk, and appends the heartbeats that refer to them.
+// If they cannot be stored, it appends heartbeats without events and returns false.
+func (r *runner) storeProgress(ctx context.Context, progress []*job.Progress, parts []outputPart) (stored bool) {
 	b := r.batch
-	stored = true
-	var locations []job.Location
-	if len(outputs) > 0 {
-		var err error
-		if locations, err = b.StoreContent(ctx, outputs); err != nil {
-			b.Log("progress not stored", events.F("error", err.Error()))
-			stored = false
-			for _, p := range progress {
-				p.Chunks = nil
-			}
-		}
+	locations, err := r.storeParts(ctx, parts)
+	if err != nil {
+		b.Log("progress not stored", events.F("error", err.Error()))
 	}
 	for _, p := range progress {
+		if err != nil {
+			p.Chunks = nil
+		}
 		for i := range p.Chunks {
 			p.Chunks[i].Location, locations = locations[0], locations[1:]
 		}
 		b.AppendRecordAsync(job.Record{Progress: p})
 	}
-	return stored
+	return err == nil
+}
+
+func (r *runner) storeParts(ctx context.Context, parts []outputPart) ([]job.Location, error) {
+	if len(parts) == 0 {
+		return nil, nil
+	}
+	records := make([][]byte, len(parts))
+	for i, p := range parts {
+		records[i] = p.data
+	}
+	locations, err := r.batch.StoreContent(ctx, records)
+	for i, p := range parts {
+		if err != nil {
+			p.output.notStored(p.part)
+		} else {
+			p.output.stored(p.part, locations[i])
+		}
+	}
+	return locations, err
 }
 
 // onLinks starts the handover of all jobs when the instance has lost its links to the engines,
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -31,10 +31,17 @@
 	before       outputMark
 	firstEventAt time.Duration // arrival of the first event of the active run; zero: none yet
 
-	// The part of the output that takeUnsaved has returned or that was loaded from the log.
+	// The part of the output that is stored, that was loaded from the log or that is being stored.
 	savedLastEvent int64 // number of its last event
 	savedBytes     int
-	loaded         bool // nothing was stored since it was loaded
+	savedAt        *job.Location // of its latest chunk that is stored; nil: none
+	saving         *unstoredPart // nil: none is being stored
+}
+
+// unstoredPart is the part of an output that is being stored.
+type unstoredPart struct {
+	lastEvent int64 // savedLastEvent and savedBytes before it
+	bytes     int
 }
 
 // maker tells whether the engine of a run has the software version that is stated of it.
@@ -64,7 +71,11 @@
 			t.versions = withVersion(t.versions, v)
 		}
 	}
-	t.savedLastEvent, t.savedBytes, t.loaded = t.lastEvent, len(t.data), true
+	t.savedLastEvent, t.savedBytes = t.lastEvent, len(t.data)
+	if n := len(chunks); n > 0 {
+		at := chunks[n-1].Location
+		t.savedAt = &at
+	}
 	return t
 }
 
@@ -171,8 +182,8 @@
 
 // discard is called with mu held.
 func (t *taskOutput) discard() {
-	t.data, t.lastEvent, t.versions, t.savedLastEvent, t.savedBytes, t.loaded = nil, 0, nil, 0, 0, false
-	t.before = outputMark{}
+	t.data, t.lastEvent, t.versions, t.before = nil, 0, nil, outputMark{}
+	t.savedLastEvent, t.savedBytes, t.savedAt, t.saving = 0, 0, nil, nil
 }
 
 // withVersion returns the ascending versions with v added, unless v is zero.
@@ -228,21 +239,43 @@
 	return slices.Clone(t.data), slices.Clone(t.versions), t.lastEvent
 }
 
-// takeUnsaved returns the events that no earlier call has returned, as a chunk without its
-// task and location, and their data. The chunk has the weight versions of the whole output.
-// If there are fewer than minEvents, or no run can go on after them, it reports false.
-func (t *taskOutput) takeUnsaved(minEvents int64) (chunk job.Chunk, data []byte, found bool) {
+// takeUnsaved returns the events that are not stored, as a chunk without its task and location, and
+// their data. The chunk has the weight versions of the whole output. The caller stores them and
+// calls stored or notStored with the part; until then no others are returned. If there are fewer
+// than minEvents, or no run can go on after them, the part is nil.
+func (t *taskOutput) takeUnsaved(minEvents int64) (chunk job.Chunk, data []byte, part *unstoredPart) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.lastEvent-t.savedLastEvent < minEvents || t.lastEvent == t.savedLastEvent || t.software == "" || !t.settle() {
-		return job.Chunk{}, nil, false
+	if t.saving != nil || t.lastEvent-t.savedLastEvent < minEvents || t.lastEvent == t.savedLastEvent || t.software == "" || !t.settle() {
+		return job.Chunk{}, nil, nil
 	}
 	from := t.savedBytes
 	if t.savedLastEvent > 0 {
 		from++ // the line feed between the parts
 	}
-	chunk = job.Chunk{First: t.savedLastEvent + 1, Last: t.lastEvent, Versions: slices.Clone(t.versions), Software: t.software, Loaded: t.loaded}
+	chunk = job.Chunk{First: t.savedLastEvent + 1, Last: t.lastEvent, Versions: slices.Clone(t.versions), Software: t.software, After: t.savedAt}
 	data = slices.Clone(t.data[from:])
-	t.savedLastEvent, t.savedBytes, t.loaded = t.lastEvent, len(t.data), false
-	return chunk, data, true
+	t.saving = &unstoredPart{t.savedLastEvent, t.savedBytes}
+	t.savedLastEvent, t.savedBytes = t.lastEvent, len(t.data)
+	return chunk, data, t.saving
+}
+
+// stored sets the location of a part that takeUnsaved has returned. It has no effect if the events
+// have been discarded since.
+func (t *taskOutput) stored(part *unstoredPart, at job.Location) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.saving == part {
+		t.savedAt, t.saving = &at, nil
+	}
+}
+
+// notStored makes takeUnsaved return the events of the part again, unless they have been discarded
+// since.
+func (t *taskOutput) notStored(part *unstoredPart) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.saving == part {
+		t.savedLastEvent, t.savedBytes, t.saving = part.lastEvent, part.bytes, nil
+	}
 }
