A load of a job that was left does not replace the outputs of its runs

Cause: the runner reads a job's tasks and stored events beside its loop. A job that was left and taken again while it was read had two reads, and each set its outputs when it ended: the later one replaced those to which runs were adding events. At the end of such a run the text was taken from the other output. With a slow log a read takes seconds, and jobs are claimed back and forth.

Change: a read belongs to the take of the job that started it; of a job that was left since, it is ignored and logged (`job load ignored`, in place of `job loaded`).

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -17,8 +17,8 @@
 
 // loadJob reads a job's tasks, the reusable results of earlier jobs and the stored
 // outputs of earlier runs. It sends the loaded job to the runner's goroutine.
-func (r *runner) loadJob(ctx context.Context, snapshot jobSnapshot) {
-	loaded := loadedJob{id: snapshot.job.Job}
+func (r *runner) loadJob(ctx context.Context, snapshot jobSnapshot, claimed *claimedJob) {
+	loaded := loadedJob{id: snapshot.job.Job, claimed: claimed}
 	r.mu.Lock()
 	key := cacheKey(snapshot.job.Account, loaded.id)
 	cached, found := r.taskCache[key]
@@ -98,10 +98,12 @@
 }
 
 // onLoaded sets the tasks and outputs of a loaded job and queues the reused results for
-// the log. An output in partialOutputs replaces a shorter stored one.
+// the log. An output in partialOutputs replaces a shorter stored one. A load that ends after the job
+// was left is ignored: runs may be adding events to the outputs of a later one.
 func (r *runner) onLoaded(loaded loadedJob) {
 	j := r.jobs[loaded.id]
-	if j == nil {
+	if j == nil || j != loaded.claimed {
+		r.batch.Log("job load ignored", events.F("job", loaded.id), events.F("taken", fmt.Sprint(j != nil)))
 		return
 	}
 	if loaded.err != nil {
@@ -109,7 +111,6 @@
 		delete(r.jobs, loaded.id) // syncJobs adds and loads it again
 		return
 	}
-	r.batch.Log("job loaded", events.F("job", loaded.id), events.F("again", fmt.Sprint(!j.loading)))
 	j.tasks, j.outputs, j.loading = loaded.tasks, loaded.outputs, false
 	r.setJob(r.batch.CurrentView(), loaded.id, j)
 	for i := range j.tasks {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -73,6 +73,7 @@
 // loadedJob is the result of loadJob.
 type loadedJob struct {
 	id      string
+	claimed *claimedJob // that was loaded; the job may have been left and taken again since
 	tasks   []job.Task
 	outputs []*taskOutput
 	reused  []taskResult // results of earlier jobs
@@ -230,7 +231,7 @@
 			b.Links.CheckIfQuiet()
 			b.Log("job taken", events.F("job", id), events.F("term", fmt.Sprint(snapshot.term)))
 			b.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: snapshot.term}})
-			go r.loadJob(ctx, snapshot)
+			go r.loadJob(ctx, snapshot, j)
 		}
 		if snapshot.term > j.term && snapshot.runner == b.Self {
 			j.released = false // claimed again
