Outputs of which a part is refused are stored anew

Cause: a late part of a job's earlier runner may be kept in place of the first part of the present one. The log then refuses all further parts of that output, so that the events since the takeover are generated again if the job changes hands once more; in an outage of the log it often does.

Change: an instance that reads the refusal of its latest part, and is the runner of the job at that record, stores the output from the first event on with its next save; such a part replaces the others. At any record one instance is the runner, so that two do not replace each other's parts in turn.

The spec fails without the change: the fifth event is stored as a part that goes on after refused ones. The spec of the three instances plays it too.

--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -6,11 +6,8 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 
-	"github.com/amaranthfold/amaranthfold/core/job"
-	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 )
@@ -45,32 +42,3 @@
 
 // WaitForHandover waits until this instance runs no job, or ctx ends.
 func (b *Batch) WaitForHandover(ctx context.Context) { b.runner.waitForHandover(ctx) }
-
-// OnRecord logs which stored events of this instance are not kept, after a record of the log has
-// been applied. It runs on the state goroutine.
-func (b *Batch) OnRecord(r job.Record) {
-	if r.Progress == nil || r.Writer != b.Self {
-		return
-	}
-	j := b.StateLoop.State.Jobs[r.Progress.Job]
-	if j == nil {
-		return
-	}
-	for _, c := range r.Progress.Chunks {
-		if c.Task < 0 || c.Task >= len(j.Status) {
-			continue
-		}
-		status := &j.Status[c.Task]
-		if status.IsLatestChunk(c) {
-			b.Metrics.PartsKept.Inc()
-			continue
-		}
-		b.Metrics.PartsRefused.Inc()
-		latest, by := int64(0), ""
-		if n := len(status.Chunks); n > 0 {
-			latest, by = status.Chunks[n-1].Last, status.Chunks[n-1].Writer()
-		}
-		b.Log("stored events refused", events.F("job", j.Job), events.F("task", j.Tasks[c.Task].ID), events.F("first", fmt.Sprint(c.First)),
-			events.F("last", fmt.Sprint(c.Last)), events.F("latest", fmt.Sprint(latest)), events.F("latest_by", by))
-	}
-}
--- a/internal/batch/chains_test.go
+++ b/internal/batch/chains_test.go
@@ -133,7 +133,11 @@
 			break
 		}
 		i.applied++
-		i.state.Apply(int64(i.applied), 0, m.log[i.applied-1])
+		r := m.log[i.applied-1]
+		i.state.Apply(int64(i.applied), 0, r)
+		if j := i.state.Jobs["j"]; r.Progress != nil && r.Writer == i.name() && j.Runner == i.name() && i.output != nil && !j.Status[0].IsLatestChunk(r.Progress.Chunks[0]) {
+			i.output.refused(r.Progress.Chunks[0].Location)
+		}
 	}
 	j := i.state.Jobs["j"]
 	switch {
@@ -182,3 +186,29 @@
 	}
 	return nil
 }
+
+// Guards against an output of which nothing more is stored: the log keeps a late part of an earlier
+// runner in place of the first one of this runner, and so none that goes on after it.
+func TestOutputOfARefusedPartIsStoredAnew(t *testing.T) {
+	first := job.Chunk{First: 1, Last: 1, Versions: []int64{1}, Software: "v1", Location: job.Location{Offset: 1, Records: 1}}
+	output := outputOf([]job.Chunk{first}, [][]byte{[]byte("a")})
+	output.startRun(1, "v1")
+	store := func(number, offset int64, data string) (chunk job.Chunk, stored string) {
+		output.addEvent(1, number, []byte(data), 1, 0)
+		chunk, all, part := output.takeUnsaved(1)
+		chunk.Location = job.Location{Offset: offset, Records: 1}
+		output.stored(part, chunk.Location)
+		return chunk, string(all)
+	}
+	second, _ := store(2, 3, "b")
+	third, _ := store(3, 4, "c")
+	output.refused(second.Location) // that of the third follows
+	if fourth, data := store(4, 5, "d"); fourth.First != 4 || data != "d" {
+		t.Fatalf("stored events %d to %d, %q, before the latest part was refused", fourth.First, fourth.Last, data)
+	}
+	output.refused(third.Location)
+	output.refused(job.Location{Offset: 5, Records: 1})
+	if fifth, data := store(5, 6, "e"); fifth.First != 1 || fifth.Last != 5 || fifth.After != nil || data != "a\nb\nc\nd\ne" {
+		t.Fatalf("stored events %d to %d, %q, after the latest part was refused", fifth.First, fifth.Last, data)
+	}
+}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -35,6 +35,7 @@
 	runEnds       chan runEnd
 	loadedJobs    chan loadedJob
 	permits       chan permitReply
+	refusals      chan refusedPart
 	lastHeartbeat time.Duration
 	latestOrderAt time.Duration // when the latest load order to an engine was read
 	saves         saveState
@@ -85,7 +86,8 @@
 		batch: b, scheduler: assign.New(assign.DefaultLimits()), jobs: map[string]*claimedJob{},
 		cancels: map[int64]context.CancelFunc{}, outputs: map[int64]*taskOutput{},
 		placed: map[int64]placedRun{}, reclaims: reclaims{},
-		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16), saves: saveState{results: make(chan bool)},
+		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16),
+		refusals: make(chan refusedPart, maxQueuedRefusals), saves: saveState{results: make(chan bool)},
 		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
 	}
 	r.occupancy = newEngineOccupancy(b)
@@ -163,6 +165,8 @@
 			r.onLoaded(l)
 		case p := <-r.permits:
 			r.scheduler.SetPermits(r.batch.Clock.Now(), p.engine, p.count, p.retryAfter)
+		case p := <-r.refusals:
+			r.onRefused(p)
 		case <-stopping:
 			stopping = nil
 			r.handOver(ctx)
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -279,3 +279,13 @@
 		t.savedLastEvent, t.savedBytes, t.saving = part.lastEvent, part.bytes, nil
 	}
 }
+
+// refused makes takeUnsaved return all events from the first on: the log does not keep the latest
+// stored part, at the location, nor any that goes on after it.
+func (t *taskOutput) refused(at job.Location) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.saving == nil && t.savedAt != nil && *t.savedAt == at {
+		t.savedLastEvent, t.savedBytes, t.savedAt = 0, 0, nil
+	}
+}
