A job that is taken over is read with a call for each partition

Cause: the new runner read the stored events task by task, one call after the other.

Change: all parts of a job are read together, the partitions at the same time and contiguous records in one call; where a read fails, only the tasks of the records behind it start from the first event.

--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -34,10 +34,7 @@
 	}
 	if loaded.err == nil {
 		loaded.reused = r.reusableResults(ctx, snapshot)
-		loaded.outputs = make([]*taskOutput, len(loaded.tasks))
-		for i := range loaded.outputs {
-			loaded.outputs[i] = r.loadOutput(ctx, snapshot, i)
-		}
+		loaded.outputs = r.loadOutputs(ctx, snapshot)
 	}
 	if loaded.err != nil {
 		clock.Sleep(ctx, loadRetryDelay)
@@ -66,25 +63,44 @@
 	return out
 }
 
-// loadOutput returns the stored part of a task's output. If it cannot be read, loadOutput
-// returns an empty output: the task then starts from its first event.
-func (r *runner) loadOutput(ctx context.Context, snapshot jobSnapshot, i int) *taskOutput {
-	chunks := snapshot.status[i].ContiguousChunks(snapshot.job.MinVersion)
-	if len(chunks) == 0 || snapshot.status[i].Listed || snapshot.job.SingleVersion {
-		return &taskOutput{}
+// loadOutputs returns the stored parts of the outputs of all tasks. An output that cannot be read is
+// empty: its task starts from the first event.
+func (r *runner) loadOutputs(ctx context.Context, snapshot jobSnapshot) []*taskOutput {
+	stored := make([][]job.Chunk, len(snapshot.status))
+	var locations []job.Location
+	for i := range snapshot.status {
+		if snapshot.status[i].Listed || snapshot.job.SingleVersion {
+			continue
+		}
+		stored[i] = snapshot.status[i].ContiguousChunks(snapshot.job.MinVersion)
+		for _, c := range stored[i] {
+			locations = append(locations, c.Location)
+		}
 	}
-	locations := make([]job.Location, len(chunks))
-	for k, c := range chunks {
-		locations[k] = c.Location
+	// One read for all of them: a slow log answers each call late.
+	parts, err := r.batch.LoadAvailable(ctx, locations)
+	outputs := make([]*taskOutput, len(stored))
+	for i, chunks := range stored {
+		own := parts[:len(chunks)]
+		parts = parts[len(chunks):]
+		outputs[i] = r.loadOutput(snapshot.job, i, chunks, own, err)
+	}
+	return outputs
+}
+
+// loadOutput returns the output of the chunks of a task with their data. A part without data could
+// not be read, for the reason err.
+func (r *runner) loadOutput(j *job.Job, i int, chunks []job.Chunk, parts [][]byte, err error) *taskOutput {
+	if len(chunks) == 0 {
+		return &taskOutput{}
 	}
-	parts, err := r.batch.LoadContent(ctx, locations)
-	if err != nil {
-		r.batch.Log("text unreadable", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID), events.F("error", err.Error()))
+	if slices.ContainsFunc(parts, func(p []byte) bool { return p == nil }) {
+		r.batch.Log("text unreadable", events.F("job", j.Job), events.F("task", j.Tasks[i].ID), events.F("error", fmt.Sprint(err)))
 		return &taskOutput{}
 	}
 	t := outputOf(chunks, parts)
-	r.batch.Log("stored events loaded", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID),
-		events.F("events", fmt.Sprint(t.lastEvent)), events.F("parts", fmt.Sprint(len(chunks))), events.F("writers", strings.Join(writersOf(chunks), ",")))
+	r.batch.Log("stored events loaded", events.F("job", j.Job), events.F("task", j.Tasks[i].ID), events.F("events", fmt.Sprint(t.lastEvent)),
+		events.F("parts", fmt.Sprint(len(chunks))), events.F("writers", strings.Join(writersOf(chunks), ",")))
 	return t
 }
 
--- a/internal/node/content.go
+++ b/internal/node/content.go
@@ -1,11 +1,15 @@
 package node
 
 import (
+	"cmp"
 	"container/list"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/amaranthfold/amaranthfold/core/job"
 )
 
@@ -79,32 +83,53 @@
 }
 
 // LoadContent returns the record at each location, nil for a location without records.
-// Contiguous records are read in one call.
 func (n *Node) LoadContent(ctx context.Context, locations []job.Location) ([][]byte, error) {
-	records := make([][]byte, len(locations))
-	for i := range locations {
-		if records[i] != nil || locations[i].Records == 0 {
-			continue
-		}
-		data, err := n.loadRecord(ctx, locations, i)
-		if err != nil {
-			return nil, err
-		}
-		records[i] = data
+	records, err := n.LoadAvailable(ctx, locations)
+	if err != nil {
+		return nil, err
 	}
 	return records, nil
 }
 
-// loadRecord returns the record at locations[i], from the cache or the log. A read of the
-// log also fetches the contiguous records of later locations and caches them.
-func (n *Node) loadRecord(ctx context.Context, locations []job.Location, i int) ([]byte, error) {
-	first := locations[i]
+// LoadAvailable is LoadContent that also returns nil for each record that cannot be read, and the
+// error of one of them. It reads the partitions at the same time, and contiguous records in one
+// call.
+func (n *Node) LoadAvailable(ctx context.Context, locations []job.Location) ([][]byte, error) {
+	byPartition := map[int][]int{}
+	for i, l := range locations {
+		if l.Records > 0 {
+			byPartition[l.Partition] = append(byPartition[l.Partition], i)
+		}
+	}
+	records := make([][]byte, len(locations))
+	var group errgroup.Group
+	for _, indices := range byPartition {
+		slices.SortFunc(indices, func(a, b int) int { return cmp.Compare(locations[a].Offset, locations[b].Offset) })
+		group.Go(func() error {
+			for k, i := range indices {
+				data, err := n.loadRecord(ctx, locations, indices[k:])
+				if err != nil {
+					return err
+				}
+				records[i] = data
+			}
+			return nil
+		})
+	}
+	return records, group.Wait()
+}
+
+// loadRecord returns the record at the first of the locations with the indices, which are of one
+// partition in the order of their offsets, from the cache or the log. A read of the log also
+// fetches the contiguous records of later ones and caches them.
+func (n *Node) loadRecord(ctx context.Context, locations []job.Location, indices []int) ([]byte, error) {
+	first := locations[indices[0]]
 	if data, ok := n.contentCache.get(first.Partition, first.Offset); ok {
 		return data, nil
 	}
 	bytes, next := first.Bytes+recordOverhead, first.Offset+1
-	for _, l := range locations[i+1:] {
-		if l.Records > 0 && l.Partition == first.Partition && l.Offset == next {
+	for _, i := range indices[1:] {
+		if l := locations[i]; l.Offset == next {
 			bytes += l.Bytes + recordOverhead
 			next++
 		}
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -47,6 +47,7 @@
 	fault      Fault
 	down       map[string]bool // unavailable partitions, as "topic/part"
 	appends    int             // see Appends
+	reads      map[string]int  // by topic
 	faultEnded chan struct{}   // closed when the Unresponsive fault ends
 }
 
@@ -84,7 +85,7 @@
 
 // NewStore returns an empty log.
 func NewStore() *Store {
-	return &Store{partitions: map[string]*partition{}, down: map[string]bool{}, changed: make(chan struct{}), faultEnded: make(chan struct{})}
+	return &Store{partitions: map[string]*partition{}, down: map[string]bool{}, reads: map[string]int{}, changed: make(chan struct{}), faultEnded: make(chan struct{})}
 }
 
 // SetFault replaces the fault of the store.
@@ -112,6 +113,13 @@
 	return s.appends
 }
 
+// Reads returns the number of reads of a topic.
+func (s *Store) Reads(topic string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reads[topic]
+}
+
 // TrimTopic removes all records of a topic. The latest value of each key is retained.
 func (s *Store) TrimTopic(topic string) {
 	s.mu.Lock()
@@ -289,6 +297,9 @@
 	}
 	waitMS, _ := strconv.Atoi(q.Get("wait-ms"))
 	deadline := time.After(time.Duration(waitMS) * time.Millisecond)
+	s.mu.Lock()
+	s.reads[q.Get("topic")]++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		p := s.partition(q.Get("topic"), part)
