Reads of a log that has grown at once ask for little at first

Cause: a reader doubled its page after every fast response, also after those of an idle log, which are small. So all readers asked for 1 MB each as soon as there was a megabyte to read: 295 MB from a platform that sends 80 MB a second, to readers that wait 1.6 s.

Change: a page grows only if there is more to read behind a fast response, and is that of an instance that has just started at the end of the topic.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -13,7 +13,8 @@
 // second, longer than any of them waits for a response. If each then asked again for
 // everything, the platform would send responses that nobody waits for, and no instance would
 // ever get one. So reads ask for little at first (Reader) and failed ones are repeated ever
-// later (Reader.RetryDelay).
+// later (Reader.RetryDelay). It is the same when a log that all follow grows by a megabyte at
+// once, as after an outage, so they ask for little again at its end.
 //
 // The package has no clock and no I/O.
 package pace
@@ -48,7 +49,7 @@
 )
 
 // Reader sizes and repeats the reads of one topic. It halves the page after a failure and
-// doubles it after a fast response. It is not safe for concurrent use.
+// doubles it after a fast response with more to read behind it. It is not safe for concurrent use.
 type Reader struct {
 	page     int
 	failures int // consecutive
@@ -60,11 +61,14 @@
 // PageBytes returns how much the next read may return.
 func (r *Reader) PageBytes() int { return r.page }
 
-// Succeeded records a read that took so long. A read that waited for records does not enlarge
-// the page.
-func (r *Reader) Succeeded(took time.Duration) {
+// Succeeded records a read that took so long, and whether there is more to read. The page at the
+// end of a topic is that of an instance that has just started.
+func (r *Reader) Succeeded(took time.Duration, more bool) {
 	r.failures = 0
-	if took < fastRead {
+	switch {
+	case !more:
+		r.page = firstPageBytes
+	case took < fastRead:
 		r.page = min(2*r.page, maxPageBytes)
 	}
 }
--- a/core/pace/pace_test.go
+++ b/core/pace/pace_test.go
@@ -49,15 +49,17 @@
 	bytesPerSecond      float64
 	timeout             time.Duration // of a read
 	page                func(i int) int
-	succeeded           func(i int, took time.Duration)
+	succeeded           func(i int, took time.Duration, more bool)
 	retryDelay          func(i int) time.Duration // called after a timeout
 }
 
-// run returns when the last instance has read the whole log, or limit.
-func (h herd) run(limit time.Duration) time.Duration {
+// run returns when the last instance has read the whole log, or limit, and the longest time of an
+// instance without a response until then.
+func (h herd) run(limit time.Duration) (last, silence time.Duration) {
 	nextRead := make([]time.Duration, h.instances)
+	heard := make([]time.Duration, h.instances)
 	offset := make([]int, h.instances)
-	freeAt, done, last := time.Duration(0), 0, time.Duration(0)
+	freeAt, done := time.Duration(0), 0
 	for done < h.instances {
 		i := 0
 		for k := range nextRead {
@@ -67,23 +69,25 @@
 		}
 		now := nextRead[i]
 		if now > limit {
-			return limit
+			return limit, silence
 		}
 		size := min(h.page(i), h.logBytes-offset[i])
 		freeAt = max(freeAt, now) + time.Duration(float64(size)/h.bytesPerSecond*float64(time.Second))
 		if took := freeAt - now; took > h.timeout {
 			nextRead[i] = now + h.timeout + h.retryDelay(i)
 		} else {
-			h.succeeded(i, took)
-			nextRead[i] = freeAt
 			offset[i] += size
+			h.succeeded(i, took, offset[i] < h.logBytes)
+			nextRead[i] = freeAt
+			silence = max(silence, freeAt-heard[i])
+			heard[i] = freeAt
 			last = freeAt
 		}
 		if offset[i] >= h.logBytes {
 			done++
 		}
 	}
-	return last
+	return last, silence
 }
 
 var _ = Describe("Instances that all start at once", func() {
@@ -95,30 +99,52 @@
 	It("never get the log if each asks for all of it again and again", func() {
 		h := start(304, 700_000)
 		h.page = func(int) int { return 1 << 20 }
-		h.succeeded = func(int, time.Duration) {}
+		h.succeeded = func(int, time.Duration, bool) {}
 		h.retryDelay = func(int) time.Duration { return 50 * time.Millisecond }
-		Expect(h.run(time.Minute)).To(Equal(time.Minute))
+		took, _ := h.run(time.Minute)
+		Expect(took).To(Equal(time.Minute))
 	})
 
+	// read lets readers that have followed a log for some time read logBytes more.
+	read := func(instances, logBytes, earlierReads int, timeout time.Duration) (took, silence time.Duration) {
+		readers := make([]*pace.Reader, instances)
+		for i := range readers {
+			readers[i] = pace.NewReader()
+			for range earlierReads {
+				readers[i].Succeeded(4*time.Millisecond, false)
+			}
+		}
+		h := start(instances, logBytes)
+		h.timeout = timeout
+		h.page = func(i int) int { return readers[i].PageBytes() }
+		h.succeeded = func(i int, took time.Duration, more bool) { readers[i].Succeeded(took, more) }
+		h.retryDelay = func(i int) time.Duration {
+			readers[i].Failed()
+			return readers[i].RetryDelay(0, 16000, float64(i%10)/10)
+		}
+		return h.run(time.Minute)
+	}
+
 	DescribeTable("all read the log in time",
 		func(instances, logBytes int) {
-			readers := make([]*pace.Reader, instances)
-			for i := range readers {
-				readers[i] = pace.NewReader()
-			}
-			h := start(instances, logBytes)
-			h.page = func(i int) int { return readers[i].PageBytes() }
-			h.succeeded = func(i int, took time.Duration) { readers[i].Succeeded(took) }
-			h.retryDelay = func(i int) time.Duration {
-				readers[i].Failed()
-				return readers[i].RetryDelay(0, 16000, float64(i%10)/10)
-			}
-			Expect(h.run(time.Minute)).To(BeNumerically("<", recovery))
+			took, _ := read(instances, logBytes, 0, 600*time.Millisecond)
+			Expect(took).To(BeNumerically("<", recovery))
 		},
 		Entry("304 instances", 304, 700_000),
 		Entry("304 instances, a longer log", 304, 2_000_000),
 		Entry("1700 instances", 1700, 300_000),
 	)
+
+	// An instance that has got no response for 2.5 s is not ready. A read of a log that is followed
+	// has a second more for its response.
+	DescribeTable("hear of a log that has grown by a megabyte at once all the while",
+		func(instances int) {
+			_, silence := read(instances, 1_200_000, 100, 1600*time.Millisecond)
+			Expect(silence).To(BeNumerically("<", 2500*time.Millisecond))
+		},
+		Entry("295 instances", 295),
+		Entry("1700 instances", 1700),
+	)
 })
 
 var _ = Describe("Reader", func() {
@@ -129,12 +155,14 @@
 		}
 		Expect(r.PageBytes()).To(Equal(4 << 10))
 		for range 10 {
-			r.Succeeded(10 * time.Millisecond)
+			r.Succeeded(10*time.Millisecond, true)
 		}
 		Expect(r.PageBytes()).To(Equal(1 << 20))
 		r.Failed()
-		r.Succeeded(time.Second)
+		r.Succeeded(time.Second, true)
 		Expect(r.PageBytes()).To(Equal(512 << 10))
+		r.Succeeded(time.Second, false)
+		Expect(r.PageBytes()).To(Equal(64 << 10))
 	})
 
 	It("repeats failed reads ever later, up to the pause of an idle instance", func() {
@@ -144,7 +172,7 @@
 			Expect(r.RetryDelay(9, 2000, 0.5)).To(Equal(want * time.Millisecond))
 		}
 		Expect(r.RetryDelay(0, 2000, 0.5)).To(Equal(200*time.Millisecond), "how many instances there are is not known")
-		r.Succeeded(0)
+		r.Succeeded(0, true)
 		r.Failed()
 		Expect(r.RetryDelay(295, 16000, 0)).To(Equal(25 * time.Millisecond))
 	})
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -94,7 +94,7 @@
 			n.pauseAfterFailure(ctx, reader)
 		default:
 			n.dependencyRegained("log")
-			reader.Succeeded(n.Clock.Now() - started)
+			reader.Succeeded(n.Clock.Now()-started, n.StateLoop.nextOffset+int64(len(batch.Records)) < batch.EndOffset)
 			if n.sinceLastRead(&n.StateLoop.lastLogRead) > pollWait+pollDelayMargin+n.followPause() {
 				n.StateLoop.LogContinuousSince.Store(int64(n.Clock.Now()))
 			}
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -30,11 +30,13 @@
 	for ctx.Err() == nil {
 		started := n.Clock.Now()
 		var entries []platform.Entry
+		var end int64
 		var err error
 		if next < 0 {
 			entries, next, err = n.readLatest(ctx, k)
+			end = next
 		} else {
-			entries, next, err = n.readKeyed(ctx, k, next, reader.PageBytes())
+			entries, next, end, err = n.readKeyed(ctx, k, next, reader.PageBytes())
 		}
 		if err != nil {
 			n.DependencyLost(k.topic, err)
@@ -42,7 +44,7 @@
 			continue
 		}
 		n.dependencyRegained(k.topic)
-		reader.Succeeded(n.Clock.Now() - started)
+		reader.Succeeded(n.Clock.Now()-started, next < end)
 		if n.markRead(k.lastRead) && k.outage != nil {
 			n.StateLoop.Do(ctx, func() { k.outage(n.Clock.Now()) })
 		}
@@ -76,19 +78,19 @@
 	return entries, next, nil
 }
 
-// readKeyed returns the entries from an offset on and the offset after them. If the topic
-// was trimmed beyond the offset, it returns the latest entry of each key.
-func (n *Node) readKeyed(ctx context.Context, k keyedTopic, next int64, maxBytes int) ([]platform.Entry, int64, error) {
+// readKeyed returns the entries from an offset on, the offset after them and the end of the topic.
+// If the topic was trimmed beyond the offset, it returns the latest entry of each key.
+func (n *Node) readKeyed(ctx context.Context, k keyedTopic, next int64, maxBytes int) (entries []platform.Entry, after, end int64, err error) {
 	batch, err := n.store.Read(ctx, k.topic, 0, next, maxBytes, n.pollWaitFor(k.topic))
 	var trimmed *platform.TrimmedError
 	if errors.As(err, &trimmed) {
 		n.Log("topic trimmed", events.F("topic", k.topic), events.F("from", fmt.Sprint(next)))
-		return n.readLatest(ctx, k)
+		entries, next, err = n.readLatest(ctx, k)
+		return entries, next, next, err
 	}
 	if err != nil {
-		return nil, next, err
+		return nil, next, next, err
 	}
-	var entries []platform.Entry
 	for _, data := range batch.Records {
 		next++
 		e, err := platform.DecodeEntry(data)
@@ -98,7 +100,7 @@
 		}
 		entries = append(entries, e)
 	}
-	return entries, next, nil
+	return entries, next, batch.EndOffset, nil
 }
 
 // watchOperator follows the configuration and the published weight versions.
