Appends wait longer for the response of a slow log before they are repeated

What callers saw: while the log of the large deployment was 50 times slower, the steps submitted then failed nearly whole: results and heartbeats reached the log seconds late.

Cause: an append was repeated after 0.5 s. The log executes the appends to a partition one after the other; at 100 ms each, five writers are enough that none gets a response within 0.5 s. Each repeat takes a place of its own in the log, so that the log executes an append several times, slows down further, and no writer ever gets a response while that lasts. A record whose outcome is not known holds up all later ones of its instance.

Change: core/pace.Patience. After an append without a response the writer waits twice as long for the next one, up to 2.5 s: what the platform lets an append wait and its response. A response sets it back, to half a second where the log is as fast as usual. A lost response is still repeated after 0.5 s.

Test: core/pace, "gets the responses of a log that is slow for all its writers".

--- /dev/null
+++ b/core/pace/patience.go
@@ -0,0 +1,27 @@
+package pace
+
+import "time"
+
+const (
+	// minPatience is over 120 times (twice 60 times) the usual 4 ms of an append.
+	minPatience = 500 * time.Millisecond
+	// maxPatience covers an append that waits as long as the log lets one wait, 2 s, and its response.
+	maxPatience = 2500 * time.Millisecond
+)
+
+// Patience is how long a writer waits for the response to an append until it repeats it. A log that
+// executes the appends of hundreds of writers one after the other, each more slowly than usual,
+// answers all of them late. Repeated before, each would be executed several times, which makes the
+// log slower still, and no writer would ever get a response in time. So the writer waits for longer
+// after each append without a response, and as long as the log stays slow. The zero value waits
+// minPatience. It is not safe for concurrent use.
+type Patience struct{ timeout time.Duration }
+
+// Timeout returns how long to wait for the next response.
+func (p *Patience) Timeout() time.Duration { return max(p.timeout, minPatience) }
+
+// Answered records a response that took so long.
+func (p *Patience) Answered(took time.Duration) { p.timeout = min(2*took, maxPatience) }
+
+// TimedOut records that there was no response within Timeout.
+func (p *Patience) TimedOut() { p.timeout = min(2*p.Timeout(), maxPatience) }
--- /dev/null
+++ b/core/pace/patience_test.go
@@ -0,0 +1,75 @@
+package pace_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/core/pace"
+)
+
+var _ = Describe("Patience", func() {
+	// A log executes one append after the other, also those that are repeats of one that it has
+	// executed, and refuses an append that would wait for longer than 2 s.
+	run := func(writers int, executes time.Duration) (answered, executed int) {
+		patience := make([]pace.Patience, writers)
+		type call struct {
+			writer int
+			sent   time.Duration
+		}
+		var queue []call
+		sentAt, next := make([]time.Duration, writers), make([]time.Duration, writers)
+		waits := make([]bool, writers)
+		free := time.Duration(0)
+		for now := time.Duration(0); now < 30*time.Second; now += 5 * time.Millisecond {
+			for i := range writers {
+				if waits[i] && now-sentAt[i] >= patience[i].Timeout() {
+					waits[i], next[i] = false, now+100*time.Millisecond
+					patience[i].TimedOut()
+				}
+				if !waits[i] && now >= next[i] {
+					if time.Duration(len(queue))*executes > 2*time.Second {
+						next[i] = now + 200*time.Millisecond
+						continue
+					}
+					queue, waits[i], sentAt[i] = append(queue, call{i, now}), true, now
+				}
+			}
+			if len(queue) == 0 || now < free {
+				continue
+			}
+			free = now + executes
+			c := queue[0]
+			queue = queue[1:]
+			executed++
+			if waits[c.writer] && sentAt[c.writer] == c.sent {
+				answered++
+				waits[c.writer], next[c.writer] = false, now
+				patience[c.writer].Answered(now - c.sent)
+			}
+		}
+		return answered, executed
+	}
+
+	DescribeTable("gets the responses of a log that is slow for all its writers",
+		func(writers int, executes time.Duration) {
+			answered, executed := run(writers, executes)
+			Expect(answered).To(BeNumerically(">", executed/2), "most of what the log executes is no repeat")
+		},
+		Entry("few writers, an append takes 600 ms", 4, 600*time.Millisecond),
+		Entry("295 writers, an append takes 100 ms", 295, 100*time.Millisecond),
+		Entry("1700 writers, an append takes 40 ms", 1700, 40*time.Millisecond),
+	)
+
+	It("returns to the usual timeout with the usual responses", func() {
+		p := &pace.Patience{}
+		Expect(p.Timeout()).To(Equal(500 * time.Millisecond))
+		for range 5 {
+			p.TimedOut()
+		}
+		Expect(p.Timeout()).To(Equal(2500 * time.Millisecond))
+		p.Answered(4 * time.Millisecond)
+		Expect(p.Timeout()).To(Equal(500 * time.Millisecond))
+	})
+})
--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/pace"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -74,6 +75,7 @@
 	writer    topicWriter
 	topic     string
 	callBytes int // largest total size of the records in one call
+	patience  pace.Patience
 	queue     chan *pendingAppend
 	onResult  func(err error) // called after each call to the log, with nil on success
 	// onAppended is nil, or called after each successful call.
@@ -203,7 +205,7 @@
 	}
 	backoff, maybeAppended := appendBackoffMin, false
 	for {
-		position, err := a.writer.write(ctx, records)
+		position, err := a.write(ctx, records)
 		a.onResult(err)
 		if err == nil {
 			if a.onAppended != nil {
@@ -225,6 +227,21 @@
 	}
 }
 
+// write sends the records in one call, and waits for the response as long as the log may take.
+func (a *appender) write(ctx context.Context, records [][]byte) (recordPosition, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.patience.Timeout())
+	defer cancel()
+	sent := time.Now()
+	position, err := a.writer.write(ctx, records)
+	switch {
+	case err == nil:
+		a.patience.Answered(time.Since(sent))
+	case errors.Is(err, context.DeadlineExceeded):
+		a.patience.TimedOut()
+	}
+	return position, err
+}
+
 // allContextsDone reports whether all contexts of the batch have ended.
 func allContextsDone(batch []*pendingAppend) bool {
 	for _, p := range batch {
