Claims of jobs wait for a log that is slow for all instances

What callers saw: on the large deployment, with a log 50 times slower for 8 s, all steps in progress failed, and those asked in the 10 s after it.

Cause: an instance took the silence of a runner for its death, though heartbeats waited for the log for seconds, as all records did. All 295 instances claimed all open jobs, each again every 1.5 s while its earlier claims still waited in its own queue: claims of instances that knew nothing of each other, as a claim shows only once the log has it. When the log was fast again it got all of them.

Change: takeover.LogDelay estimates how long records take into the log, as the median over the latest writers of the time that they had a record before the reply in which it was still missing; what an instance itself has not got into the log counts, too. A runner is silent only after that delay more, and the random delay of a claim grows with it, so that few claim before they can read of the first one. An instance waits for the outcome of its claims before it sends others, and drops those that the log has not got in time.

--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -95,6 +95,9 @@
 	// spreadInstances is the number of instances for which a base delay is long enough.
 	spreadInstances = 10
 	maxSpread       = 1200 * time.Millisecond
+	// slowCrowd is how many instances may come before they can read of the first one while the
+	// log is slow.
+	slowCrowd = 4
 )
 
 // Spread returns the longest random delay of an instance before it does what one of all
@@ -102,6 +105,11 @@
 // claim of another one does not claim. The delay grows with the number of instances, so that
 // the first one comes as early and as few others come before they have read its claim:
 // of 304 instances that draw from 60 ms, 75 would claim each of a dozen jobs within 15 ms.
-func Spread(base time.Duration, instances int) time.Duration {
-	return max(base, min(base*time.Duration(instances)/spreadInstances, maxSpread))
+//
+// logDelay is how long records take into the log. If it is seconds, all instances would come
+// before they can read of the first one, so the delay grows with it, too. The first one still
+// comes after a quarter of logDelay.
+func Spread(base time.Duration, instances int, logDelay time.Duration) time.Duration {
+	spread := max(base, min(base*time.Duration(instances)/spreadInstances, maxSpread))
+	return max(spread, time.Duration(instances)*logDelay/slowCrowd)
 }
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -3,7 +3,9 @@
 // Load pattern: instances are killed, alone or many at the same moment, while their jobs' longest
 // tasks have just as much time left as they need: each tenth of a second until another instance
 // goes on costs groups. A runner that is only slow, frozen or cut off from the log must not lose its
-// jobs too early, since what it has not stored is generated again.
+// jobs too early, since what it has not stored is generated again. While the log is slow for all
+// instances, every runner is silent, and hundreds of instances that all claim all jobs would add
+// thousands of records to the log for one that counts.
 //
 // The package has no clock and no I/O.
 package takeover
@@ -45,6 +47,8 @@
 	SinceRefused time.Duration
 	// OwnJobs is the number of open jobs that the instance runs or is about to claim.
 	OwnJobs int
+	// LogDelay is how long records take into the log. Heartbeats come that much later.
+	LogDelay time.Duration
 }
 
 // Claim reports whether the job may be claimed, and the longest random delay of the claim.
@@ -57,8 +61,8 @@
 	case r.Replaced:
 		return true, claimJitter
 	case r.Confirmed:
-		return r.SinceSeen >= silence, claimJitter
+		return r.SinceSeen >= silence+r.LogDelay, claimJitter
 	default:
-		return r.SinceSeen >= confirmTime, claimJitter
+		return r.SinceSeen >= confirmTime+r.LogDelay, claimJitter
 	}
 }
--- a/internal/batch/claims.go
+++ b/internal/batch/claims.go
@@ -18,7 +18,8 @@
 	claimCheckInterval = 100 * time.Millisecond
 	// claimReadTimeout bounds the read of the log before a claim.
 	claimReadTimeout = 400 * time.Millisecond
-	// claimRepeat is how long a claim may be pending until it is repeated.
+	// claimRepeat is how long a claim may be pending until it is repeated. One that the log has not
+	// got by then is dropped.
 	claimRepeat = 1500 * time.Millisecond
 )
 
@@ -35,15 +36,30 @@
 			// this instance has not read.
 			return
 		}
-		for _, c := range b.dueClaims(ctx, claimAt) {
-			claimAt[c.Job] = b.Clock.Now() + claimRepeat // do not claim again while the claim is pending
-			b.Metrics.Claims.Inc()
-			b.Log("job claimed", events.F("job", c.Job), events.F("term", fmt.Sprint(c.Term)))
-			b.AppendRecordAsync(job.Record{Claimed: &c})
-		}
+		b.claim(ctx, b.dueClaims(ctx, claimAt), claimAt)
 	})
 }
 
+// claim appends the claims and waits for the outcome, so that none of an instance waits behind
+// another one: late claims take jobs from runners that have been heard of since.
+func (b *Batch) claim(ctx context.Context, claims []job.Claimed, claimAt map[string]time.Duration) {
+	if len(claims) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, claimRepeat)
+	defer cancel()
+	records := make([]job.Record, len(claims))
+	for i := range claims {
+		records[i].Claimed = &claims[i]
+		claimAt[claims[i].Job] = b.Clock.Now() + claimRepeat // do not claim again while the claim is pending
+		b.Metrics.Claims.Inc()
+		b.Log("job claimed", events.F("job", claims[i].Job), events.F("term", fmt.Sprint(claims[i].Term)))
+	}
+	if err := b.AppendRecords(ctx, records...); err != nil {
+		b.Log("claim put off", events.F("error", err.Error()))
+	}
+}
+
 // readToEnd waits until the log is applied to the end that it has at the call. It reports
 // false if that takes longer than claimReadTimeout.
 func (b *Batch) readToEnd(ctx context.Context) bool {
@@ -63,12 +79,14 @@
 	var due []job.Claimed
 	jitters := map[string]time.Duration{} // of the jobs that need a claim
 	ownJobs := b.runner.openJobCount()
+	var logDelay time.Duration
 	b.StateLoop.Do(ctx, func() {
+		logDelay = b.LogDelay(now)
 		for id, j := range b.StateLoop.State.Jobs {
 			if !j.Open() || j.Runner == b.Self {
 				continue
 			}
-			mayClaim, jitter := takeover.Claim(b.runnerOf(now, j, ownJobs))
+			mayClaim, jitter := takeover.Claim(b.runnerOf(now, j, ownJobs, logDelay))
 			if !mayClaim {
 				continue
 			}
@@ -86,7 +104,7 @@
 	}
 	for id := range jitters {
 		if _, planned := claimAt[id]; !planned {
-			claimAt[id] = now + b.Jitter(pace.Spread(jitters[id], int(b.Pace.Instances.Load())))
+			claimAt[id] = now + b.Jitter(pace.Spread(jitters[id], int(b.Pace.Instances.Load()), logDelay))
 		}
 	}
 	slices.SortFunc(due, func(a, b job.Claimed) int { return int(a.Term - b.Term) })
@@ -94,9 +112,9 @@
 }
 
 // runnerOf returns what is known of the runner of a job. It runs on the state goroutine.
-func (b *Batch) runnerOf(now time.Duration, j *job.Job, ownJobs int) takeover.Runner {
+func (b *Batch) runnerOf(now time.Duration, j *job.Job, ownJobs int, logDelay time.Duration) takeover.Runner {
 	r := takeover.Runner{
-		Named: j.Runner != "", Confirmed: j.RunnerConfirmed, OwnJobs: ownJobs,
+		Named: j.Runner != "", Confirmed: j.RunnerConfirmed, OwnJobs: ownJobs, LogDelay: logDelay,
 		SinceSeen: now - max(j.RunnerSeenAt, time.Duration(b.StateLoop.LogContinuousSince.Load())),
 	}
 	name := instanceOf(j.Runner)
--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/pace"
@@ -76,6 +77,7 @@
 	topic     string
 	callBytes int // largest total size of the records in one call
 	patience  pace.Patience
+	sentAt    atomic.Pointer[time.Time] // first call with the records whose outcome is not known; nil: none
 	queue     chan *pendingAppend
 	onResult  func(err error) // called after each call to the log, with nil on success
 	// onAppended is nil, or called after each successful call.
@@ -204,6 +206,9 @@
 		records = append(records, p.records...)
 	}
 	backoff, maybeAppended := appendBackoffMin, false
+	now := time.Now()
+	a.sentAt.Store(&now)
+	defer a.sentAt.Store(nil)
 	for {
 		position, err := a.write(ctx, records)
 		a.onResult(err)
@@ -227,6 +232,14 @@
 	}
 }
 
+// pending returns for how long the log has not taken the records that are being sent.
+func (a *appender) pending() time.Duration {
+	if sent := a.sentAt.Load(); sent != nil {
+		return time.Since(*sent)
+	}
+	return 0
+}
+
 // write sends the records in one call, and waits for the response as long as the log may take.
 func (a *appender) write(ctx context.Context, records [][]byte) (recordPosition, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.patience.Timeout())
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -10,6 +10,7 @@
 	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/takeover"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 )
 
@@ -48,6 +49,11 @@
 	// nextOffset is the offset of the next record of the control topic to apply. Only
 	// functions that followLog sends change it, so followLog also reads it directly.
 	nextOffset int64
+	// logDelay estimates how long records take into the log, from those that were not in it at
+	// the reply before: logEnd is the end that it stated, lastReply when it came.
+	logDelay  takeover.LogDelay
+	logEnd    int64
+	lastReply time.Time
 
 	functions chan func()
 	view      atomic.Pointer[View]
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -154,7 +154,7 @@
 // applyBatch applies a batch of the control topic to the state.
 func (n *Node) applyBatch(ctx context.Context, batch platform.Batch) {
 	n.StateLoop.Do(ctx, func() {
-		now := n.Clock.Now()
+		now, wall := n.Clock.Now(), n.Clock.Wall()
 		for _, data := range batch.Records {
 			offset := n.StateLoop.nextOffset
 			n.StateLoop.nextOffset++
@@ -163,9 +163,11 @@
 				n.Log("log unreadable", events.F("offset", fmt.Sprint(offset)), events.F("error", err.Error()))
 				continue
 			}
+			n.StateLoop.noteDelay(now, offset, r)
 			accepted := n.StateLoop.State.Apply(offset, now, r)
 			n.onApplied(now, r, accepted)
 		}
+		n.StateLoop.logEnd, n.StateLoop.lastReply = batch.EndOffset, wall
 		n.Allowances.updatePeers(now)
 		n.StateLoop.sharedNextOffset.Store(n.StateLoop.nextOffset)
 		n.Pace.Instances.Store(int32(len(n.StateLoop.State.Instances)))
@@ -178,6 +180,20 @@
 	})
 }
 
+// LogDelay returns how long records take into the log at present, as far as it was read and this
+// instance has tried. It must run on the state goroutine.
+func (n *Node) LogDelay(now time.Duration) time.Duration {
+	return max(n.StateLoop.logDelay.Estimate(now), n.controlLog.pending())
+}
+
+// noteDelay adds the delay of a record to logDelay: how long its writer had it before the reply
+// in which it was still missing. A record that was in the log by then tells nothing.
+func (s *StateLoop) noteDelay(now time.Duration, offset int64, r job.Record) {
+	if !s.lastReply.IsZero() && offset >= s.logEnd {
+		s.logDelay.Observe(now, r.Writer, time.Duration(s.lastReply.UnixMilli()-r.At)*time.Millisecond)
+	}
+}
+
 // onApplied acts on a record of the log that has been applied to the state. It runs on the
 // state goroutine.
 func (n *Node) onApplied(now time.Duration, r job.Record, accepted bool) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,11 +188,20 @@
 
 // AppendRecord appends one record to the control topic and waits for the outcome.
 func (n *Node) AppendRecord(ctx context.Context, r job.Record) error {
-	data, err := n.EncodeRecord(r)
-	if err != nil {
-		return err
+	return n.AppendRecords(ctx, r)
+}
+
+// AppendRecords is AppendRecord for records that are appended together.
+func (n *Node) AppendRecords(ctx context.Context, records ...job.Record) error {
+	encoded := make([][]byte, len(records))
+	for i, r := range records {
+		var err error
+		if encoded[i], err = n.EncodeRecord(r); err != nil {
+			return err
+		}
 	}
-	return n.AppendEncoded(ctx, data)
+	_, err := n.controlLog.append(ctx, encoded...)
+	return err
 }
 
 // AppendEncoded is AppendRecord for the result of EncodeRecord.
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -32,6 +32,14 @@
 	DropAppendResponses          // appends, then aborts the connection instead of responding
 	DropNextAppendResponse       // like DropAppendResponses, for the next append only
 	DelayAppends                 // aborts the connection and appends after appendDelay
+	SlowAppends                  // executes the appends to a partition one after the other, each for slowAppend
+)
+
+const (
+	// slowAppend is 60 times the usual 4 ms.
+	slowAppend = 240 * time.Millisecond
+	// maxAppendWait is how long an append to a partition may have to wait; others are refused.
+	maxAppendWait = 2 * time.Second
 )
 
 // appendDelay is the delay of an append under DelayAppends. It is long enough that the
@@ -53,6 +61,8 @@
 // partition holds its records, of which the first retained one is at offset first, the
 // idempotent producers by id and, in a keyed topic, the latest value of each key.
 type partition struct {
+	slow      sync.Mutex // held by the append that is executed under SlowAppends
+	waiting   int        // appends that wait for it
 	first     int64
 	records   [][]byte
 	producers map[string]*producer
@@ -220,6 +230,10 @@
 		time.AfterFunc(appendDelay, func() { apply() })
 		panic(http.ErrAbortHandler)
 	}
+	if fault == SlowAppends && !s.awaitSlowAppend(r) {
+		http.Error(w, "try later", http.StatusServiceUnavailable)
+		return
+	}
 	status, response := apply()
 	if fault == DropAppendResponses || fault == DropNextAppendResponse {
 		if fault == DropNextAppendResponse {
@@ -230,6 +244,28 @@
 	writeJSON(w, status, response)
 }
 
+// awaitSlowAppend returns true when the append may be executed, or false at once if too many wait.
+func (s *Store) awaitSlowAppend(r *http.Request) bool {
+	part, _ := strconv.Atoi(r.URL.Query().Get("part"))
+	s.mu.Lock()
+	p := s.partition(r.URL.Query().Get("topic"), part)
+	refused := time.Duration(p.waiting)*slowAppend > maxAppendWait
+	if !refused {
+		p.waiting++
+	}
+	s.mu.Unlock()
+	if refused {
+		return false
+	}
+	p.slow.Lock()
+	time.Sleep(slowAppend)
+	p.slow.Unlock()
+	s.mu.Lock()
+	p.waiting--
+	s.mu.Unlock()
+	return true
+}
+
 // appendOnce appends the records, at most once per producer, epoch and sequence. It
 // returns the status and body of the response: 409 for a sequence out of order, 400
 // for an append to the operator's topics (keyed.op...). Appends without a producer
