Counts of requests go to a topic that only the lease holder reads

What callers saw: on the large deployment, with a log 50 times slower for 8 s, the usage of four windows came late, and heartbeats and results of jobs waited behind the counts.

Cause: every instance appended its counts to the control topic up to three times a second. 295 instances with requests make more than 100 appends a second to one partition, which executes 500 a second as usual and 10 when it is 50 times slower: a round of all instances takes half a minute, and each heartbeat and each seal waits its turn among them. All instances read the counts, only the lease holder needs them.

Change: counts go to the topic "usage", to partitions chosen by instance, past those that are down. The lease holder reads it before it seals a window; a partition that cannot be read delays the seal until 5 s after the end of the window. Counts are cumulative, so a larger one of a writer replaces a smaller one in any order. The seal no longer holds up the renewal of the lease for longer than a call under it. Counts in the control topic, of instances of an earlier build, still count. A lease holder of an earlier build does not read the new topic: windows that it seals lack the counts of newer instances.

--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -262,6 +262,10 @@
 		s, _ := replay(count("n1", 7, 1), count("n1", 7, 3), count("n2", 7, 2), count("n2", 8, 9))
 		Expect(s.Windows[7].Total()).To(Equal(map[string]int64{"a": 5}))
 	})
+	It("ignores a count that is read after a later one of its writer, from another partition", func() {
+		s, _ := replay(count("n1", 7, 3), count("n1", 7, 1))
+		Expect(s.Windows[7].Total()).To(Equal(map[string]int64{"a": 3}))
+	})
 	It("keeps the first seal, even an empty one, and ignores later counts", func() {
 		seal := func(counts map[string]int64) job.Record {
 			return job.Record{UsageSealed: &job.UsageSealed{Window: 7, Counts: counts}}
--- a/core/job/usage.go
+++ b/core/job/usage.go
@@ -18,14 +18,25 @@
 	return w
 }
 
-// applyCounted replaces the writer's counts. It returns false if the window is sealed, as the
-// counts do not change its bill.
+// applyCounted replaces the writer's counts, unless these are older: they only grow. It returns
+// false if the window is sealed, as the counts do not change its bill.
 func (s *State) applyCounted(writer string, c UsageCounted) bool {
 	w := s.windowFor(c.Window)
-	w.Counts[writer] = c.Counts
+	if requests(c.Counts) > requests(w.Counts[writer]) {
+		w.Counts[writer] = c.Counts
+	}
 	return w.SealedCounts == nil
 }
 
+// requests returns the sum of counts by account.
+func requests(counts map[string]int64) int64 {
+	sum := int64(0)
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
 // applySealed sets the billed counts. It returns false if the window is sealed already.
 func (s *State) applySealed(sealed UsageSealed) bool {
 	w := s.windowFor(sealed.Window)
--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -41,6 +41,7 @@
 	cloud          *platform.Cloud // nil: there is none
 	usageCounter   *usageCounter
 	lease          *lease.Machine
+	usageReader    *node.UsageReader
 	supersededTerm atomic.Int64 // latest term that the platform or a target has rejected
 	standsIn       bool         // holds or claims the lease without links to targets, as nobody else did
 	weightUpdater  *weightUpdater
@@ -49,7 +50,7 @@
 
 // New returns the controller of a node.
 func New(n *node.Node) *Controller {
-	c := &Controller{Node: n, usageCounter: newUsageCounter(n)}
+	c := &Controller{Node: n, usageCounter: newUsageCounter(n), usageReader: node.NewUsageReader(n)}
 	if n.Settings.Cloud != "" {
 		c.cloud = platform.NewCloud(n.Settings.Cloud)
 	}
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -20,9 +20,12 @@
 	// sealDelay is the time from the end of a window to its seal, which fixes the billed
 	// counts in the log. It is four flush intervals. A longer delay makes it likelier that
 	// an outage of the log delays the report past its due time.
-	sealDelay      = 1200 * time.Millisecond
-	windowLookback = 5   // windows before the newest ended one that a new lease holder still seals and reports
-	windowsKept    = 120 // windows that the state retains
+	sealDelay = 1200 * time.Millisecond
+	// partialSealDelay is the time from the end of a window until it is sealed without the counts
+	// that cannot be read: half of the time until the report is due.
+	partialSealDelay = 5 * time.Second
+	windowLookback   = 5   // windows before the newest ended one that a new lease holder still seals and reports
+	windowsKept      = 120 // windows that the state retains
 )
 
 // usageCounter counts the requests of each account at this instance, by billing window.
@@ -58,14 +61,19 @@
 	u.dirty[w] = true
 }
 
-// run appends the changed counts to the log every countFlushInterval, until ctx ends.
+// run appends the changed counts to the log every countFlushInterval, until ctx ends. A slow log
+// gets them less often.
 func (u *usageCounter) run(ctx context.Context) error {
 	if !u.node.Settings.ReportsUsage {
 		return nil
 	}
 	return clock.Every(ctx, countFlushInterval, func() {
-		for _, c := range u.takeChanged() {
-			u.node.AppendRecordAsync(job.Record{UsageCounted: &c})
+		changed := u.takeChanged()
+		if len(changed) == 0 {
+			return
+		}
+		if err := u.node.AppendUsage(ctx, changed); err != nil && ctx.Err() == nil {
+			u.node.Log("usage not stored", events.F("windows", fmt.Sprint(len(changed))), events.F("error", err.Error()))
 		}
 	})
 }
@@ -100,7 +108,7 @@
 		return
 	}
 	wall := c.Clock.Wall()
-	newest := windowOf(c.Node, wall.Add(-sealDelay)) - 1
+	newest := c.readUsage(ctx, wall)
 	var seals []job.UsageSealed
 	reports := map[int64]map[string]int64{}
 	c.StateLoop.Do(ctx, func() {
@@ -118,7 +126,7 @@
 		c.StateLoop.State.Prune(wall.UnixMilli(), c.Settings.JobRetention, newest-windowsKept)
 	})
 	for _, s := range seals {
-		if err := c.AppendRecord(ctx, job.Record{UsageSealed: &s}); err != nil {
+		if err := c.seal(ctx, s); err != nil {
 			c.Log("usage not sealed", events.F("window", fmt.Sprint(s.Window)), events.F("error", err.Error()))
 			return
 		}
@@ -134,6 +142,33 @@
 	}
 }
 
+// readUsage reads the counts of a window that is to be sealed, and returns the newest one whose
+// counts are complete or are waited for no longer.
+func (c *Controller) readUsage(ctx context.Context, wall time.Time) (newest int64) {
+	newest = windowOf(c.Node, wall.Add(-sealDelay)) - 1
+	sealed := false
+	c.StateLoop.Do(ctx, func() {
+		window := c.StateLoop.State.Windows[newest]
+		sealed = window != nil && window.SealedCounts != nil
+	})
+	if sealed {
+		return newest
+	}
+	if err := c.usageReader.CatchUp(ctx, c.callTimeout()); err != nil {
+		c.Log("usage not read", events.F("error", err.Error()))
+		return windowOf(c.Node, wall.Add(-partialSealDelay)) - 1
+	}
+	return newest
+}
+
+// seal appends a seal. The lease has to be renewed meanwhile, so it waits no longer than a call
+// under the lease may take.
+func (c *Controller) seal(ctx context.Context, s job.UsageSealed) error {
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout())
+	defer cancel()
+	return c.AppendRecord(ctx, job.Record{UsageSealed: &s})
+}
+
 // reportWindow reports the sealed counts of a window, if this instance holds the lease.
 func (c *Controller) reportWindow(ctx context.Context, window int64, counts map[string]int64) {
 	holder, held := c.holder(ctx)
--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -52,7 +52,7 @@
 // failoverWriter writes to one partition of a topic until a call fails, then to the next.
 // A repeated write may append the records a second time. That is harmless for content
 // records: they are read only at the location that a record of the control topic states,
-// and it states that of one copy.
+// and it states that of one copy. Usage counts are cumulative.
 type failoverWriter struct {
 	store      *platform.Store
 	topic      string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	store        *platform.Store
 	controlLog   *appender // appends to the control topic
 	contentLog   *appender // appends to the content topic
+	usageLog     *appender // appends to the usage topic
 	contentCache *contentCache
 	dependencies dependencyStatus
 	starts       starts
@@ -105,18 +106,25 @@
 	n.controlLog = newAppender(&idempotentWriter{store: n.store, topic: controlTopic, producer: n.Self},
 		controlTopic, s.Store.CallBytes, n.trackAppends("log"))
 	n.controlLog.onAppended = n.Pace.expectRecords
-	n.contentLog = newAppender(&failoverWriter{
-		store: n.store, topic: contentTopic, partitions: s.Store.Partitions,
-		partition: int(hash.Mix(xxhash.Sum64String(s.Instance)) % uint64(s.Store.Partitions)),
-	}, contentTopic, s.Store.CallBytes, n.trackAppends("content"))
+	n.contentLog = n.newSpreadLog(contentTopic)
+	n.usageLog = n.newSpreadLog(usageTopic)
 	n.Allowances = newAllowances(n)
 	return n
 }
 
+// newSpreadLog returns the appender of a topic whose partitions the instances share, first by name.
+func (n *Node) newSpreadLog(topic string) *appender {
+	s := n.Settings.Store
+	return newAppender(&failoverWriter{
+		store: n.store, topic: topic, partitions: s.Partitions,
+		partition: int(hash.Mix(xxhash.Sum64String(n.Settings.Instance)) % uint64(s.Partitions)),
+	}, topic, s.CallBytes, n.trackAppends(topic))
+}
+
 // Loops returns the functions that keep the node up to date. Each runs until its context ends.
 func (n *Node) Loops() []func(context.Context) error {
 	return []func(context.Context) error{
-		n.StateLoop.run, n.controlLog.run, n.contentLog.run,
+		n.StateLoop.run, n.controlLog.run, n.contentLog.run, n.usageLog.run,
 		n.followLog, n.watchOperator, n.watchRegistry, n.publishWarmTargets,
 		n.LogTransport.run, n.announce, n.Links.run,
 	}
