Claims of the lease wait for a log that is slow for all instances

A renewal that waits for the log looks like a holder that is gone, and all 295 instances claimed the lease within 0.4 s: 295 appends to a log that executes ten a second, before all heartbeats and results.

Change: the claim delay of an instance, whose place in the order stays, grows with the number of instances and with the delay of the log, as for jobs.

--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -16,6 +16,7 @@
 	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/lease"
+	"github.com/amaranthfold/amaranthfold/core/pace"
 	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
@@ -29,7 +30,7 @@
 	// term of 3 s.
 	controllerInterval  = 200 * time.Millisecond
 	driftMargin         = 200 * time.Millisecond // clocks drift apart by far less within a term
-	leaseClaimJitter    = 400 * time.Millisecond // longest random delay of a claim
+	leaseClaimJitter    = 400 * time.Millisecond // longest random delay of a claim on a small deployment
 	callTimeoutFraction = 0.3                    // of the lease's term: 0.9 s for a term of 3 s
 )
 
@@ -40,8 +41,9 @@
 	*node.Node
 	cloud          *platform.Cloud // nil: there is none
 	usageCounter   *usageCounter
-	lease          *lease.Machine
 	usageReader    *node.UsageReader
+	lease          *lease.Machine
+	claimOrder     float64      // from 0 to below 1: the instances claim in this order
 	supersededTerm atomic.Int64 // latest term that the platform or a target has rejected
 	standsIn       bool         // holds or claims the lease without links to targets, as nobody else did
 	weightUpdater  *weightUpdater
@@ -58,7 +60,8 @@
 	c.lease = lease.NewMachine(controllerLeaseName, c.Self, lease.Timing{
 		Duration: c.Settings.LeaseTerm, DriftMargin: driftMargin,
 	}, c.Clock.Now())
-	c.lease.SetClaimDelay(c.Jitter(leaseClaimJitter))
+	c.claimOrder = float64(c.Jitter(time.Second)) / float64(time.Second)
+	c.lease.SetClaimDelay(c.claimDelay(0))
 	c.lease.SetIncarnations(func(holder string) bool { return strings.HasPrefix(holder, c.Settings.Instance+"/") })
 	return c
 }
@@ -114,11 +117,18 @@
 	})
 }
 
+// claimDelay returns how much longer than necessary this instance waits before it claims the lease.
+// It grows with the time that the others need to read of an earlier claim.
+func (c *Controller) claimDelay(logDelay time.Duration) time.Duration {
+	return time.Duration(c.claimOrder * float64(pace.Spread(leaseClaimJitter, int(c.Pace.Instances.Load()), logDelay)))
+}
+
 // updateLease appends a claim, renewal or release of the lease, if one is due.
 func (c *Controller) updateLease(ctx context.Context) {
 	var request *lease.AppendRequest
 	c.StateLoop.Do(ctx, func() {
 		now := c.Clock.Now()
+		c.lease.SetClaimDelay(c.claimDelay(c.LogDelay(now)))
 		if c.IsStopping() || c.leavesToOthers(now) {
 			c.lease.StepDown(now, c.callTimeout())
 		} else {
