Instances that have started together do not announce themselves together

All instances that start at the same moment, as after a loss of power, renewed their announcements at the same moment, too, each minute: 295 appends to the control topic at once, half a second of what it executes as usual and half a minute if it is 50 times slower. The first renewal now comes at a random moment of the first minute.

No test of its own.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -154,6 +154,9 @@
 		KeyFingerprint: n.Peers.identity.Fingerprint(),
 	}
 	n.AppendRecordAsync(job.Record{InstanceStarted: started})
+	if clock.Sleep(ctx, n.Jitter(peering.AnnounceInterval)) { // all instances may have started at once
+		n.AppendRecordAsync(job.Record{InstanceStarted: started})
+	}
 	return clock.Every(ctx, peering.AnnounceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
 }
 
