--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/pace"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -50,7 +52,7 @@
 // failoverWriter writes to one partition of a topic until a call fails, then to the next.
 // A repeated write may append the records a second time. That is harmless for content
 // records: they are read only at the location that a record of the control topic states,
-// and it states that of one copy.
+// and it states that of one copy. Usage counts are cumulative.
 type failoverWriter struct {
 	store      *platform.Store
 	topic      string
@@ -74,6 +76,8 @@
 	writer    topicWriter
 	topic     string
 	callBytes int // largest total size of the records in one call
+	patience  pace.Patience
+	sentAt    atomic.Pointer[time.Time] // first call with the records whose outcome is not known; nil: none
 	queue     chan *pendingAppend
 	onResult  func(err error) // called after each call to the log, with nil on success
 	// onAppended is nil, or called after each successful call.
@@ -202,8 +206,11 @@
 		records = append(records, p.records...)
 	}
 	backoff, maybeAppended := appendBackoffMin, false
+	now := time.Now()
+	a.sentAt.Store(&now)
+	defer a.sentAt.Store(nil)
 	for {
-		position, err := a.writer.write(ctx, records)
+		position, err := a.write(ctx, records)
 		a.onResult(err)
 		if err == nil {
 			if a.onAppended != nil {
@@ -225,6 +232,29 @@
 	}
 }
 
+// pending returns for how long the log has not taken the records that are being sent.
+func (a *appender) pending() time.Duration {
+	if sent := a.sentAt.Load(); sent != nil {
+		return time.Since(*sent)
+	}
+	return 0
+}
+
+// write sends the records in one call, and waits for the response as long as the log may take.
+func (a *appender) write(ctx context.Context, records [][]byte) (recordPosition, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.patience.Timeout())
+	defer cancel()
+	sent := time.Now()
+	position, err := a.writer.write(ctx, records)
+	switch {
+	case err == nil:
+		a.patience.Answered(time.Since(sent))
+	case errors.Is(err, context.DeadlineExceeded):
+		a.patience.TimedOut()
+	}
+	return position, err
+}
+
 // allContextsDone reports whether all contexts of the batch have ended.
 func allContextsDone(batch []*pendingAppend) bool {
 	for _, p := range batch {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,7 @@
 	store        *platform.Store
 	controlLog   *appender // appends to the control topic
 	contentLog   *appender // appends to the content topic
+	usageLog     *appender // appends to the usage topic
 	contentCache *contentCache
 	dependencies dependencyStatus
 	starts       starts
@@ -105,18 +106,25 @@
 	n.controlLog = newAppender(&idempotentWriter{store: n.store, topic: controlTopic, producer: n.Self},
 		controlTopic, s.Store.CallBytes, n.trackAppends("log"))
 	n.controlLog.onAppended = n.Pace.expectRecords
-	n.contentLog = newAppender(&failoverWriter{
-		store: n.store, topic: contentTopic, partitions: s.Store.Partitions,
-		partition: int(hash.Mix(xxhash.Sum64String(s.Instance)) % uint64(s.Store.Partitions)),
-	}, contentTopic, s.Store.CallBytes, n.trackAppends("content"))
+	n.contentLog = n.newSpreadLog(contentTopic)
+	n.usageLog = n.newSpreadLog(usageTopic)
 	n.Allowances = newAllowances(n)
 	return n
 }
 
+// newSpreadLog returns the appender of a topic whose partitions the instances share, first by name.
+func (n *Node) newSpreadLog(topic string) *appender {
+	s := n.Settings.Store
+	return newAppender(&failoverWriter{
+		store: n.store, topic: topic, partitions: s.Partitions,
+		partition: int(hash.Mix(xxhash.Sum64String(n.Settings.Instance)) % uint64(s.Partitions)),
+	}, topic, s.CallBytes, n.trackAppends(topic))
+}
+
 // Loops returns the functions that keep the node up to date. Each runs until its context ends.
 func (n *Node) Loops() []func(context.Context) error {
 	return []func(context.Context) error{
-		n.StateLoop.run, n.controlLog.run, n.contentLog.run,
+		n.StateLoop.run, n.controlLog.run, n.contentLog.run, n.usageLog.run,
 		n.followLog, n.watchOperator, n.watchRegistry, n.publishWarmTargets,
 		n.LogTransport.run, n.announce, n.Links.run,
 	}
@@ -146,6 +154,9 @@
 		KeyFingerprint: n.Peers.identity.Fingerprint(),
 	}
 	n.AppendRecordAsync(job.Record{InstanceStarted: started})
+	if clock.Sleep(ctx, n.Jitter(peering.AnnounceInterval)) { // all instances may have started at once
+		n.AppendRecordAsync(job.Record{InstanceStarted: started})
+	}
 	return clock.Every(ctx, peering.AnnounceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
 }
 
@@ -188,11 +199,20 @@
 
 // AppendRecord appends one record to the control topic and waits for the outcome.
 func (n *Node) AppendRecord(ctx context.Context, r job.Record) error {
-	data, err := n.EncodeRecord(r)
-	if err != nil {
-		return err
+	return n.AppendRecords(ctx, r)
+}
+
+// AppendRecords is AppendRecord for records that are appended together.
+func (n *Node) AppendRecords(ctx context.Context, records ...job.Record) error {
+	encoded := make([][]byte, len(records))
+	for i, r := range records {
+		var err error
+		if encoded[i], err = n.EncodeRecord(r); err != nil {
+			return err
+		}
 	}
-	return n.AppendEncoded(ctx, data)
+	_, err := n.controlLog.append(ctx, encoded...)
+	return err
 }
 
 // AppendEncoded is AppendRecord for the result of EncodeRecord.
