node: the late arrival of an answer no longer confirms a start of an engine

What callers saw: a stream that began at software version v1 was taken up at an instance whose links had been cut, or whose process had stood still, and went on at an engine that had started again with v2. The take-up was recorded as v1.

Cause: each event of a task that arrived on a connection of a known start confirmed that this start still ran 20 ms before the arrival. Events that were sent before the engine ended arrive seconds later at an instance that stood still, or when a cut ends. Until they were all read, they outweighed the report of the new start, and connections to it counted as leading to the old one.

Ruled out: reports and connections. A report counts from the moment of its request, a connection from after its dial, which no delay can make too late.

The stand-in delivers the rest of a task's stream after the restart, piece by piece, beside the report and the response.

Change: an answer confirms its start as of when its request was sent, which it cannot precede. The fixed margin is gone.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -43,6 +43,7 @@
 	minVersion    int64         // oldest allowed weight version
 	singleVersion bool          // one weight version must generate the complete output
 	remaining     time.Duration // until the task may be given up
+	sentAt        time.Duration // by clock.Now
 }
 
 var (
@@ -66,7 +67,7 @@
 		Body:          forward.NonReplayableBody(http.MethodPost, header, r.task.Body),
 		ContentLength: int64(len(r.task.Body)),
 	}
-	sentAt := b.Clock.Now()
+	r.sentAt = b.Clock.Now()
 	var connection net.Conn
 	res, err := b.TargetClient.Do(req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
@@ -78,7 +79,7 @@
 	}
 	defer res.Body.Close()
 	response := platform.DecodeResponseHeader(res)
-	b.NoteResponse(ctx, r.target, response, r.task.ID, sentAt)
+	b.NoteResponse(ctx, r.target, response, r.task.ID, r.sentAt)
 	switch {
 	case response.RequestID != r.task.ID && (response.RequestID != "" || !response.NotRun):
 		end.err = fmt.Errorf("%w: %q", forward.ErrRequestIDMismatch, response.RequestID)
@@ -150,7 +151,7 @@
 		if err != nil {
 			return assign.Broken, err
 		}
-		b.HeardOn(r.target, connection)
+		b.HeardOn(r.target, connection, r.sentAt)
 		if e.Version > 0 && e.Version != version {
 			if r.singleVersion {
 				r.output.reset()
--- a/internal/hosted/links_test.go
+++ b/internal/hosted/links_test.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -34,12 +35,12 @@
 	mu      sync.Mutex
 	fault   linkFault
 	changed chan struct{}
-	open    map[net.Conn]bool
+	open    map[*linkedConn]bool
 	hanging map[string]bool // addresses to which dials hang whatever the fault
 }
 
 func newTargetLinks() *targetLinks {
-	return &targetLinks{changed: make(chan struct{}), open: map[net.Conn]bool{}, hanging: map[string]bool{}}
+	return &targetLinks{changed: make(chan struct{}), open: map[*linkedConn]bool{}, hanging: map[string]bool{}}
 }
 
 func (l *targetLinks) set(f linkFault) {
@@ -50,7 +51,7 @@
 	l.changed = make(chan struct{})
 	if f == resetting {
 		for c := range l.open {
-			_ = c.Close()
+			_ = c.Conn.Close()
 		}
 	}
 }
@@ -92,8 +93,30 @@
 	if err != nil {
 		return nil, err
 	}
-	l.open[c] = true
-	return &linkedConn{Conn: c, links: l, closed: make(chan struct{})}, nil
+	linked := &linkedConn{Conn: c, links: l, closed: make(chan struct{})}
+	l.open[linked] = true
+	return linked, nil
+}
+
+// delay makes what arrives on the open connections reach the instance late, in pieces of one event
+// or less: each time the returned function is called, one piece on every connection.
+func (l *targetLinks) delay() (deliver func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var delayed []chan struct{}
+	for c := range l.open {
+		pieces := make(chan struct{})
+		c.pieces.Store(&pieces)
+		delayed = append(delayed, pieces)
+	}
+	return func() {
+		for _, pieces := range delayed {
+			select {
+			case pieces <- struct{}{}:
+			case <-time.After(time.Millisecond): // nothing has arrived on it
+			}
+		}
+	}
 }
 
 // linkedConn is a connection over the links.
@@ -102,10 +125,23 @@
 	links  *targetLinks
 	once   sync.Once
 	closed chan struct{}
+	pieces atomic.Pointer[chan struct{}] // nil, or one value for each piece that is delivered
 }
 
+// pieceBytes is the size of the pieces on a delayed connection.
+const pieceBytes = 16
+
 func (c *linkedConn) Read(b []byte) (int, error) {
+	if c.pieces.Load() != nil {
+		b = b[:min(len(b), pieceBytes)]
+	}
 	n, err := c.Conn.Read(b)
+	if pieces := c.pieces.Load(); pieces != nil {
+		select {
+		case <-*pieces:
+		case <-c.closed:
+		}
+	}
 	if !c.links.awaitLink(c.closed) {
 		return 0, net.ErrClosed
 	}
@@ -122,7 +158,7 @@
 func (c *linkedConn) Close() error {
 	c.once.Do(func() { close(c.closed) })
 	c.links.mu.Lock()
-	delete(c.links.open, c.Conn)
+	delete(c.links.open, c)
 	c.links.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -14,12 +14,8 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-const (
-	// startReportTimeout bounds the read of an engine's report, which needs no slot.
-	startReportTimeout = 250 * time.Millisecond
-	// flightTime is longer than what a target sends is on its way.
-	flightTime = 20 * time.Millisecond
-)
+// startReportTimeout bounds the read of an engine's report, which needs no slot.
+const startReportTimeout = 250 * time.Millisecond
 
 // errStartUnknown is the error of a target of which it is not known whether it still is the start
 // that its registry entry describes.
@@ -35,8 +31,9 @@
 	confirmed map[string]confirmedStart // by target
 }
 
-// confirmedStart is the start that ran at the time at: it answered a report that was requested
-// then, or sent something over a connection that leads to it.
+// confirmedStart is the start that ran at the time at or later: it answered a request that was
+// sent then. When the answer arrived says nothing: it may arrive long after the start has ended, if
+// this instance stood still or the links were cut.
 type confirmedStart struct {
 	startedAt int64
 	at        time.Duration
@@ -62,12 +59,13 @@
 	return known
 }
 
-// HeardOn notes that something has arrived on the connection to the target. If the start is
-// known to which it leads, so is that of connections opened before.
-func (n *Node) HeardOn(t directory.Target, connection net.Conn) {
+// HeardOn notes that a part of the answer to a request that was sent at sentAt has arrived on the
+// connection to the target. If the start is known to which it leads, so is that of connections
+// opened before sentAt.
+func (n *Node) HeardOn(t directory.Target, connection net.Conn, sentAt time.Duration) {
 	n.Links.Heard()
 	if len(t.Models) > 0 && n.StartKnown(t, connection) {
-		n.starts.set(t.ID, confirmedStart{t.StartedAt, n.Clock.Now() - flightTime})
+		n.starts.set(t.ID, confirmedStart{t.StartedAt, sentAt})
 	}
 }
 
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -32,6 +32,7 @@
 	statusByRequest map[string]int
 	plainHandler    func(w http.ResponseWriter, r *http.Request) bool
 	streamHandler   func(w http.ResponseWriter, r *http.Request) bool
+	beforeReport    func(w http.ResponseWriter)
 	eventInterval   time.Duration
 	violations      []string
 	startedAt       int64       // "born" of the registry entry and the report
@@ -217,14 +218,6 @@
 	}
 }
 
-func (e *Engine) report(w http.ResponseWriter) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	writeJSON(w, http.StatusOK, map[string]any{
-		"busy": false, "sequence": e.sequence, "models": e.modelList(), "born": e.startedAt,
-	})
-}
-
 // order executes an order to load weights: 412 for a stale fencing number, 409 for an
 // unexpected order sequence.
 func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
