hosted: specs of streams that are taken up at an instance that is out of step

No change of behaviour. Reported by another operator: while targets of a new version joined, an instance was cut off or stood still for seconds, and streams that were taken up there went on at a target of another version.

The specs make an instance miss the registry, the log, the operator's topic, its links to all targets, trimmed records or a record that is not yet appended, while a target starts again with another version or new ones join.

--- a/internal/hosted/takeup_test.go
+++ b/internal/hosted/takeup_test.go
@@ -3,47 +3,85 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 const streamEvents = 30 // of the streams that are taken up
 
-// begin begins a stream at an engine through an instance. The stream breaks after four events, and
-// its version is recorded.
-func (d *deployment) begin(in *testInstance, id string) {
+// begin begins a stream through an instance at the engine e0, whose entry, as that instance has
+// read it, states the software version. The stream breaks after four events. begin returns its id.
+func (d *deployment) begin(in *testInstance, software string) (id string) {
 	GinkgoHelper()
-	for _, e := range d.engines {
-		e.AbortAfterEvents(4)
-	}
-	before := d.streamRecords()
-	Eventually(func() int { _, events, _ := in.talk(id, streamEvents, "", 0); return len(events) }, eventuallyTimeout).Should(Equal(4))
-	Eventually(d.streamRecords, eventuallyTimeout).Should(Equal(before + 1))
-	for _, e := range d.engines {
-		e.AbortAfterEvents(0)
-	}
+	d.engines[0].AbortAfterEvents(4)
+	defer d.engines[0].AbortAfterEvents(0)
+	n := 0
+	Eventually(func() bool {
+		n++
+		id = fmt.Sprintf("first-%s-%d", software, n)
+		_, events, _ := in.talk(id, streamEvents, "", 0)
+		Expect(events).To(HaveLen(4))
+		return strings.Contains(d.logged(), fmt.Sprintf("instance=%q request=%q route=\"talk\" target=\"e0\" software=%q", in.name, id, software))
+	}, eventuallyTimeout).Should(BeTrue())
+	return id
+}
+
+// recorded reports whether the log has the software version of the stream.
+func (d *deployment) recorded(id string) bool {
+	return slices.ContainsFunc(d.store.Records("control", 0), func(data []byte) bool {
+		r, err := job.Decode(data)
+		return err == nil && r.StreamStarted != nil && r.StreamStarted.Request == id
+	})
 }
 
-// expectNotRun checks that no engine has run the request.
-func (d *deployment) expectNotRun(id string) {
+// expectRefused checks that the instance refuses to take the stream up, and that no engine has run
+// the request.
+func (d *deployment) expectRefused(in *testInstance, stream string) {
 	GinkgoHelper()
-	for _, e := range d.engines {
+	status, events, _ := in.talk("again-"+stream, streamEvents, stream, 4)
+	Expect(events).To(BeEmpty(), "events of another version")
+	Expect(status).To(Equal(http.StatusServiceUnavailable))
+	for _, e := range append(d.engines, d.plain...) {
 		for _, r := range e.Runs() {
-			Expect(r.ID).NotTo(Equal(id), "a run at %s", e.ID)
+			Expect(r.ID).NotTo(Equal("again-"+stream), "a run at %s", e.ID)
 		}
 	}
 }
 
+// expectNoOther checks that the instance takes the stream up at a target with the version, or
+// refuses to.
+func (d *deployment) expectNoOther(in *testInstance, stream, software string) {
+	GinkgoHelper()
+	status, events, _ := in.talk("later-"+stream, streamEvents, stream, 0)
+	Expect(status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+	Expect(hostplatform.IsOutputOfOne([]string{software}, events)).To(BeTrue())
+}
+
+// expectTakenUp checks that the instance takes the stream up at a target with the version when it
+// has read what it missed.
+func (d *deployment) expectTakenUp(in *testInstance, stream, software string) {
+	GinkgoHelper()
+	Eventually(func() bool {
+		d.expectNoOther(in, stream, software)
+		_, _, complete := in.talk("whole-"+stream, streamEvents, stream, 0)
+		return complete
+	}, eventuallyTimeout).Should(BeTrue())
+}
+
 var _ = Describe("A stream that is taken up at an instance that is out of step", func() {
 	It("does not go on at a target that has started again while what its earlier start sent still arrives", func() {
 		d := newDeployment(2, 1)
 		engine, late := d.engines[0], d.instances[0]
 		engine.SetBeforeReport(func(w http.ResponseWriter) { w.Header().Set("Connection", "close") })
-		d.begin(d.instances[1], "first")
+		first := d.begin(d.instances[1], oldSoftware)
 		sendRest := make(chan struct{})
 		deliver := func() {}
 		deliverAWhile := func() {
@@ -79,9 +117,100 @@
 			w.Header().Set("Connection", "close")
 			deliverAWhile()
 		})
-		status, events, _ := late.talk("again", streamEvents, "first", 4)
-		Expect(events).To(BeEmpty(), "events of another version")
-		Expect(status).To(Equal(http.StatusServiceUnavailable))
-		d.expectNotRun("again")
+		d.expectRefused(late, first)
+	})
+
+	Describe("as it misses", func() {
+		var d *deployment
+		var late, other *testInstance
+		BeforeEach(func() {
+			d = newDeployment(2, 1)
+			late, other = d.instances[0], d.instances[1]
+		})
+
+		restart := func() { // under its id, with another version
+			d.engines[0].Restart()
+			d.engines[0].SetSoftware(newSoftware)
+		}
+
+		It("the registry goes on at no target that its old view has with another version", func() {
+			before := d.begin(other, oldSoftware)
+			late.logProxy.SetTopicFault(platform.RegistryTopic, hostplatform.Unresponsive)
+			restart()
+			after := d.begin(other, newSoftware)
+			d.addNewTarget("e1", newSoftware)
+			d.expectRefused(late, before)
+			d.expectRefused(late, after)
+			late.logProxy.SetFault(hostplatform.Healthy)
+			d.expectTakenUp(late, after, newSoftware)
+		})
+
+		DescribeTable("the log goes on at no other version", func(lose func(p *hostplatform.FaultProxy) (restore func())) {
+			restore := lose(late.logProxy)
+			restart()
+			stream := d.begin(other, newSoftware)
+			Eventually(d.recorded, eventuallyTimeout).WithArguments(stream).Should(BeTrue())
+			d.expectNoOther(late, stream, newSoftware)
+			restore()
+			d.expectTakenUp(late, stream, newSoftware)
+		},
+			Entry("calls hang", func(p *hostplatform.FaultProxy) func() {
+				p.SetTopicFault("control", hostplatform.Unresponsive)
+				return func() { p.SetFault(hostplatform.Healthy) }
+			}),
+			Entry("calls are refused", func(p *hostplatform.FaultProxy) func() {
+				p.SetTopicFault("control", hostplatform.Unavailable)
+				return func() { p.SetFault(hostplatform.Healthy) }
+			}),
+			Entry("responses arrive late", (*hostplatform.FaultProxy).HoldResponses),
+		)
+
+		It("a record that is not yet appended goes on at no other version", func() {
+			other.logProxy.SetTopicFault("control", hostplatform.Unresponsive)
+			stream := d.begin(other, oldSoftware)
+			restart()
+			d.expectNoOther(late, stream, oldSoftware)
+			other.logProxy.SetFault(hostplatform.Healthy)
+			Eventually(d.recorded, eventuallyTimeout).WithArguments(stream).Should(BeTrue())
+			d.expectRefused(late, stream)
+		})
+
+		It("records that are trimmed is refused", func() {
+			stream := d.begin(other, oldSoftware)
+			Eventually(d.recorded, eventuallyTimeout).WithArguments(stream).Should(BeTrue())
+			d.store.TrimTopic("control")
+			started := d.start(2)
+			Eventually(started.isReady, eventuallyTimeout).Should(BeTrue())
+			d.expectRefused(started, stream)
+		})
+
+		It("nothing but the operator's topic or its peers goes on at the version that began it", func() {
+			stream := d.begin(other, oldSoftware)
+			d.addNewTarget("e1", newSoftware)
+			d.addNewTarget("e2", newSoftware)
+			late.logProxy.SetTopicFault(platform.OperatorTopic, hostplatform.Unresponsive)
+			for range 5 {
+				d.expectTakenUp(late, stream, oldSoftware)
+			}
+		})
+
+		It("all targets goes on at the version that began it, through another instance", func() {
+			d.awaitAnnouncements()
+			stream := d.begin(other, oldSoftware)
+			d.addNewTarget("e1", newSoftware)
+			d.addNewTarget("e2", newSoftware)
+			late.links.set(refusing)
+			for range 5 {
+				d.expectTakenUp(late, stream, oldSoftware)
+			}
+			other.logProxy.SetTopicFault(platform.RegistryTopic, hostplatform.Unresponsive)
+			restart()
+			d.expectRefused(late, stream)
+		})
 	})
 })
+
+// addNewTarget adds an engine that has joined in the course of a release.
+func (d *deployment) addNewTarget(id, software string) {
+	d.engines = append(d.engines, d.addTarget(id, "models", 8, software))
+}
