node: the entry of a target without reports is read anew before a stream goes on there

What callers saw: on a route of a service without models, a stream that began at software version v1 was taken up at an instance that had not read the registry for a moment, and went on at a target that had started again under its id with v2. Streams that began through such an instance were recorded with the version of the old entry, and could be taken up at that version anywhere.

Cause: such targets have no report that states their start, so the entry in the latest view was believed, however old the view was.

Ruled out: a bound on the age of the view. The process may have stood still since the view was read, and a target may have started within any bound.

Change: where an engine is asked for its report, the registry is read from the latest view on for the entry of another target. The entry counts as of the moment of the read, like a report, and only connections that were opened before are known to lead to its start. A registry that does not answer is a refusal, as not run.

A read is made once for a new connection, and before a stream is taken up; the connections in a pool are known. A start is still missed until its entry is written.

--- a/internal/hosted/stream_test.go
+++ b/internal/hosted/stream_test.go
@@ -14,13 +14,14 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-// configureStreams publishes a configuration in which streams of callers have the timeout.
-func (d *deployment) configureStreams(timeout time.Duration) {
+// configureStreams publishes a configuration in which a field of the route of callers' streams has
+// the value.
+func (d *deployment) configureStreams(field string, value any) {
 	d.version += 3
 	config := hostplatform.Config(d.version, host, []string{key})
 	for _, route := range config["routes"].([]map[string]any) {
 		if route["name"] == "talk" {
-			route["timeout-ms"] = timeout.Milliseconds()
+			route[field] = value
 		}
 	}
 	before := countLines(d.logged(), "config applied")
@@ -50,7 +51,7 @@
 var _ = Describe("A stream of a caller", func() {
 	It("is not cut while events arrive slowly, for longer than every fixed time-out of a connection", func() {
 		d := newDeployment(1, 1)
-		d.configureStreams(20 * time.Second)
+		d.configureStreams("timeout-ms", 20_000)
 		d.engines[0].SetEventInterval(time.Second)
 		res := d.instances[0].callStream("slow", 13)
 		Expect(res.status).To(Equal(http.StatusOK))
@@ -59,7 +60,7 @@
 
 	It("ends at the timeout of its route if bytes arrive but no event is complete", func() {
 		d := newDeployment(1, 1)
-		d.configureStreams(2 * time.Second)
+		d.configureStreams("timeout-ms", 2_000)
 		left := make(chan struct{})
 		d.engines[0].SetStreamHandler(func(w http.ResponseWriter, r *http.Request) bool {
 			defer close(left)
@@ -77,7 +78,7 @@
 
 	It("ends at the timeout of its route if the caller reads nothing of it", func() {
 		d := newDeployment(1, 1)
-		d.configureStreams(time.Second)
+		d.configureStreams("timeout-ms", 1_000)
 		in := d.instances[0]
 		started := make(chan struct{})
 		d.engines[0].SetStreamHandler(func(w http.ResponseWriter, _ *http.Request) bool {
--- a/internal/hosted/takeup_test.go
+++ b/internal/hosted/takeup_test.go
@@ -17,19 +17,19 @@
 
 const streamEvents = 30 // of the streams that are taken up
 
-// begin begins a stream through an instance at the engine e0, whose entry, as that instance has
+// begin begins a stream through an instance at the target e, whose entry, as that instance has
 // read it, states the software version. The stream breaks after four events. begin returns its id.
-func (d *deployment) begin(in *testInstance, software string) (id string) {
+func begin(d *deployment, in *testInstance, e *hostplatform.Engine, software string) (id string) {
 	GinkgoHelper()
-	d.engines[0].AbortAfterEvents(4)
-	defer d.engines[0].AbortAfterEvents(0)
-	n := 0
+	for _, other := range append(d.engines, d.plain...) {
+		other.AbortAfterEvents(4)
+		defer other.AbortAfterEvents(0)
+	}
 	Eventually(func() bool {
-		n++
-		id = fmt.Sprintf("first-%s-%d", software, n)
+		id = fmt.Sprintf("first-%d", len(d.logged()))
 		_, events, _ := in.talk(id, streamEvents, "", 0)
 		Expect(events).To(HaveLen(4))
-		return strings.Contains(d.logged(), fmt.Sprintf("instance=%q request=%q route=\"talk\" target=\"e0\" software=%q", in.name, id, software))
+		return strings.Contains(d.logged(), fmt.Sprintf("instance=%q request=%q route=\"talk\" target=%q software=%q", in.name, id, e.ID, software))
 	}, eventuallyTimeout).Should(BeTrue())
 	return id
 }
@@ -60,8 +60,7 @@
 // refuses to.
 func (d *deployment) expectNoOther(in *testInstance, stream, software string) {
 	GinkgoHelper()
-	status, events, _ := in.talk("later-"+stream, streamEvents, stream, 0)
-	Expect(status).To(BeElementOf(http.StatusOK, http.StatusServiceUnavailable))
+	_, events, _ := in.talk("later-"+stream, streamEvents, stream, 0)
 	Expect(hostplatform.IsOutputOfOne([]string{software}, events)).To(BeTrue())
 }
 
@@ -81,7 +80,7 @@
 		d := newDeployment(2, 1)
 		engine, late := d.engines[0], d.instances[0]
 		engine.SetBeforeReport(func(w http.ResponseWriter) { w.Header().Set("Connection", "close") })
-		first := d.begin(d.instances[1], oldSoftware)
+		first := begin(d, d.instances[1], engine, oldSoftware)
 		sendRest := make(chan struct{})
 		deliver := func() {}
 		deliverAWhile := func() {
@@ -134,10 +133,10 @@
 		}
 
 		It("the registry goes on at no target that its old view has with another version", func() {
-			before := d.begin(other, oldSoftware)
+			before := begin(d, other, d.engines[0], oldSoftware)
 			late.logProxy.SetTopicFault(platform.RegistryTopic, hostplatform.Unresponsive)
 			restart()
-			after := d.begin(other, newSoftware)
+			after := begin(d, other, d.engines[0], newSoftware)
 			d.addNewTarget("e1", newSoftware)
 			d.expectRefused(late, before)
 			d.expectRefused(late, after)
@@ -148,7 +147,7 @@
 		DescribeTable("the log goes on at no other version", func(lose func(p *hostplatform.FaultProxy) (restore func())) {
 			restore := lose(late.logProxy)
 			restart()
-			stream := d.begin(other, newSoftware)
+			stream := begin(d, other, d.engines[0], newSoftware)
 			Eventually(d.recorded, eventuallyTimeout).WithArguments(stream).Should(BeTrue())
 			d.expectNoOther(late, stream, newSoftware)
 			restore()
@@ -167,7 +166,7 @@
 
 		It("a record that is not yet appended goes on at no other version", func() {
 			other.logProxy.SetTopicFault("control", hostplatform.Unresponsive)
-			stream := d.begin(other, oldSoftware)
+			stream := begin(d, other, d.engines[0], oldSoftware)
 			restart()
 			d.expectNoOther(late, stream, oldSoftware)
 			other.logProxy.SetFault(hostplatform.Healthy)
@@ -176,7 +175,7 @@
 		})
 
 		It("records that are trimmed is refused", func() {
-			stream := d.begin(other, oldSoftware)
+			stream := begin(d, other, d.engines[0], oldSoftware)
 			Eventually(d.recorded, eventuallyTimeout).WithArguments(stream).Should(BeTrue())
 			d.store.TrimTopic("control")
 			started := d.start(2)
@@ -184,8 +183,27 @@
 			d.expectRefused(started, stream)
 		})
 
+		It("the registry goes on at no target without reports that its old view has with another version", func() {
+			d.configureStreams("service", "desk")
+			restore := d.remove("p1")
+			before := begin(d, other, d.plain[0], oldSoftware)
+			Eventually(d.recorded, eventuallyTimeout).WithArguments(before).Should(BeTrue())
+			late.logProxy.SetTopicFault(platform.RegistryTopic, hostplatform.Unresponsive)
+			d.plain[0].Restart()
+			d.plain[0].SetSoftware(newSoftware)
+			begin(d, other, d.plain[0], newSoftware) // its entry has been read
+			d.expectNoOther(late, before, oldSoftware)
+
+			unsure := begin(d, late, d.plain[0], oldSoftware) // by the old view
+			restore()
+			begin(d, other, d.plain[1], oldSoftware)
+			d.expectNoOther(other, unsure, newSoftware)
+			late.logProxy.SetFault(hostplatform.Healthy)
+			d.expectTakenUp(late, begin(d, other, d.plain[0], newSoftware), newSoftware)
+		})
+
 		It("nothing but the operator's topic or its peers goes on at the version that began it", func() {
-			stream := d.begin(other, oldSoftware)
+			stream := begin(d, other, d.engines[0], oldSoftware)
 			d.addNewTarget("e1", newSoftware)
 			d.addNewTarget("e2", newSoftware)
 			late.logProxy.SetTopicFault(platform.OperatorTopic, hostplatform.Unresponsive)
@@ -196,7 +214,7 @@
 
 		It("all targets goes on at the version that began it, through another instance", func() {
 			d.awaitAnnouncements()
-			stream := d.begin(other, oldSoftware)
+			stream := begin(d, other, d.engines[0], oldSoftware)
 			d.addNewTarget("e1", newSoftware)
 			d.addNewTarget("e2", newSoftware)
 			late.links.set(refusing)
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -60,6 +60,7 @@
 	LogContinuousSince atomic.Int64 // since then each poll of the control topic got its reply in time
 
 	sharedNextOffset atomic.Int64 // copy of nextOffset for other goroutines
+	registryOffset   atomic.Int64 // of the registry's next record to apply
 	caughtUp         atomic.Bool  // the log was applied to its end at least once
 }
 
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -18,6 +18,7 @@
 type keyedTopic struct {
 	topic        string
 	lastRead     *atomic.Int64                                 // set at each reply
+	nextOffset   *atomic.Int64                                 // nil, or set to the offset after the entries that were put
 	pollInterval time.Duration                                 // shortest time between reads; zero: one read follows the other
 	put          func(now time.Duration, e platform.Entry)     // called with each entry
 	retain       func(now time.Duration, keys map[string]bool) // nil, or called with all keys of the topic
@@ -53,6 +54,9 @@
 				}
 			})
 		}
+		if k.nextOffset != nil {
+			k.nextOffset.Store(next)
+		}
 		if k.pollInterval > 0 {
 			clock.Sleep(ctx, max(k.pollInterval, n.followPause()))
 		}
@@ -132,7 +136,7 @@
 // watchRegistry follows the registered targets.
 func (n *Node) watchRegistry(ctx context.Context) error {
 	return n.followKeyed(ctx, keyedTopic{
-		topic: platform.RegistryTopic, lastRead: &n.StateLoop.lastRegistryRead, pollInterval: registryPollInterval,
+		topic: platform.RegistryTopic, lastRead: &n.StateLoop.lastRegistryRead, nextOffset: &n.StateLoop.registryOffset, pollInterval: registryPollInterval,
 		put: func(now time.Duration, e platform.Entry) {
 			n.StateLoop.targets.Expire(now)
 			if len(e.Value) == 0 {
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -14,8 +14,11 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-// startReportTimeout bounds the read of an engine's report, which needs no slot.
-const startReportTimeout = 250 * time.Millisecond
+const (
+	// startReportTimeout bounds the read of an engine's report, which needs no slot, or of an entry.
+	startReportTimeout = 250 * time.Millisecond
+	registryReadBytes  = 256 << 10 // the entries since the latest poll: some hundred
+)
 
 // errStartUnknown is the error of a target of which it is not known whether it still is the start
 // that its registry entry describes.
@@ -32,7 +35,7 @@
 }
 
 // confirmedStart is the start that ran at the time at or later: it answered a request that was
-// sent then. When the answer arrived says nothing: it may arrive long after the start has ended, if
+// sent then, or its entry stood in the registry. When the answer arrived says nothing: it may arrive long after the start has ended, if
 // this instance stood still or the links were cut.
 type confirmedStart struct {
 	startedAt int64
@@ -42,9 +45,6 @@
 // StartKnown reports whether what comes over the connection is known to be made by the start of
 // the target that the entry t describes, without asking the target.
 func (n *Node) StartKnown(t directory.Target, connection net.Conn) bool {
-	if len(t.Models) == 0 {
-		return true // it has no report: the entry is believed
-	}
 	c, ok := connection.(*targetConn)
 	if !ok || t.StartedAt == 0 {
 		return false
@@ -64,12 +64,12 @@
 // opened before sentAt.
 func (n *Node) HeardOn(t directory.Target, connection net.Conn, sentAt time.Duration) {
 	n.Links.Heard()
-	if len(t.Models) > 0 && n.StartKnown(t, connection) {
+	if n.StartKnown(t, connection) {
 		n.starts.set(t.ID, confirmedStart{t.StartedAt, sentAt})
 	}
 }
 
-// ConfirmStart returns nil if StartKnown, after it has asked the engine for its report if need be.
+// ConfirmStart returns nil if StartKnown, after CheckStart if need be.
 func (n *Node) ConfirmStart(ctx context.Context, t directory.Target, connection net.Conn) error {
 	if n.StartKnown(t, connection) {
 		return nil
@@ -77,12 +77,9 @@
 	return n.CheckStart(ctx, t)
 }
 
-// CheckStart asks the engine for its report. It returns nil if the engine is the start that the
-// entry t describes.
+// CheckStart asks an engine for its report, and reads the registry entry of another target, which
+// has no report. It returns nil if the target is the start that the entry t describes.
 func (n *Node) CheckStart(ctx context.Context, t directory.Target) error {
-	if len(t.Models) == 0 {
-		return nil
-	}
 	if latest, found := n.CurrentView().Target(t.ID); !found || !latest.Ready {
 		return fmt.Errorf("%w: it leaves, and gets nothing new", errStartUnknown)
 	}
@@ -102,19 +99,59 @@
 	ctx, cancel := context.WithTimeout(ctx, startReportTimeout)
 	defer cancel()
 	at := n.Clock.Now()
-	report, err := platform.ReadTargetReport(ctx, n.TargetClient, t.Address)
+	read := n.readReportedStart
+	if len(t.Models) == 0 {
+		read = n.readEntryStart
+	}
+	startedAt, err := read(ctx, t)
 	if err != nil {
 		return err
 	}
-	if report.StartedAt == 0 {
-		return errors.New("the report does not state the start")
+	if startedAt == 0 {
+		return errors.New("the start is not stated")
 	}
-	n.Metrics.startsRead.Inc()
-	n.starts.set(t.ID, confirmedStart{report.StartedAt, at})
+	n.starts.set(t.ID, confirmedStart{startedAt, at})
 	n.starts.retain(n.CurrentView())
 	return nil
 }
 
+func (n *Node) readReportedStart(ctx context.Context, t directory.Target) (int64, error) {
+	report, err := platform.ReadTargetReport(ctx, n.TargetClient, t.Address)
+	if err != nil {
+		return 0, err
+	}
+	n.Metrics.startsRead.Inc()
+	return report.StartedAt, nil
+}
+
+// readEntryStart returns the start that the entry of the target states now. The latest view may be
+// seconds older, if the path to the registry was cut or this instance stood still.
+func (n *Node) readEntryStart(ctx context.Context, t directory.Target) (int64, error) {
+	from := n.StateLoop.registryOffset.Load()
+	batch, err := n.store.Read(ctx, platform.RegistryTopic, 0, from, registryReadBytes, 0)
+	if err != nil {
+		return 0, err
+	}
+	if from+int64(len(batch.Records)) < batch.EndOffset {
+		return 0, fmt.Errorf("the registry has more than %d new records", len(batch.Records))
+	}
+	latest, found := n.CurrentView().Target(t.ID)
+	for _, data := range batch.Records {
+		e, err := platform.DecodeEntry(data)
+		if err != nil || e.Key != t.ID {
+			continue
+		}
+		entry, err := platform.DecodeTarget(e)
+		if found = err == nil; !found || entry.StartedAt >= latest.StartedAt {
+			latest = entry
+		}
+	}
+	if !found {
+		return 0, errors.New("the target has no entry")
+	}
+	return latest.StartedAt, nil
+}
+
 // since returns the start that the target reported when it was asked at that time or later, zero
 // if it has not been asked since.
 func (s *starts) since(target string, at time.Duration) int64 {
