hosted: spec of a job that is taken over by an instance with an old registry view

No change of behaviour. The engine has started again with another version, which the instance that takes the job over has not read: it asks the engine to go on after stored events of the old version, and discards what arrives, as the engine's report states another start. The spec passes; it is the way of tasks beside those of callers' streams in the same file.

--- a/internal/hosted/takeup_test.go
+++ b/internal/hosted/takeup_test.go
@@ -212,6 +212,20 @@
 			}
 		})
 
+		It("the registry and takes a job over does not go on with its stored events at another version", func() {
+			d.engines[0].SetEventInterval(20 * time.Millisecond)
+			events := tasks(4, 150)
+			Expect(other.call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+			Eventually(d.storedChunks, eventuallyTimeout).Should(BeNumerically(">=", 4))
+			late.logProxy.SetTopicFault(platform.RegistryTopic, hostplatform.Unresponsive)
+			other.kill()
+			restart()
+			Eventually(func() int { return countLines(d.logged(), "run at unknown software") }, eventuallyTimeout).Should(BeNumerically(">", 0))
+			late.logProxy.SetFault(hostplatform.Healthy)
+			d.engines[0].SetEventInterval(time.Millisecond)
+			checkSoftware(late.awaitResults("j", 4), events)
+		})
+
 		It("all targets goes on at the version that began it, through another instance", func() {
 			d.awaitAnnouncements()
 			stream := begin(d, other, d.engines[0], oldSoftware)
