batch: an instance that has skipped records of the log refuses unknown jobs with 503

What callers saw: 404 for the results and items of a job that exists, and for its end, at an instance that has started, or has been cut off, when the submission had left the log.

Cause: the follower goes on after a trimmed log with the oldest record that is left. Reading the log to its end then counted as knowing every job.

Evidence: the spec "does not say of a job that it does not exist" failed on the code before, status 404 instead of 503.

Change: the follower notes when it has skipped records. A job that is not known is refused as long after that as its results may have to be readable, twice the retention for one that is open. The time is noted before the offset moves, so a request that waits for the end of the log sees it.

Not changed: jobs that were known before the skipped records. Results and claims among those are still missed.

Result: the spec passes; the specs of jobs and accounts pass.

--- a/core/job/state.go
+++ b/core/job/state.go
@@ -352,12 +352,12 @@
 
 // Prune removes old jobs and the windows before oldestWindow. readableFor is how long results
 // must stay readable after the submission; wallMillis is the current time in Unix
-// milliseconds. Closed jobs are kept for readableFor and a margin, open ones for twice
-// readableFor.
+// milliseconds. Closed jobs are kept for readableFor and a margin, open ones for OpenRetentions
+// times readableFor.
 func (s *State) Prune(wallMillis int64, readableFor time.Duration, oldestWindow int64) {
 	for id, j := range s.Jobs {
 		age := time.Duration(wallMillis-j.SubmittedAt) * time.Millisecond
-		if age < 2*readableFor && (age < readableFor+clockSkewMargin || j.Open()) {
+		if age < OpenRetentions*readableFor && (age < readableFor+clockSkewMargin || j.Open()) {
 			continue
 		}
 		delete(s.Jobs, id)
@@ -375,6 +375,10 @@
 	}
 }
 
+// OpenRetentions is for how many times the time in which results must stay readable a job is kept
+// that is open.
+const OpenRetentions = 2
+
 // clockSkewMargin covers clock differences between the instances, as ages are computed from
 // another instance's clock.
 const clockSkewMargin = 10 * time.Second
--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -196,8 +196,11 @@
 	}
 }
 
+var errRecordsSkipped = errors.New("the job's submission may be among records that were skipped")
+
 // findJob reports whether the account of the request has the job. Before it returns
-// false, it waits until the log is applied to its end.
+// false, it waits until the log is applied to its end. It fails if the log no longer held the
+// submission of a job that may still be readable when this instance read it.
 func (b *Batch) findJob(ctx context.Context, c *forward.CallerRequest, id string) (bool, error) {
 	if b.hasJob(ctx, c, id) {
 		return true, nil
@@ -205,6 +208,9 @@
 	if err := b.CatchUp(ctx); err != nil {
 		return false, err
 	}
+	if _, known := b.jobOwner(ctx, id); !known && b.SkippedWithin(job.OpenRetentions*b.Settings.JobRetention) {
+		return false, errRecordsSkipped
+	}
 	return b.hasJob(ctx, c, id), nil
 }
 
--- a/internal/node/board.go
+++ b/internal/node/board.go
@@ -57,6 +57,7 @@
 	lastOperatorRead   atomic.Int64 // last reply to a read of the operator topic
 	lastRegistryRead   atomic.Int64 // of the registry topic
 	lastLogRead        atomic.Int64 // of the control topic
+	lastSkip           atomic.Int64 // records of the control topic were skipped
 	LogContinuousSince atomic.Int64 // since then each poll of the control topic got its reply in time
 
 	sharedNextOffset atomic.Int64 // copy of nextOffset for other goroutines
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -77,6 +77,10 @@
 	return n.StateLoop.caughtUp.Load() && n.sinceLastRead(&n.StateLoop.lastLogRead) < StaleAfter
 }
 
+// SkippedWithin reports whether the instance has skipped records of the log, which were no longer
+// kept when it read on, within the duration. The state then lacks what they said.
+func (n *Node) SkippedWithin(d time.Duration) bool { return n.sinceLastRead(&n.StateLoop.lastSkip) < d }
+
 // followLog reads the control topic and applies its records until ctx ends.
 func (n *Node) followLog(ctx context.Context) error {
 	n.awaitFirstView(ctx)
@@ -88,6 +92,7 @@
 		switch {
 		case errors.As(err, &trimmed):
 			n.Log("log trimmed", events.F("from", fmt.Sprint(n.StateLoop.nextOffset)), events.F("first", fmt.Sprint(trimmed.OldestOffset)))
+			n.StateLoop.lastSkip.Store(int64(n.Clock.Now())) // before CatchUp returns
 			n.StateLoop.Do(ctx, func() { n.StateLoop.nextOffset = trimmed.OldestOffset })
 		case err != nil:
 			n.DependencyLost("log", err)
