hosted: spec of a stream that is taken up while its version has no free slot

No change of behaviour. Further attempts of one request go to targets of the version that began the stream, as the first one does.

The spec passes.

--- a/internal/hosted/takeup_test.go
+++ b/internal/hosted/takeup_test.go
@@ -202,7 +202,7 @@
 			d.expectTakenUp(late, begin(d, other, d.plain[0], newSoftware), newSoftware)
 		})
 
-		It("nothing but the operator's topic or its peers goes on at the version that began it", func() {
+		It("the operator's topic goes on at the version that began it", func() {
 			stream := begin(d, other, d.engines[0], oldSoftware)
 			d.addNewTarget("e1", newSoftware)
 			d.addNewTarget("e2", newSoftware)
@@ -212,6 +212,22 @@
 			}
 		})
 
+		It("a free slot at its version goes on at no other version", func() {
+			stream := begin(d, other, d.engines[0], oldSoftware)
+			d.addNewTarget("e1", newSoftware)
+			d.awaitRegistryRead()
+			d.engines[0].SetStreamHandler(func(w http.ResponseWriter, _ *http.Request) bool {
+				w.Header().Set("Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return true
+			})
+			status, _, _ := late.talk("again", streamEvents, stream, 4)
+			Expect(status).To(Equal(http.StatusServiceUnavailable))
+			for _, r := range d.engines[1].Runs() {
+				Expect(r.ID).NotTo(Equal("again"))
+			}
+		})
+
 		It("the registry and takes a job over does not go on with its stored events at another version", func() {
 			d.engines[0].SetEventInterval(20 * time.Millisecond)
 			events := tasks(4, 150)
