Tasks: do not read the events of an encoded answer

Seen: a task that resumes after kept events at an engine whose answer has a Content-Encoding gets its bytes as events, or is completed with a part of its output if the encoded answer holds none. Answers to callers with an encoding are refused; those to tasks were read as they are. Cause: whether an answer is encoded was checked by the code that reads callers' answers, not where a response's header is decoded. The reader of tasks' streams had no such check. Evidence: the new spec gives tasks that have kept two events one wrong answer each: statuses with text, JSON or events, refusals, ends before and in the head and in an event, bodies of other types, heads in the body, events of other numbers. Change: platform.ResponseHeader.Encoded, checked by both readers.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -90,6 +90,8 @@
 		end.serverError, end.err = true, errors.New("the engine responded with a server error")
 	case res.StatusCode != http.StatusOK || response.Signature == "":
 		end.err = fmt.Errorf("%w: status %d", errNotStream, res.StatusCode)
+	case response.Encoded:
+		end.err = fmt.Errorf("%w: it is encoded", errNotStream)
 	default:
 		r.output.expectMaker(r.id, &maker{
 			known: func() bool { return b.StartKnown(r.target, connection) },
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -290,7 +290,7 @@
 	switch {
 	case res.StatusCode/100 == 2 && r.PlatformHeader.Signature == "":
 		r.Err = errors.New("the answer is not signed")
-	case res.Header.Get("Content-Encoding") != "":
+	case r.PlatformHeader.Encoded:
 		r.Err = errors.New("the answer is encoded, which nobody asked for")
 	case p.Kind == catalog.Stream && res.StatusCode == http.StatusOK:
 		r.stream = res.Body
--- /dev/null
+++ b/internal/hosted/wronganswer_test.go
@@ -0,0 +1,104 @@
+package hosted_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+)
+
+// answerTo responds to a run that resumes after two events of the task id.
+type answerTo func(w http.ResponseWriter, r *http.Request, id string)
+
+// whole responds with the status, the header fields and a body that has a length.
+func whole(status int, fields, body string) answerTo {
+	return func(w http.ResponseWriter, r *http.Request, id string) {
+		for field := range strings.Lines(fields) {
+			name, value, _ := strings.Cut(strings.TrimSpace(field), ": ")
+			w.Header().Set(name, value)
+		}
+		w.Header().Set("Content-Length", fmt.Sprint(len(body)))
+		w.WriteHeader(status)
+		_, err := w.Write([]byte(body))
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// raw writes text to the connection and closes it.
+func raw(text string) answerTo {
+	return func(w http.ResponseWriter, _ *http.Request, id string) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		Expect(err).NotTo(HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write([]byte(strings.ReplaceAll(text, "ID", id)))
+		Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+const (
+	eventStream = "Server-Stamp: s\nWeight-Versions: 1\nContent-Type: text/event-stream"
+	rawHead     = "HTTP/1.1 200 OK\r\nRequest-Id: ID\r\nServer-Stamp: s\r\nWeight-Versions: 1\r\nContent-Type: text/event-stream\r\n"
+)
+
+var wrongAnswers = map[string]answerTo{
+	"400 with a text":                   whole(400, "Server-Stamp: s", "bad request\n\n"),
+	"404 with a JSON error":             whole(404, "Content-Type: application/json", `{"error":"no"}`),
+	"502 with a text":                   whole(502, "", "bad gateway"),
+	"500 with events":                   whole(500, eventStream, "id: 3\ndata: wrong\n\n"),
+	"503, not run":                      whole(503, "Not-Executed: 1", "id: 3\ndata: wrong\n\n"),
+	"429, not run":                      whole(429, "Not-Executed: 1", ""),
+	"421":                               whole(421, "", ""),
+	"206 with events":                   whole(206, eventStream, "id: 3\ndata: wrong\n\n"),
+	"an end before the head":            raw(""),
+	"an end in the head":                raw("HTTP/1.1 200 OK\r\nServer-St"),
+	"an end in an event":                raw(rawHead + "\r\nid: 3\ndata: wro"),
+	"an end in an event's number":       raw(rawHead + "\r\nid: 3\n"),
+	"200 with a text":                   whole(200, "Server-Stamp: s", "an error\n\n"),
+	"200 with a JSON error":             whole(200, "Server-Stamp: s\nContent-Type: application/json", `{"error":"no"}`),
+	"an encoded 200 without events":     whole(200, eventStream+"\nContent-Encoding: gzip", ""),
+	"an encoded 200 with events":        whole(200, eventStream+"\nContent-Encoding: x-other", "id: 3\ndata: wrong\n\n"),
+	"200 without a signature":           whole(200, "Content-Type: text/event-stream", "id: 3\ndata: wrong\n\n"),
+	"a head in the body":                whole(200, eventStream, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\nid: 3\ndata: wrong\n\n"),
+	"events from the first one":         whole(200, eventStream, "id: 1\ndata: wrong\n\nid: 2\ndata: wrong\n\nid: 3\ndata: wrong\n\n"),
+	"events from a later one":           whole(200, eventStream, "id: 4\ndata: wrong\n\n"),
+	"no event and no stated end, reset": func(w http.ResponseWriter, r *http.Request, _ string) { cut{reset: true}.respond(w, r, "") },
+}
+
+// Guards against the text of another answer in the output of a task, and against an output that
+// ends with an answer which is not the rest of it.
+var _ = Describe("A task that resumes after kept events", func() {
+	It("has its whole output whatever the next engine answers first", func() {
+		d := newDeployment(1, 2)
+		var answered sync.Map
+		for _, e := range d.engines {
+			e.SetStreamHandler(func(w http.ResponseWriter, r *http.Request) bool {
+				id := r.Header.Get("Request-Id")
+				if _, done := answered.Load(id); done {
+					return false
+				}
+				if r.Header.Get("Last-Event-Id") == "" {
+					cut{framing: "Transfer-Encoding: chunked\r\n"}.respond(w, r, cutEvents(id))
+					return true
+				}
+				answered.Store(id, true)
+				wrongAnswers[strings.ReplaceAll(id, "-", " ")](w, r, id)
+				return true
+			})
+		}
+		events := map[string]int{}
+		for name := range wrongAnswers {
+			events[strings.ReplaceAll(name, " ", "-")] = 4
+		}
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		checkOutputs(d.instances[0].awaitResults("j", len(events)), events)
+		for id := range events {
+			_, done := answered.Load(id)
+			Expect(done).To(BeTrue(), id)
+		}
+	})
+})
