Tasks: an event without data is no event

Seen: the text of a task gets an empty line in place of an event, and goes on with a later one, if the head of another response stands in the stream between an event's number and its data. Cause: the reader of events took every block of lines up to an empty line as an event. A head ends with an empty line too; its lines are no fields of an event and were skipped. What a target puts into the data of an event itself cannot be told from its output.

--- a/internal/hosted/wronganswer_test.go
+++ b/internal/hosted/wronganswer_test.go
@@ -64,6 +64,8 @@
 	"an encoded 200 with events":        whole(200, eventStream+"\nContent-Encoding: x-other", "id: 3\ndata: wrong\n\n"),
 	"200 without a signature":           whole(200, "Content-Type: text/event-stream", "id: 3\ndata: wrong\n\n"),
 	"a head in the body":                whole(200, eventStream, "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\n\r\nid: 3\ndata: wrong\n\n"),
+	"a head in an event":                whole(200, eventStream, "id: 3\nHTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nid: 4\ndata: wrong\n\n"),
+	"an event without data":             whole(200, eventStream, "id: 3\n\nid: 4\ndata: wrong\n\n"),
 	"events from the first one":         whole(200, eventStream, "id: 1\ndata: wrong\n\nid: 2\ndata: wrong\n\nid: 3\ndata: wrong\n\n"),
 	"events from a later one":           whole(200, eventStream, "id: 4\ndata: wrong\n\n"),
 	"no event and no stated end, reset": func(w http.ResponseWriter, r *http.Request, _ string) { cut{reset: true}.respond(w, r, "") },
