Tasks: an answer without an event is the rest of an output only if that is shown

Seen: a task is listed as completed with an empty output, or with the events that were kept before, though its engine has crashed after the head of its answer, or has answered 200 with an empty body of another type. Cause: the end of a run was checked only if the run had added events. A run without one counted as the proof that nothing follows. That holds for an engine that was asked to go on after the last event and states the end of an empty stream; it holds neither for a run from the first event nor for a body that ends with its connection, which a crash ends, too. Change: checkEnd. No event at all is no output; a body that is stated to be of another type is no stream; if the end of the body is not stated, the engine is asked whether it still is the start that the run began at.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -98,8 +98,10 @@
 			ask:   func(ctx context.Context) error { return b.ConfirmStart(ctx, r.target, connection) },
 		})
 		end.outcome, end.err = b.readEvents(res.Body, r, response.Version, connection)
-		if added, _ := r.output.runProgress(); added > 0 && end.outcome == assign.Completed && !platform.StatesEnd(res) {
-			end.outcome, end.err = assign.Broken, errEndNotStated // a further run tells whether there are more events
+		if end.outcome == assign.Completed {
+			if end.err = b.checkEnd(ctx, r, res, lastEvent); end.err != nil {
+				end.outcome = assign.Broken
+			}
 		}
 		if lastEvent > 0 || end.outcome != assign.Completed { // another run has made a part, or may have to
 			if err := b.confirmMaker(ctx, r, connection); err != nil && end.outcome == assign.Completed {
@@ -110,6 +112,29 @@
 	return markCanceled(ctx, end)
 }
 
+// checkEnd returns an error unless the end of a response shows that the output is complete. Other
+// runs have added events up to lastEvent.
+func (b *Batch) checkEnd(ctx context.Context, r taskRun, res *http.Response, lastEvent int64) error {
+	added, _ := r.output.runProgress()
+	mediaType := platform.MediaType(res.Header)
+	switch {
+	case added > 0 && platform.StatesEnd(res):
+		return nil
+	case added > 0:
+		return errEndNotStated // a further run tells whether there are more events
+	case lastEvent == 0:
+		return errNoEvents
+	case mediaType != "" && mediaType != platform.EventStream:
+		return fmt.Errorf("%w: its media type is %.40q", errNotStream, mediaType)
+	case !platform.StatesEnd(res):
+		// The connection of an engine that crashes ends like that of one that has nothing to add.
+		if err := b.CheckStart(ctx, r.target); err != nil {
+			return fmt.Errorf("%w: %w", errEndNotStated, err)
+		}
+	}
+	return nil
+}
+
 // confirmMaker finds out at the end of a run whether its engine has the software version that the
 // registry states.
 func (b *Batch) confirmMaker(ctx context.Context, r taskRun, connection net.Conn) error {
--- a/internal/hosted/wronganswer_test.go
+++ b/internal/hosted/wronganswer_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -60,6 +61,7 @@
 	"an end in an event's number":       raw(rawHead + "\r\nid: 3\n"),
 	"200 with a text":                   whole(200, "Server-Stamp: s", "an error\n\n"),
 	"200 with a JSON error":             whole(200, "Server-Stamp: s\nContent-Type: application/json", `{"error":"no"}`),
+	"an empty 200 of another type":      whole(200, "Server-Stamp: s\nContent-Type: application/json", ""),
 	"an encoded 200 without events":     whole(200, eventStream+"\nContent-Encoding: gzip", ""),
 	"an encoded 200 with events":        whole(200, eventStream+"\nContent-Encoding: x-other", "id: 3\ndata: wrong\n\n"),
 	"200 without a signature":           whole(200, "Content-Type: text/event-stream", "id: 3\ndata: wrong\n\n"),
@@ -104,3 +106,52 @@
 		}
 	})
 })
+
+// Guards against an output that ends with the crash of an engine that has sent a head only, and
+// against an empty output.
+var _ = Describe("A task whose engine crashes after the head of an answer without a stated end", func() {
+	DescribeTable("has its whole output", func(resumes bool) {
+		d := newDeployment(1, 3)
+		var cutOff, crashed atomic.Bool
+		for i, e := range d.engines {
+			e.SetStreamHandler(func(w http.ResponseWriter, r *http.Request) bool {
+				switch {
+				case resumes && cutOff.CompareAndSwap(false, true):
+					cut{framing: "Transfer-Encoding: chunked\r\n"}.respond(w, r, cutEvents("t"))
+				case resumes && r.Header.Get("Last-Event-Id") == "", !crashed.CompareAndSwap(false, true):
+					return false
+				default:
+					conn, _, err := http.NewResponseController(w).Hijack()
+					Expect(err).NotTo(HaveOccurred())
+					d.servers[fmt.Sprintf("e%d", i)].Close()
+					_, err = conn.Write([]byte(strings.ReplaceAll(rawHead+"\r\n", "ID", "t")))
+					Expect(err).NotTo(HaveOccurred())
+					Expect(conn.Close()).To(Succeed())
+				}
+				return true
+			})
+		}
+		events := map[string]int{"t": 4}
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		checkOutputs(d.instances[0].awaitResults("j", 1), events)
+		Expect(crashed.Load()).To(BeTrue())
+	},
+		Entry("that begins", false),
+		Entry("that resumes", true),
+	)
+
+	It("has its whole output, too, if the engine does not crash and has nothing to add", func() {
+		d := newDeployment(1, 1)
+		d.engines[0].SetStreamHandler(func(w http.ResponseWriter, r *http.Request) bool {
+			if r.Header.Get("Last-Event-Id") == "2" {
+				raw(rawHead+"\r\n")(w, r, "t")
+			} else {
+				cut{}.respond(w, r, cutEvents("t"))
+			}
+			return true
+		})
+		events := map[string]int{"t": 2}
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		checkOutputs(d.instances[0].awaitResults("j", 1), events)
+	})
+})
