Streams: one that ends inside an event is not complete

Seen: a target stops in the middle of an event and its stream ends as if it were whole: with the connection, which its crash closes, or by the end that its length or its chunks state. The caller gets a complete response of status 200 whose last event is torn. Cause: the end of the body was taken for the end of the stream. The events themselves show that it is not.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -167,43 +167,6 @@
 	_, _ = c.Writer.Write(r.body) // a caller that has disconnected needs no response
 }
 
-// forwardStream forwards a streamed body as it arrives. If the stream is interrupted, it
-// cuts the connection to the caller, so that the response does not look complete. The deadline
-// of ctx ends it, also while the caller reads nothing.
-func (f *Forwarder) forwardStream(ctx context.Context, c *CallerRequest, request *PlainRequest, r *AttemptResult) {
-	defer r.stream.Close()
-	c.Writer.Header().Del("Content-Length")
-	c.Writer.WriteHeader(r.Status)
-	flusher := http.NewResponseController(c.Writer)
-	if deadline, limited := ctx.Deadline(); limited {
-		_ = flusher.SetWriteDeadline(deadline)                       // the server's connections support it
-		defer func() { _ = flusher.SetWriteDeadline(time.Time{}) }() // for later requests on the connection
-	}
-	buffer := make([]byte, 16<<10)
-	for {
-		k, err := r.stream.Read(buffer)
-		if k > 0 {
-			if _, werr := c.Writer.Write(buffer[:k]); werr != nil {
-				return
-			}
-			if ferr := flusher.Flush(); ferr != nil {
-				return
-			}
-		}
-		if errors.Is(err, io.EOF) {
-			f.poisonGuard.served(request)
-			return
-		}
-		if err != nil {
-			if !r.relayed {
-				f.crashDetector.requestLost(c.Request.Context(), r.Target, lostRequest{request.ID, request.digest()}, r.sentAt)
-			}
-			f.Log("request stream broken", events.F("request", c.ID), events.F("target", r.Target.ID), events.F("error", err.Error()))
-			panic(http.ErrAbortHandler)
-		}
-	}
-}
-
 // ErrRequestIDMismatch is the error of a response that names another request.
 var ErrRequestIDMismatch = errors.New("the answer belongs to another request")
 
--- a/internal/hosted/wronganswer_test.go
+++ b/internal/hosted/wronganswer_test.go
@@ -155,3 +155,24 @@
 		checkOutputs(d.instances[0].awaitResults("j", 1), events)
 	})
 })
+
+// Guards against a stream that looks complete though its target stopped inside an event.
+var _ = Describe("A stream that ends inside an event", func() {
+	DescribeTable("is no complete stream of a caller, also through another instance", func(framing, part string) {
+		d := newDeployment(2, 1)
+		d.awaitAnnouncements()
+		for _, id := range []string{"direct", "relayed"} {
+			d.engines[0].SetStreamHandler(func(w http.ResponseWriter, r *http.Request) bool {
+				raw(rawHead+framing+"\r\n"+part)(w, r, id)
+				return true
+			})
+			res := d.instances[0].callStream(id, 4)
+			Expect(res.status).NotTo(Equal(http.StatusOK), "a complete response of status 200 with %q", res.body)
+			d.instances[0].links.set(refusing)
+		}
+	},
+		Entry("with its length", "Content-Length: 12\r\n", "id: 1\ndata: "),
+		Entry("chunked", "Transfer-Encoding: chunked\r\n", "c\r\nid: 1\ndata: \r\n0\r\n\r\n"),
+		Entry("up to the end of the connection", "", "id: 1\ndata: a\n\nid: 2\n"),
+	)
+})
