Streams: reset the connection of an HTTP/1.0 caller unless its stream is complete

Seen: a caller of HTTP/1.0 gets two events of four and then the end of the connection, which is how a whole response ends there, when the target's stream is cut, when the route's timeout passes or when the instance ends in the middle. Cause: a stream that breaks off is ended by closing the caller's connection. That differs from a whole one by the last chunk in HTTP/1.1, and not at all in HTTP/1.0, where nothing states the end of the body. Change: while such a stream is not complete, closing its connection resets it, whoever closes it: the handler, the server or the end of the process.

--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -24,6 +25,7 @@
 		_ = flusher.SetWriteDeadline(deadline)                       // the server's connections support it
 		defer func() { _ = flusher.SetWriteDeadline(time.Time{}) }() // for later requests on the connection
 	}
+	complete := resetUnlessComplete(c.Request)
 	tail := streamTail{events: platform.MediaType(r.header) == platform.EventStream}
 	buffer := make([]byte, 16<<10)
 	for {
@@ -42,6 +44,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			f.poisonGuard.served(request)
+			complete()
 			return
 		}
 		if err != nil {
@@ -70,3 +73,22 @@
 func (t *streamTail) insideEvent() bool {
 	return t.events && len(t.last) > 0 && !bytes.HasSuffix(t.last, []byte("\n\n")) && !bytes.HasSuffix(t.last, []byte("\n\r\n"))
 }
+
+type connectionKey struct{}
+
+// ConnContext adds a caller's connection to the context of its requests; for http.Server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// resetUnlessComplete makes sure that a response in HTTP/1.0, which ends with its connection, looks
+// complete only if the returned function was called: the connection is reset otherwise, also if the
+// process is killed.
+func resetUnlessComplete(r *http.Request) (complete func()) {
+	connection, ok := r.Context().Value(connectionKey{}).(interface{ SetLinger(seconds int) error })
+	if !ok || r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	_ = connection.SetLinger(0) // fails on a connection that is closed
+	return func() { _ = connection.SetLinger(-1) }
+}
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/internal/peerlink"
 )
 
@@ -91,7 +92,9 @@
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return ctx },
-		ConnContext: peerlink.ConnContext,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return forward.ConnContext(peerlink.ConnContext(ctx, c), c)
+		},
 	}
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error {
