Completions: a stream that breaks off does not end like a whole response

Seen: a streamed completion that no engine goes on with, or whose deadline passes, ends with an error event and then with the last chunk of a complete response. A client that reads the events tells by the missing end marker; what lies between, a proxy or a cache, takes the response for whole. Cause: the handler returned after the error event, and the server ended the response as it ends any other. Change: streamWriter.fail sends the error event and cuts the connection (HTTP/2: resets the stream).

--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -86,10 +86,12 @@
 	return s.flush()
 }
 
-// fail ends a started stream with an error event and without the end marker.
+// fail ends a started stream with an error event and without the end marker. It cuts the
+// connection, so that the response does not look complete, and does not return.
 func (s *streamWriter) fail(f *failure) {
 	s.event(f.body())
 	_ = s.flush() // the caller may have disconnected
+	panic(http.ErrAbortHandler)
 }
 
 // respondStream responds to a streamed completion. When an engine fails, another one
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -11,6 +11,7 @@
 
 import (
 	"hash/fnv"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -53,6 +54,7 @@
 	kv               kvStore
 	lastID           int64
 	abortAfter       int // tokens of the next completion after which its connection is aborted; zero: never
+	continuation     func(w http.ResponseWriter, r *http.Request) bool
 	workAdded        chan struct{}
 }
 
@@ -294,6 +296,21 @@
 	e.abortAfter = n
 }
 
+// HandleContinuations makes h respond to the completions that continue a stream, unless it
+// returns false. nil: the engine responds itself.
+func (e *Engine) HandleContinuations(h func(w http.ResponseWriter, r *http.Request) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.continuation = h
+}
+
+func (e *Engine) respondsToContinuation(w http.ResponseWriter, r *http.Request) bool {
+	e.mu.Lock()
+	h := e.continuation
+	e.mu.Unlock()
+	return h != nil && h(w, r)
+}
+
 // Stopped reports whether the engine has been stopped.
 func (e *Engine) Stopped() bool {
 	e.mu.Lock()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -78,6 +78,9 @@
 	}
 	from, kv := 0, ""
 	if req.Continue != nil {
+		if e.respondsToContinuation(w, r) {
+			return
+		}
 		from, kv = req.Continue.Tokens, req.Continue.KV
 	}
 	seq := e.add(prompt, req.Seed, from, end, kv)
