Completions: keep an engine's error text out of a stream that another one began

Seen: a stream breaks off, the next engine answers its continuation with 400, 404 or 429, and the caller finds up to 4 KiB of that answer's body, a head too if it holds one, in the error event within the stream. Cause: the text of a 4xx is passed on as the answer to the caller's request. That holds until the response has begun; afterwards the engine has answered the service's own continuation. Change: within a stream the failure is target_failed in the service's own words. An error response, before a stream has begun, is as before.

--- a/internal/caller/errors.go
+++ b/internal/caller/errors.go
@@ -17,6 +17,12 @@
 // "ran" or "unknown".
 const OutcomeHeader = "X-Amaranth-Outcome"
 
+// Error codes of failures at targets.
+const (
+	codeRefusedByTarget = "refused_by_target"
+	codeTargetFailed    = "target_failed"
+)
+
 // codeRequestTooOld is the error code of a request that is so old that the claim of an
 // earlier attempt may have been evicted.
 const codeRequestTooOld = "request_too_old"
@@ -82,9 +88,9 @@
 	case errors.Is(err, route.ErrNoTarget):
 		return refuse(http.StatusServiceUnavailable, "overloaded", err.Error())
 	case errors.As(err, &attempt) && attempt.Status >= 400 && attempt.Status < 500:
-		return &failure{status: attempt.Status, code: "refused_by_target", outcome: attempt.Outcome, message: attempt.Err.Error()}
+		return &failure{status: attempt.Status, code: codeRefusedByTarget, outcome: attempt.Outcome, message: attempt.Err.Error()}
 	case errors.As(err, &attempt):
-		return &failure{status: http.StatusBadGateway, code: "target_failed", outcome: attempt.Outcome, message: "the target failed: " + attempt.Outcome.String()}
+		return &failure{status: http.StatusBadGateway, code: codeTargetFailed, outcome: attempt.Outcome, message: "the target failed: " + attempt.Outcome.String()}
 	case errors.Is(err, errClaimUnconfirmed):
 		return refuse(http.StatusServiceUnavailable, "log_unavailable", err.Error())
 	case errors.Is(err, errClaimExpired):
@@ -96,6 +102,15 @@
 	}
 }
 
+// withinStream returns the failure of a response that has begun. A target that refuses to go on with
+// it does not answer the caller's request: its text is not for the caller.
+func (f *failure) withinStream() *failure {
+	if f.code != codeRefusedByTarget {
+		return f
+	}
+	return &failure{status: http.StatusBadGateway, code: codeTargetFailed, outcome: f.outcome, message: "a target refused to go on with the stream"}
+}
+
 // body returns the response body of the failure.
 func (f *failure) body() []byte {
 	kind := "server_error"
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -105,7 +105,7 @@
 		return
 	}
 	if f := attempts.failure(ctx); out.started {
-		out.fail(f)
+		out.fail(f.withinStream())
 	} else {
 		f.write(w)
 	}
--- a/internal/caller/wronganswer_test.go
+++ b/internal/caller/wronganswer_test.go
@@ -56,6 +56,9 @@
 
 // answers are the wrong answers to a continuation.
 var answers = []answer{
+	{"400 with a text", false, status(400, foreign+"\nHTTP/1.1 400 Bad Request")},
+	{"404 with a JSON error", false, status(404, `{"error":{"message":"`+foreign+`"}}`)},
+	{"429", true, status(429, foreign)},
 	{"500 with a JSON error", true, status(500, `{"error":{"message":"`+foreign+`"}}`)},
 	{"502 with events", true, status(502, oneWord+"\n\n"+done)},
 	{"503 with a text", true, status(503, foreign)},
