Completions: pass on nothing of an engine's answer that is no part of a completion

Seen: a stream goes on at an engine that answers 200 with an error in an event of another form than {"error": ...}: {"message": ...}, {"object": "error", ...}, {"detail": ...}, or with a space before the name. The caller finds the error among the events, with the id of its own stream, and then the end marker. An encoded answer whose bytes read as events is passed on, too. Cause: the reader knows a failure by its first bytes and takes everything else for a part of the answer; events were recorded after they were written, so that what cannot be recorded had been sent. Evidence: four further entries of the spec found the text in the stream before: "an error event, spaced", "an error event without its name", "a head and an error in the body", "an encoded body". "a text in an event" passed before where a stream goes on; by the code it was passed on from the first engine. Change: an event is recorded before it is written. One that is not JSON, or has neither choices nor usage, ends the attempt as a failure of the engine. Responses with a Content-Encoding, which was not requested, are not read.

--- a/internal/caller/history.go
+++ b/internal/caller/history.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"github.com/amaranthfold/amaranthfold/internal/engine"
@@ -56,16 +57,21 @@
 	return nil
 }
 
-// add records an event that was written to the caller.
-func (d *deliveredStream) add(payload []byte) {
+// errNoChunk is the error of an event that is no part of a completion, such as an error message.
+var errNoChunk = errors.New("event has neither choices nor usage")
+
+// add records an event that is written to the caller. It fails if the event must not be written.
+func (d *deliveredStream) add(payload []byte) error {
 	if text, ok := d.template.match(payload); ok {
 		d.append(text)
-		return
+		return nil
 	}
 	var ev streamEvent
 	if err := json.Unmarshal(payload, &ev); err != nil {
-		d.notResumable = true
-		return
+		return fmt.Errorf("engine event: %w", err)
+	}
+	if ev.Choices == nil && ev.Usage == nil {
+		return errNoChunk
 	}
 	if d.id == "" {
 		d.id, d.engineStreamID, d.created = ev.ID, ev.ID, ev.Created
@@ -74,6 +80,7 @@
 		d.addChoice(&ev.Choices[i])
 	}
 	d.template = newEventTemplate(payload, &ev)
+	return nil
 }
 
 func (d *deliveredStream) addChoice(c *streamChoice) {
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -192,8 +192,10 @@
 				continue
 			}
 		}
+		if err := delivered.add(payload); err != nil {
+			return errors.Join(&engine.AttemptError{Err: err}, out.flush())
+		}
 		out.event(payload)
-		delivered.add(payload)
 		throttle.addBytes(len(payload))
 		if stream.HasBufferedEvent() {
 			continue
--- a/internal/caller/wronganswer_test.go
+++ b/internal/caller/wronganswer_test.go
@@ -69,6 +69,14 @@
 	{"200 with a JSON error", true, status(200, `{"error":{"message":"`+foreign+`"}}`)},
 	{"200 with an empty body", true, status(200, "")},
 	{"an error event", true, eventStream("event: error\ndata: {\"error\":{\"message\":\"" + foreign + "\"}}\n\n" + done)},
+	{"an error event, spaced", true, eventStream("data: { \"error\": \"" + foreign + "\" }\n\n" + done)},
+	{"an error event without its name", true, eventStream("event: error\ndata: {\"message\":\"" + foreign + "\",\"code\":503}\n\n" + done)},
+	{"a text in an event", true, eventStream("data: " + foreign + "\n\n" + done)},
+	{"a head and an error in the body", true, eventStream("HTTP/1.1 503 X\r\n\r\n" + foreign + "\r\ndata: {\"object\":\"error\",\"message\":\"" + foreign + "\"}\n\n" + done)},
+	{"an encoded body", true, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Content-Encoding", "x-other")
+		eventStream(oneWord+"\n\n"+done)(w, r)
+	}},
 }
 
 // answerContinuations makes engines give the answer to the next n continuations.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -60,7 +60,7 @@
 }
 
 // Open posts body to path of the engine at base and returns the response. It returns an
-// *AttemptError if there is no response or its status is not 200.
+// *AttemptError if there is no response, its status is not 200 or it has a content encoding.
 func (c *Client) Open(ctx context.Context, base, path string, body []byte) (*Stream, error) {
 	// The wrapper hides the reader's type and thereby leaves GetBody unset, so that
 	// net/http does not resend the request.
@@ -79,6 +79,10 @@
 		defer res.Body.Close()
 		return nil, &AttemptError{Target: base, Outcome: statusOutcome(res.StatusCode), Status: res.StatusCode, Err: statusError(res)}
 	}
+	if res.Header.Get("Content-Encoding") != "" {
+		_ = res.Body.Close() // it is of no use
+		return nil, &AttemptError{Target: base, Outcome: retry.Unknown, Err: errors.New("the response is encoded, which was not requested")}
+	}
 	return &Stream{EventReader: NewEventReader(res.Body), target: base, body: res.Body}, nil
 }
 
