Completions: send no header before a stream's first event

Seen: all engines break off before their first token, and the caller gets status 200 with the JSON of an error as the body. If the next engine responds, its stream has no Content-Type. Cause: a failed attempt flushes what it has written. If it has written nothing, the flush sends a header of status 200, though the response is still open; the server logs the error's own header as superfluous. Change: flush does nothing before the first event.

--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -43,13 +43,17 @@
 	return &streamWriter{w: w, controller: http.NewResponseController(w)}
 }
 
-// event writes one event. A write error is reported by flush.
-func (s *streamWriter) event(payload []byte) {
+func (s *streamWriter) start() {
 	if !s.started {
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-cache")
 		s.started = true
 	}
+}
+
+// event writes one event. A write error is reported by flush.
+func (s *streamWriter) event(payload []byte) {
+	s.start()
 	s.write(eventPrefix)
 	s.write(payload)
 	s.write(eventEnd)
@@ -62,8 +66,12 @@
 }
 
 // flush sends the written data. It returns errClientDisconnected if a write failed,
-// which includes a caller that does not read for writeTimeout.
+// which includes a caller that does not read for writeTimeout. Before the first event it does
+// nothing: the response may become an error.
 func (s *streamWriter) flush() error {
+	if !s.started {
+		return nil
+	}
 	if now := time.Now(); now.Sub(s.deadlineSetAt) > writeDeadlineRenewal {
 		s.deadlineSetAt = now
 		_ = s.controller.SetWriteDeadline(now.Add(writeTimeout)) // some writers support no deadlines
@@ -79,9 +87,7 @@
 
 // end writes the end marker and flushes it.
 func (s *streamWriter) end() error {
-	if !s.started {
-		s.w.Header().Set("Content-Type", "text/event-stream")
-	}
+	s.start()
 	s.write(doneEvent)
 	return s.flush()
 }
--- a/internal/caller/wronganswer_test.go
+++ b/internal/caller/wronganswer_test.go
@@ -80,11 +80,13 @@
 }
 
 // answerContinuations makes engines give the answer to the next n continuations.
-func answerContinuations(a answer, n int64) *atomic.Int64 {
+func answerContinuations(a answer, n int64) *atomic.Int64 { return answerCompletions(a, n, true) }
+
+func answerCompletions(a answer, n int64, continuations bool) *atomic.Int64 {
 	var given atomic.Int64
 	for _, e := range deployment.Engines() {
-		e.HandleContinuations(func(w http.ResponseWriter, r *http.Request) bool {
-			if given.Add(1) > n {
+		e.HandleCompletions(func(w http.ResponseWriter, r *http.Request, continues bool) bool {
+			if continues != continuations || given.Add(1) > n {
 				return false
 			}
 			a.send(w, r)
@@ -101,7 +103,7 @@
 	AfterEach(func() {
 		abortAll(0)
 		for _, e := range deployment.Engines() {
-			e.HandleContinuations(nil)
+			e.HandleCompletions(nil)
 		}
 	})
 
@@ -142,3 +144,30 @@
 		Expect(readStream(strings.NewReader(string(data))).failure).To(Equal("deadline_exceeded"))
 	})
 })
+
+// Guards against an error within a response of status 200 that has no event.
+var _ = Describe("A stream that has not begun", func() {
+	AfterEach(func() {
+		for _, e := range deployment.Engines() {
+			e.HandleCompletions(nil)
+		}
+	})
+
+	It("is answered with the error, or begins at the next engine with its own header", func() {
+		for _, a := range answers {
+			if !a.goOn {
+				continue
+			}
+			answerCompletions(a, 1<<30, false)
+			res := post(connection.CallerURLs[0], "/v1/completions", account, nil, completionBody("none", 4, true))
+			data, err := io.ReadAll(res.Body)
+			Expect(err).NotTo(HaveOccurred(), a.name)
+			Expect(res.StatusCode).To(BeNumerically(">=", 400), "%s: %s", a.name, data)
+			Expect(res.Header.Get("Content-Type")).To(Equal("application/json"), a.name)
+			answerCompletions(a, 1, false)
+			res = post(connection.CallerURLs[0], "/v1/completions", account, nil, completionBody("next", 4, true))
+			Expect(res.Header.Get("Content-Type")).To(Equal("text/event-stream"), a.name)
+			Expect(readStream(res.Body).text).To(Equal(engines.Text("next", 0, 4)), a.name)
+		}
+	})
+})
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -53,8 +53,8 @@
 	generations      []*Generation
 	kv               kvStore
 	lastID           int64
-	abortAfter       int // tokens of the next completion after which its connection is aborted; zero: never
-	continuation     func(w http.ResponseWriter, r *http.Request) bool
+	abortAfter       int               // tokens of the next completion after which its connection is aborted; zero: never
+	handler          CompletionHandler // nil: none
 	workAdded        chan struct{}
 }
 
@@ -296,19 +296,21 @@
 	e.abortAfter = n
 }
 
-// HandleContinuations makes h respond to the completions that continue a stream, unless it
-// returns false. nil: the engine responds itself.
-func (e *Engine) HandleContinuations(h func(w http.ResponseWriter, r *http.Request) bool) {
+// CompletionHandler responds to a completion, which may continue a stream, unless it returns false.
+type CompletionHandler func(w http.ResponseWriter, r *http.Request, continues bool) bool
+
+// HandleCompletions makes h respond to completions. nil: the engine responds itself.
+func (e *Engine) HandleCompletions(h CompletionHandler) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.continuation = h
+	e.handler = h
 }
 
-func (e *Engine) respondsToContinuation(w http.ResponseWriter, r *http.Request) bool {
+func (e *Engine) handlerResponds(w http.ResponseWriter, r *http.Request, continues bool) bool {
 	e.mu.Lock()
-	h := e.continuation
+	h := e.handler
 	e.mu.Unlock()
-	return h != nil && h(w, r)
+	return h != nil && h(w, r, continues)
 }
 
 // Stopped reports whether the engine has been stopped.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -71,6 +71,9 @@
 		return
 	}
 	id, abortAfter := e.recordRequest(r, string(raw))
+	if e.handlerResponds(w, r, req.Continue != nil) {
+		return
+	}
 	prompt := PromptText(req)
 	end := req.TokenLimit()
 	if end <= 0 {
@@ -78,9 +81,6 @@
 	}
 	from, kv := 0, ""
 	if req.Continue != nil {
-		if e.respondsToContinuation(w, r) {
-			return
-		}
 		from, kv = req.Continue.Tokens, req.Continue.KV
 	}
 	seq := e.add(prompt, req.Seed, from, end, kv)
