Completions and samples: an end marker without a finish reason is no end

Seen: a stream goes on at an engine that answers with the end marker alone, and the caller gets five tokens of twelve and then [DONE]; a stream that has not begun is an empty one of status 200. A sample that such an engine answers, or one that sends an error as an event before the marker, has a part of its text or none, and counts as generated; one without a token keeps its batch from being delivered. Cause: the end marker was taken for the end of the completion. It ends the answer to a continuation; that the text is complete is said by the finish reason. Stand-in engines answer as a spec says (HandleCompletions).

--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -184,6 +184,9 @@
 	var throttle flushThrottle
 	for {
 		payload, err := stream.Next()
+		if errors.Is(err, io.EOF) && !delivered.finished {
+			err = &engine.AttemptError{Err: fmt.Errorf("%w: no finish reason", engine.ErrTruncated)}
+		}
 		if errors.Is(err, io.EOF) {
 			return out.end()
 		}
--- a/internal/caller/wronganswer_test.go
+++ b/internal/caller/wronganswer_test.go
@@ -73,6 +73,7 @@
 	{"an error event without its name", true, eventStream("event: error\ndata: {\"message\":\"" + foreign + "\",\"code\":503}\n\n" + done)},
 	{"a text in an event", true, eventStream("data: " + foreign + "\n\n" + done)},
 	{"a head and an error in the body", true, eventStream("HTTP/1.1 503 X\r\n\r\n" + foreign + "\r\ndata: {\"object\":\"error\",\"message\":\"" + foreign + "\"}\n\n" + done)},
+	{"the end marker only", true, eventStream(done)},
 	{"an encoded body", true, func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Encoding", "x-other")
 		eventStream(oneWord+"\n\n"+done)(w, r)
--- a/internal/samples/generate.go
+++ b/internal/samples/generate.go
@@ -31,10 +31,11 @@
 
 // Errors that end an attempt on one engine.
 var (
-	errNoVersion = errors.New("the engine does not know its weight version")
-	errTooOld    = errors.New("the trainer has moved past the sample's oldest version")
-	errStalled   = errors.New("the engine sent no token for a while")
-	errMoved     = errors.New("a less loaded engine goes on with the sample")
+	errNoVersion  = errors.New("the engine does not know its weight version")
+	errUnfinished = errors.New("the engine ended the stream without a finish reason")
+	errTooOld     = errors.New("the trainer has moved past the sample's oldest version")
+	errStalled    = errors.New("the engine sent no token for a while")
+	errMoved      = errors.New("a less loaded engine goes on with the sample")
 )
 
 // progress holds the tokens of a sample that have been generated so far, possibly by
@@ -193,11 +194,15 @@
 // (errNoVersion), if the sample should move to a less loaded engine (errMoved), or if
 // its tokens are older than the minimum version (errTooOld).
 func (o *owner) readTokens(stream *engine.Stream, p *progress, stallTimer *time.Timer, running runningSample) error {
+	finished := false
 	for {
 		payload, err := stream.Next()
-		if errors.Is(err, io.EOF) {
+		if errors.Is(err, io.EOF) && finished {
 			return nil
 		}
+		if errors.Is(err, io.EOF) {
+			return errUnfinished
+		}
 		if err != nil {
 			return err
 		}
@@ -206,7 +211,11 @@
 		if err := json.Unmarshal(payload, &chunk); err != nil {
 			return fmt.Errorf("engine event: %w", err)
 		}
-		if len(chunk.Choices) == 0 || chunk.Choices[0].Content() == "" {
+		if len(chunk.Choices) == 0 {
+			continue
+		}
+		finished = finished || chunk.Choices[0].FinishReason != nil
+		if chunk.Choices[0].Content() == "" {
 			continue
 		}
 		if chunk.Version <= 0 {
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -299,7 +299,8 @@
 // CompletionHandler responds to a completion, which may continue a stream, unless it returns false.
 type CompletionHandler func(w http.ResponseWriter, r *http.Request, continues bool) bool
 
-// HandleCompletions makes h respond to completions. nil: the engine responds itself.
+// HandleCompletions makes h respond to completions, which are then not recorded. nil: the engine
+// responds itself.
 func (e *Engine) HandleCompletions(h CompletionHandler) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -70,10 +70,10 @@
 		http.Error(w, fmt.Sprintf("request body: %v", err), http.StatusBadRequest)
 		return
 	}
-	id, abortAfter := e.recordRequest(r, string(raw))
 	if e.handlerResponds(w, r, req.Continue != nil) {
 		return
 	}
+	id, abortAfter := e.recordRequest(r, string(raw))
 	prompt := PromptText(req)
 	end := req.TokenLimit()
 	if end <= 0 {
