Plain calls: a response over the limit is no response

Seen: a target's response without a stated length that exceeds 32 MiB is passed on as a complete one of 32 MiB. Cause: the body was read through a limit that ends it as if it were whole. The same reader served whole completions, where the cut JSON was rejected. Change: both are read with a limit that is an error, as hosted instances do.

--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -18,7 +18,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 )
 
-const maxPlainResponse = 32 << 20 // bytes; the rest of a longer response is not read
+const maxPlainResponse = 32 << 20 // bytes; a longer response is a failure of the target
 
 // unforwardedHeaders are the headers that apply to one connection or may contain a key.
 // They are removed from requests and responses.
@@ -264,7 +264,7 @@
 		return nil, &engine.AttemptError{Target: base, Outcome: outcome, Err: err}
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlainResponse))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, res.Body, maxPlainResponse))
 	if err != nil {
 		return nil, &engine.AttemptError{Target: base, Outcome: retry.Unknown, Err: err}
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -116,10 +116,10 @@
 // Close closes the response, which cancels an unfinished generation at the engine.
 func (s *Stream) Close() { _ = s.body.Close() } // the response is no longer needed
 
-// ReadAll returns the complete response of a completion that is not streamed, up to
-// maxResponseBytes.
+// ReadAll returns the complete response of a completion that is not streamed. It fails if
+// the response exceeds maxResponseBytes.
 func (s *Stream) ReadAll() ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(s.body, maxResponseBytes))
+	data, err := io.ReadAll(http.MaxBytesReader(nil, s.body, maxResponseBytes))
 	if err != nil {
 		return nil, &AttemptError{Target: s.target, Outcome: retry.Unknown, Err: err}
 	}
