Completions: an answer of status 200 without choices is a failure of the engine

Seen: an engine answers a completion that is not streamed with status 200 and {"error": ...}; the caller gets the error as the completion. Cause: any JSON object was taken for a completion, though its fields were decoded. Evidence: the new spec found the engine's text in a response of status 200 before. Change: an object without choices ends the attempt; another engine is asked, or the caller gets an error. Result: the spec passes for an empty body, a text, an error, a cut object and a list, with -race.

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -139,6 +139,9 @@
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer: %w", err)}
 	}
+	if chunk.Choices == nil {
+		return nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer without choices: %.200s", data)}
+	}
 	generated = 1 // if the engine reports no usage
 	if chunk.Usage != nil {
 		generated = chunk.Usage.CompletionTokens
--- a/internal/caller/wronganswer_test.go
+++ b/internal/caller/wronganswer_test.go
@@ -172,3 +172,30 @@
 		}
 	})
 })
+
+// Guards against an error that is taken for a completion because its status is 200.
+var _ = Describe("A completion that is not streamed", func() {
+	AfterEach(func() {
+		for _, e := range deployment.Engines() {
+			e.HandleCompletions(nil)
+		}
+	})
+
+	It("is that of an engine that has generated it, or an error", func() {
+		for _, body := range []string{"", foreign, `{"error":{"message":"` + foreign + `"}}`, `{"choices":[{"text":"` + foreign, `[]`} {
+			a := answer{send: status(http.StatusOK, body)}
+			for _, n := range []int64{1, 1 << 30} {
+				answerCompletions(a, n, false)
+				res := post(connection.CallerURLs[0], "/v1/completions", account, nil, completionBody("whole", 4, false))
+				data, err := io.ReadAll(res.Body)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(string(data)).NotTo(ContainSubstring(foreign))
+				if n == 1 {
+					Expect(string(data)).To(ContainSubstring(engines.Text("whole", 0, 4)), "after %q", body)
+				} else {
+					Expect(res.StatusCode).To(Equal(http.StatusBadGateway), "after %q", body)
+				}
+			}
+		}
+	})
+})
