Samples: a scorer's response without a reward is no score

Seen: a scorer answers 200 with {"error": ...} or without a body's reward, and the sample is delivered with the reward zero. Cause: a missing field was decoded as zero, which is a reward. Change: the reward must be there; the call is repeated otherwise, as after an error status.

--- a/internal/samples/score.go
+++ b/internal/samples/score.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -38,9 +39,11 @@
 
 // scoreReply is the response to a scoreRequest.
 type scoreReply struct {
-	Reward float64 `json:"reward"`
+	Reward *float64 `json:"reward"`
 }
 
+var errNoReward = errors.New("the response has no reward")
+
 // score makes one call to the scoring service at url and returns the reward.
 func (c *scorerClient) score(ctx context.Context, url string, s *sample.Sample) (float64, error) {
 	data, err := json.Marshal(scoreRequest{s.ID, s.Prompt, s.Text})
@@ -64,7 +67,10 @@
 	if err := json.NewDecoder(res.Body).Decode(&reply); err != nil {
 		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
 	}
-	return reply.Reward, nil
+	if reply.Reward == nil {
+		return 0, fmt.Errorf("score sample %q: %w", s.ID, errNoReward)
+	}
+	return *reply.Reward, nil
 }
 
 // score returns the sample's reward, zero if the trainer has no scorer. It retries with
