Callers: state the length of responses that are held in memory

Cause: the server chunks a body that it does not measure, which HTTP/1.0 does not have. Change: writeBody states the length, as hosted instances do. Result: the new test, which got no length for 8 KiB before, passes with -race.

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -108,7 +108,7 @@
 		if err == nil {
 			attempts.succeeded(target)
 			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write(response) // the caller may have disconnected
+			writeBody(w, http.StatusOK, response)
 			return
 		}
 		if !attempts.failed(ctx, target, err, false) {
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -236,8 +237,17 @@
 	for _, name := range unforwardedHeaders {
 		w.Header().Del(name)
 	}
-	w.WriteHeader(r.status)
-	_, _ = w.Write(r.body) // the caller may have disconnected
+	writeBody(w, r.status, r.body)
+}
+
+// writeBody writes a body that is in memory. It states its length, so that a response in HTTP/1.0, too,
+// looks complete only if it is.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the caller may have disconnected
 }
 
 // do sends the request once and reads the complete response. Its error is an
--- a/internal/caller/plain_test.go
+++ b/internal/caller/plain_test.go
@@ -1,7 +1,9 @@
 package caller
 
 import (
+	"bufio"
 	"bytes"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -27,3 +29,22 @@
 		}
 	}
 }
+
+// Guards against a part of a response that looks whole to a caller of HTTP/1.0.
+func TestResponseInMemoryStatesItsLength(t *testing.T) {
+	body := bytes.Repeat([]byte("a"), 8<<10) // more than the server measures itself
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		(&plainResponse{status: http.StatusOK, body: body}).write(w)
+	}))
+	defer server.Close()
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = conn.Write([]byte("GET / HTTP/1.0\r\n\r\n"))
+	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || res.ContentLength != int64(len(body)) {
+		t.Errorf("response %+v, %v", res, err)
+	}
+}
