--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -108,7 +108,7 @@
 		if err == nil {
 			attempts.succeeded(target)
 			w.Header().Set("Content-Type", "application/json")
-			_, _ = w.Write(response) // the caller may have disconnected
+			writeBody(w, http.StatusOK, response)
 			return
 		}
 		if !attempts.failed(ctx, target, err, false) {
@@ -139,6 +139,9 @@
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer: %w", err)}
 	}
+	if chunk.Choices == nil {
+		return nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer without choices: %.200s", data)}
+	}
 	generated = 1 // if the engine reports no usage
 	if chunk.Usage != nil {
 		generated = chunk.Usage.CompletionTokens
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -18,7 +19,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/engine"
 )
 
-const maxPlainResponse = 32 << 20 // bytes; the rest of a longer response is not read
+const maxPlainResponse = 32 << 20 // bytes; a longer response is a failure of the target
 
 // unforwardedHeaders are the headers that apply to one connection or may contain a key.
 // They are removed from requests and responses.
@@ -236,8 +237,17 @@
 	for _, name := range unforwardedHeaders {
 		w.Header().Del(name)
 	}
-	w.WriteHeader(r.status)
-	_, _ = w.Write(r.body) // the caller may have disconnected
+	writeBody(w, r.status, r.body)
+}
+
+// writeBody writes a body that is in memory. It states its length, so that a response in HTTP/1.0, too,
+// looks complete only if it is.
+func writeBody(w http.ResponseWriter, status int, body []byte) {
+	if len(body) > 0 {
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // the caller may have disconnected
 }
 
 // do sends the request once and reads the complete response. Its error is an
@@ -264,7 +274,7 @@
 		return nil, &engine.AttemptError{Target: base, Outcome: outcome, Err: err}
 	}
 	defer res.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxPlainResponse))
+	body, err := io.ReadAll(http.MaxBytesReader(nil, res.Body, maxPlainResponse))
 	if err != nil {
 		return nil, &engine.AttemptError{Target: base, Outcome: retry.Unknown, Err: err}
 	}
--- a/internal/caller/stream.go
+++ b/internal/caller/stream.go
@@ -43,13 +43,17 @@
 	return &streamWriter{w: w, controller: http.NewResponseController(w)}
 }
 
-// event writes one event. A write error is reported by flush.
-func (s *streamWriter) event(payload []byte) {
+func (s *streamWriter) start() {
 	if !s.started {
 		s.w.Header().Set("Content-Type", "text/event-stream")
 		s.w.Header().Set("Cache-Control", "no-cache")
 		s.started = true
 	}
+}
+
+// event writes one event. A write error is reported by flush.
+func (s *streamWriter) event(payload []byte) {
+	s.start()
 	s.write(eventPrefix)
 	s.write(payload)
 	s.write(eventEnd)
@@ -62,8 +66,12 @@
 }
 
 // flush sends the written data. It returns errClientDisconnected if a write failed,
-// which includes a caller that does not read for writeTimeout.
+// which includes a caller that does not read for writeTimeout. Before the first event it does
+// nothing: the response may become an error.
 func (s *streamWriter) flush() error {
+	if !s.started {
+		return nil
+	}
 	if now := time.Now(); now.Sub(s.deadlineSetAt) > writeDeadlineRenewal {
 		s.deadlineSetAt = now
 		_ = s.controller.SetWriteDeadline(now.Add(writeTimeout)) // some writers support no deadlines
@@ -79,17 +87,17 @@
 
 // end writes the end marker and flushes it.
 func (s *streamWriter) end() error {
-	if !s.started {
-		s.w.Header().Set("Content-Type", "text/event-stream")
-	}
+	s.start()
 	s.write(doneEvent)
 	return s.flush()
 }
 
-// fail ends a started stream with an error event and without the end marker.
+// fail ends a started stream with an error event and without the end marker. It cuts the
+// connection, so that the response does not look complete, and does not return.
 func (s *streamWriter) fail(f *failure) {
 	s.event(f.body())
 	_ = s.flush() // the caller may have disconnected
+	panic(http.ErrAbortHandler)
 }
 
 // respondStream responds to a streamed completion. When an engine fails, another one
@@ -103,7 +111,7 @@
 		return
 	}
 	if f := attempts.failure(ctx); out.started {
-		out.fail(f)
+		out.fail(f.withinStream())
 	} else {
 		f.write(w)
 	}
@@ -176,6 +184,9 @@
 	var throttle flushThrottle
 	for {
 		payload, err := stream.Next()
+		if errors.Is(err, io.EOF) && !delivered.finished {
+			err = &engine.AttemptError{Err: fmt.Errorf("%w: no finish reason", engine.ErrTruncated)}
+		}
 		if errors.Is(err, io.EOF) {
 			return out.end()
 		}
@@ -190,8 +201,10 @@
 				continue
 			}
 		}
+		if err := delivered.add(payload); err != nil {
+			return errors.Join(&engine.AttemptError{Err: err}, out.flush())
+		}
 		out.event(payload)
-		delivered.add(payload)
 		throttle.addBytes(len(payload))
 		if stream.HasBufferedEvent() {
 			continue
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -11,6 +11,7 @@
 
 import (
 	"hash/fnv"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -52,7 +53,8 @@
 	generations      []*Generation
 	kv               kvStore
 	lastID           int64
-	abortAfter       int // tokens of the next completion after which its connection is aborted; zero: never
+	abortAfter       int               // tokens of the next completion after which its connection is aborted; zero: never
+	handler          CompletionHandler // nil: none
 	workAdded        chan struct{}
 }
 
@@ -294,6 +296,24 @@
 	e.abortAfter = n
 }
 
+// CompletionHandler responds to a completion, which may continue a stream, unless it returns false.
+type CompletionHandler func(w http.ResponseWriter, r *http.Request, continues bool) bool
+
+// HandleCompletions makes h respond to completions, which are then not recorded. nil: the engine
+// responds itself.
+func (e *Engine) HandleCompletions(h CompletionHandler) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.handler = h
+}
+
+func (e *Engine) handlerResponds(w http.ResponseWriter, r *http.Request, continues bool) bool {
+	e.mu.Lock()
+	h := e.handler
+	e.mu.Unlock()
+	return h != nil && h(w, r, continues)
+}
+
 // Stopped reports whether the engine has been stopped.
 func (e *Engine) Stopped() bool {
 	e.mu.Lock()
