--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -133,20 +133,25 @@
 }
 
 // Put sets a key of a keyed topic, as the operator and the targets do. A nil value
-// deletes the key. The record holds the key's length in one byte, the key and the
-// value as JSON.
+// deletes the key.
 func (s *Store) Put(topic, key string, value any) {
-	record := append([]byte{byte(len(key))}, key...)
+	var data []byte
 	if value != nil {
-		data, err := json.Marshal(value)
-		if err != nil {
+		var err error
+		if data, err = json.Marshal(value); err != nil {
 			panic(fmt.Sprintf("encode %s of %s: %v", key, topic, err))
 		}
-		record = append(record, data...)
 	}
+	s.PutBytes(topic, key, data)
+}
+
+// PutBytes is Put for a value that need not be JSON. The record holds the key's length in one
+// byte, the key and the value.
+func (s *Store) PutBytes(topic, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(s.partition(topic, 0), topic, [][]byte{record})
+	s.add(s.partition(topic, 0), topic, [][]byte{append(record, value...)})
 }
 
 func (s *Store) partition(topic string, part int) *partition {
