Submissions under an id that is no UTF-8 were accepted and lost

Callers saw: 202, and 404 for the job from then on. Cause: the id is a header's value, which may hold any bytes, and stands in the Submitted record; a string of a record that is no UTF-8 makes the record unreadable, so every instance skips it. Evidence: before the change the spec "A submission under an id that is no UTF-8" got 202, and the log had "log unreadable" with "invalid UTF-8 string" for its record. Change: such a submission is answered with 400. Result: the spec passes.

--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"time"
+	"unicode/utf8"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/events"
@@ -36,8 +37,8 @@
 	case err != nil:
 		b.forwarder.Respond(c, http.StatusBadRequest, err.Error())
 		return
-	case c.ID == "" || c.Request.Method != http.MethodPost:
-		b.forwarder.Respond(c, http.StatusBadRequest, "a submission is a POST with a request id")
+	case c.ID == "" || !utf8.ValidString(c.ID) || c.Request.Method != http.MethodPost: // records hold UTF-8 only
+		b.forwarder.Respond(c, http.StatusBadRequest, "a submission is a POST with a request id in UTF-8")
 		return
 	}
 	ctx, cancel := b.submitContext(c)
--- a/internal/hosted/jobid_test.go
+++ b/internal/hosted/jobid_test.go
@@ -31,3 +31,14 @@
 		}
 	})
 })
+
+// Guards against a submission that is accepted with a record that no instance can read.
+var _ = Describe("A submission under an id that is no UTF-8", func() {
+	It("is refused", func() {
+		d := newDeployment(1, 1)
+		in := d.instances[0]
+		Expect(in.call(http.MethodPost, "/train/j", "j\xff", key, hostplatform.Submission(1, map[string]int{"t1": 2})).status).To(Equal(http.StatusBadRequest))
+		d.awaitAnnouncements()
+		Expect(d.logged()).NotTo(ContainSubstring("log unreadable"))
+	})
+})
