Keys that are no UTF-8 kept an instance reading one page of a topic for ever

Callers saw: an instance that starts, or whose position in the registry was compacted away, follows it no further; the list that it reads grows until the process ends. Cause: the pages of the latest records go on after the last key of the page before. In JSON a key that is no UTF-8 comes with replacement characters, which sort before its bytes: when a page ends with several such keys, the next call begins before them. Nothing ended the loop. Evidence: before the change "no UTF-8, a page of them", "no UTF-8, three pages of them" and "are those of the pages so far if the pages do not advance" were stopped by the limit of 5 s. Pages that do not advance end the list: it is used without removing what it lacks, with the line "topic incomplete", and the entries that are written from then on are followed. Keyed topics have a file of their own, keyed.go.

--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -63,10 +63,12 @@
 // readLatest returns the latest entry of each key and the offset to read on from.
 func (n *Node) readLatest(ctx context.Context, k keyedTopic) ([]platform.Entry, int64, error) {
 	entries, next, err := n.store.Latest(ctx, k.topic)
-	if err != nil {
+	switch {
+	case errors.Is(err, platform.ErrIncomplete): // the other entries follow when they are written again
+		n.Log("topic incomplete", events.F("topic", k.topic), events.F("error", err.Error()))
+	case err != nil:
 		return nil, -1, err
-	}
-	if k.retain != nil {
+	case k.retain != nil:
 		keys := map[string]bool{}
 		for _, e := range entries {
 			keys[e.Key] = true
