--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -95,6 +95,7 @@
 		next++
 		e, err := platform.DecodeEntry(data)
 		if err != nil {
+			n.Metrics.entriesUnused.Inc()
 			n.Log("topic unreadable", events.F("topic", k.topic), events.F("error", err.Error()))
 			continue
 		}
@@ -105,12 +106,16 @@
 
 // watchOperator follows the configuration and the published weight versions.
 func (n *Node) watchOperator(ctx context.Context) error {
+	unreadable := passedOver{}
 	return n.followKeyed(ctx, keyedTopic{
 		topic: platform.OperatorTopic, lastRead: &n.StateLoop.lastOperatorRead,
 		put: func(now time.Duration, e platform.Entry) {
 			record, err := platform.DecodeOperatorRecord(e)
-			if err != nil {
+			if unreadable.isNew(e.Key, err) {
+				n.Metrics.entriesUnused.Inc()
 				n.Log("operator unreadable", events.F("key", e.Key), events.F("error", err.Error()))
+			}
+			if err != nil {
 				return
 			}
 			s := n.StateLoop
@@ -133,18 +138,23 @@
 
 // watchRegistry follows the registered targets.
 func (n *Node) watchRegistry(ctx context.Context) error {
+	unreadable := passedOver{}
 	return n.followKeyed(ctx, keyedTopic{
 		topic: platform.RegistryTopic, lastRead: &n.StateLoop.lastRegistryRead, pollInterval: registryPollInterval,
 		put: func(now time.Duration, e platform.Entry) {
 			n.StateLoop.targets.Expire(now)
 			if len(e.Value) == 0 {
 				n.Log("target removed", events.F("target", e.Key))
+				unreadable.isNew(e.Key, nil)
 				n.StateLoop.targets.Remove(now, e.Key)
 				return
 			}
 			t, err := platform.DecodeTarget(e)
+			if unreadable.isNew(e.Key, err) {
+				n.Metrics.entriesUnused.Inc()
+				n.Log("target unreadable", events.F("target", e.Key), events.F("error", err.Error()))
+			}
 			if err != nil {
-				n.Log("target unreadable", events.F("error", err.Error()))
 				n.StateLoop.targets.Remove(now, e.Key)
 				return
 			}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -23,7 +23,7 @@
 	limitsNamed, StreamsTakenUp      *metrics.Counter
 	linksLost, Relayed               *metrics.Counter
 	targetsDoubted, startsRead       *metrics.Counter
-	peersRefused                     *metrics.Counter
+	peersRefused, entriesUnused      *metrics.Counter
 	TargetsCrashed, Condemned        *metrics.Counter
 	SuspectsServed, CondemnedRefused *metrics.Counter
 
@@ -65,6 +65,7 @@
 		Relayed:          set.NewCounter("amaranth_hosted_calls_relayed_total"),
 		peersRefused:     set.NewCounter("amaranth_hosted_peer_connections_refused_total"),
 		targetsDoubted:   set.NewCounter("amaranth_hosted_targets_doubted_total"),
+		entriesUnused:    set.NewCounter("amaranth_hosted_entries_unused_total"),
 		startsRead:       set.NewCounter("amaranth_hosted_target_starts_read_total"),
 		linksLost:        set.NewCounter("amaranth_hosted_links_lost_total"),
 		Condemned:        set.NewCounter("amaranth_hosted_calls_condemned_total"),
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -346,17 +346,21 @@
 	const pageItems = 2 // small, so that clients have to read several pages
 	s.mu.Lock()
 	p := s.partition(r.URL.Query().Get("topic"), 0)
-	items := []item{}
+	var keys []string
 	for key, latest := range p.latest {
-		if key > r.URL.Query().Get("after") && len(latest.value) > 0 {
-			items = append(items, item{key, base64.StdEncoding.EncodeToString(latest.value), latest.offset})
+		if q := r.URL.Query(); (!q.Has("after") || key > q.Get("after")) && len(latest.value) > 0 {
+			keys = append(keys, key)
 		}
 	}
+	slices.Sort(keys)
+	more := len(keys) > pageItems
+	items := []item{}
+	for _, key := range keys[:min(len(keys), pageItems)] {
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(p.latest[key].value), p.latest[key].offset})
+	}
 	end := p.first + int64(len(p.records))
 	s.mu.Unlock()
-	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > pageItems
-	writeJSON(w, http.StatusOK, map[string]any{"items": items[:min(len(items), pageItems)], "has-more": more, "end": end})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "end": end})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
