A notice of reclaim years ahead kept orders of targets out of a data centre

Callers saw: jobs that come late, as no targets are ordered in the data centre of such an entry. Package batch took no notice of more than an hour; the planner did. Evidence: a planner that is short of targets orders nothing with a target that leaves in 30 years, nor ten minutes after that target is gone; without it, it orders. The spec "takes no notice of a reclaim years ahead" failed before. Change: the directory does not keep a notice of more than an hour; batch has its bound from there.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -32,7 +32,7 @@
 	HeartbeatSeq int64            // sequence number of the heartbeat that wrote the entry
 	Models       map[string]int64 // weight versions by model
 	StartedAt    int64            // start of the process, Unix milliseconds; zero: unknown
-	ReclaimedIn  time.Duration    // time until the target is reclaimed; zero: unknown
+	ReclaimedIn  time.Duration    // time until the target is reclaimed; zero: unknown, or over an hour
 	Limited      bool             // the target takes RequestLimit at most
 	RequestLimit float64          // requests a second, of all instances together
 	ColdStated   bool             // the entry says whether the target is cold
@@ -54,6 +54,10 @@
 	entryDelay  time.Duration // how late an entry may say that its target is cold
 }
 
+// MaxReclaimNotice bounds the time until a target is reclaimed: a longer one is no notice, and
+// must not keep orders of targets away from its data centre.
+const MaxReclaimNotice = time.Hour
+
 // New returns an empty directory. gracePeriod is how long the entry of a running target may be
 // missing after an outage of the registry.
 func New(gracePeriod time.Duration) *Directory {
@@ -74,6 +78,9 @@
 	if t.StartedAt < current.StartedAt || t.StartedAt == current.StartedAt && t.HeartbeatSeq < current.HeartbeatSeq {
 		return
 	}
+	if t.ReclaimedIn > MaxReclaimNotice {
+		t.ReclaimedIn = 0
+	}
 	delete(d.expiresAt, t.ID)
 	if h, leaving := d.holds[Scope{Target: t.ID}]; leaving && h.startedAt < t.StartedAt {
 		delete(d.holds, Scope{Target: t.ID})
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -54,6 +54,16 @@
 		Expect(d.Targets(0)[0].Ready).To(BeTrue())
 	})
 
+	It("takes no notice of a reclaim years ahead, which keeps orders of targets away for as long", func() {
+		for _, notice := range []time.Duration{time.Minute, time.Hour, time.Hour + 1, 30 * 365 * 24 * time.Hour} {
+			d.Put(0, directory.Target{ID: "a", HeartbeatSeq: 5, StartedAt: 10, ReclaimedIn: notice})
+			if notice > time.Hour {
+				notice = 0
+			}
+			Expect(d.Targets(0)[0].ReclaimedIn).To(Equal(notice))
+		}
+	})
+
 	DescribeTable("ignores an entry older than the stored one",
 		func(t directory.Target, kept bool) {
 			t.ID = "a"
--- a/internal/batch/placed.go
+++ b/internal/batch/placed.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
+	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/node"
@@ -79,9 +80,6 @@
 		events.F("expected", p.inputs.Remaining.Round(time.Millisecond).String()), events.F("took", (now-p.at).Round(time.Millisecond).String()))
 }
 
-// maxReclaimNotice bounds the time until a target is reclaimed: a longer one is no notice.
-const maxReclaimNotice = time.Hour
-
 // reclaims keeps when the targets that have given notice are reclaimed. An entry states the time
 // that was left when it was written.
 type reclaims map[string]reclaim
@@ -97,7 +95,7 @@
 	for i := range engines {
 		e := &engines[i]
 		t, found := view.Target(e.ID)
-		if !found || t.ReclaimedIn <= 0 || t.ReclaimedIn > maxReclaimNotice {
+		if !found || t.ReclaimedIn <= 0 || t.ReclaimedIn > directory.MaxReclaimNotice {
 			continue
 		}
 		noticed[e.ID] = true
