Targets of unknown services were witnesses of an instance's links

Callers may see: requests refused or sent through other instances, and jobs and leases left to others, while the instance reached its targets. Cause: a check of the links connects to targets drawn from the whole registry, at first to one. An entry of a service that the configuration does not have may come from any writer, and nothing may listen at its address. Evidence: before the change "TestTargetsOfUnknownServicesAreNoWitnesses" drew eight of them. Change: only targets of configured services are witnesses.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -193,17 +193,19 @@
 }
 
 // Witnesses returns the addresses of count ready targets other than the excluded one, chosen at
-// random.
+// random. A target of a service that the configuration does not have is none: nothing is known of
+// who has registered it.
 func (m *LinkMonitor) Witnesses(excluded string, count int) []string {
-	targets := m.node.CurrentView().Targets
-	if len(targets) == 0 {
+	view := m.node.CurrentView()
+	targets := view.Targets
+	if len(targets) == 0 || view.Catalog == nil {
 		return nil
 	}
 	var addresses []string
 	offset := int(m.node.Rand64() % uint64(len(targets)))
 	for i := range targets {
 		t := targets[(i+offset)%len(targets)]
-		if t.Ready && t.Address != excluded && len(addresses) < count {
+		if _, configured := view.Catalog.Services[t.Service]; configured && t.Ready && t.Address != excluded && len(addresses) < count {
 			addresses = append(addresses, t.Address)
 		}
 	}
