One odd entry kept an instance from following the product's lists of instances and targets

Operators could see: targets and instances that come and go are not noticed, without a line in the log. Cause: the list was decoded as a whole; an entry of another type failed the read, and the poll dropped every error. Change: each entry is decoded by itself; one that does not decode or has no id is left out. Which list has such entries is recorded as "list entries unreadable", once until the number or the reason changes.

--- a/internal/control/loop.go
+++ b/internal/control/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,6 +60,7 @@
 	// heartbeatHook adds other packages' data to each heartbeat; see OnHeartbeat.
 	heartbeatHook  atomic.Pointer[func(*Heartbeat)]
 	requestCounter atomic.Pointer[RequestCounter]
+	unreadable     sync.Map // text of the latest *platform.UnreadableError by list
 
 	// The fields below belong to the control goroutine.
 	state             *fold.State
--- a/internal/control/pollers.go
+++ b/internal/control/pollers.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/platform"
 )
 
 const (
@@ -27,7 +30,7 @@
 		callCtx, cancel := context.WithTimeout(ctx, pollTimeout)
 		instances, err := l.List.Instances(callCtx)
 		cancel()
-		if err == nil {
+		if l.noteUnreadable("instances", err) {
 			l.post(ctx, listRead{instances})
 		}
 		clock.Sleep(ctx, listInterval(len(instances)))
@@ -52,9 +55,26 @@
 	defer cancel()
 	sentAt := l.Clock.Now()
 	targets, err := l.Orders(dataCentre).Targets(callCtx)
-	if err != nil {
+	if !l.noteUnreadable("targets of "+dataCentre, err) {
 		return
 	}
 	l.post(ctx, targetsRead{dataCentre, targets})
 	l.post(ctx, targetsRequested{dataCentre, sentAt})
 }
+
+// noteUnreadable reports whether a list that was read with the error can be used. It records which
+// lists have entries that cannot be, once until that changes.
+func (l *Loop) noteUnreadable(list string, err error) (usable bool) {
+	var unreadable *platform.UnreadableError
+	if err != nil && !errors.As(err, &unreadable) {
+		return false
+	}
+	text := ""
+	if unreadable != nil {
+		text = unreadable.Error()
+	}
+	if last, found := l.unreadable.Swap(list, text); text != "" && (!found || last != text) {
+		l.Events.Record("list entries unreadable", events.F("list", list), events.F("error", text))
+	}
+	return true
+}
--- a/internal/control/targets_test.go
+++ b/internal/control/targets_test.go
@@ -33,6 +33,17 @@
 		Entry("the holder of the deployment lease", 65, "south", false, true, true),
 	)
 
+	It("are used without entries that cannot be, which is recorded once", func() {
+		l := newStoppedLoop(&manualClock{}, member.Peer{ID: "a", DataCentre: "north"})
+		odd := fmt.Errorf("read: %w", &platform.UnreadableError{Entries: 1, First: context.Canceled})
+		for range 3 {
+			Expect(l.noteUnreadable("targets", odd)).To(BeTrue())
+			Expect(l.noteUnreadable("instances", nil)).To(BeTrue())
+			Expect(l.noteUnreadable("instances", platform.ErrUnavailable)).To(BeFalse())
+		}
+		Expect(l.Events.Since(0).Events).To(ConsistOf(HaveField("Name", "list entries unreadable")))
+	})
+
 	It("are fetched from a peer with their age, and only when they have changed", func() {
 		f := newFixture()
 		provider, requester := f.start(false), f.start(false)
--- a/internal/platform/list.go
+++ b/internal/platform/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 )
 
@@ -37,9 +38,14 @@
 // NewInstanceList returns a client of the list at base, an HTTP URL.
 func NewInstanceList(base string) *InstanceList { return &InstanceList{newClient(base)} }
 
-// Instances returns the list's current entries.
+// Instances returns the list's current entries. With an *UnreadableError it returns those that
+// can be used.
 func (l *InstanceList) Instances(ctx context.Context) ([]ListedInstance, error) {
-	var reply InstancesReply
-	err := l.call(ctx, http.MethodGet, "/instances", nil, &reply)
-	return reply.Instances, err
+	var reply struct {
+		Instances []json.RawMessage `json:"instances"`
+	}
+	if err := l.call(ctx, http.MethodGet, "/instances", nil, &reply); err != nil {
+		return nil, err
+	}
+	return decodeEntries(reply.Instances, func(i ListedInstance) string { return i.ID })
 }
--- a/internal/platform/orders.go
+++ b/internal/platform/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/url"
 	"time"
@@ -79,9 +80,14 @@
 	return reply, err
 }
 
-// Targets lists the data centre's targets that are not stopped.
+// Targets lists the data centre's targets that are not stopped. With an *UnreadableError it
+// returns those that can be used.
 func (o *Orders) Targets(ctx context.Context) ([]Target, error) {
-	var reply TargetsReply
-	err := o.call(ctx, http.MethodGet, o.path("/targets"), nil, &reply)
-	return reply.Targets, err
+	var reply struct {
+		Targets []json.RawMessage `json:"targets"`
+	}
+	if err := o.call(ctx, http.MethodGet, o.path("/targets"), nil, &reply); err != nil {
+		return nil, err
+	}
+	return decodeEntries(reply.Targets, func(t Target) string { return t.ID })
 }
