A target whose address belongs to another process got requests again and again

Callers saw: 503 "no target took the request" while other targets had free slots. It takes an entry whose address belongs to another target, as of one that has ended or of another writer. Cause: status 421 was handled like a refusal for lack of a slot. The target counted as one that may take the request a moment later and was not excluded from the next attempt, so both attempts went to it; its health was that of a target that answers. Change: a response with status 421 is the error of an attempt that was not run, and still counts as one: the target is excluded from the request's further attempts, passed over for a second while others are there, and ejected like one that fails.

--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -298,7 +298,7 @@
 // ends with it.
 func (a *Attempts) handleResult(r *AttemptResult) (final bool) {
 	a.running--
-	if r.Outcome == retry.NotRun && r.Err != nil {
+	if r.Outcome == retry.NotRun && r.Err != nil && !errors.Is(r.Err, errMisdirected) {
 		a.countedAttempts = max(0, a.countedAttempts-1) // it was not sent
 	}
 	a.refusedByResponse = a.refusedByResponse || r.Err == nil
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -207,6 +207,10 @@
 // ErrRequestIDMismatch is the error of a response that names another request.
 var ErrRequestIDMismatch = errors.New("the answer belongs to another request")
 
+// errMisdirected is the error of an attempt whose target is not at its address. Nothing is known of
+// its slots.
+var errMisdirected = errors.New("another process has the address of the target")
+
 // sendAttempt sends the request to one target, returns the result and releases the
 // target. It does not send it if the target limits its rate and grants no allowance soon. An
 // attempt that was canceled, as the caller has disconnected or another attempt
@@ -235,7 +239,7 @@
 	}
 	if r.Err != nil {
 		r.Outcome = retry.Unknown
-		if r.connection == nil {
+		if r.connection == nil || errors.Is(r.Err, errMisdirected) {
 			r.Outcome = retry.NotRun
 		}
 	} else if !r.PlatformHeader.NotRun {
@@ -288,6 +292,8 @@
 		return
 	}
 	switch {
+	case r.PlatformHeader.Misdirected:
+		r.Err = errMisdirected
 	case res.StatusCode/100 == 2 && r.PlatformHeader.Signature == "":
 		r.Err = errors.New("the answer is not signed")
 	case res.Header.Get("Content-Encoding") != "":
--- a/internal/hosted/oddentries_test.go
+++ b/internal/hosted/oddentries_test.go
@@ -118,4 +118,28 @@
 			}
 		}
 	})
+
+	// Requests were refused: the target that had answered 421 got them again, as if its slots were taken.
+	DescribeTable("take nothing from callers with the address", func(addressOf func(d *deployment, service string) string) {
+		d := newDeployment(2, 2)
+		for _, service := range []string{"desk", "models"} {
+			d.store.Put(platform.RegistryTopic, "odd-"+service, d.engines[0].RegistryEntry(service, addressOf(d, service), "a", "ready"))
+		}
+		d.awaitRegistryRead()
+		events := tasks(12, 20)
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		for n := range 30 {
+			in := d.instances[n%2]
+			Expect(in.call(http.MethodPost, "/once/x", fmt.Sprint("once-", n), key, nil).status).To(Equal(http.StatusOK))
+			Expect(in.call(http.MethodPost, "/score/x", fmt.Sprint("public-", n), "", nil).status).To(Equal(http.StatusOK))
+		}
+		for id, res := range d.callAll(60, time.Millisecond) {
+			Expect(res.status).To(Equal(http.StatusOK), id)
+		}
+		checkOutputs(d.instances[1].awaitResults("j", len(events)), events)
+	},
+		Entry("of another target", func(d *deployment, service string) string {
+			return address(d.servers[map[string]string{"desk": "p0", "models": "e0"}[service]])
+		}),
+	)
 })
