The refusal of an instance was passed on as the answer of a target

Callers saw: 401 "the key is not known" with a key that is known. Cause: where the entry of a target has the address of an instance's listener for callers, the request arrives there without its key. The instance took it for a caller's, and its 401 was passed on like a target's own answer. Evidence: before the change "take nothing from callers with the address of an instance" got 401. Change: an instance answers 421 to a request that is meant for a target that it knows, by the header that only instances set.

--- a/internal/hosted/dispatch.go
+++ b/internal/hosted/dispatch.go
@@ -15,6 +15,11 @@
 		in.forwarder.Refuse(c, "no configuration is known yet")
 		return
 	}
+	if _, known := c.View.Target(c.Target); known {
+		// The entry of a target has the address of this instance.
+		in.forwarder.Respond(c, http.StatusMisdirectedRequest, "the request is for a target")
+		return
+	}
 	jobRequest, isJobRequest, err := platform.DecodeJobRequest(r)
 	c.Job = jobRequest.Job
 	route, found := c.View.Catalog.Match(r.Host, r.URL.Path)
--- a/internal/hosted/oddentries_test.go
+++ b/internal/hosted/oddentries_test.go
@@ -119,7 +119,7 @@
 		}
 	})
 
-	// Requests were refused: the target that had answered 421 got them again, as if its slots were taken.
+	// Callers got the refusal of the instance that took the request for a caller's: 401.
 	DescribeTable("take nothing from callers with the address", func(addressOf func(d *deployment, service string) string) {
 		d := newDeployment(2, 2)
 		for _, service := range []string{"desk", "models"} {
@@ -138,6 +138,7 @@
 		}
 		checkOutputs(d.instances[1].awaitResults("j", len(events)), events)
 	},
+		Entry("of an instance", func(d *deployment, _ string) string { return d.instances[0].frontAddress }),
 		Entry("of another target", func(d *deployment, service string) string {
 			return address(d.servers[map[string]string{"desk": "p0", "models": "e0"}[service]])
 		}),
