--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -69,10 +69,12 @@
 // readLatest returns the latest entry of each key and the offset to read on from.
 func (n *Node) readLatest(ctx context.Context, k keyedTopic) ([]platform.Entry, int64, error) {
 	entries, next, err := n.store.Latest(ctx, k.topic)
-	if err != nil {
+	switch {
+	case errors.Is(err, platform.ErrIncomplete): // the other entries follow when they are written again
+		n.Log("topic incomplete", events.F("topic", k.topic), events.F("error", err.Error()))
+	case err != nil:
 		return nil, -1, err
-	}
-	if k.retain != nil {
+	case k.retain != nil:
 		keys := map[string]bool{}
 		for _, e := range entries {
 			keys[e.Key] = true
@@ -99,6 +101,7 @@
 		next++
 		e, err := platform.DecodeEntry(data)
 		if err != nil {
+			n.Metrics.entriesUnused.Inc()
 			n.Log("topic unreadable", events.F("topic", k.topic), events.F("error", err.Error()))
 			continue
 		}
@@ -109,12 +112,16 @@
 
 // watchOperator follows the configuration and the published weight versions.
 func (n *Node) watchOperator(ctx context.Context) error {
+	unreadable := passedOver{}
 	return n.followKeyed(ctx, keyedTopic{
 		topic: platform.OperatorTopic, lastRead: &n.StateLoop.lastOperatorRead,
 		put: func(now time.Duration, e platform.Entry) {
 			record, err := platform.DecodeOperatorRecord(e)
-			if err != nil {
+			if unreadable.isNew(e.Key, err) {
+				n.Metrics.entriesUnused.Inc()
 				n.Log("operator unreadable", events.F("key", e.Key), events.F("error", err.Error()))
+			}
+			if err != nil {
 				return
 			}
 			s := n.StateLoop
@@ -137,18 +144,23 @@
 
 // watchRegistry follows the registered targets.
 func (n *Node) watchRegistry(ctx context.Context) error {
+	unreadable := passedOver{}
 	return n.followKeyed(ctx, keyedTopic{
 		topic: platform.RegistryTopic, lastRead: &n.StateLoop.lastRegistryRead, nextOffset: &n.StateLoop.registryOffset, pollInterval: registryPollInterval,
 		put: func(now time.Duration, e platform.Entry) {
 			n.StateLoop.targets.Expire(now)
 			if len(e.Value) == 0 {
 				n.Log("target removed", events.F("target", e.Key))
+				unreadable.isNew(e.Key, nil)
 				n.StateLoop.targets.Remove(now, e.Key)
 				return
 			}
 			t, err := platform.DecodeTarget(e)
+			if unreadable.isNew(e.Key, err) {
+				n.Metrics.entriesUnused.Inc()
+				n.Log("target unreadable", events.F("target", e.Key), events.F("error", err.Error()))
+			}
 			if err != nil {
-				n.Log("target unreadable", events.F("error", err.Error()))
 				n.StateLoop.targets.Remove(now, e.Key)
 				return
 			}
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -151,20 +151,25 @@
 }
 
 // Put sets a key of a keyed topic, as the operator and the targets do. A nil value
-// deletes the key. The record holds the key's length in one byte, the key and the
-// value as JSON.
+// deletes the key.
 func (s *Store) Put(topic, key string, value any) {
-	record := append([]byte{byte(len(key))}, key...)
+	var data []byte
 	if value != nil {
-		data, err := json.Marshal(value)
-		if err != nil {
+		var err error
+		if data, err = json.Marshal(value); err != nil {
 			panic(fmt.Sprintf("encode %s of %s: %v", key, topic, err))
 		}
-		record = append(record, data...)
 	}
+	s.PutBytes(topic, key, data)
+}
+
+// PutBytes is Put for a value that need not be JSON. The record holds the key's length in one
+// byte, the key and the value.
+func (s *Store) PutBytes(topic, key string, value []byte) {
+	record := append([]byte{byte(len(key))}, key...)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.add(s.partition(topic, 0), topic, [][]byte{record})
+	s.add(s.partition(topic, 0), topic, [][]byte{append(record, value...)})
 }
 
 func (s *Store) partition(topic string, part int) *partition {
@@ -388,17 +393,21 @@
 	const pageItems = 2 // small, so that clients have to read several pages
 	s.mu.Lock()
 	p := s.partition(r.URL.Query().Get("topic"), 0)
-	items := []item{}
+	var keys []string
 	for key, latest := range p.latest {
-		if key > r.URL.Query().Get("after") && len(latest.value) > 0 {
-			items = append(items, item{key, base64.StdEncoding.EncodeToString(latest.value), latest.offset})
+		if q := r.URL.Query(); (!q.Has("after") || key > q.Get("after")) && len(latest.value) > 0 {
+			keys = append(keys, key)
 		}
 	}
+	slices.Sort(keys)
+	more := len(keys) > pageItems
+	items := []item{}
+	for _, key := range keys[:min(len(keys), pageItems)] {
+		items = append(items, item{key, base64.StdEncoding.EncodeToString(p.latest[key].value), p.latest[key].offset})
+	}
 	end := p.first + int64(len(p.records))
 	s.mu.Unlock()
-	slices.SortFunc(items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	more := len(items) > pageItems
-	writeJSON(w, http.StatusOK, map[string]any{"items": items[:min(len(items), pageItems)], "has-more": more, "end": end})
+	writeJSON(w, http.StatusOK, map[string]any{"items": items, "has-more": more, "end": end})
 }
 
 func writeJSON(w http.ResponseWriter, status int, v any) {
