Soak: results and streams hold runs that go on after each other

Change: a stand-in engine can mark each event with the name of its run, and tells what that run was asked. The soak switches this on and checks each result's text when it is first read, and each stream of its callers: an event of a further run is allowed only if that run was asked to go on after the event before. It also reports a result whose text differs at a later read. The data of engines without marks is as before.

--- a/internal/soak/load.go
+++ b/internal/soak/load.go
@@ -46,6 +46,7 @@
 	refused  int      // attempts with status 503 or 429
 	attempts int      // to submit the job
 	results  []string // task ids in the order in which the instances list the results
+	texts    []string // of the results
 }
 
 func newLoad(e *environment) *load {
@@ -189,7 +190,7 @@
 	}
 }
 
-// readResults reads a job's results from the start. It checks that each is correct and at
+// readResults reads a job's results from the start. It checks that each is correct and the same, at
 // the position at which it was first read, and reports whether every task has a result.
 func (l *load) readResults(id string, j *jobState, instance int) bool {
 	status, body := l.send(instance, http.MethodGet, "/lots/"+id+"?after=0", "read", l.env.key(), nil)
@@ -214,16 +215,24 @@
 			l.env.recordViolation("job %s: task %s has the score %q", id, r.ID, r.Score)
 		case r.State != "completed" || !isOutput(r.Text, r.ID, j.events[r.ID]):
 			l.env.recordViolation("job %s: task %s is %s with an output of %d bytes", id, r.ID, r.State, len(r.Text))
+		case i < len(j.texts) && j.texts[i] != r.Text:
+			l.env.recordViolation("job %s: the text of task %s has changed since it was first read", id, r.ID)
 		}
-		if i >= len(j.results) {
-			j.results = append(j.results, r.ID)
+		if i < len(j.results) {
+			continue
+		}
+		j.results, j.texts = append(j.results, r.ID), append(j.texts, r.Text)
+		if err := checkRuns(r.ID, strings.Split(r.Text, "\n"), l.env.runOf); err != nil {
+			l.env.recordViolation("job %s: task %s: %v", id, r.ID, err)
 		}
 	}
 	return len(j.results) == len(j.events)
 }
 
-// isOutput reports whether text is the complete output of a task by one software version.
+// isOutput reports whether text is the complete output of a task by one software version, apart
+// from the marks of the runs.
 func isOutput(text, id string, events int) bool {
+	text = strings.Join(withoutMarks(strings.Split(text, "\n")), "\n")
 	return slices.ContainsFunc(softwareVersions, func(v string) bool { return text == hostplatform.OutputOf(v, id, events) })
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -5,11 +5,12 @@
 // of the stand-ins for the log and the engines.
 //
 // A request that crashes its targets comes again and again, and single instances lose their
-// links to all targets. Callers' streams and the tasks of jobs must hold events of one software version, and targets
-// that name a limit must not get more requests than they may. The trainers of two models compete
-// for the slots of the same engines. Engines differ in speed, and the
-// targets of an evacuated data centre must not get requests, nor must engines that are about to be
-// reclaimed, or are. A client that is no instance must get no answer from the listeners between
+// links to all targets. Callers' streams and the tasks of jobs must hold events of one software version,
+// and at each event of a further run that run must have been asked to go on after the event before.
+// Targets that name a limit must not get more requests than they may. The trainers of two models
+// compete for the slots of the same engines. Engines differ in speed, and the targets of an
+// evacuated data centre must not get requests, nor must engines that are about to be reclaimed, or
+// are. A client that is no instance must get no answer from the listeners between
 // instances. In some runs, plain targets that start again are cold and must get few requests.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
@@ -207,6 +208,7 @@
 	if index%3 == 2 {
 		engine.SetEventInterval(slowInterval)
 	}
+	engine.MarkRuns()
 	return engine
 }
 
--- a/internal/soak/talk.go
+++ b/internal/soak/talk.go
@@ -17,7 +17,8 @@
 var softwareVersions = []string{hostplatform.FirstSoftware, "v2"}
 
 // talk sends a request for a stream. When the stream breaks, it takes it up at the next
-// instance. All events must be of one software version, in sequence.
+// instance. All events must be of one software version, in sequence, and of runs that go on after
+// each other.
 func (l *load) talk(id string, instance int) {
 	var events []string
 	first := "" // id of the attempt that brought the first event
@@ -36,7 +37,10 @@
 			break
 		}
 	}
-	if !hostplatform.IsOutputOfOne(softwareVersions, events) {
+	if err := checkRuns(id, events, l.env.runOf); err != nil {
+		l.env.recordViolation("stream %s: %v", id, err)
+	}
+	if events = withoutMarks(events); !hostplatform.IsOutputOfOne(softwareVersions, events) {
 		l.env.recordViolation("stream %s holds the events %q", id, events)
 	}
 }
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -29,6 +29,7 @@
 	runs            []Run
 	abortAfter      int  // complete events after which a stream is aborted; zero: never
 	stalled         bool // streams send no more events, connections stay open
+	marksRuns       bool // see MarkRuns
 	statusByRequest map[string]int
 	plainHandler    func(w http.ResponseWriter, r *http.Request) bool
 	streamHandler   func(w http.ResponseWriter, r *http.Request) bool
@@ -111,16 +112,6 @@
 	e.streamHandler = f
 }
 
-// FirstSoftware is the software version that engines have unless another one is set.
-const FirstSoftware = "v1"
-
-// SetSoftware sets the software version. The data of the engine's events depends on it.
-func (e *Engine) SetSoftware(version string) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.software = version
-}
-
 // Restart changes the start time in the registry entry and the report.
 func (e *Engine) Restart() {
 	e.mu.Lock()
@@ -179,26 +170,6 @@
 	return list
 }
 
-// Output returns the complete output of a task with n events, numbered from 1: the data of
-// the events, joined by line breaks.
-func Output(id string, n int) string { return OutputOf(FirstSoftware, id, n) }
-
-// OutputOf is Output for engines with the software version.
-func OutputOf(software, id string, n int) string {
-	lines := make([]string, n)
-	for i := range lines {
-		lines[i] = eventData(software, id, int64(i+1))
-	}
-	return strings.Join(lines, "\n")
-}
-
-func eventData(software, id string, number int64) string {
-	if software == FirstSoftware {
-		return fmt.Sprintf("%s-%d", id, number)
-	}
-	return fmt.Sprintf("%s-%d-%s", id, number, software)
-}
-
 // ServeHTTP implements http.Handler.
 func (e *Engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	e.mu.Lock()
@@ -291,7 +262,7 @@
 		return
 	}
 	defer e.releaseSlot()
-	e.recordRun(r, body)
+	run := e.recordRun(r, body)
 	e.mu.Lock()
 	status, streamHandler := e.statusByRequest[id], e.streamHandler
 	e.mu.Unlock()
@@ -302,7 +273,7 @@
 	if streamHandler != nil && streamHandler(w, r) {
 		return
 	}
-	e.stream(w, r, id)
+	e.stream(w, r, id, run)
 }
 
 // Signature returns the signature of the response to a plain request.
@@ -324,7 +295,8 @@
 	e.running--
 }
 
-func (e *Engine) recordRun(r *http.Request, body []byte) {
+// recordRun returns the name of the run.
+func (e *Engine) recordRun(r *http.Request, body []byte) string {
 	from, err := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64)
 	if err != nil {
 		from = 0 // no header: from the start
@@ -335,6 +307,7 @@
 	if r.Header.Get("Credential") != "" {
 		e.violations = append(e.violations, "caller's key was forwarded to engine "+e.ID)
 	}
+	return e.runName(len(e.runs) - 1)
 }
 
 // modelOf returns the model that the request names, or the first one.
@@ -350,7 +323,7 @@
 
 // stream sends the events after Last-Event-Id. The number of the last one is the second
 // value of the Token-Usage header.
-func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id string) {
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, id, run string) {
 	_, tokens, _ := strings.Cut(r.Header.Get("Token-Usage"), ",")
 	total, err := strconv.ParseInt(tokens, 10, 64)
 	if err != nil {
@@ -370,6 +343,7 @@
 	for n := from + 1; n <= total; n++ {
 		e.mu.Lock()
 		abortAfter, stalled, current, interval, software := e.abortAfter, e.stalled, e.versions[model], e.eventInterval, e.software
+		marksRuns := e.marksRuns
 		e.mu.Unlock()
 		if stalled {
 			<-r.Context().Done()
@@ -384,7 +358,11 @@
 			_ = flusher.Flush()                   // the connection is aborted anyway
 			panic(http.ErrAbortHandler)
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, eventData(software, id, n))
+		data := eventData(software, id, n)
+		if marksRuns {
+			data += markSeparator + run
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, data)
 		if flusher.Flush() != nil {
 			return
 		}
