Soak: the log is in trouble for all instances while tasks run

In the soak the log fails once for a moment, and most tasks are done before a claim, so that hardly any run goes on after stored events.

Change: the stand-in for the log can be slow (160 ms a call), append without an answer, and append up to 3 s late, in turn, so that the repeat of an append overtakes its first attempt; all three are drawn like the other log faults.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -15,12 +17,18 @@
 // partitionDown fault affects one of them.
 const logPartitions = 4
 
+// logFaults are those of a logFault, by variant.
+var logFaults = []hostplatform.Fault{
+	hostplatform.Unavailable, hostplatform.Unresponsive, hostplatform.DropAppendResponses, hostplatform.DropNextAppendResponse,
+	hostplatform.DelayAppends, hostplatform.Slow, hostplatform.SilentAppends, hostplatform.LateAppends,
+}
+
 // injectFaults draws the faults of the run, starts each at its time and returns when all
 // have ended. If the context ends before the last start, it returns at once.
 func (e *environment) injectFaults(ctx context.Context) {
 	start := time.Now()
 	var wg sync.WaitGroup
-	for _, f := range drawFaults(e.random, e.cfg.Duration, e.cfg.Faults) {
+	for _, f := range e.plan() {
 		select {
 		case <-ctx.Done():
 			return
@@ -36,6 +44,16 @@
 	wg.Wait()
 }
 
+// plan draws the faults of the run, sorted by start.
+func (e *environment) plan() []fault {
+	faults := drawFaults(e.random, e.cfg.Duration, e.cfg.Faults)
+	if e.hasSeries() {
+		faults = append(faults, drawSeries(e.random, e.cfg.Duration)...)
+	}
+	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.start, b.start) })
+	return faults
+}
+
 // applyFault starts one fault, ends it after its duration and returns.
 func (e *environment) applyFault(ctx context.Context, f fault) {
 	p := e.instances[f.index%len(e.instances)]
@@ -71,8 +89,7 @@
 		sleep(ctx, f.duration)
 		p.logProxy.setMode(forwarding)
 	case logFault:
-		faults := []hostplatform.Fault{hostplatform.Unavailable, hostplatform.Unresponsive, hostplatform.DropAppendResponses, hostplatform.DropNextAppendResponse, hostplatform.DelayAppends}
-		e.logStore.SetFault(faults[f.variant%len(faults)])
+		e.logStore.SetFault(logFaults[f.variant%len(logFaults)])
 		sleep(ctx, f.duration)
 		e.logStore.SetFault(hostplatform.Healthy)
 	case partitionDown:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"time"
 )
 
@@ -56,9 +55,9 @@
 	maxFaultDuration = 5 * time.Second
 )
 
-// drawFaults returns at least minFaults faults sorted by start. It draws series of one to
-// three faults of one kind: each next fault of a series affects the next instance or
-// target and starts up to 1 s later, so that the faults overlap.
+// drawFaults returns at least minFaults faults. It draws series of one to three faults of one
+// kind: each next fault of a series affects the next instance or target and starts up to 1 s later,
+// so that the faults overlap.
 func drawFaults(random *rand.Rand, runDuration time.Duration, minFaults int) []fault {
 	faults := make([]fault, 0, minFaults)
 	for len(faults) < minFaults {
@@ -74,6 +73,5 @@
 			f.index++
 		}
 	}
-	slices.SortFunc(faults, func(a, b fault) int { return int(a.start - b.start) })
 	return faults
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -198,15 +198,22 @@
 	slots := slotsPerTarget
 	if index < e.cfg.Engines {
 		slots = slotsPerEngine
+		if e.hasSeries() {
+			slots = seriesSlotsPerEngine
+		}
 	}
 	engine := hostplatform.NewEngine(fmt.Sprintf("t%d", index), models[0], slots)
 	for _, model := range models[1:] {
 		engine.AddModel(model)
 	}
 	engine.SetSoftware(softwareVersions[index/len(dataCentres)%len(softwareVersions)])
-	engine.SetEventInterval(slowInterval / 4)
+	fast, slow := slowInterval/4, slowInterval
+	if e.hasSeries() {
+		fast, slow = seriesInterval, seriesInterval*3/2
+	}
+	engine.SetEventInterval(fast)
 	if index%3 == 2 {
-		engine.SetEventInterval(slowInterval)
+		engine.SetEventInterval(slow)
 	}
 	engine.MarkRuns()
 	return engine
--- a/internal/soak/trainers.go
+++ b/internal/soak/trainers.go
@@ -46,9 +46,12 @@
 
 // randomSubmission returns a job with a random number of events for each task.
 func (l *load) randomSubmission(name, model string) submission {
-	events := map[string]int{}
+	events, most := map[string]int{}, maxEvents
+	if l.env.hasSeries() {
+		most = seriesEvents
+	}
 	for i := range tasksPerJob {
-		events[fmt.Sprintf("task-%s-%d", name, i)] = 1 + l.random.IntN(maxEvents)
+		events[fmt.Sprintf("task-%s-%d", name, i)] = 1 + l.random.IntN(most)
 	}
 	return submission{"job-" + name, model, events, l.random.IntN(len(l.env.instances))}
 }
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -1,7 +1,7 @@
 // Package hostplatform is a stand-in for the platform that hosted instances run
 // on: its log with keyed (compacted) topics, its usage interface, engines and plain
 // targets. All state is in memory. Fault switches make the store unavailable or
-// unresponsive, drop the responses to appends, delay appends and trim topics;
+// unresponsive or slow, drop the responses to appends, delay appends and trim topics;
 // streams of engines can be interrupted or stalled. Calls that break the
 // platform's rules are recorded as violations; tests check that there are none.
 package hostplatform
@@ -20,7 +20,7 @@
 	"time"
 )
 
-// Fault is a fault of the store. Unavailable and Unresponsive affect every call, the
+// Fault is a fault of the store. Unavailable, Unresponsive and Slow affect every call, the
 // others calls to /log-append only.
 type Fault uint8
 
@@ -32,12 +32,22 @@
 	DropAppendResponses          // appends, then aborts the connection instead of responding
 	DropNextAppendResponse       // like DropAppendResponses, for the next append only
 	DelayAppends                 // aborts the connection and appends after appendDelay
+	Slow                         // executes every call after slowDelay
+	SilentAppends                // appends, then does not respond
+	LateAppends                  // executes appends after the lateDelays, in turn
 )
 
 // appendDelay is the delay of an append under DelayAppends. It is long enough that the
 // client retries the append before the first attempt takes effect.
 const appendDelay = 300 * time.Millisecond
 
+// slowDelay is 40 times what a healthy store takes for a call.
+const slowDelay = 160 * time.Millisecond
+
+// lateDelays differ, so that the appends of clients overtake each other, and the repeat of an
+// append its first attempt.
+var lateDelays = []time.Duration{0, 1200 * time.Millisecond, 3 * time.Second, 2 * time.Second}
+
 // Store is the log. Its partitions are created on first use. A topic whose name
 // starts with "keyed." is keyed: the store also keeps the latest value of each key.
 type Store struct {
@@ -48,6 +58,7 @@
 	down       map[string]bool // unavailable partitions, as "topic/part"
 	appends    int             // see Appends
 	faultEnded chan struct{}   // closed when the Unresponsive fault ends
+	late       int             // appends under LateAppends
 }
 
 // partition holds its records, of which the first retained one is at offset first, the
@@ -197,6 +208,8 @@
 		case <-r.Context().Done():
 		}
 		panic(http.ErrAbortHandler)
+	case Slow:
+		time.Sleep(slowDelay)
 	}
 	switch r.URL.Path {
 	case "/log-append":
@@ -216,11 +229,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	apply := func() (int, any) { return s.appendOnce(r, splitRecords(body)) }
-	if fault == DelayAppends {
+	switch fault {
+	case DelayAppends:
 		time.AfterFunc(appendDelay, func() { apply() })
 		panic(http.ErrAbortHandler)
+	case LateAppends:
+		time.Sleep(s.nextLateDelay()) // also if the client has given up meanwhile
 	}
 	status, response := apply()
+	if fault == SilentAppends {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
 	if fault == DropAppendResponses || fault == DropNextAppendResponse {
 		if fault == DropNextAppendResponse {
 			s.SetFault(Healthy)
@@ -230,6 +250,13 @@
 	writeJSON(w, status, response)
 }
 
+func (s *Store) nextLateDelay() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.late++
+	return lateDelays[s.late%len(lateDelays)]
+}
+
 // appendOnce appends the records, at most once per producer, epoch and sequence. It
 // returns the status and body of the response: 409 for a sequence out of order, 400
 // for an append to the operator's topics (keyed.op...). Appends without a producer
