--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
@@ -15,8 +17,8 @@
 
 // loadJob reads a job's tasks, the reusable results of earlier jobs and the stored
 // outputs of earlier runs. It sends the loaded job to the runner's goroutine.
-func (r *runner) loadJob(ctx context.Context, snapshot jobSnapshot) {
-	loaded := loadedJob{id: snapshot.job.Job}
+func (r *runner) loadJob(ctx context.Context, snapshot jobSnapshot, claimed *claimedJob) {
+	loaded := loadedJob{id: snapshot.job.Job, claimed: claimed}
 	r.mu.Lock()
 	key := cacheKey(snapshot.job.Account, loaded.id)
 	cached, found := r.taskCache[key]
@@ -32,10 +34,7 @@
 	}
 	if loaded.err == nil {
 		loaded.reused = r.reusableResults(ctx, snapshot)
-		loaded.outputs = make([]*taskOutput, len(loaded.tasks))
-		for i := range loaded.outputs {
-			loaded.outputs[i] = r.loadOutput(ctx, snapshot, i)
-		}
+		loaded.outputs = r.loadOutputs(ctx, snapshot)
 	}
 	if loaded.err != nil {
 		clock.Sleep(ctx, loadRetryDelay)
@@ -64,42 +63,63 @@
 	return out
 }
 
-// loadOutput returns the stored part of a task's output. If it cannot be read, loadOutput
-// returns an empty output: the task then starts from its first event.
-func (r *runner) loadOutput(ctx context.Context, snapshot jobSnapshot, i int) *taskOutput {
-	t := &taskOutput{}
-	chunks := snapshot.status[i].ContiguousChunks(snapshot.job.MinVersion)
-	if len(chunks) == 0 || snapshot.status[i].Listed || snapshot.job.SingleVersion {
-		return t
+// loadOutputs returns the stored parts of the outputs of all tasks. An output that cannot be read is
+// empty: its task starts from the first event.
+func (r *runner) loadOutputs(ctx context.Context, snapshot jobSnapshot) []*taskOutput {
+	stored := make([][]job.Chunk, len(snapshot.status))
+	var locations []job.Location
+	for i := range snapshot.status {
+		if snapshot.status[i].Listed || snapshot.job.SingleVersion {
+			continue
+		}
+		stored[i] = snapshot.status[i].ContiguousChunks(snapshot.job.MinVersion)
+		for _, c := range stored[i] {
+			locations = append(locations, c.Location)
+		}
 	}
-	locations := make([]job.Location, len(chunks))
-	for k, c := range chunks {
-		locations[k] = c.Location
+	// One read for all of them: a slow log answers each call late.
+	parts, err := r.batch.LoadAvailable(ctx, locations)
+	outputs := make([]*taskOutput, len(stored))
+	for i, chunks := range stored {
+		own := parts[:len(chunks)]
+		parts = parts[len(chunks):]
+		outputs[i] = r.loadOutput(snapshot.job, i, chunks, own, err)
 	}
-	parts, err := r.batch.LoadContent(ctx, locations)
-	if err != nil {
-		r.batch.Log("text unreadable", events.F("job", snapshot.job.Job), events.F("task", snapshot.job.Tasks[i].ID), events.F("error", err.Error()))
-		return t
+	return outputs
+}
+
+// loadOutput returns the output of the chunks of a task with their data. A part without data could
+// not be read, for the reason err.
+func (r *runner) loadOutput(j *job.Job, i int, chunks []job.Chunk, parts [][]byte, err error) *taskOutput {
+	if len(chunks) == 0 {
+		return &taskOutput{}
 	}
-	for k, c := range chunks {
-		if k > 0 {
-			t.data = append(t.data, '\n')
-		}
-		t.data = append(t.data, parts[k]...)
-		t.lastEvent, t.software = c.Last, c.Software
-		for _, v := range c.Versions {
-			t.versions = withVersion(t.versions, v)
-		}
+	if slices.ContainsFunc(parts, func(p []byte) bool { return p == nil }) {
+		r.batch.Log("text unreadable", events.F("job", j.Job), events.F("task", j.Tasks[i].ID), events.F("error", fmt.Sprint(err)))
+		return &taskOutput{}
 	}
-	t.savedLastEvent, t.savedBytes, t.loaded = t.lastEvent, len(t.data), true
+	t := outputOf(chunks, parts)
+	r.batch.Log("stored events loaded", events.F("job", j.Job), events.F("task", j.Tasks[i].ID), events.F("events", fmt.Sprint(t.lastEvent)),
+		events.F("parts", fmt.Sprint(len(chunks))), events.F("writers", strings.Join(writersOf(chunks), ",")))
 	return t
 }
 
+// writersOf returns the writers of the chunks, each once for contiguous chunks of it.
+func writersOf(chunks []job.Chunk) []string {
+	var out []string
+	for i := range chunks {
+		out = append(out, chunks[i].Writer())
+	}
+	return slices.Compact(out)
+}
+
 // onLoaded sets the tasks and outputs of a loaded job and queues the reused results for
-// the log. An output in partialOutputs replaces a shorter stored one.
+// the log. An output in partialOutputs replaces a shorter stored one. A load that ends after the job
+// was left is ignored: runs may be adding events to the outputs of a later one.
 func (r *runner) onLoaded(loaded loadedJob) {
 	j := r.jobs[loaded.id]
-	if j == nil {
+	if j == nil || j != loaded.claimed {
+		r.batch.Log("job load ignored", events.F("job", loaded.id), events.F("taken", fmt.Sprint(j != nil)))
 		return
 	}
 	if loaded.err != nil {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -35,6 +35,7 @@
 	runEnds       chan runEnd
 	loadedJobs    chan loadedJob
 	permits       chan permitReply
+	refusals      chan refusedPart
 	lastHeartbeat time.Duration
 	latestOrderAt time.Duration // when the latest load order to an engine was read
 	saves         saveState
@@ -73,6 +74,7 @@
 // loadedJob is the result of loadJob.
 type loadedJob struct {
 	id      string
+	claimed *claimedJob // that was loaded; the job may have been left and taken again since
 	tasks   []job.Task
 	outputs []*taskOutput
 	reused  []taskResult // results of earlier jobs
@@ -84,7 +86,8 @@
 		batch: b, scheduler: assign.New(assign.DefaultLimits()), jobs: map[string]*claimedJob{},
 		cancels: map[int64]context.CancelFunc{}, outputs: map[int64]*taskOutput{},
 		placed: map[int64]placedRun{}, reclaims: reclaims{},
-		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16), saves: saveState{results: make(chan bool)},
+		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16),
+		refusals: make(chan refusedPart, maxQueuedRefusals), saves: saveState{results: make(chan bool)},
 		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
 	}
 	r.occupancy = newEngineOccupancy(b)
@@ -162,6 +165,8 @@
 			r.onLoaded(l)
 		case p := <-r.permits:
 			r.scheduler.SetPermits(r.batch.Clock.Now(), p.engine, p.count, p.retryAfter)
+		case p := <-r.refusals:
+			r.onRefused(p)
 		case <-stopping:
 			stopping = nil
 			r.handOver(ctx)
@@ -230,7 +235,7 @@
 			b.Links.CheckIfQuiet()
 			b.Log("job taken", events.F("job", id), events.F("term", fmt.Sprint(snapshot.term)))
 			b.AppendRecordAsync(job.Record{Progress: &job.Progress{Job: id, Term: snapshot.term}})
-			go r.loadJob(ctx, snapshot)
+			go r.loadJob(ctx, snapshot, j)
 		}
 		if snapshot.term > j.term && snapshot.runner == b.Self {
 			j.released = false // claimed again
