Soak: tasks outlast several claims of their job

Cause: a text holds events of two runs only after three takes of its job: a runner whose part reaches the log after the claim, the next one whose part follows that by number, and a third that loads both. Tasks of up to 80 events of 60 ms are done before.

--- a/internal/soak/series.go
+++ b/internal/soak/series.go
@@ -17,10 +17,10 @@
 	maxSeriesGap      = 600 * time.Millisecond
 
 	// The engines of these seeds take seriesInterval for an event, the slow ones half as long again, so
-	// that a task outlasts a claim and its events are stored in several parts.
+	// that a task outlasts several claims and its events are stored in many parts.
 	seriesInterval       = 60 * time.Millisecond
-	seriesEvents         = 80 // of one task, at most
-	seriesSlotsPerEngine = 12
+	seriesEvents         = 150 // of one task, at most
+	seriesSlotsPerEngine = 16
 )
 
 // hasSeries reports whether the run has a series of faults of the log.
--- a/internal/soak/trainers.go
+++ b/internal/soak/trainers.go
@@ -27,10 +27,11 @@
 }
 
 // nextSubmissions returns the jobs that the trainers submit at once: one, of the models in turn,
-// or a burst of all models. n is unique to the tick.
+// or a burst of all models. There are no bursts where tasks take as long as in a run with a series.
+// n is unique to the tick.
 func (l *load) nextSubmissions(n int) []submission {
 	l.ticks++
-	if l.ticks%burstTicks != 0 {
+	if l.ticks%burstTicks != 0 || l.env.hasSeries() {
 		s := l.randomSubmission(fmt.Sprint(n), models[l.ticks%len(models)])
 		if l.ticks <= len(models) {
 			s.firstInstance = l.ticks // the first instance becomes the runner: one for each model
