A run of a job that was left may end while the job is loaded again

Callers would see an instance end by itself, and with it all their connections to it.

Cause: at the end of a run the runner looked up the task's output by the job and the index. A job that was left and taken again has no outputs until it is loaded, so the end of a run that was canceled when the job was left indexed an empty slice. The end and the news of the log are received in any order; while the log is slow, jobs are claimed back and forth, and several reads of it may arrive within milliseconds.

Evidence: the spec panicked before (index out of range [0] with length 0, in onRunEnd). Read from the code for the way there; not seen on a deployment.

Change: the end of a run uses the output of the run. A run that was moved or canceled has none any more. The result of a completed task is of that output too, not of the one that the job has at the moment.

--- /dev/null
+++ b/internal/batch/left_test.go
@@ -0,0 +1,60 @@
+package batch
+
+import (
+	"context"
+	"io"
+	"testing"
+
+	"github.com/amaranthfold/amaranthfold/core/assign"
+	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/platform"
+)
+
+// takenJob returns a job with one task that a runner has taken and not loaded.
+func takenJob(r *runner, submitted job.Submitted) *claimedJob {
+	submitted.Tasks = []job.TaskRef{{ID: "t"}}
+	j := &claimedJob{
+		job: &job.Job{Submitted: submitted}, loading: true, recorded: make([]bool, 1), failures: make([]int, 1), groups: newJobGroups(submitted.Tasks, nil),
+	}
+	r.jobs[submitted.Job] = j
+	return j
+}
+
+// startTestRun starts a run of the task of a loaded job.
+func startTestRun(t *testing.T, r *runner, j *claimedJob) int64 {
+	t.Helper()
+	r.scheduler.SetEngines([]assign.Engine{{ID: "e", Service: "s", Slots: 1, Ready: true, Versions: map[string]int64{"m": 1}}})
+	r.scheduler.Add(assign.Task{Key: assign.Key{Job: j.job.Job}, Service: "s", Model: "m"})
+	starts := r.scheduler.Assign(0)
+	if len(starts) != 1 {
+		t.Fatalf("%d runs started", len(starts))
+	}
+	run := starts[0].Run
+	j.outputs[0].startRun(run, "v1")
+	j.outputs[0].addEvent(run, 1, []byte("a"), 1, 1)
+	_, r.cancels[run] = context.WithCancel(context.Background())
+	r.outputs[run], r.placed[run] = j.outputs[0], placedRun{group: j.groups.of(0)}
+	return run
+}
+
+func newTestRunner() *runner {
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	b.resultWriter, b.scorer = newResultWriter(b), newScorer(b)
+	return newRunner(b)
+}
+
+// Guards against an instance that ends by itself: a run of a job that was left ended after the
+// instance had taken the job again and before its outputs were loaded.
+func TestRunOfALeftJobEndsWhileTheJobIsLoadedAgain(t *testing.T) {
+	r := newTestRunner()
+	j := takenJob(r, job.Submitted{Job: "j"})
+	r.onLoaded(loadedJob{id: "j", claimed: j, tasks: make([]job.Task, 1), outputs: []*taskOutput{{}}})
+	run := startTestRun(t, r, j)
+	r.dropJob("j", j)
+	again := takenJob(r, job.Submitted{Job: "j"})
+	r.onRunEnd(runEnd{run: run, key: assign.Key{Job: "j"}, taskID: "t", engine: "e", outcome: assign.Canceled})
+	if r.jobs["j"] != again || len(r.batch.resultWriter.queue) > 0 {
+		t.Fatal("the end of the run has changed the job that is loaded")
+	}
+}
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -81,9 +81,10 @@
 func (r *runner) onRunEnd(end runEnd) {
 	b := r.batch
 	j := r.jobs[end.key.Job]
+	output := r.outputs[end.run] // nil: the run was moved or canceled; the job may have been left and taken again since
 	var kept assign.Kept
-	if j != nil {
-		kept = j.outputs[end.key.Task].kept()
+	if output != nil {
+		kept = output.kept()
 	}
 	outcome := end.outcome
 	if end.unprocessable || end.serverError {
@@ -112,9 +113,9 @@
 	case end.outcome == assign.Completed:
 		b.Metrics.Listed.Inc()
 		r.noteEnded(b.Clock.Now(), end, placed, j)
-		output, versions, _ := j.outputs[i].snapshot()
+		data, versions, _ := output.snapshot()
 		b.Metrics.TaskTime.Update(float64(b.Clock.Wall().UnixMilli()-j.job.SubmittedAt) / 1000)
-		r.completeTask(j, taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, output: output, versions: versions}, 0)
+		r.completeTask(j, taskResult{job: id, task: i, id: j.job.Tasks[i].ID, completed: true, output: data, versions: versions}, 0)
 	}
 }
 
