Outputs of a left job are not used for another model or route

Cause: such outputs were kept by account and task id. The stored ones are inherited only by jobs of the same model and route (State.inheritOutput); those in memory were not compared. The key also joined two names with a slash, which both may hold.

Evidence: the spec fails without the change: "1 events are kept for a job of model other and route r", and the same for another route. Not seen on a deployment.

Change: the key is the account, the model, the route and the task.

--- a/internal/batch/left_test.go
+++ b/internal/batch/left_test.go
@@ -58,3 +58,30 @@
 		t.Fatal("the end of the run has changed the job that is loaded")
 	}
 }
+
+// Guards against results that begin with the events of another model: the outputs of a job that was
+// left were kept by account and task only.
+func TestOutputsOfALeftJobAreNotThoseOfAnotherModelOrRoute(t *testing.T) {
+	first := job.Submitted{Job: "j", Account: "a", Model: "m", Route: "r"}
+	for _, later := range []struct {
+		job.Submitted
+		events int64
+	}{
+		{job.Submitted{Job: "k", Account: "a", Model: "m", Route: "r"}, 1},
+		{job.Submitted{Job: "k", Account: "a", Model: "other", Route: "r"}, 0},
+		{job.Submitted{Job: "k", Account: "a", Model: "m", Route: "other"}, 0},
+	} {
+		r := newTestRunner()
+		load := func(submitted job.Submitted) *claimedJob {
+			j := takenJob(r, submitted)
+			r.onLoaded(loadedJob{id: submitted.Job, claimed: j, tasks: make([]job.Task, 1), outputs: []*taskOutput{{}}})
+			return j
+		}
+		j := load(first)
+		startTestRun(t, r, j)
+		r.dropJob("j", j)
+		if kept := load(later.Submitted).outputs[0].eventCount(); kept != later.events {
+			t.Errorf("%d events are kept for a job of model %s and route %s", kept, later.Model, later.Route)
+		}
+	}
+}
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -130,7 +130,7 @@
 	j.tasks, j.outputs, j.loading = loaded.tasks, loaded.outputs, false
 	r.setJob(r.batch.CurrentView(), loaded.id, j)
 	for i := range j.tasks {
-		key := j.job.Account + "/" + j.job.Tasks[i].ID
+		key := j.outputKey(i)
 		p, found := r.partialOutputs[key]
 		delete(r.partialOutputs, key)
 		if !found || !j.job.AllowsVersions(p.output.versions) {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -43,9 +43,9 @@
 
 	// mu guards taskCache and openJobs. Only the goroutine of run accesses partialOutputs.
 	mu             sync.Mutex
-	taskCache      map[string]cachedTasks   // of jobs that this instance accepted, by cacheKey
-	partialOutputs map[string]partialOutput // of unfinished tasks of dropped jobs, by account and task
-	openJobs       int                      // len(jobs), for other goroutines
+	taskCache      map[string]cachedTasks      // of jobs that this instance accepted, by cacheKey
+	partialOutputs map[outputKey]partialOutput // of unfinished tasks of dropped jobs
+	openJobs       int                         // len(jobs), for other goroutines
 }
 
 type cachedTasks struct {
@@ -53,6 +53,14 @@
 	cachedAt time.Duration
 }
 
+// outputKey identifies the output of a task over all jobs: another model, or another route, makes
+// another output.
+type outputKey struct{ account, model, route, task string }
+
+func (j *claimedJob) outputKey(i int) outputKey {
+	return outputKey{j.job.Account, j.job.Model, j.job.Route, j.job.Tasks[i].ID}
+}
+
 type partialOutput struct {
 	output    *taskOutput
 	droppedAt time.Duration // when the job was dropped
@@ -88,7 +96,7 @@
 		placed: map[int64]placedRun{}, reclaims: reclaims{},
 		runEnds: make(chan runEnd, 64), loadedJobs: make(chan loadedJob, 4), permits: make(chan permitReply, 16),
 		refusals: make(chan refusedPart, maxQueuedRefusals), saves: saveState{results: make(chan bool)},
-		taskCache: map[string]cachedTasks{}, partialOutputs: map[string]partialOutput{},
+		taskCache: map[string]cachedTasks{}, partialOutputs: map[outputKey]partialOutput{},
 	}
 	r.occupancy = newEngineOccupancy(b)
 	return r
@@ -374,7 +382,7 @@
 		r.stopTask(key)
 		if scheduled && !j.recorded[i] {
 			j.outputs[i].stopRun()
-			r.partialOutputs[j.job.Account+"/"+j.job.Tasks[i].ID] = partialOutput{j.outputs[i], now}
+			r.partialOutputs[j.outputKey(i)] = partialOutput{j.outputs[i], now}
 		}
 	}
 	for key, p := range r.partialOutputs {
