A stored part that is no longer kept costs its own task only

Callers would see tasks of a job that is taken over start from their first events, though their stored events can be read.

Cause: since the parts of a job are read together, a read that fails ends the reads of its partition. The records are read in the order of their offsets, and one that the log has removed comes before all that it keeps. So a single old part made all tasks with parts in that partition start over; before, its own task did.

Change: a read that is refused as its record is removed skips the records up to the oldest one that is kept, without a call for each. Any other error ends the reads of the partition as before: a log that does not answer is not asked again.

--- a/internal/node/content.go
+++ b/internal/node/content.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/list"
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 // contentCache keeps recently used records of the content topic, up to a number of bytes.
@@ -105,20 +107,33 @@
 	var group errgroup.Group
 	for _, indices := range byPartition {
 		slices.SortFunc(indices, func(a, b int) int { return cmp.Compare(locations[a].Offset, locations[b].Offset) })
-		group.Go(func() error {
-			for k, i := range indices {
-				data, err := n.loadRecord(ctx, locations, indices[k:])
-				if err != nil {
-					return err
-				}
-				records[i] = data
-			}
-			return nil
-		})
+		group.Go(func() error { return n.loadPartition(ctx, locations, indices, records) })
 	}
 	return records, group.Wait()
 }
 
+// loadPartition sets the records at the locations with the indices, which are of one partition in the
+// order of their offsets. It skips records that are no longer kept, and returns at any other error.
+func (n *Node) loadPartition(ctx context.Context, locations []job.Location, indices []int, records [][]byte) error {
+	var skipped error
+	oldest := int64(0)
+	for k, i := range indices {
+		if locations[i].Offset < oldest {
+			continue
+		}
+		data, err := n.loadRecord(ctx, locations, indices[k:])
+		var trimmed *platform.TrimmedError
+		switch {
+		case errors.As(err, &trimmed):
+			skipped, oldest = err, trimmed.OldestOffset
+		case err != nil:
+			return err
+		}
+		records[i] = data
+	}
+	return skipped
+}
+
 // loadRecord returns the record at the first of the locations with the indices, which are of one
 // partition in the order of their offsets, from the cache or the log. A read of the log also
 // fetches the contiguous records of later ones and caches them.
