A task that is given up is listed without events of an unknown maker after others

Callers would see, in the output of a task that was given up, events of one software version after those of another.

Cause: while it is not known whether the engine of a run has the software version that its entry states, later runs do not go on after its events and nothing of them is stored. giveUpTask took all events all the same: a task whose time ends in that moment was listed with them. It also did not stop the run from adding more.

Evidence: the spec fails without the change: "a\nb" is listed, where b is of an unknown maker.

Change: the output ends before it is listed: no run adds to it, and events of an unknown maker are discarded if they go on after others. The output of one run is listed as it is.

--- a/internal/batch/left_test.go
+++ b/internal/batch/left_test.go
@@ -85,3 +85,24 @@
 		}
 	}
 }
+
+// Guards against a listed output that joins events of two software versions: a task was given up
+// while it was not known which version makes the events of its run.
+func TestGivenUpOutputHasNoEventsOfAnUnknownMakerAfterOthers(t *testing.T) {
+	for _, events := range []struct{ before, listed string }{{"a", "a"}, {"", "b"}} {
+		r := newTestRunner()
+		j := takenJob(r, job.Submitted{Job: "j"})
+		output := &taskOutput{}
+		r.onLoaded(loadedJob{id: "j", claimed: j, tasks: make([]job.Task, 1), outputs: []*taskOutput{output}})
+		if events.before != "" {
+			startTestRun(t, r, j)
+		}
+		after := output.startRun(2, "v1")
+		output.expectMaker(2, &maker{known: func() bool { return false }})
+		output.addEvent(2, after+1, []byte("b"), 1, 2)
+		r.giveUpTask("j", j, 0)
+		if result := <-r.batch.resultWriter.queue; string(result.output) != events.listed {
+			t.Errorf("the output %q is listed, with %q before the run", result.output, events.before)
+		}
+	}
+}
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -349,6 +349,7 @@
 	r.stopTask(assign.Key{Job: id, Task: i})
 	r.batch.Metrics.GivenUp.Inc()
 	r.batch.Log("task given up", events.F("job", id), events.F("task", j.job.Tasks[i].ID))
+	j.outputs[i].end()
 	output, versions, _ := j.outputs[i].snapshot()
 	r.batch.resultWriter.queue <- taskResult{job: id, task: i, id: j.job.Tasks[i].ID, output: output, versions: versions}
 }
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -138,6 +138,17 @@
 	t.activeRun = 0
 }
 
+// end ignores further events of the active run, and discards those that it has added after others if
+// it is not known that one software version has made them all.
+func (t *taskOutput) end() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.activeRun = 0
+	if !t.settle() && t.before.lastEvent > 0 {
+		t.rollBack()
+	}
+}
+
 // startedOver reports whether the active run has replaced the events that it does not go on
 // after, if there were any.
 func (t *taskOutput) startedOver() bool {
