An instance that has missed a claim follows the runner's heartbeats

Callers would see the tasks of a job run twice until the job ends, and the log the stored outputs of both runners in turn.

Cause: an instance that is behind when the log removes its oldest records goes on at the oldest one that is kept (`log trimmed`). A claim has the term after the job's; once one was missed, the instance rejects all later ones and remains the runner, or follows a former one, until the job ends. Since outputs of refused parts are stored anew, it and the real runner replace each other's parts: by its state it is the runner at each refusal.

Evidence: the spec fails without the change: the runner is n1 after the heartbeats of n3, whose claim was not read. Not seen on a deployment.

Change: a heartbeat with a later term than the job's is of the runner whose claim was missed. In a log without gaps a claim comes before the heartbeats of its term, so that nothing changes there. Positions of results that were missed remain different.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -119,7 +119,8 @@
 }
 
 // Progress is a heartbeat of a job's runner. It also contains the locations of the stored
-// events of unfinished tasks. State accepts it from any writer and ignores Term.
+// events of unfinished tasks. State accepts it from any writer. A Term after the job's current one
+// is that of a claim which was not read: the writer is the runner then.
 type Progress struct {
 	Job    string  `cbor:"1,keyasint"`
 	Term   int64   `cbor:"2,keyasint"`
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -236,17 +236,25 @@
 	if j == nil || c.Term != j.Term+1 {
 		return false
 	}
-	j.Term, j.Runner, j.RunnerSeenAt, j.RunnerConfirmed = c.Term, c.Runner, now, false
-	j.ListedAtClaim = len(j.Results)
-	s.Runners[j.Model] = Runner{c.Runner, now}
+	s.setRunner(j, c.Term, c.Runner, now)
 	return true
 }
 
+// setRunner begins a later term of a job.
+func (s *State) setRunner(j *Job, term int64, runner string, now time.Duration) {
+	j.Term, j.Runner, j.RunnerSeenAt, j.RunnerConfirmed = term, runner, now, false
+	j.ListedAtClaim = len(j.Results)
+	s.Runners[j.Model] = Runner{runner, now}
+}
+
 func (s *State) applyProgress(now time.Duration, writer string, p Progress) bool {
 	j := s.Jobs[p.Job]
 	if j == nil {
 		return false
 	}
+	if p.Term > j.Term { // the log had removed the claims before they were read
+		s.setRunner(j, p.Term, writer, now)
+	}
 	s.markRunnerSeen(j, writer, now)
 	j.MaxSlotWait = max(j.MaxSlotWait, time.Duration(p.MaxSlotWait)*time.Millisecond)
 	for _, i := range p.Failed {
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -76,6 +76,20 @@
 		Expect(s.Jobs["j"].Term).To(Equal(int64(2)))
 	})
 
+	// Guards against two runners until the end of a job: the log has removed claims before this
+	// instance has read them.
+	It("have the runner of a later term, though its claim was not read", func() {
+		heartbeat := func(writer string, term int64) job.Record {
+			return job.Record{Writer: writer, Progress: &job.Progress{Job: "j", Term: term}}
+		}
+		s, accepted := replay(submitted("j", "n1", "x"), claimed("j", 3, "n3"), heartbeat("n3", 3), heartbeat("n2", 2), heartbeat("n1", 0), claimed("j", 3, "n4"))
+		Expect(accepted[5]).To(BeFalse())
+		Expect(s.Jobs["j"].Runner).To(Equal("n3"))
+		Expect(s.Jobs["j"].RunnerConfirmed).To(BeTrue())
+		Expect(s.Apply(6, 0, claimed("j", 4, "n4"))).To(BeTrue())
+		Expect(s.Jobs["j"].Runner).To(Equal("n4"))
+	})
+
 	It("sets the time when the runner was last seen only by the runner's own records", func() {
 		s, _ := replay(submitted("j", "n1", "x"),
 			job.Record{Writer: "n2", Progress: &job.Progress{Job: "j"}},
