Samples of another prompt are not restored from a mirror

Callers (trainers of the product's own interface) would see a batch with samples of a prompt that its group does not have.

Cause: a new owner adds the mirrored contents of all terms. Of two groups of one id the first is kept, but samples were joined to it by their ids alone. Two such groups exist if a trainer starts anew with other prompts while the mirror of an earlier term is out of reach, and that mirror answers at the next change of the owner.

Evidence: the spec fails without the change: a sample of the prompt "another" is restored into a group with the prompt "p". Not seen on a deployment.

Change: a sample is restored only into a group with its prompt; others are generated again.

--- a/core/sample/contents.go
+++ b/core/sample/contents.go
@@ -23,7 +23,7 @@
 }
 
 // Restore adds a former owner's state from a mirror. It skips groups that Submit rejects,
-// and samples that belong to no group of the owner or that Finish rejects.
+// and samples that belong to no group of the owner, that have another prompt or that Finish rejects.
 func (o *Owner) Restore(snapshot Snapshot) {
 	for _, g := range snapshot.Groups {
 		if err := o.Submit(g); err != nil {
@@ -31,7 +31,7 @@
 		}
 	}
 	for _, s := range snapshot.Samples {
-		if g := o.groups[s.Group]; g != nil {
+		if g := o.groups[s.Group]; g != nil && g.Prompt == s.Prompt {
 			o.restoreSample(g, s)
 		}
 	}
--- a/core/sample/owner_test.go
+++ b/core/sample/owner_test.go
@@ -92,6 +92,16 @@
 		Expect(o.OpenBatch(1)).NotTo(BeNil())
 	})
 
+	// Guards against a batch with samples of a prompt that its group does not have: mirrors of several
+	// terms may hold two groups of one id.
+	It("restores no samples of another prompt from a mirror", func() {
+		other := sample.Sample{ID: sample.ID("g", 0), Group: "g", Prompt: "another", Segments: []sample.Segment{{Version: 1, Tokens: 10}}}
+		own := other
+		own.ID, own.Prompt = sample.ID("g", 1), group.Prompt
+		o.Restore(sample.Snapshot{Groups: []sample.Group{group}, Samples: []sample.Sample{other, own}})
+		Expect(o.Snapshot().Samples).To(ConsistOf(own))
+	})
+
 	It("rejects a sample with a segment of unknown version or without segments", func() {
 		Expect(o.Submit(group)).To(Succeed())
 		j := o.StartJobs()[0]
