The outputs of a save are stored in calls that the log takes

Cause: a save stored the new parts of all outputs of all jobs in one append, however large. The log refuses an append over its `call-bytes`, and the appender repeats it for ever. After an outage of the log the parts are as large as the outputs, and since outputs of refused parts are stored anew, also after takeovers in one. Results were split already.

Evidence: the spec fails without the change: a call of 2,359 bytes where the log takes 1,000. Not seen on a deployment; the jobs of those are smaller than a call.

Change: parts are stored in appends of half a call, like results. The outputs learn at the end whether all are stored.

--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -109,23 +109,31 @@
 	return err == nil
 }
 
+// storeParts stores the parts and returns their locations: all or none, of which the outputs are told.
 func (r *runner) storeParts(ctx context.Context, parts []outputPart) ([]job.Location, error) {
-	if len(parts) == 0 {
-		return nil, nil
-	}
-	records := make([][]byte, len(parts))
-	for i, p := range parts {
-		records[i] = p.data
-	}
-	locations, err := r.batch.StoreContent(ctx, records)
-	for i, p := range parts {
+	var locations []job.Location
+	for len(locations) < len(parts) {
+		var records [][]byte
+		size := 0
+		for _, p := range parts[len(locations):] {
+			if size += len(p.data); len(records) > 0 && size > r.batch.Settings.Store.CallBytes/2 {
+				break
+			}
+			records = append(records, p.data)
+		}
+		stored, err := r.batch.StoreContent(ctx, records)
 		if err != nil {
-			p.output.notStored(p.part)
-		} else {
-			p.output.stored(p.part, locations[i])
+			for _, p := range parts {
+				p.output.notStored(p.part)
+			}
+			return nil, err
 		}
+		locations = append(locations, stored...)
+	}
+	for i, p := range parts {
+		p.output.stored(p.part, locations[i])
 	}
-	return locations, err
+	return locations, nil
 }
 
 // onLinks starts the handover of all jobs when the instance has lost its links to the engines,
