A full mirror message that was overtaken is rejected

Callers (trainers) would wait for groups and samples to be submitted and generated again after the loss of an owner, though the mirror had them.

Cause: the mirror takes a full message of the current term whatever its number. One that the owner has given up, as its call timed out, may be handled after the next one, on a mirror that stood still; it then replaced the later contents. If nothing more is due, nothing tells the owner.

Evidence: the test fails without the change: a full message 6 is accepted after 7.

Change: the numbers of a term only grow. An owner that starts anew within a term begins above those of the former one, by the clock of its process.

--- a/internal/samples/mirror.go
+++ b/internal/samples/mirror.go
@@ -102,8 +102,10 @@
 	failed  bool // the last sync failed
 }
 
-func newMirrorSender(trainer string, term record.Offset) *mirrorSender {
-	return &mirrorSender{trainer: trainer, term: term, sending: make(chan struct{}, 1)}
+// newMirrorSender returns the sender of an owner that starts at now. Its numbers follow those of an
+// earlier owner of the same term, which has sent fewer than one message a nanosecond.
+func newMirrorSender(trainer string, term record.Offset, now time.Duration) *mirrorSender {
+	return &mirrorSender{trainer: trainer, term: term, sending: make(chan struct{}, 1), seq: uint64(now)}
 }
 
 // add queues contents for the next sync.
@@ -270,12 +272,12 @@
 func newMirrorStore() *mirrorStore { return &mirrorStore{entries: map[string]*mirrorEntry{}} }
 
 // put applies a message of an owner and reports whether it was accepted. Messages of a
-// superseded term and messages out of sequence are rejected.
+// superseded term, those that were overtaken and those out of sequence are rejected.
 func (k *mirrorStore) put(now time.Duration, p mirrorPut) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	m := k.entries[p.Trainer]
-	if m != nil && p.Term < m.term {
+	if m != nil && (p.Term < m.term || p.Term == m.term && p.Seq <= m.seq) {
 		return false
 	}
 	if p.Full {
--- a/internal/samples/mirror_test.go
+++ b/internal/samples/mirror_test.go
@@ -29,6 +29,8 @@
 		{"next message", mirrorPut{Term: 5, Seq: 8}, true},
 		{"message after a missing one", mirrorPut{Term: 5, Seq: 9}, false},
 		{"repeated message", mirrorPut{Term: 5, Seq: 7}, false},
+		{"full message that was overtaken", mirrorPut{Term: 5, Seq: 6, Full: true}, false},
+		{"later full message", mirrorPut{Term: 5, Seq: 10, Full: true}, true},
 		{"message of a former owner", mirrorPut{Term: 4, Seq: 8, Full: true}, false},
 		{"first message of a later owner", mirrorPut{Term: 6, Seq: 1, Full: true}, true},
 		{"second message of a later owner without the first", mirrorPut{Term: 6, Seq: 2}, false},
--- a/internal/samples/owner.go
+++ b/internal/samples/owner.go
@@ -54,7 +54,7 @@
 	o := &owner{
 		m: m, trainer: trainer, term: term, ctx: ctx, cancel: cancel,
 		restored: make(chan struct{}), workReady: make(chan struct{}, 1), deliverySlot: make(chan struct{}, 1),
-		mirrorSender: newMirrorSender(trainer, term),
+		mirrorSender: newMirrorSender(trainer, term, m.Clock.Now()),
 	}
 	o.state = sample.NewOwner(limits(s, s.Config.Trainer(trainer)), deliveries)
 	return o
