An entry with a number too large hid a target for good

Callers saw: a target that is not used any more, or used although it has drained. Cause: entries of one target are ordered by its start and its heartbeat. With the largest integer in either, as another writer may leave under its id, all entries of the target itself counted as earlier ones and were ignored.

--- a/internal/hosted/oddentries_test.go
+++ b/internal/hosted/oddentries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net/http"
 	"strings"
 	"time"
@@ -119,6 +120,22 @@
 		}
 	})
 
+	// The entries of the target itself counted as earlier ones and were ignored.
+	It("under the id of a target hide it until its next heartbeat only", func() {
+		d := newDeployment(1, 1)
+		for _, field := range []string{"sequence", "born"} {
+			odd := d.entries["p0"]()
+			odd["state"], odd[field] = "draining", int64(math.MaxInt64)
+			d.store.Put(platform.RegistryTopic, "p0", odd)
+			d.awaitRegistryRead()
+			before := len(d.plain[0].Arrivals())
+			Eventually(func() int {
+				d.callAll(20, time.Millisecond)
+				return len(d.plain[0].Arrivals())
+			}, eventuallyTimeout).Should(BeNumerically(">", before), field)
+		}
+	})
+
 	// Callers got the refusal of the instance that took the request for a caller's: 401.
 	DescribeTable("take nothing from callers with the address", func(addressOf func(d *deployment, service string) string) {
 		d := newDeployment(2, 2)
