Soak: a proxy accepts connections while it finds out whose others are

Cause: a proxy of a target looked up the instance behind each new connection in its accept loop, by the system's list of sockets. Beside other work the list has 18,000 entries and takes 35 to 75 ms to read, so connections waited for seconds.

Change: the lookup runs beside the accept loop, and lookups that wait at the same time share one read of the list. No check or bound is changed.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -190,21 +190,29 @@
 		if err != nil {
 			return // the listener is closed
 		}
-		owner := noOwner
-		if p.owners != nil {
-			owner = p.owners(client)
-		}
 		p.mu.Lock()
-		reset := p.modeFor(owner) == resetting
-		p.conns[client] = owner
-		if reset {
-			p.resetConns(func(o int) bool { return o == owner })
-		}
+		p.conns[client] = noOwner
 		p.mu.Unlock()
-		if reset {
-			continue
-		}
-		go p.serve(client, owner)
+		go p.admit(client)
+	}
+}
+
+// admit finds out whose connection it is, beside the accept loop, as that may take long. It serves
+// the connection, or resets it.
+func (p *faultProxy) admit(client net.Conn) {
+	owner := noOwner
+	if p.owners != nil {
+		owner = p.owners(client)
+	}
+	p.mu.Lock()
+	reset := p.modeFor(owner) == resetting
+	p.conns[client] = owner
+	if reset {
+		p.resetConns(func(o int) bool { return o == owner })
+	}
+	p.mu.Unlock()
+	if !reset {
+		p.serve(client, owner)
 	}
 }
 
--- a/internal/soak/owner.go
+++ b/internal/soak/owner.go
@@ -6,6 +6,8 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
+	"time"
 )
 
 // ownerOf returns the index of the instance whose process has opened the connection. On a system
@@ -15,7 +17,7 @@
 	if !isTCP {
 		return noOwner
 	}
-	inode := socketInode(remote.Port)
+	inode := e.sockets.inode(remote.Port)
 	if inode == "" {
 		return noOwner
 	}
@@ -27,20 +29,39 @@
 	return noOwner
 }
 
-// socketInode returns the inode of the socket on loopback with the local port, empty if there is
-// none.
-func socketInode(port int) string {
+// socketTable is the system's list of sockets. On a machine with many connections a read takes tens
+// of milliseconds, so lookups that wait at the same time share one.
+type socketTable struct {
+	mu     sync.Mutex // held while the list is read
+	readAt time.Time  // start of the latest read
+	inodes map[string]string
+}
+
+// inode returns the inode of the socket on loopback with the local port, empty if there is none.
+func (t *socketTable) inode(port int) string {
+	called := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.readAt.After(called) {
+		t.readAt = time.Now()
+		t.inodes = readSockets()
+	}
+	return t.inodes[fmt.Sprintf("0100007F:%04X", port)]
+}
+
+// readSockets returns the inodes of the TCP sockets by local address, as the system writes it.
+func readSockets() map[string]string {
 	table, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
-		return "" // not Linux
+		return nil // not Linux
 	}
-	local := fmt.Sprintf("0100007F:%04X", port)
+	inodes := map[string]string{}
 	for line := range strings.Lines(string(table)) {
-		if fields := strings.Fields(line); len(fields) > 9 && fields[1] == local {
-			return fields[9]
+		if fields := strings.Fields(line); len(fields) > 9 {
+			inodes[fields[1]] = fields[9]
 		}
 	}
-	return ""
+	return inodes
 }
 
 // hasSocket reports whether the running process has the socket with the inode.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -76,6 +76,7 @@
 	servers   []*standin.Server
 	targets   []*target
 	instances []*process
+	sockets   socketTable // finds the owners of connections
 	started   time.Time
 
 	mu            sync.Mutex
