Results of single-version routes have one weight version

Callers saw results with two weight versions on a route that allows one (rule VERSION): an engine crashed in the middle of its streams, and the tasks went on at an engine that had loaded the next version.

Cause: a run compared the version of its events with that of its own start, not with those of the events that it went on after.

Change: a run whose version is not that of the kept events discards them, and the task starts from the first event.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -179,13 +179,13 @@
 			return assign.Broken, err
 		}
 		b.HeardOn(r.target, connection, r.sentAt)
-		if e.Version > 0 && e.Version != version {
-			if r.singleVersion {
-				r.output.reset()
-				return assign.Broken, errVersionChanged
-			}
+		if e.Version > 0 {
 			version = e.Version
 		}
+		if r.singleVersion && r.output.isOfOtherVersion(version) {
+			r.output.reset()
+			return assign.Broken, errVersionChanged
+		}
 		if version < r.minVersion {
 			return assign.Stale, fmt.Errorf("%w: %d, oldest %d", errStale, version, r.minVersion)
 		}
--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -43,6 +43,33 @@
 	}
 }
 
+// Guards against a result with two weight versions on a route that allows one: a run that went on
+// after kept events compared its own events only.
+func TestRunOfASingleVersionDoesNotGoOnAfterEventsOfAnother(t *testing.T) {
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	for _, c := range []struct {
+		name, body string
+		version    int64
+		want       assign.Outcome
+		events     int64
+	}{
+		{"the version of the kept events", "id: 2\ndata: b\n\n", 8, assign.Completed, 2},
+		{"another version", "id: 2\ndata: b\n\n", 9, assign.Broken, 0},
+		{"a change before its first event", "weight-versions: 9\nid: 2\ndata: b\n\n", 8, assign.Broken, 0},
+		{"a change between its events", "id: 2\ndata: b\n\nweight-versions: 9\nid: 3\ndata: c\n\n", 8, assign.Broken, 0},
+		{"no version and no event", "", 0, assign.Completed, 1},
+	} {
+		output := &taskOutput{}
+		output.startRun(1, "v1")
+		output.addEvent(1, 1, []byte("a"), 8, time.Second)
+		output.startRun(2, "v1")
+		got, err := b.readEvents(strings.NewReader(c.body), taskRun{id: 2, output: output, minVersion: 8, singleVersion: true}, c.version, nil)
+		if got != c.want || output.eventCount() != c.events {
+			t.Errorf("%s: outcome %v with %d events, want %v with %d (%v)", c.name, got, output.eventCount(), c.want, c.events, err)
+		}
+	}
+}
+
 // Guards against a record that names this instance as a runner before it has read the
 // configuration: that ended the process.
 func TestTasksWaitForTheConfiguration(t *testing.T) {
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -184,6 +184,14 @@
 	return true
 }
 
+// isOfOtherVersion reports whether the output holds events that the next one of the active run, of the
+// weight version, goes on after and that another version generated.
+func (t *taskOutput) isOfOtherVersion(version int64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.startsOver && t.lastEvent > 0 && !(len(t.versions) == 1 && t.versions[0] == version)
+}
+
 // reset discards all events, so that the next run starts from the first one.
 func (t *taskOutput) reset() {
 	t.mu.Lock()
