Tasks are given up for their route only by a configuration that had it

Cause: the runner's configuration was older than that of the instance that had accepted the job. A route that it does not have yet was taken for one that has ended: what was not known was taken for what is not there.

Change: the record of a job states the version of the configuration that has its route; an older one neither gives its tasks up nor starts them unless it has the route. Records of earlier builds state none and are treated as before.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -101,6 +101,8 @@
 	Tasks         []TaskRef  `cbor:"12,keyasint"`
 	Content       []Location `cbor:"13,keyasint"` // content records of the tasks, in order
 	Runner        string     `cbor:"14,keyasint"`
+	// Configuration is the version that has the route, zero in records of earlier builds.
+	Configuration int64 `cbor:"15,keyasint,omitempty"`
 }
 
 // TaskRef identifies a task of a job.
--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -129,6 +129,7 @@
 		Job: c.ID, Account: c.Account, Route: c.Route.Name, Host: c.Request.Host, Step: sub.Step, Model: sub.Model,
 		MinVersion: sub.MinVersion, GroupsWanted: sub.GroupsWanted, Retention: c.Route.Retention.Milliseconds(),
 		MaxAttempts: c.Route.MaxAttempts, SingleVersion: c.Route.SingleVersion, Content: locations, Runner: runner,
+		Configuration: c.View.Catalog.Version,
 	}
 	groups := map[string]int{}
 	for i := range sub.Tasks {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -277,6 +277,7 @@
 	if route, found := view.Catalog.RouteByName(j.job.Route); found {
 		service, routeFound = route.Pick(b.Rand64()), true
 	}
+	routeEnded := !routeFound && view.Catalog.Version >= j.job.Configuration // an older version may not have it yet
 	age := b.Clock.Wall().UnixMilli() - j.job.SubmittedAt
 	for i := range j.tasks {
 		key := assign.Key{Job: id, Task: i}
@@ -287,9 +288,9 @@
 		case j.recorded[i]:
 		case status[i].Unscored != nil && j.job.AllowsVersions(status[i].Unscored.Versions):
 			r.useStoredOutput(id, j, i, *status[i].Unscored, status[i].ScoreFailures)
-		case !routeFound, status[i].Failures >= j.job.MaxAttempts, j.job.Retention > 0 && age > j.job.Retention:
+		case routeEnded, status[i].Failures >= j.job.MaxAttempts, j.job.Retention > 0 && age > j.job.Retention:
 			r.giveUpTask(id, j, i)
-		case !r.scheduler.Has(key) && status[i].Failures >= j.failures[i]:
+		case routeFound && !r.scheduler.Has(key) && status[i].Failures >= j.failures[i]:
 			r.scheduleTask(j, i, service, status[i])
 		}
 	}
--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/assign"
+	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
@@ -84,3 +85,21 @@
 		t.Fatal("the task was started or given up")
 	}
 }
+
+// Guards against tasks that a runner gave up as their route was not in its configuration, which was
+// older than that of the instance that had accepted their job.
+func TestTasksOfARouteAreGivenUpOnlyAfterItsConfiguration(t *testing.T) {
+	for version, givenUp := range map[int64]bool{6: false, 7: true, 9: true} {
+		b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+		b.resultWriter = newResultWriter(b)
+		r := newRunner(b)
+		j := &claimedJob{
+			job:   &job.Job{Submitted: job.Submitted{Job: "j", Route: "r", Configuration: 7, MaxAttempts: 1, Tasks: []job.TaskRef{{ID: "t"}}}},
+			tasks: make([]job.Task, 1), outputs: []*taskOutput{{}}, recorded: make([]bool, 1), failures: make([]int, 1),
+		}
+		r.updateTasks(&node.View{Catalog: (&catalog.Catalog{Version: version}).Index()}, "j", j, make([]job.TaskStatus, 1))
+		if j.recorded[0] != givenUp || r.scheduler.Has(assign.Key{Job: "j"}) {
+			t.Errorf("version %d of the configuration: given up %v, want %v", version, j.recorded[0], givenUp)
+		}
+	}
+}
