Tasks that wait follow their route to another service

Cause: a task kept the service that its route had when it was first scheduled.

Change: the next run of a task goes to a service of the route as it is now; one that the route may still pick stays.

--- a/core/assign/assign.go
+++ b/core/assign/assign.go
@@ -122,6 +122,22 @@
 	s.enqueue(&t)
 }
 
+// ServiceOf returns the service of a task that waits or runs.
+func (s *Scheduler) ServiceOf(k Key) (service string, found bool) {
+	if t := s.tasks[k]; t != nil {
+		return t.Service, true
+	}
+	return "", false
+}
+
+// SetService sets the service of the next runs of a task that waits or runs.
+func (s *Scheduler) SetService(k Key, service string) {
+	if t := s.tasks[k]; t != nil && t.Service != service {
+		t.Service = service
+		s.unsorted = true
+	}
+}
+
 // Has reports whether the task waits or runs.
 func (s *Scheduler) Has(k Key) bool { return s.tasks[k] != nil }
 
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -10,6 +10,7 @@
 import (
 	"crypto/sha256"
 	"crypto/subtle"
+	"slices"
 	"strings"
 	"time"
 )
@@ -72,6 +73,11 @@
 	return r.Split[0].Service
 }
 
+// Serves reports whether Pick may return the service.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service && s.Weight > 0 }) || r.Pick(0) == service
+}
+
 // Scaling limits how many targets a service may have in each data centre, and holds their
 // prices.
 type Scaling struct {
--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -103,3 +103,26 @@
 		}
 	}
 }
+
+// Guards against tasks that wait for ever: their route has moved to another service, and the one of
+// before has no targets any more.
+func TestTasksFollowTheirRouteToAnotherService(t *testing.T) {
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	r := newRunner(b)
+	tasks := []job.TaskRef{{ID: "t"}}
+	j := &claimedJob{
+		job:   &job.Job{Submitted: job.Submitted{Job: "j", Route: "r", Model: "m", MaxAttempts: 1, Tasks: tasks}},
+		tasks: make([]job.Task, 1), outputs: []*taskOutput{{}}, recorded: make([]bool, 1), failures: make([]int, 1), groups: newJobGroups(tasks, nil),
+	}
+	for _, service := range []string{"old", "old", "new"} {
+		view := &node.View{Catalog: (&catalog.Catalog{Routes: []catalog.Route{{Name: "r", Split: []catalog.Share{{Service: service, Weight: 1}}}}}).Index()}
+		r.updateTasks(view, "j", j, make([]job.TaskStatus, 1))
+		if got, _ := r.scheduler.ServiceOf(assign.Key{Job: "j"}); got != service {
+			t.Errorf("the service of the task is %q, want %q", got, service)
+		}
+	}
+	r.scheduler.SetEngines([]assign.Engine{{ID: "e", Service: "new", Slots: 1, Ready: true, Versions: map[string]int64{"m": 1}}})
+	if len(r.scheduler.Assign(0)) != 1 {
+		t.Error("the task is not run by the route's service")
+	}
+}
--- a/internal/batch/tasks.go
+++ b/internal/batch/tasks.go
@@ -18,9 +18,10 @@
 		return
 	}
 	b := r.batch
-	service, routeFound := "", false
-	if route, found := view.Catalog.RouteByName(j.job.Route); found {
-		service, routeFound = route.Pick(b.Rand64()), true
+	service := ""
+	route, routeFound := view.Catalog.RouteByName(j.job.Route)
+	if routeFound {
+		service = route.Pick(b.Rand64())
 	}
 	routeEnded := !routeFound && view.Catalog.Version >= j.job.Configuration // an older version may not have it yet
 	age := b.Clock.Wall().UnixMilli() - j.job.SubmittedAt
@@ -37,6 +38,10 @@
 			r.giveUpTask(id, j, i)
 		case routeFound && !r.scheduler.Has(key) && status[i].Failures >= j.failures[i]:
 			r.scheduleTask(j, i, service, status[i])
+		case routeFound:
+			if current, found := r.scheduler.ServiceOf(key); found && !route.Serves(current) {
+				r.scheduler.SetService(key, service) // the route has moved
+			}
 		}
 	}
 }
