One target that is down does not deny the links of an instance

Cause: since the confirmation of the links asks one target, and took its refusal for the loss of all. Where a part of the targets is down, as in a release or after a crash, it is wrong as often as one of these is drawn.

The new spec, with one of two targets down, fails without it.

The first question stays one connection.

--- a/internal/node/links.go
+++ b/internal/node/links.go
@@ -104,8 +104,8 @@
 	}
 }
 
-// Confirm reports whether the instance reaches a target. It connects to two unless there was a
-// sign of life lately.
+// Confirm reports whether the instance reaches a target. Unless there was a sign of life lately, it
+// connects to one, and to others if that is down.
 func (m *LinkMonitor) Confirm(ctx context.Context) bool {
 	return m.ConfirmSince(ctx, m.node.Clock.Now()-confirmedFor)
 }
@@ -115,7 +115,7 @@
 	if m.IsCut() {
 		return false
 	}
-	if m.signOfLifeSince(since) || m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) {
+	if m.signOfLifeSince(since) || m.anyTargetAccepts(ctx, firstWitnesses, firstCheckTimeout) || m.anyTargetAccepts(ctx, linkWitnesses, firstCheckTimeout) {
 		return true
 	}
 	m.suspect()
--- a/internal/node/links_test.go
+++ b/internal/node/links_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"slices"
+	"syscall"
 	"testing"
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
@@ -29,3 +32,27 @@
 		t.Errorf("without a configuration: %v", got)
 	}
 }
+
+// Guards against an instance that takes itself to be cut off, and refuses the work of others, as the
+// one target that it asks is down.
+func TestOneTargetThatIsDownDoesNotDenyTheLinks(t *testing.T) {
+	n := New(Config{
+		Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}},
+		DialTarget: func(_ context.Context, _, address string) (net.Conn, error) {
+			if address == "10.0.0.1:1" {
+				return nil, syscall.ECONNREFUSED
+			}
+			conn, _ := net.Pipe()
+			return conn, nil
+		},
+	})
+	n.StateLoop.view.Store(&View{
+		Catalog: &catalog.Catalog{Services: map[string]catalog.Service{"s": {}}},
+		Targets: []directory.Target{{ID: "a", Service: "s", Address: "10.0.0.1:1", Ready: true}, {ID: "b", Service: "s", Address: "10.0.0.2:1", Ready: true}},
+	})
+	for range 50 {
+		if !n.Links.ConfirmSince(context.Background(), n.Clock.Now()) {
+			t.Fatal("the links are not confirmed")
+		}
+	}
+}
