A heartbeat that waits for stored events is not a silent runner

What callers saw: live runners lost jobs on a slow log, more rarely than before.

Cause: a heartbeat that refers to new events is appended after them, so it takes two appends to a slow log. The silence of a runner allowed for one.

Change: the silence allows for two appends, and `job claimed` says the delay of the log that was counted with.

--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -17,6 +17,9 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	// silence is the time without a heartbeat after which a job may be claimed: three intervals.
 	silence = 3 * HeartbeatInterval
+	// heartbeatAppends is the number of appends until a heartbeat is in the log: it may refer to events
+	// that are stored first.
+	heartbeatAppends = 2
 	// confirmTime is how long a new runner may take to confirm that it runs the job: two appends to
 	// a slow log.
 	confirmTime = 700 * time.Millisecond
@@ -61,7 +64,7 @@
 	case r.Replaced:
 		return true, claimJitter
 	case r.Confirmed:
-		return r.SinceSeen >= silence+r.LogDelay, claimJitter
+		return r.SinceSeen >= silence+heartbeatAppends*r.LogDelay, claimJitter
 	default:
 		return r.SinceSeen >= confirmTime+r.LogDelay, claimJitter
 	}
--- a/internal/batch/claims.go
+++ b/internal/batch/claims.go
@@ -31,18 +31,19 @@
 			clear(claimAt)
 			return
 		}
-		if len(b.dueClaims(ctx, claimAt)) == 0 || !b.Links.Confirm(ctx) || !b.readToEnd(ctx) {
+		if due, _ := b.dueClaims(ctx, claimAt); len(due) == 0 || !b.Links.Confirm(ctx) || !b.readToEnd(ctx) {
 			// Unless the log was read to its present end, it may contain heartbeats that
 			// this instance has not read.
 			return
 		}
-		b.claim(ctx, b.dueClaims(ctx, claimAt), claimAt)
+		due, logDelay := b.dueClaims(ctx, claimAt)
+		b.claim(ctx, due, logDelay, claimAt)
 	})
 }
 
 // claim appends the claims and waits for the outcome, so that none of an instance waits behind
 // another one: late claims take jobs from runners that have been heard of since.
-func (b *Batch) claim(ctx context.Context, claims []job.Claimed, claimAt map[string]time.Duration) {
+func (b *Batch) claim(ctx context.Context, claims []job.Claimed, logDelay time.Duration, claimAt map[string]time.Duration) {
 	if len(claims) == 0 {
 		return
 	}
@@ -53,7 +54,8 @@
 		records[i].Claimed = &claims[i]
 		claimAt[claims[i].Job] = b.Clock.Now() + claimRepeat // do not claim again while the claim is pending
 		b.Metrics.Claims.Inc()
-		b.Log("job claimed", events.F("job", claims[i].Job), events.F("term", fmt.Sprint(claims[i].Term)))
+		b.Log("job claimed", events.F("job", claims[i].Job), events.F("term", fmt.Sprint(claims[i].Term)),
+			events.F("log_delay", logDelay.Round(time.Millisecond).String()))
 	}
 	if err := b.AppendRecords(ctx, records...); err != nil {
 		b.Log("claim put off", events.F("error", err.Error()))
@@ -72,14 +74,12 @@
 	return err == nil
 }
 
-// dueClaims returns the claims whose time in claimAt has come. It adds to claimAt the
+// dueClaims returns the claims whose time in claimAt has come, and the delay of the log. It adds to claimAt the
 // jobs that newly need a claim, and removes those that need none any more.
-func (b *Batch) dueClaims(ctx context.Context, claimAt map[string]time.Duration) []job.Claimed {
+func (b *Batch) dueClaims(ctx context.Context, claimAt map[string]time.Duration) (due []job.Claimed, logDelay time.Duration) {
 	now := b.Clock.Now()
-	var due []job.Claimed
 	jitters := map[string]time.Duration{} // of the jobs that need a claim
 	ownJobs := b.runner.openJobCount()
-	var logDelay time.Duration
 	b.StateLoop.Do(ctx, func() {
 		logDelay = b.LogDelay(now)
 		for id, j := range b.StateLoop.State.Jobs {
@@ -108,7 +108,7 @@
 		}
 	}
 	slices.SortFunc(due, func(a, b job.Claimed) int { return int(a.Term - b.Term) })
-	return due
+	return due, logDelay
 }
 
 // runnerOf returns what is known of the runner of a job. It runs on the state goroutine.
