--- a/internal/batch/claims.go
+++ b/internal/batch/claims.go
@@ -74,8 +74,8 @@
 	return err == nil
 }
 
-// dueClaims returns the claims whose time in claimAt has come, and the delay of the log. It adds to claimAt the
-// jobs that newly need a claim, and removes those that need none any more.
+// dueClaims returns the claims whose time in claimAt has come, and the delay of the log. It adds to
+// claimAt the jobs that newly need a claim, and removes those that need none any more.
 func (b *Batch) dueClaims(ctx context.Context, claimAt map[string]time.Duration) (due []job.Claimed, logDelay time.Duration) {
 	now := b.Clock.Now()
 	jitters := map[string]time.Duration{} // of the jobs that need a claim
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -35,8 +35,8 @@
 }
 
 // confirmedStart is the start that ran at the time at or later: it answered a request that was
-// sent then, or its entry stood in the registry. When the answer arrived says nothing: it may arrive long after the start has ended, if
-// this instance stood still or the links were cut.
+// sent then, or its entry stood in the registry. The arrival of the answer says nothing: that may be
+// long after the start has ended, if this instance stood still or the links were cut.
 type confirmedStart struct {
 	startedAt int64
 	at        time.Duration
