--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -189,7 +189,7 @@
 func (t *taskOutput) isOfOtherVersion(version int64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !t.startsOver && t.lastEvent > 0 && !(len(t.versions) == 1 && t.versions[0] == version)
+	return !t.startsOver && t.lastEvent > 0 && (len(t.versions) != 1 || t.versions[0] != version)
 }
 
 // reset discards all events, so that the next run starts from the first one.
