--- a/internal/node/readback.go
+++ b/internal/node/readback.go
@@ -65,7 +65,7 @@
 			b.end = nil
 			return 0, err
 		}
-		offset, err = b.last-int64(records)+1, nil
+		offset = b.last - int64(records) + 1
 	}
 	b.appended, b.wanted, b.end = b.wanted, 0, nil
 	return offset, nil
