An instance that begins late took the controller lease for vacant

Targets saw: orders of two instances with different fencing numbers for good, after an instance had been restarted when the first records of the control topic had expired. Cause: a lease record is accepted if it supersedes the last accepted one. An instance that has not read that one, since the log does not keep it or it has skipped it, took its place for empty. It rejected every renewal of the holder, claimed the lease and accepted its own claim, which all others rejected. What has expired counted as never having been. Change: after a gap the holder is unknown until two records are read of which one supersedes the other. Renewals state the fencing number that they keep. An instance that has learnt nothing for a term, the margin and a renewal interval, counted from the gap and from each record, claims with a record that supersedes whatever came up to the offset to which it has read (ReadTo). Every reader gives the same verdict on it, or leaves it open. A holder that has skipped records goes on to the end of its term and renews in the same way, as nobody else can have claimed by then; after the end it waits like others. Left: instances of builds before this one reject such a claim.

--- a/core/job/fuzz_test.go
+++ b/core/job/fuzz_test.go
@@ -59,6 +59,7 @@
 		{Listed: &job.Listed{Job: "none", Results: []job.Result{{}}}},
 		{Ended: &job.Ended{}},
 		{Lease: &job.Lease{Supersedes: record.Offset(math.MaxUint32)}},
+		{Lease: &job.Lease{Term: math.MaxInt64, ReadTo: math.MaxInt64}},
 		{UsageCounted: &job.UsageCounted{Window: math.MinInt64}},
 		{UsageSealed: &job.UsageSealed{Window: math.MaxInt64, Counts: map[string]int64{"": math.MinInt64}}},
 		{UsageReported: &job.UsageReported{Window: -1}},
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -21,7 +21,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/amaranthfold/amaranthfold/core/poison"
-	"github.com/amaranthfold/amaranthfold/core/record"
 )
 
 // Task is one request of a job.
@@ -189,13 +188,6 @@
 	Job string `cbor:"1,keyasint"`
 }
 
-// Lease claims, renews or releases a lease; see core/lease.
-type Lease struct {
-	ID         record.ID     `cbor:"1,keyasint"`
-	Supersedes record.Offset `cbor:"2,keyasint"`
-	Body       record.Lease  `cbor:"3,keyasint"`
-}
-
 // UsageCounted reports how many requests of each account have started at the writer in a
 // window so far. It replaces the writer's earlier counts of the window.
 type UsageCounted struct {
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -67,6 +67,10 @@
 
 	tasks   map[taskKey]jobTask // position of each task in the latest job that has it
 	streams streams
+
+	skipped   leaseGap            // of leases of which no record was read since; zero: nothing was skipped
+	leaseGaps map[string]leaseGap // of the other leases that are unknown, by name
+	lastRead  record.Offset       // last record that was applied or skipped
 }
 
 // LoadOrder is an announced load of weights and when it was read, by the reader's clock.
@@ -113,17 +117,14 @@
 	return &State{
 		Jobs: map[string]*Job{}, Leases: map[string]fold.Lease{}, Windows: map[int64]*Window{},
 		LoadOrders: map[string]LoadOrder{}, Instances: map[string]Instance{}, Runners: map[string]Runner{}, tasks: map[taskKey]jobTask{},
-		streams: streams{software: map[string]string{}},
+		streams: streams{software: map[string]string{}}, leaseGaps: map[string]leaseGap{},
 	}
 }
 
-// LeaseOffset converts a log offset, which counts from 0, to an offset in lease records, which
-// counts from 1 because zero means that there is no record.
-func LeaseOffset(offset int64) record.Offset { return record.Offset(offset + 1) }
-
 // Apply applies the record at offset, read at now by the reader's clock. It reports whether
 // the record was accepted.
 func (s *State) Apply(offset int64, now time.Duration, r Record) bool {
+	s.lastRead = LeaseOffset(offset)
 	switch {
 	case r.Submitted != nil:
 		return s.applySubmitted(now, r)
@@ -340,24 +341,6 @@
 	return j.ClosedAt - j.FirstSeenAt
 }
 
-// applyLease applies a lease record. A record that does not supersede the lease's last
-// accepted record is a conflict. The offset of the first record, and of each that changes the
-// holder, becomes the fencing number.
-func (s *State) applyLease(offset record.Offset, l Lease) fold.Verdict {
-	current := s.Leases[l.Body.Name]
-	if l.Supersedes != current.LastOffset {
-		return fold.Conflict
-	}
-	next := fold.Lease{
-		Name: l.Body.Name, Holder: l.Body.Holder, Term: current.Term, LastOffset: offset, Duration: int64(l.Body.Duration),
-	}
-	if l.Body.Holder != current.Holder || current.LastOffset == 0 {
-		next.Term = offset
-	}
-	s.Leases[l.Body.Name] = next
-	return fold.Accepted
-}
-
 // Prune removes old jobs and the windows before oldestWindow. readableFor is how long results
 // must stay readable after the submission; wallMillis is the current time in Unix
 // milliseconds. Closed jobs are kept for readableFor and a margin, open ones for OpenRetentions
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -7,7 +7,6 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/amaranthfold/amaranthfold/core/fold"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/record"
 )
@@ -200,23 +199,6 @@
 	})
 })
 
-var _ = Describe("Leases", func() {
-	lease := func(holder string, supersedes int64) job.Record {
-		return job.Record{Lease: &job.Lease{Supersedes: record.Offset(supersedes), Body: record.Lease{Name: "l", Holder: holder, Duration: time.Second}}}
-	}
-	It("accepts the first of several claims and keeps the fencing number through renewals", func() {
-		s, accepted := replay(lease("n1", 0), lease("n2", 0), lease("n1", 1), lease("n2", 1), lease("n2", 3))
-		Expect(accepted).To(Equal([]bool{true, false, true, false, true}))
-		Expect(s.Leases["l"]).To(Equal(fold.Lease{Name: "l", Holder: "n2", Term: 5, LastOffset: 5, Duration: int64(time.Second)}))
-	})
-	It("never gives two holders the same fencing number", func() {
-		s, _ := replay(lease("n1", 0))
-		first := s.Leases["l"].Term
-		s, _ = replay(lease("n1", 0), lease("", 1), lease("n2", 2))
-		Expect(s.Leases["l"].Term).To(BeNumerically(">", first))
-	})
-})
-
 var _ = Describe("Instances", func() {
 	started := func(incarnation string, startedAt int64) job.Record {
 		return job.Record{Writer: incarnation, InstanceStarted: &job.InstanceStarted{Instance: "n1", StartedAt: startedAt}}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -31,10 +31,12 @@
 }
 
 // AppendRequest asks the caller to append a record with the id and body. Supersedes is the
-// offset of the lease's last accepted record.
+// offset of the lease's last accepted record. Term is the fencing number that a renewal keeps,
+// zero in other records.
 type AppendRequest struct {
 	ID         record.ID
 	Supersedes record.Offset
+	Term       record.Offset
 	Body       record.Lease
 }
 
@@ -46,7 +48,8 @@
 	timing Timing
 
 	current    fold.Lease
-	observedAt time.Duration // when current was read
+	observedAt time.Duration // when current was read, or the record at gap
+	gap        record.Offset // see ObserveGap; zero: current is the lease after its last accepted record
 
 	pendingID  record.ID     // id of the last record sent
 	sentAt     time.Duration // when the last record was sent
@@ -94,7 +97,7 @@
 	if verdict != fold.Accepted {
 		return
 	}
-	m.current, m.observedAt = state, now
+	m.current, m.observedAt, m.gap = state, now, 0
 	if state.Holder != "" {
 		if m.isIncarnation(m.lastHolder) && !m.isIncarnation(state.Holder) {
 			m.displaced, m.displacedAt = true, now
@@ -110,6 +113,31 @@
 	}
 }
 
+// ObserveGap makes the machine forget who holds the lease, as records were skipped that may have
+// changed it. last is the latest record of the lease that was read or skipped: from its read on
+// the machine waits as for a holder whose record it has read, and a renewal interval longer, so
+// that instances that know the lease claim it first. A machine that holds the lease does so until
+// the end of its term, in which nobody else can have claimed it, and renews it at once. Calls with
+// the same last change nothing. Until the next accepted record, the records of Tick supersede
+// whatever record of the lease was read or skipped.
+func (m *Machine) ObserveGap(now time.Duration, last record.Offset) {
+	if m.gap == last {
+		return
+	}
+	m.observedAt, m.gap = now, last
+	if m.holdsInGap(now) {
+		m.hasPending = false // it may be among the skipped
+		return
+	}
+	m.current, m.expiresAt = fold.Lease{}, 0
+}
+
+// holdsInGap reports whether, after a gap, the term of this instance has not ended. Until then its
+// records cannot supersede those of another holder.
+func (m *Machine) holdsInGap(now time.Duration) bool {
+	return m.gap != 0 && m.expiresAt > now && m.current.Holder == m.self
+}
+
 // isIncarnation reports whether the holder is this instance or an earlier incarnation of it.
 func (m *Machine) isIncarnation(holder string) bool {
 	return holder == m.self || m.incarnationOf != nil && holder != "" && m.incarnationOf(holder)
@@ -118,7 +146,7 @@
 // Restore sets the lease to its state in a checkpoint, as if its last record was read at now.
 // The instance does not hold it until one of its records is read back.
 func (m *Machine) Restore(now time.Duration, state fold.Lease) {
-	m.current, m.observedAt, m.expiresAt = state, now, 0
+	m.current, m.observedAt, m.expiresAt, m.gap = state, now, 0, 0
 }
 
 // SetTiming replaces the timing of future records and waits.
@@ -192,7 +220,7 @@
 // release returns the record that releases the lease, nil if this instance is not the holder or
 // calls under the lease may still be in flight.
 func (m *Machine) release(now time.Duration, newID func() record.ID) *AppendRequest {
-	if m.current.Holder != m.self || now < m.releaseAt {
+	if m.current.Holder != m.self || now < m.releaseAt || m.gap != 0 && !m.holdsInGap(now) {
 		return nil
 	}
 	m.expiresAt = 0
@@ -206,6 +234,9 @@
 	if m.expiresAt == 0 || m.current.Holder != m.self {
 		return false
 	}
+	if m.gap != 0 {
+		return m.holdsInGap(now)
+	}
 	return now-m.sentAt >= m.timing.Duration/renewDivisor
 }
 
@@ -222,15 +253,23 @@
 		return now-m.observedAt >= m.claimDelay
 	}
 	duration := max(time.Duration(m.current.Duration), m.timing.Duration)
+	if m.gap != 0 {
+		duration += m.timing.Duration / renewDivisor
+	}
 	return now-m.observedAt >= duration+m.timing.DriftMargin+m.claimDelay
 }
 
 // newRecord returns a lease record of the holder, empty for a release, and makes it pending.
 func (m *Machine) newRecord(now time.Duration, newID func() record.ID, holder string) *AppendRequest {
 	m.pendingID, m.sentAt, m.hasPending = newID(), now, true
+	var term record.Offset
+	if holder != "" && holder == m.current.Holder && m.gap == 0 {
+		term = m.current.Term
+	}
 	return &AppendRequest{
 		ID:         m.pendingID,
 		Supersedes: m.current.LastOffset,
+		Term:       term,
 		Body:       record.Lease{Name: m.name, Holder: holder, Duration: m.timing.Duration},
 	}
 }
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -28,6 +28,55 @@
 		Expect(m.Tick(7*time.Second, idGenerator())).NotTo(BeNil())
 	})
 
+	It("waits the same and a renewal interval from the read after a gap, and from each record until it knows the lease", func() {
+		m := lease.NewMachine("l", "a", timing, 0)
+		m.Observe(time.Second, record.ID{}, fold.Accepted, fold.Lease{Holder: "b", Term: 1, LastOffset: 1, Duration: int64(timing.Duration)})
+		m.ObserveGap(20*time.Second, 30)
+		m.ObserveGap(21*time.Second, 30)
+		Expect(m.Tick(29*time.Second-1, idGenerator())).To(BeNil())
+		m.ObserveGap(22*time.Second, 31)
+		Expect(m.Tick(31*time.Second-1, idGenerator())).To(BeNil())
+		claim := m.Tick(31*time.Second, idGenerator())
+		Expect(claim).NotTo(BeNil())
+		Expect([]record.Offset{claim.Supersedes, claim.Term}).To(Equal([]record.Offset{0, 0}))
+		m.Observe(31*time.Second, claim.ID, fold.Accepted, fold.Lease{Holder: "a", Term: 32, LastOffset: 32, Duration: int64(timing.Duration)})
+		Expect(m.Tick(33*time.Second, idGenerator()).Term).To(Equal(record.Offset(32)), "a renewal states the fencing number")
+	})
+
+	It("renews after a gap while its term lasts, and waits like others after that", func() {
+		for _, late := range []bool{false, true} {
+			m := lease.NewMachine("l", "a", timing, 0)
+			claim := m.Tick(7*time.Second, idGenerator())
+			m.Observe(8*time.Second, claim.ID, fold.Accepted, fold.Lease{Holder: "a", Term: 3, LastOffset: 3, Duration: int64(timing.Duration)})
+			Expect(m.Tick(10*time.Second, idGenerator())).NotTo(BeNil(), "skipped by this instance")
+			if late {
+				m.ObserveGap(13*time.Second, 30)
+				Expect(m.Tick(22*time.Second-1, idGenerator())).To(BeNil())
+				Expect(m.Tick(22*time.Second, idGenerator())).NotTo(BeNil())
+				continue
+			}
+			m.ObserveGap(11*time.Second, 30)
+			term, held := m.HeldFor(11*time.Second, time.Second)
+			Expect(held).To(BeTrue())
+			Expect(term).To(Equal(record.Offset(3)))
+			renewal := m.Tick(11*time.Second, idGenerator())
+			Expect(renewal.Term).To(BeZero(), "it begins a new term")
+			m.Observe(12*time.Second, renewal.ID, fold.Accepted, fold.Lease{Holder: "a", Term: 31, LastOffset: 31, Duration: int64(timing.Duration)})
+			Expect(m.ExpiresAt()).To(Equal(17 * time.Second))
+		}
+	})
+
+	It("releases after a gap only while its term lasts", func() {
+		for end, sent := range map[time.Duration]bool{12 * time.Second: true, 13 * time.Second: false} {
+			m := lease.NewMachine("l", "a", timing, 0)
+			claim := m.Tick(7*time.Second, idGenerator())
+			m.Observe(8*time.Second, claim.ID, fold.Accepted, fold.Lease{Holder: "a", Term: 3, LastOffset: 3, Duration: int64(timing.Duration)})
+			m.ObserveGap(9*time.Second, 30)
+			m.StepDown(9*time.Second, end-9*time.Second)
+			Expect(m.Tick(end, idGenerator()) != nil).To(Equal(sent), "%s", end)
+		}
+	})
+
 	It("counts the lease duration from the time when it sent the record", func() {
 		m := lease.NewMachine("l", "a", timing, 0)
 		claim := m.Tick(7*time.Second, idGenerator())
--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -93,11 +93,13 @@
 		}
 		before := c.lease.Current()
 		c.lease.Observe(now, r.Lease.ID, verdict, c.StateLoop.State.Leases[controllerLeaseName])
+		c.checkLeaseKnown(now)
 		if after := c.lease.Current(); after.Term != before.Term || after.Holder != before.Holder {
 			c.Log("duty holder", events.F("holder", after.Holder), events.F("term", fmt.Sprint(after.Term)))
 		}
 	case r.InstanceStarted != nil && accepted: // may have released the lease of an earlier incarnation
-		if current := c.StateLoop.State.Leases[controllerLeaseName]; current != c.lease.Current() {
+		_, _, unknown := c.StateLoop.State.UnknownLease(controllerLeaseName)
+		if current := c.StateLoop.State.Leases[controllerLeaseName]; !unknown && current != c.lease.Current() {
 			c.lease.Observe(now, record.ID{}, fold.Accepted, current)
 		}
 	}
@@ -126,8 +128,10 @@
 // updateLease appends a claim, renewal or release of the lease, if one is due.
 func (c *Controller) updateLease(ctx context.Context) {
 	var request *lease.AppendRequest
+	var readTo record.Offset
 	c.StateLoop.Do(ctx, func() {
 		now := c.Clock.Now()
+		readTo = c.checkLeaseKnown(now)
 		c.lease.SetClaimDelay(c.claimDelay(c.LogDelay(now)))
 		if c.IsStopping() || c.leavesToOthers(now) {
 			c.lease.StepDown(now, c.callTimeout())
@@ -142,7 +146,20 @@
 	if request == nil {
 		return
 	}
-	c.AppendRecordAsync(job.Record{Lease: &job.Lease{ID: request.ID, Supersedes: request.Supersedes, Body: request.Body}})
+	c.AppendRecordAsync(job.Record{Lease: &job.Lease{
+		ID: request.ID, Supersedes: request.Supersedes, Body: request.Body, Term: request.Term, ReadTo: readTo,
+	}})
+}
+
+// checkLeaseKnown makes the lease forget its holder if records were skipped. It returns the ReadTo
+// of records that Tick returns: zero if the holder is known.
+func (c *Controller) checkLeaseKnown(now time.Duration) record.Offset {
+	last, readTo, unknown := c.StateLoop.State.UnknownLease(controllerLeaseName)
+	if !unknown {
+		return 0
+	}
+	c.lease.ObserveGap(now, last)
+	return readTo
 }
 
 // standInDelay is how long the lease has no holder until an instance that reaches no target
--- a/internal/hosted/skipped_test.go
+++ b/internal/hosted/skipped_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"regexp"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -25,4 +27,26 @@
 		Expect(young.call(http.MethodGet, "/none", "r", key, nil).status).To(Equal(http.StatusNotFound), "no job")
 		checkOutputs(d.instances[0].awaitResults("j", 2), events)
 	})
+
+	// Guards against two holders of the controller lease for good: an instance that had read no
+	// record of the lease took it for vacant.
+	It("recognizes the holder of the controller lease, and takes the lease over from it only", func() {
+		d := newDeployment(1, 1)
+		d.awaitLogged("duty holder", 1)
+		d.store.TrimTopic("control")
+		young := d.start(1)
+		holders := func() (names []string) {
+			for _, m := range regexp.MustCompile(`event="duty holder" instance="n1" holder="(n\d)`).FindAllStringSubmatch(d.logged(), -1) {
+				names = append(names, m[1])
+			}
+			return slices.Compact(names) // the holder may begin a new term if it has skipped records too
+		}
+		Eventually(holders, eventuallyTimeout).Should(Equal([]string{"n0"}), "%s", d.logged())
+		d.instances[0].kill()
+		Eventually(holders, eventuallyTimeout).Should(Equal([]string{"n0", "n1"}))
+		young.kill()
+		d.store.TrimTopic("control")
+		d.start(2)
+		Eventually(d.logged, eventuallyTimeout).Should(ContainSubstring(`event="duty holder" instance="n2" holder="n2/`), "nobody knows the lease any more")
+	})
 })
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -93,7 +93,10 @@
 		case errors.As(err, &trimmed):
 			n.Log("log trimmed", events.F("from", fmt.Sprint(n.StateLoop.nextOffset)), events.F("first", fmt.Sprint(trimmed.OldestOffset)))
 			n.StateLoop.lastSkip.Store(int64(n.Clock.Now())) // before CatchUp returns
-			n.StateLoop.Do(ctx, func() { n.StateLoop.nextOffset = trimmed.OldestOffset })
+			n.StateLoop.Do(ctx, func() {
+				n.StateLoop.nextOffset = trimmed.OldestOffset
+				n.StateLoop.State.SkipTo(trimmed.OldestOffset)
+			})
 		case err != nil:
 			n.DependencyLost("log", err)
 			n.pauseAfterFailure(ctx, reader)
