Fail records that the log refuses alone, not the content of an instance

What callers saw: after a submission with a task over the log's record size, made during an outage of the log, an instance stored no output any more.

Cause: an append repeated a call without regard to why it failed, until all contexts of its groups had ended. Groups that are queued in an outage go out in one call; the one of the large task was refused as such, and the outputs beside it have the context of the process. Outputs and lists of results over a record, and submissions over a call, were repeated in the same way.

Change: - platform.ErrInvalid (wraps ErrRefused) is a client error about the content of a call. 401, 403, 404, 405, 407, 408, 421, 423, 425 and 429 are about the caller, the path or the moment and are repeated as before. - A record over record-bytes and a group over call-bytes are not queued: ErrTooLarge, with the sizes. It and the next wrap ErrNotAppended. - A call of several groups that is refused as invalid is sent group by group, in order. A group that is refused alone twice fails. The sequence number advances with successful calls only, so the log sees no gap. - A submission that can never be stored gets 413, which clients do not repeat; one that the log itself refuses keeps 503. - Content is sent in as many calls as call-bytes requires, so a submission over one call is accepted. A list of results that is too large is divided. A task whose output can never be stored is listed as given up, and logged.

The settings of the fixture of internal/hosted named a record size of 4,096 bytes, which its stand-in log did not enforce: outputs of five specs (47 KB at most) and a record that a spec writes as another writer (200 KB) are larger.

Left: a heartbeat over a record (some thousand chunks in one save) is dropped with a line, not divided.

--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -64,7 +64,11 @@
 			if j.recorded[i] || j.job.SingleVersion {
 				continue
 			}
-			if chunk, data, part := j.outputs[i].takeUnsaved(minEvents); part != nil {
+			switch chunk, data, part := j.outputs[i].takeUnsaved(minEvents); {
+			case part == nil:
+			case len(data) > r.batch.Settings.Store.RecordBytes: // the complete output is too large as well
+				j.outputs[i].notStored(part)
+			default:
 				chunk.Task = i
 				p.Chunks = append(p.Chunks, chunk)
 				parts = append(parts, outputPart{j.outputs[i], part, data})
--- a/internal/batch/handover_test.go
+++ b/internal/batch/handover_test.go
@@ -30,7 +30,7 @@
 	}))
 	defer server.Close()
 	b := &Batch{Node: node.New(node.Config{LogOutput: io.Discard, Settings: platform.Settings{
-		MemoryBytes: 1 << 20, Store: platform.StoreSettings{Address: strings.TrimPrefix(server.URL, "http://"), Partitions: 2, CallBytes: callBytes},
+		MemoryBytes: 1 << 20, Store: platform.StoreSettings{Address: strings.TrimPrefix(server.URL, "http://"), Partitions: 2, RecordBytes: callBytes, CallBytes: callBytes},
 	}})}
 	ctx, cancel := context.WithCancel(context.Background())
 	var loops sync.WaitGroup
--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -62,7 +62,7 @@
 	}
 	locations, err := b.StoreContent(ctx, records)
 	if err != nil {
-		b.forwarder.Refuse(c, "the tasks were not stored: "+err.Error()) // without the Submitted record the job never runs
+		b.refuseUnstored(c, "the tasks were not stored: ", err) // without the Submitted record the job never runs
 		return
 	}
 	b.runner.cacheTasks(cacheKey(c.Account, c.ID), sub.Tasks)
@@ -70,12 +70,22 @@
 	case err == nil:
 		b.respondAccepted(c, len(sub.Tasks), "new")
 	case errors.Is(err, node.ErrNotAppended):
-		b.forwarder.Refuse(c, "the job was not stored: "+err.Error())
+		b.refuseUnstored(c, "the job was not stored: ", err)
 	default:
 		b.forwarder.Respond(c, http.StatusGatewayTimeout, "it is not known whether the job was stored: "+err.Error())
 	}
 }
 
+// refuseUnstored responds to a submission that is not in the log: with status 413 if no instance can
+// ever store it, otherwise so that the caller tries again.
+func (b *Batch) refuseUnstored(c *forward.CallerRequest, what string, err error) {
+	if errors.Is(err, node.ErrTooLarge) {
+		b.forwarder.Respond(c, http.StatusRequestEntityTooLarge, what+err.Error())
+		return
+	}
+	b.forwarder.Refuse(c, what+err.Error())
+}
+
 // submitContext returns a context that bounds how long a submission waits for the log:
 // submitTimeout, or outageWaitFraction of the caller's time if that is longer and the log
 // is down for all instances.
--- a/internal/batch/lister.go
+++ b/internal/batch/lister.go
@@ -84,7 +84,12 @@
 	var locations []job.Location
 	if len(records) > 0 {
 		var err error
-		if locations, err = w.retryUntilStored(ctx, func() ([]job.Location, error) { return b.StoreContent(ctx, records) }); err != nil {
+		locations, err = w.retryUntilStored(ctx, func() ([]job.Location, error) { return b.StoreContent(ctx, records) })
+		if neverStored(err) {
+			w.writeOneByOne(ctx, batch, err)
+			return
+		}
+		if err != nil {
 			b.Log("results not stored", events.F("results", fmt.Sprint(len(batch))), events.F("error", err.Error()))
 			return
 		}
@@ -121,22 +126,54 @@
 		b.AppendRecordAsync(job.Record{Progress: p})
 	}
 	for _, id := range jobIDs {
-		data, err := b.EncodeRecord(job.Record{Listed: listed[id]})
-		if err != nil {
-			b.Log("record unencodable", events.F("error", err.Error()))
-			continue
-		}
-		if err := b.AppendEncoded(ctx, data); err != nil && ctx.Err() == nil {
-			b.Log("results not listed", events.F("job", id), events.F("error", err.Error()))
+		w.list(ctx, listed[id])
+	}
+}
+
+// list appends the record, as two or more if it is too large for one.
+func (w *resultWriter) list(ctx context.Context, listed *job.Listed) {
+	b := w.batch
+	data, err := b.EncodeRecord(job.Record{Listed: listed})
+	if err != nil {
+		b.Log("record unencodable", events.F("error", err.Error()))
+		return
+	}
+	err = b.AppendEncoded(ctx, data)
+	if half := len(listed.Results) / 2; half > 0 && errors.Is(err, node.ErrTooLarge) {
+		w.list(ctx, &job.Listed{Job: listed.Job, Results: listed.Results[:half]})
+		w.list(ctx, &job.Listed{Job: listed.Job, Results: listed.Results[half:]})
+		return
+	}
+	if err != nil && ctx.Err() == nil {
+		b.Log("results not listed", events.F("job", listed.Job), events.F("error", err.Error()))
+	}
+}
+
+// neverStored reports whether the log refuses the content whatever its state.
+func neverStored(err error) bool {
+	return errors.Is(err, node.ErrTooLarge) || errors.Is(err, platform.ErrInvalid)
+}
+
+// writeOneByOne writes results of which the log refuses outputs whatever its state. A task whose
+// output alone is refused is given up: no runner could store it.
+func (w *resultWriter) writeOneByOne(ctx context.Context, batch []taskResult, err error) {
+	if len(batch) > 1 {
+		for i := range batch {
+			w.writeBatch(ctx, batch[i:i+1])
 		}
+		return
 	}
+	r := batch[0]
+	w.batch.Log("output refused", events.F("job", r.job), events.F("task", r.id), events.F("bytes", fmt.Sprint(len(r.output))), events.F("error", err.Error()))
+	r.completed, r.output, r.versions, r.scoring = false, nil, nil, nil
+	w.writeBatch(ctx, []taskResult{r})
 }
 
-// retryUntilStored repeats a call until it succeeds, its outcome is unknown or ctx ends.
+// retryUntilStored repeats a call until it succeeds or never can, its outcome is unknown or ctx ends.
 func (w *resultWriter) retryUntilStored(ctx context.Context, call func() ([]job.Location, error)) ([]job.Location, error) {
 	for {
 		locations, err := call()
-		if err == nil || ctx.Err() != nil || errors.Is(err, platform.ErrOutcomeUnknown) {
+		if err == nil || ctx.Err() != nil || neverStored(err) || errors.Is(err, platform.ErrOutcomeUnknown) {
 			return locations, err
 		}
 		w.batch.DependencyLost("content", err)
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -66,7 +66,10 @@
 
 func address(server *standin.Server) string { return strings.TrimPrefix(server.URL, "http://") }
 
-const defaultMemoryBytes = 512 << 20 // of an instance
+const (
+	defaultMemoryBytes = 512 << 20 // of an instance
+	recordBytes        = 256 << 10 // largest record that the log takes
+)
 
 func newDeployment(instanceCount, engineCount int) *deployment {
 	return newMixedDeployment(instanceCount, slices.Repeat([]string{hostplatform.FirstSoftware}, engineCount)...)
@@ -84,6 +87,7 @@
 		store:       hostplatform.NewStore(), cloud: hostplatform.NewCloud(), logs: gbytes.NewBuffer(),
 		entries: map[string]func() map[string]any{}, servers: map[string]*standin.Server{}, starts: map[string]int{}, stopped: make(chan struct{}),
 	}
+	d.store.SetRecordLimit(recordBytes)
 	cloud, err := standin.Serve(d.cloud)
 	Expect(err).NotTo(HaveOccurred())
 	DeferCleanup(cloud.Close)
@@ -241,7 +245,7 @@
 		Instance: fmt.Sprintf("n%d", number), DataCentre: "a", Front: listeners.reserve(), Readiness: listeners.reserve(), Peers: listeners.reserve(), Metrics: listeners.reserve(),
 		MemoryBytes: d.memoryBytes, Grace: 8 * time.Second, LeaseTerm: 900 * time.Millisecond,
 		UsageWindow: 500 * time.Millisecond, JobRetention: 120 * time.Second,
-		Store:        platform.StoreSettings{Address: address(server), Partitions: 4, RecordBytes: 4096, CallBytes: 1 << 20, Retention: 2 * time.Second},
+		Store:        platform.StoreSettings{Address: address(server), Partitions: 4, RecordBytes: recordBytes, CallBytes: 1 << 20, Retention: 2 * time.Second},
 		Cloud:        d.cloudAddress,
 		ReportsUsage: true, Autoscales: true,
 		ColdFactor: 1.5, ColdExtra: 5,
--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -12,12 +12,18 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-// ErrNotAppended means that the log contains none of the records and will not append them later.
-var ErrNotAppended = errors.New("the log took nothing in time; the records were not sent")
+var (
+	// ErrNotAppended means that the log contains none of the records and will not append them later.
+	ErrNotAppended = errors.New("the log took none of the records")
+	// ErrTooLarge means that a record or a group of records exceeds what the log takes. It wraps
+	// ErrNotAppended.
+	ErrTooLarge = fmt.Errorf("%w, which are too large", ErrNotAppended)
+)
 
 const (
 	appendBackoffMin = 15 * time.Millisecond // about four times the log's response time of 4 ms
 	maxQueuedAppends = 4096                  // further appends fail
+	maxRefusals      = 2                     // of a group's own calls as invalid; the first may be due to a garbled call
 )
 
 // AppendBackoffMax is the longest delay before an append is repeated: the end of an outage is
@@ -73,13 +79,14 @@
 // are sent together in the next one. A call without a response is repeated until its
 // outcome is known.
 type appender struct {
-	writer    topicWriter
-	topic     string
-	callBytes int // largest total size of the records in one call
-	patience  pace.Patience
-	sentAt    atomic.Pointer[time.Time] // first call with the records whose outcome is not known; nil: none
-	queue     chan *pendingAppend
-	onResult  func(err error) // called after each call to the log, with nil on success
+	writer      topicWriter
+	topic       string
+	recordBytes int // largest record
+	callBytes   int // largest total size of the records in one call, each with recordOverhead
+	patience    pace.Patience
+	sentAt      atomic.Pointer[time.Time] // first call with the records whose outcome is not known; nil: none
+	queue       chan *pendingAppend
+	onResult    func(err error) // called after each call to the log, with nil on success
 	// onAppended is nil, or called after each successful call.
 	onAppended func()
 }
@@ -88,7 +95,7 @@
 type pendingAppend struct {
 	ctx     context.Context //nolint:containedctx // if it ends before the records are sent, they are dropped
 	records [][]byte
-	bytes   int
+	bytes   int // with recordOverhead of each record
 	done    chan appendOutcome
 }
 
@@ -97,23 +104,53 @@
 	err      error
 }
 
-func newAppender(w topicWriter, topic string, callBytes int, onResult func(error)) *appender {
-	return &appender{writer: w, topic: topic, callBytes: callBytes, queue: make(chan *pendingAppend, maxQueuedAppends), onResult: onResult}
+func newAppender(w topicWriter, topic string, limits platform.StoreSettings, onResult func(error)) *appender {
+	return &appender{
+		writer: w, topic: topic, recordBytes: limits.RecordBytes, callBytes: limits.CallBytes,
+		queue: make(chan *pendingAppend, maxQueuedAppends), onResult: onResult,
+	}
 }
 
-// append appends the records contiguously and returns the position of the first. It fails
-// with ErrNotAppended if the queue is full, or if ctx ends and no call can have appended
-// the records. It fails with platform.ErrOutcomeUnknown if ctx ends before the outcome is
-// known: the records may have been appended, or may be appended later.
-func (a *appender) append(ctx context.Context, records ...[]byte) (recordPosition, error) {
+// checkSizes fails with ErrTooLarge if the log takes no record of the size of one of them.
+func (a *appender) checkSizes(records [][]byte) error {
+	for _, r := range records {
+		if len(r) > a.recordBytes {
+			return fmt.Errorf("append to %s: %w: a record of %d bytes, of %d at most", a.topic, ErrTooLarge, len(r), a.recordBytes)
+		}
+	}
+	return nil
+}
+
+// enqueue queues the records as one group. It fails with ErrTooLarge if the log never takes them,
+// and with ErrNotAppended if the queue is full.
+func (a *appender) enqueue(ctx context.Context, records [][]byte) (*pendingAppend, error) {
+	if err := a.checkSizes(records); err != nil {
+		return nil, err
+	}
 	p := &pendingAppend{ctx: ctx, records: records, done: make(chan appendOutcome, 1)}
 	for _, r := range records {
-		p.bytes += len(r)
+		p.bytes += len(r) + recordOverhead
+	}
+	if p.bytes > a.callBytes {
+		return nil, fmt.Errorf("append to %s: %w: %d records of %d bytes in one call of %d at most", a.topic, ErrTooLarge, len(records), p.bytes, a.callBytes)
 	}
 	select {
 	case a.queue <- p:
+		return p, nil
 	default:
-		return recordPosition{}, fmt.Errorf("%s: %w: %d record groups wait", a.topic, ErrNotAppended, maxQueuedAppends)
+		return nil, fmt.Errorf("append to %s: %w: %d record groups wait", a.topic, ErrNotAppended, maxQueuedAppends)
+	}
+}
+
+// append appends the records contiguously and returns the position of the first. It fails at
+// once with ErrTooLarge if the log never takes them, and with ErrNotAppended if the queue is
+// full, if ctx ends and no call can have appended the records, or if the log refuses them as
+// invalid. It fails with platform.ErrOutcomeUnknown if ctx ends before the outcome is known:
+// the records may have been appended, or may be appended later.
+func (a *appender) append(ctx context.Context, records ...[]byte) (recordPosition, error) {
+	p, err := a.enqueue(ctx, records)
+	if err != nil {
+		return recordPosition{}, err
 	}
 	select {
 	case r := <-p.done:
@@ -130,19 +167,10 @@
 	}
 }
 
-// appendAsync queues records without waiting for the outcome. It reports false if the
-// queue is full.
-func (a *appender) appendAsync(records ...[]byte) bool {
-	p := &pendingAppend{ctx: context.Background(), records: records, done: make(chan appendOutcome, 1)}
-	for _, r := range records {
-		p.bytes += len(r)
-	}
-	select {
-	case a.queue <- p:
-		return true
-	default:
-		return false
-	}
+// appendAsync queues records without waiting for the outcome. It fails as enqueue does.
+func (a *appender) appendAsync(records ...[]byte) error {
+	_, err := a.enqueue(context.Background(), records)
+	return err
 }
 
 // run sends the queued appends until ctx ends.
@@ -162,27 +190,49 @@
 		if len(batch) == 0 {
 			continue
 		}
-		position, err := a.flush(ctx, batch)
-		for _, p := range batch {
-			p.done <- appendOutcome{position, err}
-			position.offset += int64(len(p.records))
-		}
+		a.send(ctx, batch)
 	}
 	return nil
 }
 
+// send sends the batch in one call, and its groups one by one if the log refuses that call as
+// invalid: only the groups that cause the refusal fail.
+func (a *appender) send(ctx context.Context, batch []*pendingAppend) {
+	position, err := a.flush(ctx, batch)
+	if len(batch) > 1 && errors.Is(err, platform.ErrInvalid) {
+		for i, p := range batch {
+			if !a.drop(p) {
+				a.send(ctx, batch[i:i+1])
+			}
+		}
+		return
+	}
+	for _, p := range batch {
+		p.done <- appendOutcome{position, err}
+		position.offset += int64(len(p.records))
+	}
+}
+
+// drop reports whether the context of a queued append has ended, which is not sent then.
+func (a *appender) drop(p *pendingAppend) bool {
+	if p.ctx.Err() == nil {
+		return false
+	}
+	p.done <- appendOutcome{recordPosition{}, fmt.Errorf("append to %s: %w in time", a.topic, ErrNotAppended)}
+	return true
+}
+
 // collectBatch returns first and further queued appends, up to the size of one call. An
 // append that no longer fits is returned as leftover, for the next call.
 func (a *appender) collectBatch(first *pendingAppend) (batch []*pendingAppend, leftover *pendingAppend) {
 	size := 0
 	for p := first; p != nil; {
 		switch {
-		case p.ctx.Err() != nil:
-			p.done <- appendOutcome{recordPosition{}, fmt.Errorf("append to %s: %w", a.topic, ErrNotAppended)}
+		case a.drop(p):
 		case len(batch) > 0 && size+p.bytes > a.callBytes:
 			return batch, p
 		default:
-			size += p.bytes + len(p.records)*recordOverhead
+			size += p.bytes
 			batch = append(batch, p)
 		}
 		select {
@@ -199,13 +249,13 @@
 
 // flush sends the batch in one call and repeats it until its outcome is known. It fails
 // with ErrNotAppended once every context of the batch has ended, if no call can have
-// appended the records.
+// appended the records, and with platform.ErrInvalid if the log refuses the call as such.
 func (a *appender) flush(ctx context.Context, batch []*pendingAppend) (recordPosition, error) {
 	var records [][]byte
 	for _, p := range batch {
 		records = append(records, p.records...)
 	}
-	backoff, maybeAppended := appendBackoffMin, false
+	backoff, maybeAppended, refusals := appendBackoffMin, false, 0
 	now := time.Now()
 	a.sentAt.Store(&now)
 	defer a.sentAt.Store(nil)
@@ -222,6 +272,13 @@
 		if errors.Is(err, platform.ErrSuperseded) || errors.Is(err, platform.ErrConflict) {
 			return recordPosition{}, err
 		}
+		if errors.Is(err, platform.ErrInvalid) {
+			// The log judges the same records alike, so an earlier call without a response has not
+			// appended them either.
+			if refusals++; len(batch) > 1 || refusals == maxRefusals {
+				return recordPosition{}, fmt.Errorf("%w: %w", ErrNotAppended, err)
+			}
+		}
 		if !maybeAppended && allContextsDone(batch) {
 			return recordPosition{}, fmt.Errorf("%w: %w", ErrNotAppended, err)
 		}
--- a/internal/node/content.go
+++ b/internal/node/content.go
@@ -69,21 +69,41 @@
 	}
 }
 
-// StoreContent appends records to the content topic, caches them and returns their
-// locations.
+// StoreContent appends records to the content topic, in as many groups as the size of a call
+// requires, caches them and returns their locations. After an error some may be stored, which
+// nothing refers to.
 func (n *Node) StoreContent(ctx context.Context, records [][]byte) ([]job.Location, error) {
-	first, err := n.contentLog.append(ctx, records...)
-	if err != nil {
+	if err := n.contentLog.checkSizes(records); err != nil {
 		return nil, err
 	}
-	locations := make([]job.Location, len(records))
-	for i, r := range records {
-		locations[i] = job.Location{Partition: first.partition, Offset: first.offset + int64(i), Records: 1, Bytes: len(r)}
-		n.contentCache.put(locations[i].Partition, locations[i].Offset, r)
+	locations := make([]job.Location, 0, len(records))
+	for len(records) > 0 {
+		count := groupLength(records, n.Settings.Store.CallBytes)
+		first, err := n.contentLog.append(ctx, records[:count]...)
+		if err != nil {
+			return nil, err
+		}
+		for i, r := range records[:count] {
+			l := job.Location{Partition: first.partition, Offset: first.offset + int64(i), Records: 1, Bytes: len(r)}
+			n.contentCache.put(l.Partition, l.Offset, r)
+			locations = append(locations, l)
+		}
+		records = records[count:]
 	}
 	return locations, nil
 }
 
+// groupLength returns how many of the first records fit into a call of callBytes, at least one.
+func groupLength(records [][]byte, callBytes int) int {
+	size := 0
+	for i, r := range records {
+		if size += len(r) + recordOverhead; i > 0 && size > callBytes {
+			return i
+		}
+	}
+	return len(records)
+}
+
 // LoadContent returns the record at each location, nil for a location without records.
 func (n *Node) LoadContent(ctx context.Context, locations []job.Location) ([][]byte, error) {
 	records, err := n.LoadAvailable(ctx, locations)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -104,7 +105,7 @@
 	n.store = platform.NewStore(s.Store.Address, n.LogTransport)
 	n.Self = fmt.Sprintf("%s/%x", s.Instance, n.Rand64())
 	n.controlLog = newAppender(&idempotentWriter{store: n.store, topic: controlTopic, producer: n.Self},
-		controlTopic, s.Store.CallBytes, n.trackAppends("log"))
+		controlTopic, s.Store, n.trackAppends("log"))
 	n.controlLog.onAppended = n.Pace.expectRecords
 	n.contentLog = n.newSpreadLog(contentTopic)
 	n.usageLog = n.newSpreadLog(usageTopic)
@@ -118,7 +119,7 @@
 	return newAppender(&failoverWriter{
 		store: n.store, topic: topic, partitions: s.Partitions,
 		partition: int(hash.Mix(xxhash.Sum64String(n.Settings.Instance)) % uint64(s.Partitions)),
-	}, topic, s.CallBytes, n.trackAppends(topic))
+	}, topic, s, n.trackAppends(topic))
 }
 
 // Loops returns the functions that keep the node up to date. Each runs until its context ends.
@@ -134,14 +135,17 @@
 func NoRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // trackAppends returns a function for the results of a topic's appends, which sets the
-// status of the dependency name.append.
+// status of the dependency name.append. A call that the log refuses as invalid says nothing of it.
 func (n *Node) trackAppends(name string) func(error) {
 	return func(err error) {
-		if err == nil {
+		switch {
+		case err == nil:
 			n.dependencyRegained(name + ".append")
-			return
+		case errors.Is(err, platform.ErrInvalid):
+			n.Log("append refused", events.F("error", err.Error()))
+		default:
+			n.DependencyLost(name+".append", err)
 		}
-		n.DependencyLost(name+".append", err)
 	}
 }
 
@@ -222,14 +226,14 @@
 }
 
 // AppendRecordAsync queues one record for the control topic without waiting for the
-// outcome. If the queue is full, it drops the record and logs that.
+// outcome. If it cannot be queued, it drops the record and logs that.
 func (n *Node) AppendRecordAsync(r job.Record) {
 	data, err := n.EncodeRecord(r)
 	if err != nil {
 		n.Log("record unencodable", events.F("error", err.Error()))
 		return
 	}
-	if !n.controlLog.appendAsync(data) {
-		n.Log("record dropped", events.F("reason", "queue of the log is full"))
+	if err := n.controlLog.appendAsync(data); err != nil {
+		n.Log("record dropped", events.F("reason", err.Error()))
 	}
 }
--- a/internal/standin/hostplatform/append.go
+++ b/internal/standin/hostplatform/append.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -70,8 +71,8 @@
 }
 
 // appendOnce appends the records, at most once per producer, epoch and sequence. It
-// returns the status and body of the response: 409 for a sequence out of order, 400
-// for an append to the operator's topics (keyed.op...). Appends without a producer
+// returns the status and body of the response: 409 for a sequence out of order, 413 for a
+// record over the limit, 400 for an append to the operator's topics (keyed.op...). Appends without a producer
 // are not deduplicated.
 func (s *Store) appendOnce(r *http.Request, records [][]byte) (int, any) {
 	q := r.URL.Query()
@@ -81,6 +82,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.recordLimit > 0 && slices.ContainsFunc(records, func(r []byte) bool { return len(r) > s.recordLimit }) {
+		return http.StatusRequestEntityTooLarge, map[string]string{"error": "record size"}
+	}
 	p := s.partition(q.Get("topic"), part)
 	if q.Get("producer") == "" {
 		return http.StatusOK, s.add(p, q.Get("topic"), records)
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -59,15 +59,16 @@
 // Store is the log. Its partitions are created on first use. A topic whose name
 // starts with "keyed." is keyed: the store also keeps the latest value of each key.
 type Store struct {
-	mu         sync.Mutex
-	partitions map[string]*partition
-	changed    chan struct{} // closed and replaced on every append and trim
-	fault      Fault
-	down       map[string]bool // unavailable partitions, as "topic/part"
-	appends    int             // see Appends
-	reads      map[string]int  // by topic
-	faultEnded chan struct{}   // closed when the Unresponsive fault ends
-	late       int             // appends under LateAppends
+	mu          sync.Mutex
+	partitions  map[string]*partition
+	changed     chan struct{} // closed and replaced on every append and trim
+	fault       Fault
+	recordLimit int             // bytes
+	down        map[string]bool // unavailable partitions, as "topic/part"
+	appends     int             // see Appends
+	reads       map[string]int  // by topic
+	faultEnded  chan struct{}   // closed when the Unresponsive fault ends
+	late        int             // appends under LateAppends
 }
 
 // partition holds its records, of which the first retained one is at offset first, the
@@ -109,6 +110,13 @@
 	return &Store{partitions: map[string]*partition{}, down: map[string]bool{}, reads: map[string]int{}, changed: make(chan struct{}), faultEnded: make(chan struct{})}
 }
 
+// SetRecordLimit makes the store refuse records of more bytes; zero: none.
+func (s *Store) SetRecordLimit(bytes int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.recordLimit = bytes
+}
+
 // SetFault replaces the fault of the store.
 func (s *Store) SetFault(f Fault) {
 	s.mu.Lock()
