Serve jobs whose host has no route for jobs left

What callers saw: once a configuration removed the last route of a host that accepts jobs, all instances answered 404 to requests for the results and bodies and for the end of its jobs, also of complete ones. A result keeps its position and content until the job's retention ends, and 404 states that no such job exists.

Cause: the paths of jobs counted as such only on hosts that have a route for jobs in the configuration in force.

Change: on other hosts, a request under these paths that no route matches is about a job if the account of its key has a job of the id. The log is read to its end before an id counts as unknown, and the request gets 503 if that fails, as on hosts that have such a route. Unknown ids, keys without an account and jobs of other accounts get the 404 for a missing route as before. A route that matches the path comes first, as before.

--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -207,6 +207,19 @@
 	}
 }
 
+// KnowsJob reports whether the account of the request's key has a job of the id. It fails if this
+// instance cannot be sure.
+func (b *Batch) KnowsJob(c *forward.CallerRequest, id string) (bool, error) {
+	account, keyFound := c.View.Catalog.AccountByKey(c.Key)
+	if !keyFound {
+		return false, nil
+	}
+	c.Account = account.Name
+	ctx, cancel := context.WithTimeout(c.Request.Context(), readTimeout)
+	defer cancel()
+	return b.findJob(ctx, c, id)
+}
+
 var errRecordsSkipped = errors.New("the job's submission may be among records that were skipped")
 
 // findJob reports whether the account of the request has the job. Before it returns
--- a/internal/hosted/dispatch.go
+++ b/internal/hosted/dispatch.go
@@ -23,7 +23,16 @@
 	jobRequest, isJobRequest, err := platform.DecodeJobRequest(r)
 	c.Job = jobRequest.Job
 	route, found := c.View.Catalog.Match(r.Host, r.URL.Path)
-	isJobRequest = isJobRequest && !found && c.View.Catalog.HasRouteKind(r.Host, catalog.Batch)
+	isJobRequest = isJobRequest && !found
+	if isJobRequest && !c.View.Catalog.HasRouteKind(r.Host, catalog.Batch) {
+		// The host may have had such a route when the job was submitted.
+		known, err := in.batch.KnowsJob(c, jobRequest.Job)
+		if err != nil {
+			in.forwarder.Refuse(c, "the log is out of reach: "+err.Error())
+			return
+		}
+		isJobRequest = known
+	}
 	if !found && !isJobRequest {
 		in.forwarder.Deny(c, http.StatusNotFound, "no route matches the host and path")
 		return
