--- a/internal/node/appender_test.go
+++ b/internal/node/appender_test.go
@@ -151,7 +151,7 @@
 		log.ServeHTTP(w, r)
 	}))
 	defer server.Close()
-	w := &idempotentWriter{store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), platform.NewTransport()), topic: controlTopic, producer: "p"}
+	w := &idempotentWriter{store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), platform.NewTransport()), topic: controlTopic, producer: "p", readBack: &readBack{}}
 	for _, record := range []string{"a", "bad", "b"} {
 		if _, err := w.write(t.Context(), [][]byte{[]byte(record)}); errors.Is(err, platform.ErrInvalid) != (record == "bad") {
 			t.Errorf("%s: %v", record, err)
