Specs of hosted instances read all lines that were logged

Cause: instances write their log lines from a goroutine, so that a spec which reads the log right after a response may miss the line.

Change: the fixture writes a mark through each instance's writer and waits for it. The expectations are unchanged.

--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -45,9 +46,11 @@
 	memoryBytes  int64          // of each instance
 	version      int64          // of the configuration
 	logs         *gbytes.Buffer
+	logOutputs   []*logline.Writer // of the instances, which write to logs
+	logReads     atomic.Int64
 	cloudAddress string
 	stopped      chan struct{} // ends writeHeartbeats
-	mu           sync.Mutex    // guards entries and servers
+	mu           sync.Mutex    // guards entries, servers and logOutputs
 }
 
 // testInstance is an instance that reaches the log through its own fault proxy.
@@ -251,6 +254,9 @@
 		ColdFactor: 1.5, ColdExtra: 5,
 	}
 	logOutput := logline.New(d.logs)
+	d.mu.Lock()
+	d.logOutputs = append(d.logOutputs, logOutput)
+	d.mu.Unlock()
 	links := newTargetLinks()
 	d.starts[settings.Instance]++ // two incarnations of an instance must not draw the same name
 	instance := hosted.New(hosted.Config{
@@ -263,9 +269,6 @@
 	return started
 }
 
-// logged returns the log lines of all instances.
-func (d *deployment) logged() string { return string(d.logs.Contents()) }
-
 // awaitAnnouncements returns once every instance has read the announcements of the
 // others. It waits until every instance lists the result of a new job, which follows them
 // in the log.
