Appends are repeated soon while the log is away

Cause: a writer waits longer for each append without a response, for a log that is slow. One that is away looked the same, so that all appends waited for up to 2.5 s when it was back.

The new spec fails without the change.

Change: the writer waits longer only if the log has answered reads since the append was sent: it is slow then, and not away.

--- a/core/pace/patience.go
+++ b/core/pace/patience.go
@@ -14,7 +14,9 @@
 // answers all of them late. Repeated before, each would be executed several times, which makes the
 // log slower still, and no writer would ever get a response in time. So the writer waits for longer
 // after the second append in a row without a response, and as long as the log stays slow: one
-// response may be lost. The zero value waits minPatience. It is not safe for concurrent use.
+// response may be lost. A log that answers nothing at all is away, not slow: then the writer repeats
+// soon, to be among the first when it is back. The zero value waits minPatience. It is not safe for
+// concurrent use.
 type Patience struct {
 	timeout  time.Duration
 	timeouts int // in a row
@@ -28,8 +30,13 @@
 	p.timeout, p.timeouts = min(2*took, maxPatience), 0
 }
 
-// TimedOut records that there was no response within Timeout.
-func (p *Patience) TimedOut() {
+// TimedOut records that there was no response within Timeout. answers tells whether the log has
+// answered other calls meanwhile.
+func (p *Patience) TimedOut(answers bool) {
+	if !answers {
+		p.timeout, p.timeouts = 0, 0
+		return
+	}
 	if p.timeouts++; p.timeouts > 1 {
 		p.timeout = min(2*p.Timeout(), maxPatience)
 	}
--- a/core/pace/patience_test.go
+++ b/core/pace/patience_test.go
@@ -27,7 +27,7 @@
 			for i := range writers {
 				if waits[i] && now-sentAt[i] >= patience[i].Timeout() {
 					waits[i], next[i] = false, now+100*time.Millisecond
-					patience[i].TimedOut()
+					patience[i].TimedOut(true)
 				}
 				if !waits[i] && now >= next[i] {
 					if time.Duration(len(queue))*executes > 2*time.Second {
@@ -71,18 +71,29 @@
 		for range appends {
 			for random.IntN(2) == 0 {
 				waited += p.Timeout()
-				p.TimedOut()
+				p.TimedOut(true)
 			}
 			p.Answered(4 * time.Millisecond)
 		}
 		Expect(waited/appends).To(BeNumerically("<", time.Second), "0.5 s with the usual timeout")
 	})
 
+	It("repeats an append soon while the log is away", func() {
+		p := &pace.Patience{}
+		for range 3 {
+			p.TimedOut(true)
+		}
+		for range 10 {
+			p.TimedOut(false)
+			Expect(p.Timeout()).To(Equal(500*time.Millisecond), "after an outage all appends waited for 2.5 s")
+		}
+	})
+
 	It("returns to the usual timeout with the usual responses", func() {
 		p := &pace.Patience{}
 		Expect(p.Timeout()).To(Equal(500 * time.Millisecond))
 		for range 5 {
-			p.TimedOut()
+			p.TimedOut(true)
 		}
 		Expect(p.Timeout()).To(Equal(2500 * time.Millisecond))
 		p.Answered(4 * time.Millisecond)
