A log that answers polls late counts as slow, not as away

Cause: whether the log has answered a read since an append was sent is a matter of chance at an instance that reads with pauses, so that it would go on to repeat its appends to a slow log too soon.

Change: the log counts as away when there was no reply for the time of a poll without records and 0.2 s more.

--- a/core/pace/patience.go
+++ b/core/pace/patience.go
@@ -30,8 +30,8 @@
 	p.timeout, p.timeouts = min(2*took, maxPatience), 0
 }
 
-// TimedOut records that there was no response within Timeout. answers tells whether the log has
-// answered other calls meanwhile.
+// TimedOut records that there was no response within Timeout. answers tells whether the log answers
+// other calls.
 func (p *Patience) TimedOut(answers bool) {
 	if !answers {
 		p.timeout, p.timeouts = 0, 0
--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -94,7 +94,7 @@
 	sentAt      atomic.Pointer[time.Time] // first call with the records whose outcome is not known; nil: none
 	queue       chan *pendingAppend
 	onResult    func(err error) // called after each call to the log, with nil on success
-	lastReply   func() int64    // when the log has last answered a read
+	logAnswers  func() bool     // reports whether the log has answered a read lately
 	// onAppended is nil, or called after each successful call.
 	onAppended func()
 }
@@ -112,10 +112,10 @@
 	err      error
 }
 
-func newAppender(w topicWriter, topic string, limits platform.StoreSettings, lastReply func() int64, onResult func(error)) *appender {
+func newAppender(w topicWriter, topic string, limits platform.StoreSettings, logAnswers func() bool, onResult func(error)) *appender {
 	return &appender{
 		writer: w, topic: topic, recordBytes: limits.RecordBytes, callBytes: limits.CallBytes,
-		queue: make(chan *pendingAppend, maxQueuedAppends), lastReply: lastReply, onResult: onResult,
+		queue: make(chan *pendingAppend, maxQueuedAppends), logAnswers: logAnswers, onResult: onResult,
 	}
 }
 
@@ -309,13 +309,13 @@
 func (a *appender) write(ctx context.Context, records [][]byte) (recordPosition, error) {
 	ctx, cancel := context.WithTimeout(ctx, a.patience.Timeout())
 	defer cancel()
-	sent, lastReply := time.Now(), a.lastReply()
+	sent := time.Now()
 	position, err := a.writer.write(ctx, records)
 	switch {
 	case err == nil:
 		a.patience.Answered(time.Since(sent))
 	case errors.Is(err, context.DeadlineExceeded):
-		a.patience.TimedOut(a.lastReply() != lastReply)
+		a.patience.TimedOut(a.logAnswers())
 	}
 	return position, err
 }
--- a/internal/node/appender_test.go
+++ b/internal/node/appender_test.go
@@ -50,7 +50,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer synctest.Wait()
 		defer cancel()
-		a := newAppender(log, "content", platform.StoreSettings{RecordBytes: 20, CallBytes: 50}, func() int64 { return 0 }, func(error) {})
+		a := newAppender(log, "content", platform.StoreSettings{RecordBytes: 20, CallBytes: 50}, func() bool { return true }, func(error) {})
 		go func() { _ = a.run(ctx) }()
 		test(ctx, t, a)
 	})
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -34,6 +34,9 @@
 	// outageThreshold is the shortest outage of the platform's log in which entries of the
 	// registry may expire.
 	outageThreshold = 2 * time.Second
+	// awayAfter is the time without a reply after which the log counts as away: a poll without
+	// records takes pollWait.
+	awayAfter = pollWait + 200*time.Millisecond
 	// StaleAfter is the time without a reply after which an instance is not ready: two polls
 	// of the log have got no reply.
 	StaleAfter = 2500 * time.Millisecond
@@ -77,6 +80,9 @@
 	return n.StateLoop.caughtUp.Load() && n.sinceLastRead(&n.StateLoop.lastLogRead) < StaleAfter
 }
 
+// logAnswers reports whether the log has answered a read within awayAfter.
+func (n *Node) logAnswers() bool { return n.sinceLastRead(&n.StateLoop.lastLogRead) < awayAfter }
+
 // SkippedWithin reports whether the instance has skipped records of the log, which were no longer
 // kept when it read on, within the duration. The state then lacks what they said.
 func (n *Node) SkippedWithin(d time.Duration) bool { return n.sinceLastRead(&n.StateLoop.lastSkip) < d }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -106,7 +106,7 @@
 	n.store = platform.NewStore(s.Store.Address, n.LogTransport)
 	n.Self = fmt.Sprintf("%s/%x", s.Instance, n.Rand64())
 	n.controlLog = newAppender(&idempotentWriter{store: n.store, topic: controlTopic, producer: n.Self, readBack: &n.readBack},
-		controlTopic, s.Store, n.StateLoop.lastLogRead.Load, n.trackAppends("log"))
+		controlTopic, s.Store, n.logAnswers, n.trackAppends("log"))
 	n.controlLog.onAppended = n.Pace.expectRecords
 	n.contentLog = n.newSpreadLog(contentTopic)
 	n.usageLog = n.newSpreadLog(usageTopic)
@@ -120,7 +120,7 @@
 	return newAppender(&failoverWriter{
 		store: n.store, topic: topic, partitions: s.Partitions,
 		partition: int(hash.Mix(xxhash.Sum64String(n.Settings.Instance)) % uint64(s.Partitions)),
-	}, topic, s, n.StateLoop.lastLogRead.Load, n.trackAppends(topic))
+	}, topic, s, n.logAnswers, n.trackAppends(topic))
 }
 
 // Loops returns the functions that keep the node up to date. Each runs until its context ends.
