The log counts as away when a poll of it has failed

Cause: a poll of a slow log without records takes longer than 1.2 s, so that the log counted as away at times, and its writers repeated their appends soon.

Change: the time is that of a poll and its margin.

--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -34,9 +34,9 @@
 	// outageThreshold is the shortest outage of the platform's log in which entries of the
 	// registry may expire.
 	outageThreshold = 2 * time.Second
-	// awayAfter is the time without a reply after which the log counts as away: a poll without
-	// records takes pollWait.
-	awayAfter = pollWait + 200*time.Millisecond
+	// awayAfter is the time without a reply after which the log counts as away: a poll that gets none
+	// by then has failed.
+	awayAfter = pollWait + 600*time.Millisecond
 	// StaleAfter is the time without a reply after which an instance is not ready: two polls
 	// of the log have got no reply.
 	StaleAfter = 2500 * time.Millisecond
