Specs: the count of connections waits until a loss is noted

Cause: the loss of a connection that a target closes is noted by the goroutine of that connection, so that the next request may be sent before.

Change: the spec waits until one connection is open before it sends the request that replaces the lost one. What is expected is unchanged.

--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -52,13 +53,23 @@
 		_, _ = io.Copy(io.Discard, res.Body)
 		_ = res.Body.Close()
 	}
+	awaitOpen := func(want int) { // a loss is noted by the goroutine of its connection
+		t.Helper()
+		for deadline := time.Now().Add(time.Minute); n.OpenConnections(target.Listener.Addr().String()) != want; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%d connections are open, want %d", n.OpenConnections(target.Listener.Addr().String()), want)
+			}
+		}
+	}
 	finish(get("/"))          // first
 	canceled := get("/block") // on the connection of the first
 	beside := get("/block")   // more at once
 	_ = canceled.Body.Close() // closes its connection: the body is unread
-	finish(get("/"))          // replaces the canceled one
-	finish(get("/close"))     // on the same, which the target closes
-	finish(get("/"))          // replaces that
+	awaitOpen(1)
+	finish(get("/"))      // replaces the canceled one
+	finish(get("/close")) // on the same, which the target closes
+	awaitOpen(1)
+	finish(get("/")) // replaces that
 	close(block)
 	finish(beside)
 	var text strings.Builder
