Reads that wait on a silent path to the log are repeated once a peer is found

Which path a call takes was decided when it began; the knowledge that a peer answers did not reach the calls in progress, so that the next reply came after 2.7 s, where 2.5 s count.

Change: a read without a response is sent again through the peer as soon as one is found. Appends are not: what became of them is not known.

--- a/internal/node/detour.go
+++ b/internal/node/detour.go
@@ -58,6 +58,7 @@
 	directDown      bool                     // the direct path has failed and is not used
 	peer            string                   // address of the relay in use while directDown, IP and port; empty: none
 	failedPeers     map[string]time.Duration // by address: when it may be tried again
+	directReads     map[*directRead]struct{} // without a response so far
 	failoverStarted chan struct{}            // unblocks run
 	relaySlots      chan struct{}            // holds one value for each relayed call in progress
 }
@@ -67,29 +68,70 @@
 	throughPeer.DialContext = n.Peers.Dial
 	return &LogTransport{
 		node: n, direct: platform.NewTransport(), peerTransport: throughPeer, logAddress: logAddress,
-		failedPeers: map[string]time.Duration{}, failoverStarted: make(chan struct{}, 1), relaySlots: make(chan struct{}, maxRelayedCalls),
+		failedPeers: map[string]time.Duration{}, directReads: map[*directRead]struct{}{},
+		failoverStarted: make(chan struct{}, 1), relaySlots: make(chan struct{}, maxRelayedCalls),
 	}
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *LogTransport) RoundTrip(req *http.Request) (*http.Response, error) {
+	direct := req
+	if req.Method == http.MethodGet {
+		read, done := t.startRead(req.Context())
+		defer done()
+		direct = req.WithContext(read)
+	}
 	if peer := t.activePeer(); peer != "" {
-		res, err := t.roundTripVia(peer, req)
-		if err != nil || res.Header.Get(headerLogUnreachable) != "" {
-			t.markPeerFailed(peer)
-		}
-		return res, err
+		return t.roundTripVia(peer, req)
+	}
+	res, err := t.direct.RoundTrip(direct)
+	if err != nil && errors.Is(context.Cause(direct.Context()), errPeerFound) {
+		return t.RoundTrip(req)
 	}
-	res, err := t.direct.RoundTrip(req)
 	t.trackResult(req.Context(), res, err)
 	return res, err
 }
 
+// errPeerFound ends a read on the direct path that is repeated through a peer.
+var errPeerFound = errors.New("a peer relays the calls to the log")
+
+// directRead is a read on the direct path that has no response so far.
+type directRead struct{ repeat context.CancelCauseFunc }
+
+// startRead returns the context of a read, which ends with errPeerFound when a peer is found before
+// done is called: a direct path that has fallen silent would hold the read until its timeout.
+func (t *LogTransport) startRead(ctx context.Context) (read context.Context, done func()) {
+	read, cancel := context.WithCancelCause(ctx)
+	r := &directRead{cancel}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.directReads[r] = struct{}{}
+	return read, func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.directReads, r)
+	}
+}
+
+// usePeer sends the calls to a peer, the reads on the direct path that have no response included.
+func (t *LogTransport) usePeer(peer string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peer = peer
+	for r := range t.directReads {
+		r.repeat(errPeerFound)
+	}
+}
+
 // roundTripVia sends the request to a peer, which relays it to the log.
 func (t *LogTransport) roundTripVia(peer string, req *http.Request) (*http.Response, error) {
 	clone := req.Clone(req.Context())
 	clone.URL.Host, clone.Host = peer, peer
-	return t.peerTransport.RoundTrip(clone)
+	res, err := t.peerTransport.RoundTrip(clone)
+	if err != nil || res.Header.Get(headerLogUnreachable) != "" {
+		t.markPeerFailed(peer)
+	}
+	return res, err
 }
 
 // trackResult counts the failures of the direct path and starts the failover. Status 429
@@ -226,9 +268,7 @@
 		t.markPeerFailed(peer)
 		return
 	}
-	t.mu.Lock()
-	t.peer = peer
-	t.mu.Unlock()
+	t.usePeer(peer)
 	t.node.Log("log through peer", events.F("peer", peer))
 }
 
