A stream is taken up at the service that began it, or refused

Cause: the record of a stream's beginning has the version and not the service. The name of a version belongs to the software of a service.

Change: the record has the service. Records of earlier builds state no service and are read as before.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -227,11 +227,12 @@
 	KeyFingerprint string `cbor:"4,keyasint,omitempty"`
 }
 
-// StreamStarted records which software version began a caller's stream. The first one of a
-// request is accepted.
+// StreamStarted records which software version of which service began a caller's stream. The first
+// one of a request is accepted.
 type StreamStarted struct {
-	Request  string `cbor:"1,keyasint"` // of the caller's attempt that brought the first event
-	Software string `cbor:"2,keyasint"` // version of the target's program
+	Request  string `cbor:"1,keyasint"`           // of the caller's attempt that brought the first event
+	Software string `cbor:"2,keyasint"`           // version of the target's program
+	Service  string `cbor:"3,keyasint,omitempty"` // of the target; empty in records of earlier builds
 }
 
 // TargetCrashed reports that a target crashed while it ran requests of the writer's callers;
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -117,7 +117,7 @@
 	return &State{
 		Jobs: map[string]*Job{}, Leases: map[string]fold.Lease{}, Windows: map[int64]*Window{},
 		LoadOrders: map[string]LoadOrder{}, Instances: map[string]Instance{}, Runners: map[string]Runner{}, tasks: map[taskKey]jobTask{},
-		streams: streams{software: map[string]string{}}, leaseGaps: map[string]leaseGap{},
+		streams: streams{origins: map[string]StreamOrigin{}}, leaseGaps: map[string]leaseGap{},
 	}
 }
 
--- a/core/job/streams.go
+++ b/core/job/streams.go
@@ -2,14 +2,21 @@
 
 import "time"
 
-// streamRetention is how long it is known which software version began a stream: callers take
-// a stream up within the time that they give the request, some tens of seconds at most.
+// streamRetention is how long it is known what began a stream: callers take a stream up within
+// the time that they give the request, some tens of seconds at most.
 const streamRetention = 2 * time.Minute
 
-// streams holds the software versions that began the streams of the latest records.
+// StreamOrigin is what began a stream. A version name belongs to its service: other services may
+// have other programs of the same version.
+type StreamOrigin struct {
+	Service  string // empty: not stated
+	Software string // version of the target's program
+}
+
+// streams holds what began the streams of the latest records.
 type streams struct {
-	software map[string]string // by request; empty: records of the request name several versions
-	order    []startedStream   // oldest first
+	origins map[string]StreamOrigin // by request; zero: records of the request differ
+	order   []startedStream         // oldest first
 }
 
 type startedStream struct {
@@ -17,33 +24,34 @@
 	readAt  time.Duration
 }
 
-// applyStreamStarted records the software version that began a stream. Where the records of one
-// request name several versions, nothing is known of its streams.
+// applyStreamStarted records what began a stream. Where the records of one request differ,
+// nothing is known of its streams.
 func (s *State) applyStreamStarted(now time.Duration, r StreamStarted) bool {
 	t := &s.streams
 	expired := 0
 	for expired < len(t.order) && now-t.order[expired].readAt > streamRetention {
-		delete(t.software, t.order[expired].request)
+		delete(t.origins, t.order[expired].request)
 		expired++
 	}
 	t.order = t.order[expired:]
-	if known, found := t.software[r.Request]; found {
-		if known != r.Software {
-			t.software[r.Request] = ""
+	origin := StreamOrigin{Service: r.Service, Software: r.Software}
+	if known, found := t.origins[r.Request]; found {
+		if known != origin {
+			t.origins[r.Request] = StreamOrigin{}
 		}
 		return false
 	}
 	if r.Request == "" || r.Software == "" {
 		return false
 	}
-	t.software[r.Request] = r.Software
+	t.origins[r.Request] = origin
 	t.order = append(t.order, startedStream{r.Request, now})
 	return true
 }
 
-// StreamSoftware returns the software version of the target that began the stream of the
-// request. It reports false if that is not known.
-func (s *State) StreamSoftware(request string) (string, bool) {
-	software := s.streams.software[request]
-	return software, software != ""
+// StreamOrigin returns what began the stream of the request. It reports false if that is not
+// known.
+func (s *State) StreamOrigin(request string) (StreamOrigin, bool) {
+	origin := s.streams.origins[request]
+	return origin, origin.Software != ""
 }
--- a/core/job/streams_test.go
+++ b/core/job/streams_test.go
@@ -14,21 +14,26 @@
 	var s *job.State
 	BeforeEach(func() { s = job.NewState() })
 
-	started := func(at time.Duration, id, software string) bool {
-		return s.Apply(0, at, job.Record{StreamStarted: &job.StreamStarted{Request: id, Software: software}})
+	startedAt := func(at time.Duration, id, service, software string) bool {
+		return s.Apply(0, at, job.Record{StreamStarted: &job.StreamStarted{Request: id, Service: service, Software: software}})
 	}
+	started := func(at time.Duration, id, software string) bool { return startedAt(at, id, "", software) }
 
 	It("that begin streams are known unless the records of the request differ or state none", func() {
 		Expect(started(0, "r", "v1")).To(BeTrue())
 		Expect(started(time.Second, "r", "v1")).To(BeFalse())
-		software, known := s.StreamSoftware("r")
+		origin, known := s.StreamOrigin("r")
 		Expect(known).To(BeTrue())
-		Expect(software).To(Equal("v1"))
+		Expect(origin).To(Equal(job.StreamOrigin{Software: "v1"}), "a record of an earlier build")
+		Expect(startedAt(0, "moved", "desk", "v1")).To(BeTrue())
+		origin, _ = s.StreamOrigin("moved")
+		Expect(origin).To(Equal(job.StreamOrigin{Service: "desk", Software: "v1"}))
+		startedAt(2*time.Second, "moved", "models", "v1")
 		started(2*time.Second, "r", "v2")
 		started(3*time.Second, "r", "v1")
 		started(3*time.Second, "unstated", "")
-		for _, request := range []string{"r", "unstated", "other"} {
-			_, known = s.StreamSoftware(request)
+		for _, request := range []string{"r", "moved", "unstated", "other"} {
+			_, known = s.StreamOrigin(request)
 			Expect(known).To(BeFalse(), request)
 		}
 	})
@@ -37,9 +42,9 @@
 		for i := range 1000 {
 			started(time.Duration(i)*time.Second, fmt.Sprint(i), "v1")
 		}
-		_, known := s.StreamSoftware("900")
+		_, known := s.StreamOrigin("900")
 		Expect(known).To(BeTrue())
-		_, known = s.StreamSoftware("800")
+		_, known = s.StreamOrigin("800")
 		Expect(known).To(BeFalse())
 	})
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -103,12 +103,12 @@
 	deadline := c.deadline()
 	ctx, cancel := f.withDeadline(c, deadline)
 	defer cancel()
-	software, err := f.softwareFor(ctx, c)
+	service, software, err := f.destination(ctx, c)
 	if err != nil {
 		f.Refuse(c, err.Error())
 		return
 	}
-	request := c.plainRequest(c.Route.Pick(f.Rand64()))
+	request := c.plainRequest(service)
 	request.software = software
 	if v := f.poisonGuard.check(request); v.Condemned {
 		f.refuseCondemned(c, v)
--- a/internal/hosted/takeup_test.go
+++ b/internal/hosted/takeup_test.go
@@ -242,6 +242,19 @@
 			checkSoftware(late.awaitResults("j", 4), events)
 		})
 
+		It("the service of the version goes on at no target of another service, also after a split and back", func() {
+			stream := begin(d, other, d.engines[0], oldSoftware)
+			Eventually(d.recorded, eventuallyTimeout).WithArguments(stream).Should(BeTrue())
+			d.configureStreams("service", "desk")
+			d.expectRefused(late, stream)
+			d.configureStreams("traffic-split", []map[string]any{{"service": "models", "weight": 1}, {"service": "desk", "weight": 9}})
+			for range 10 {
+				d.expectTakenUp(late, stream, oldSoftware)
+			}
+			Expect(d.plain[0].Runs()).To(BeEmpty())
+			Expect(d.plain[1].Runs()).To(BeEmpty())
+		})
+
 		It("all targets goes on at the version that began it, through another instance", func() {
 			d.awaitAnnouncements()
 			stream := begin(d, other, d.engines[0], oldSoftware)
