An odd later start under the id of a target hides it for a few heartbeats only

What callers saw: another writer leaves an entry with a start, or a heartbeat, that is merely later than the target's own under its id.

Cause: an entry is ignored if it is earlier than the stored one, which takes the numbers of any writer for those of the target.

Change: what tells the target's own entries is that they go on. Three further heartbeats of one start over two seconds, while the stored entry is not written again, replace it. A start that runs writes within a heartbeat, so late writes of one that has ended do not.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -10,6 +10,10 @@
 // is unavailable. SetLeaving then keeps that start of the target from being ready. A target may
 // also name in its responses a limit of the rate of requests; see SetLimit.
 //
+// Any process may write an entry under the id of a target, also one of a later start than its
+// own. The target's own entries follow each other with its heartbeats, which tells them apart; see
+// Put.
+//
 // The operator may ask that the targets of a data centre get no further requests; see Evacuate.
 // A target that has started may be cold: it then takes few requests a second; see ColdStart.
 package directory
@@ -44,6 +48,7 @@
 // Directory holds the targets. It is not safe for concurrent use.
 type Directory struct {
 	targets     map[string]Target
+	rivals      map[string]rival         // by id
 	expiresAt   map[string]time.Duration // when entries removed within a grace period expire, by id
 	gracePeriod time.Duration            // how long after an outage removals are delayed
 	graceUntil  time.Duration            // end of the latest grace period
@@ -62,7 +67,7 @@
 // missing after an outage of the registry.
 func New(gracePeriod time.Duration) *Directory {
 	return &Directory{
-		targets: map[string]Target{}, expiresAt: map[string]time.Duration{}, gracePeriod: gracePeriod,
+		targets: map[string]Target{}, rivals: map[string]rival{}, expiresAt: map[string]time.Duration{}, gracePeriod: gracePeriod,
 		holds: map[Scope]hold{}, limits: map[string]limit{}, warmUps: map[string]warmUp{},
 	}
 }
@@ -72,12 +77,18 @@
 func (d *Directory) RegistryRestored(now time.Duration) { d.graceUntil = now + d.gracePeriod }
 
 // Put stores an entry and cancels its pending removal. It ignores an entry that arrives late:
-// one from an earlier start of the target, or from an earlier heartbeat of the same start.
+// one from an earlier start of the target, or from an earlier heartbeat of the same start. If such
+// entries go on with further heartbeats while the stored entry's do not, the stored one was left by
+// another writer, and the latest of them replaces it.
 func (d *Directory) Put(now time.Duration, t Target) {
 	current, known := d.targets[t.ID]
-	if t.StartedAt < current.StartedAt || t.StartedAt == current.StartedAt && t.HeartbeatSeq < current.HeartbeatSeq {
+	order := compareHeartbeats(t, current)
+	if order < 0 && !d.noteRival(now, t) {
 		return
 	}
+	if order != 0 {
+		delete(d.rivals, t.ID)
+	}
 	if t.ReclaimedIn > MaxReclaimNotice {
 		t.ReclaimedIn = 0
 	}
@@ -106,6 +117,7 @@
 // entry that comes back counts as a new one.
 func (d *Directory) delete(id string) {
 	delete(d.targets, id)
+	delete(d.rivals, id)
 	delete(d.warmUps, id)
 }
 
--- a/core/directory/directory_test.go
+++ b/core/directory/directory_test.go
@@ -76,6 +76,62 @@
 		Entry("a new start, whose heartbeats count from one again", directory.Target{HeartbeatSeq: 1, StartedAt: 11}, false),
 	)
 
+	Describe("an entry of another writer that is later than the target's own", func() {
+		put := func(at time.Duration, startedAt, seq int64) {
+			d.Put(at, directory.Target{ID: "a", StartedAt: startedAt, HeartbeatSeq: seq, Ready: true})
+		}
+		current := func() (startedAt, seq int64) {
+			t := d.Targets(0)[0]
+			return t.StartedAt, t.HeartbeatSeq
+		}
+		heartbeats := func(from time.Duration, first int64, count int) {
+			for i := range count {
+				put(from+time.Duration(i)*1200*time.Millisecond, 10, first+int64(i))
+			}
+		}
+
+		DescribeTable("hides the target until it has written some heartbeats", func(odd func()) {
+			odd()
+			heartbeats(2*time.Second, 6, 2)
+			_, seq := current()
+			Expect(seq).NotTo(BeNumerically("==", 7))
+			heartbeats(2*time.Second+2400*time.Millisecond, 8, 3)
+			startedAt, seq := current()
+			Expect([]int64{startedAt, seq}).To(Equal([]int64{10, 10}))
+		},
+			Entry("a start", func() { put(time.Second, 11, 1) }),
+			Entry("a heartbeat", func() { put(time.Second, 10, 1<<53) }),
+			Entry("several", func() { put(0, 1<<53, 1<<53); put(0, 30, 5); put(0, 30, 4); put(time.Second, 10, 1<<53) }),
+			Entry("one that is written again unchanged", func() {
+				put(0, 11, 1)
+				heartbeats(1500*time.Millisecond, 4, 1)
+				put(2*time.Second, 11, 1)
+			}),
+		)
+
+		It("is a start of the target if it goes on with heartbeats, whatever arrives late", func() {
+			for i := range int64(20) {
+				put(time.Duration(i)*1200*time.Millisecond, 11, i+1)
+				heartbeats(time.Duration(i)*1200*time.Millisecond, 6+i, 1)
+			}
+			startedAt, _ := current()
+			Expect(startedAt).To(BeNumerically("==", 11))
+		})
+
+		It("is a start of the target if writes of the start before arrive late at once, or one again and again", func() {
+			put(time.Second, 11, 1)
+			for i := range int64(9) {
+				put(time.Second, 10, 6+i)
+			}
+			put(2*time.Second, 11, 2)
+			for i := range int64(9) {
+				put(time.Duration(i+2)*time.Second, 10, 15)
+			}
+			startedAt, _ := current()
+			Expect(startedAt).To(BeNumerically("==", 11))
+		})
+	})
+
 	Describe("a limit that a target names", func() {
 		limit := func() (bool, float64) {
 			t := d.Targets(0)[0]
--- a/internal/hosted/oddentries_test.go
+++ b/internal/hosted/oddentries_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"strings"
@@ -121,18 +122,28 @@
 	})
 
 	// The entries of the target itself counted as earlier ones and were ignored.
-	It("under the id of a target hide it until its next heartbeat only", func() {
+	It("under the id of a target hide it until its next heartbeats only", func() {
 		d := newDeployment(1, 1)
-		for _, field := range []string{"sequence", "born"} {
-			odd := d.entries["p0"]()
-			odd["state"], odd[field] = "draining", int64(math.MaxInt64)
-			d.store.Put(platform.RegistryTopic, "p0", odd)
+		d.mu.Lock()
+		entry, heartbeat := d.entries["p0"], int64(1000)
+		d.mu.Unlock()
+		d.register("p0", func() map[string]any { // with mu held
+			e := entry()
+			heartbeat++
+			e["sequence"] = heartbeat
+			return e
+		})
+		for _, odd := range []map[string]any{{"sequence": int64(math.MaxInt64)}, {"born": int64(math.MaxInt64)}, {"sequence": 1 << 40}, {"born": 1 << 40}} {
+			later := entry()
+			later["state"] = "draining"
+			maps.Copy(later, odd)
+			d.store.Put(platform.RegistryTopic, "p0", later)
 			d.awaitRegistryRead()
 			before := len(d.plain[0].Arrivals())
 			Eventually(func() int {
 				d.callAll(20, time.Millisecond)
 				return len(d.plain[0].Arrivals())
-			}, eventuallyTimeout).Should(BeNumerically(">", before), field)
+			}, eventuallyTimeout).Should(BeNumerically(">", before), "%v", odd)
 		}
 	})
 
