Engines that do not answer cost the controller no lease

Cause: one goroutine renewed the lease and made the calls under it, the reports of engines one after the other, up to 0.6 s each. With four silent engines a pass is longer than the term.

Usage and scaling have a goroutine of their own, weights as well. Reports and orders go out up to 32 at once. An overdue order is no longer dropped while another service with models is looked at.

--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -35,8 +35,9 @@
 )
 
 // Controller claims the controller lease and, while this instance holds it, runs the
-// tasks that the lease guards: usage reports, weight updates and scaling. Only the state
-// goroutine accesses the fields lease and standsIn.
+// tasks that the lease guards: usage reports, weight updates and scaling. Calls may be in flight
+// while the lease is renewed, and as long as a release waits. Only the state goroutine accesses
+// the fields lease and standsIn.
 type Controller struct {
 	*node.Node
 	cloud          *platform.Cloud // nil: there is none
@@ -69,7 +70,7 @@
 // Loops returns the functions that perform the duties and count requests. Each runs until its
 // context ends.
 func (c *Controller) Loops() []func(context.Context) error {
-	return []func(context.Context) error{c.run, c.usageCounter.run}
+	return []func(context.Context) error{c.holdLease, c.reportAndScale, c.updateWeights, c.usageCounter.run}
 }
 
 // CountRequest adds a request of the account to the usage of the wall time.
@@ -105,20 +106,38 @@
 	}
 }
 
-// run updates the lease and, while it is held, runs the guarded tasks, until ctx ends.
-func (c *Controller) run(ctx context.Context) error {
+// holdLease claims and renews the lease until ctx ends. It makes no calls: what the guarded tasks
+// wait for must not delay the renewal.
+func (c *Controller) holdLease(ctx context.Context) error {
 	return clock.Every(ctx, controllerInterval, func() {
 		c.updateLease(ctx)
 		_, held := c.holder(ctx)
 		c.Pace.LeaseHeld.Store(held)
+	})
+}
+
+// reportAndScale reports usage and orders targets while this instance holds the lease, until ctx
+// ends.
+func (c *Controller) reportAndScale(ctx context.Context) error {
+	return clock.Every(ctx, controllerInterval, func() {
+		_, held := c.holder(ctx)
 		if held {
 			c.reportUsage(ctx)
-			c.weightUpdater.step(ctx)
 		}
 		c.scaler.step(ctx, held)
 	})
 }
 
+// updateWeights orders engines to load weights while this instance holds the lease, until ctx
+// ends.
+func (c *Controller) updateWeights(ctx context.Context) error {
+	return clock.Every(ctx, controllerInterval, func() {
+		if _, held := c.holder(ctx); held {
+			c.weightUpdater.step(ctx)
+		}
+	})
+}
+
 // claimDelay returns how much longer than necessary this instance waits before it claims the lease.
 // It grows with the time that the others need to read of an earlier claim.
 func (c *Controller) claimDelay(logDelay time.Duration) time.Duration {
--- a/internal/duty/scaling.go
+++ b/internal/duty/scaling.go
@@ -19,7 +19,7 @@
 const scaleObserveInterval = time.Second
 
 // scaler orders targets from the platform for the services that the configuration allows
-// to scale. Only the controller's goroutine uses it.
+// to scale. Only the goroutine of reportAndScale uses it.
 type scaler struct {
 	controller *Controller
 	services   map[string]*scaledService
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -161,8 +161,8 @@
 	return newest
 }
 
-// seal appends a seal. The lease has to be renewed meanwhile, so it waits no longer than a call
-// under the lease may take.
+// seal appends a seal. It waits no longer than a call under the lease may take: the tasks that
+// follow check the lease anew.
 func (c *Controller) seal(ctx context.Context, s job.UsageSealed) error {
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout())
 	defer cancel()
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"maps"
+	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/loads"
@@ -25,16 +28,19 @@
 	// at once. More concurrent loads slow each other down.
 	concurrentLoadDivisor = 5
 	minConcurrentLoads    = 2
-	initialVersion        = 1 // version that engines start with
+	initialVersion        = 1  // version that engines start with
+	maxConcurrentCalls    = 32 // reports and orders at once
 )
 
 // weightUpdater orders engines to load the weight versions that trainers have published.
-// Only the controller's goroutine uses it.
+// Only the goroutine of updateWeights and the calls that it waits for use it.
 type weightUpdater struct {
 	controller *Controller
 	planners   map[string]*loads.Planner // by service
-	orders     map[string]*sentOrder     // by target
-	sequences  map[string]orderSequence  // by target
+
+	mu        sync.Mutex
+	orders    map[string]*sentOrder    // by target
+	sequences map[string]orderSequence // by target
 }
 
 // orderSequence is the number of orders that one incarnation of a target has accepted.
@@ -53,15 +59,18 @@
 	return &weightUpdater{controller: c, planners: map[string]*loads.Planner{}, orders: map[string]*sentOrder{}, sequences: map[string]orderSequence{}}
 }
 
-// step sends the load orders that the planner of each service returns.
+// step sends the load orders that the planner of each service returns. Calls to engines run at
+// the same time: one that does not answer must not delay those to the others.
 func (w *weightUpdater) step(ctx context.Context) {
 	c := w.controller
 	view := c.CurrentView()
 	if view.Catalog == nil {
 		return
 	}
+	w.resolveOrders(ctx, view)
 	allowedStaleness := map[string]int64{}
 	c.StateLoop.Do(ctx, func() { maps.Copy(allowedStaleness, c.StateLoop.AllowedStaleness) })
+	calls := newEngineCalls()
 	for name, service := range view.Catalog.Services {
 		if len(service.Models) == 0 {
 			continue
@@ -71,62 +80,75 @@
 			desired := max(initialVersion, view.DesiredVersions[m])
 			models = append(models, loads.Model{Name: m, DesiredVersion: desired, MaxStaleness: allowedStaleness[m]})
 		}
-		targets, engines := w.engines(ctx, view, name)
+		targets, engines := w.engines(view, name)
 		if w.planners[name] == nil {
 			w.planners[name] = loads.New()
 		}
 		maxConcurrent := max(minConcurrentLoads, len(engines)/concurrentLoadDivisor)
 		for _, o := range w.planners[name].Plan(engines, models, maxConcurrent) {
-			w.sendOrder(ctx, targets[o.Engine], o)
+			calls.Go(func() error { w.sendOrder(ctx, targets[o.Engine], o); return nil })
 		}
 	}
+	_ = calls.Wait() // each call logs its own failure
+}
+
+// newEngineCalls returns a group of concurrent calls to engines.
+func newEngineCalls() *errgroup.Group {
+	g := &errgroup.Group{}
+	g.SetLimit(maxConcurrentCalls)
+	return g
 }
 
-// engines returns a service's ready targets, by id, and their state for the planner. It
-// also resolves earlier orders, and removes overdue ones of targets that are not ready.
-func (w *weightUpdater) engines(ctx context.Context, view *node.View, service string) (map[string]directory.Target, []loads.Engine) {
+// engines returns a service's ready targets, by id, and their state for the planner.
+func (w *weightUpdater) engines(view *node.View, service string) (map[string]directory.Target, []loads.Engine) {
 	targets := map[string]directory.Target{}
 	var out []loads.Engine
-	now := w.controller.Clock.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	for _, t := range view.Targets {
-		if t.Service != service || !t.Ready {
-			continue
+		if t.Service == service && t.Ready {
+			targets[t.ID] = t
+			out = append(out, loads.Engine{ID: t.ID, Versions: t.Models, OrderPending: w.orders[t.ID] != nil})
 		}
-		targets[t.ID] = t
-		out = append(out, loads.Engine{ID: t.ID, Versions: t.Models, OrderPending: w.orderPending(ctx, now, t)})
 	}
+	return targets, out
+}
+
+// resolveOrders removes the orders that are done or were sent to an earlier incarnation of a target,
+// checks overdue ones, and removes those of targets that are not ready.
+func (w *weightUpdater) resolveOrders(ctx context.Context, view *node.View) {
+	now := w.controller.Clock.Now()
+	var overdue []directory.Target
+	w.mu.Lock()
 	for id, o := range w.orders {
-		if _, present := targets[id]; !present && now >= o.checkAt {
+		t, found := view.Target(id)
+		switch {
+		case !found || !t.Ready:
+			if now >= o.checkAt {
+				delete(w.orders, id)
+			}
+		case t.StartedAt != o.startedAt, t.Models[o.order.Model] >= o.order.Version:
 			delete(w.orders, id)
+		case now >= o.checkAt:
+			overdue = append(overdue, t)
 		}
 	}
-	return targets, out
-}
-
-// orderPending reports whether an order to the target may be in flight or in progress. It
-// removes an order that is done or was sent to an earlier incarnation, and checks an
-// overdue one.
-func (w *weightUpdater) orderPending(ctx context.Context, now time.Duration, t directory.Target) bool {
-	o := w.orders[t.ID]
-	switch {
-	case o == nil:
-		return false
-	case t.StartedAt != o.startedAt, t.Models[o.order.Model] >= o.order.Version:
-		delete(w.orders, t.ID)
-		return false
-	case now < o.checkAt:
-		return true
-	default:
-		w.checkOrder(ctx, t, o)
-		return w.orders[t.ID] != nil
+	w.mu.Unlock()
+	calls := newEngineCalls()
+	for _, t := range overdue {
+		calls.Go(func() error { w.checkOrder(ctx, t); return nil })
 	}
+	_ = calls.Wait() // each call logs its own failure
 }
 
 // checkOrder queries the target about an overdue order. It removes the order unless the
 // target is executing it or does not respond.
-func (w *weightUpdater) checkOrder(ctx context.Context, t directory.Target, o *sentOrder) {
+func (w *weightUpdater) checkOrder(ctx context.Context, t directory.Target) {
 	w.controller.Allowances.Spend(ctx, t)
 	targetReport, err := platform.ReadTargetReport(ctx, w.controller.TargetClient, t.Address)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	o := w.orders[t.ID]
 	o.checkAt = w.controller.Clock.Now() + unknownOrderDelay
 	switch {
 	case err != nil:
@@ -146,17 +168,19 @@
 // queries the target if it has no order sequence of the incarnation.
 func (w *weightUpdater) sendOrder(ctx context.Context, t directory.Target, o loads.Order) {
 	c := w.controller
+	w.mu.Lock()
 	sequence, found := w.sequences[t.ID]
+	w.mu.Unlock()
 	if !found || sequence.startedAt != t.StartedAt {
 		c.Allowances.Spend(ctx, t)
 		targetReport, err := platform.ReadTargetReport(ctx, c.TargetClient, t.Address)
 		if err != nil {
 			c.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
-			w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: c.Clock.Now() + unknownOrderDelay}
+			w.orderSent(t, o, unknownOrderDelay)
 			return
 		}
 		sequence = orderSequence{t.StartedAt, targetReport.Sequence}
-		w.sequences[t.ID] = sequence
+		w.setSequence(t.ID, sequence)
 	}
 	expected := sequence.count
 	holder, held := c.holder(ctx)
@@ -179,7 +203,20 @@
 	if err != nil {
 		checkDelay = unknownOrderDelay
 	} else if !hadVersion {
-		w.sequences[t.ID] = orderSequence{t.StartedAt, expected + 1}
+		w.setSequence(t.ID, orderSequence{t.StartedAt, expected + 1})
 	}
-	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: c.Clock.Now() + checkDelay}
+	w.orderSent(t, o, checkDelay)
+}
+
+// orderSent notes an order that may be in flight or in progress, to be checked after a delay.
+func (w *weightUpdater) orderSent(t directory.Target, o loads.Order, checkDelay time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: w.controller.Clock.Now() + checkDelay}
+}
+
+func (w *weightUpdater) setSequence(target string, s orderSequence) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequences[target] = s
 }
--- a/internal/hosted/scaling_test.go
+++ b/internal/hosted/scaling_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -43,3 +44,20 @@
 		Expect(d.logged()).NotTo(ContainSubstring("duty superseded"))
 	})
 })
+
+var _ = Describe("The controller, of whose engines many do not answer,", func() {
+	// It asked them one after the other between two renewals.
+	It("keeps its lease", func() {
+		d := newDeployment(2, 20)
+		answer := make(chan struct{})
+		DeferCleanup(sync.OnceFunc(func() { close(answer) }))
+		for _, e := range d.engines {
+			e.SetBeforeReport(func(http.ResponseWriter) { <-answer })
+		}
+		d.store.Put(platform.OperatorTopic, "version/m", map[string]any{"model": "m", "version": 2})
+		Eventually(func() int { // reports that were not read under the latest holder: three times as many as at once
+			changes := strings.Split(d.logged(), `event="duty holder"`)
+			return countLines(changes[len(changes)-1], "order unclear")
+		}, eventuallyTimeout).Should(BeNumerically(">=", 12))
+	})
+})
