Engines that do not answer keep no others from a new version of the weights

Cause: an engine whose report cannot be read counted as one that loads, for as long as its entry stands. Few engines may load at once, and the same ones were chosen first each time.

Evidence: "moves those that do" failed before: after 20 s the one engine of ten that answers had the old version.

Change: an engine that did not answer the latest query is silent to the planner: it gets no order until it answers, and takes no other's place.

--- a/core/loads/loads.go
+++ b/core/loads/loads.go
@@ -20,6 +20,7 @@
 	ID           string
 	Versions     map[string]int64 // weight versions by model
 	OrderPending bool             // an order to the engine is in flight or being executed
+	Silent       bool             // the engine did not answer lately: it gets no order, and takes no other's place
 }
 
 // Model is a model that the service's engines generate with. DesiredVersion is the weight
@@ -132,7 +133,7 @@
 			out.serving++
 		}
 		switch {
-		case e.OrderPending || staleness <= 0:
+		case e.OrderPending || e.Silent || staleness <= 0:
 		case staleness > m.MaxStaleness:
 			out.urgent = append(out.urgent, order)
 			upToDate++
--- a/core/loads/loads_test.go
+++ b/core/loads/loads_test.go
@@ -53,6 +53,16 @@
 		Expect(loads.New().Plan(engines(12, map[string]int64{"a": 1, "b": 1, "c": 1}), threeModels(1, 1), 4)).To(BeEmpty())
 	})
 
+	It("orders engines that answer to load, however many others do not", func() {
+		list := engines(12, map[string]int64{"a": 1})
+		for i := range 9 {
+			list[i].Silent = true
+		}
+		list[9].OrderPending = true
+		orders := loads.New().Plan(list, threeModels(2, 0)[:1], 2)
+		Expect(orders).To(Equal([]loads.Order{{Engine: "e10", Model: "a", Version: 2}}))
+	})
+
 	It("loads a version on all engines of the model if jobs allow no staleness", func() {
 		list := engines(12, map[string]int64{"a": 1, "b": 1, "c": 1})
 		Expect(loads.New().Plan(list, threeModels(2, 0), 12)).To(HaveLen(4))
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -48,11 +48,13 @@
 // a version that the target already has does not advance it.
 type orderSequence struct{ startedAt, count int64 }
 
-// sentOrder is an unresolved order to a target: it may be in flight or in progress.
+// sentOrder is an unresolved order to a target: it may be in flight or in progress, or waits for
+// the target to answer.
 type sentOrder struct {
 	order     loads.Order
 	startedAt int64         // start of the target's incarnation when the order was sent
 	checkAt   time.Duration // when to query the target about it
+	silent    bool          // the target did not answer the latest query
 }
 
 func newWeightUpdater(c *Controller) *weightUpdater {
@@ -108,7 +110,8 @@
 	for _, t := range view.Targets {
 		if t.Service == service && t.Ready {
 			targets[t.ID] = t
-			out = append(out, loads.Engine{ID: t.ID, Versions: t.Models, OrderPending: w.orders[t.ID] != nil})
+			o := w.orders[t.ID]
+			out = append(out, loads.Engine{ID: t.ID, Versions: t.Models, OrderPending: o != nil && !o.silent, Silent: o != nil && o.silent})
 		}
 	}
 	return targets, out
@@ -149,6 +152,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	o := w.orders[t.ID]
+	o.silent = err != nil
 	o.checkAt = w.controller.Clock.Now() + unknownOrderDelay
 	switch {
 	case err != nil:
@@ -176,7 +180,7 @@
 		targetReport, err := platform.ReadTargetReport(ctx, c.TargetClient, t.Address)
 		if err != nil {
 			c.Log("order unclear", events.F("target", t.ID), events.F("error", err.Error()))
-			w.orderSent(t, o, unknownOrderDelay)
+			w.noteOrder(sentOrder{order: o, startedAt: t.StartedAt, silent: true}, unknownOrderDelay)
 			return
 		}
 		sequence = orderSequence{t.StartedAt, targetReport.Sequence}
@@ -205,14 +209,15 @@
 	} else if !hadVersion {
 		w.setSequence(t.ID, orderSequence{t.StartedAt, expected + 1})
 	}
-	w.orderSent(t, o, checkDelay)
+	w.noteOrder(sentOrder{order: o, startedAt: t.StartedAt}, checkDelay)
 }
 
-// orderSent notes an order that may be in flight or in progress, to be checked after a delay.
-func (w *weightUpdater) orderSent(t directory.Target, o loads.Order, checkDelay time.Duration) {
+// noteOrder notes an order, and when to query the target about it.
+func (w *weightUpdater) noteOrder(o sentOrder, checkDelay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: w.controller.Clock.Now() + checkDelay}
+	o.checkAt = w.controller.Clock.Now() + checkDelay
+	w.orders[o.order.Engine] = &o
 }
 
 func (w *weightUpdater) setSequence(target string, s orderSequence) {
--- a/internal/hosted/scaling_test.go
+++ b/internal/hosted/scaling_test.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"strings"
-	"sync"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -48,16 +47,30 @@
 var _ = Describe("The controller, of whose engines many do not answer,", func() {
 	// It asked them one after the other between two renewals.
 	It("keeps its lease", func() {
-		d := newDeployment(2, 20)
-		answer := make(chan struct{})
-		DeferCleanup(sync.OnceFunc(func() { close(answer) }))
-		for _, e := range d.engines {
-			e.SetBeforeReport(func(http.ResponseWriter) { <-answer })
-		}
-		d.store.Put(platform.OperatorTopic, "version/m", map[string]any{"model": "m", "version": 2})
+		d := newSilentDeployment(2, 20)
 		Eventually(func() int { // reports that were not read under the latest holder: three times as many as at once
 			changes := strings.Split(d.logged(), `event="duty holder"`)
 			return countLines(changes[len(changes)-1], "order unclear")
 		}, eventuallyTimeout).Should(BeNumerically(">=", 12))
 	})
+
+	// Those that did not answer counted as loading, which few may at once.
+	It("moves those that do", func() {
+		d := newSilentDeployment(1, 9)
+		answers := d.addTarget("e9", "models", 8, hostplatform.FirstSoftware)
+		Eventually(answers.Version, eventuallyTimeout).Should(Equal(int64(2)))
+	})
 })
+
+// newSilentDeployment returns a deployment whose engines do not answer when they are asked for their
+// report, and for which version 2 of the weights has been published.
+func newSilentDeployment(instances, engines int) *deployment {
+	d := newDeployment(instances, engines)
+	answer := make(chan struct{})
+	DeferCleanup(func() { close(answer) })
+	for _, e := range d.engines {
+		e.SetBeforeReport(func(http.ResponseWriter) { <-answer })
+	}
+	d.store.Put(platform.OperatorTopic, "version/m", map[string]any{"model": "m", "version": 2})
+	return d
+}
