A window that was billed is not billed again by an instance that has not read its seal

Cause: a window without a seal in the state counted as one that nobody had sealed. After a start or a pause beyond the log's retention the state has no records of the last windows, five of which a new holder seals and reports. What has expired counted as never having been. Change: windows that ended before this instance last skipped records are neither sealed nor reported by it. A seal comes after the end of its window, so all seals of later windows were read. Left: a window that ended before the skip and that its holder had not reported stays without a report.

--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -46,6 +46,11 @@
 	return wall.UnixMilli() / max(1, n.Settings.UsageWindow.Milliseconds())
 }
 
+// endOf returns when the billing window with the number ends.
+func endOf(n *node.Node, window int64) time.Time {
+	return time.UnixMilli((window + 1) * max(1, n.Settings.UsageWindow.Milliseconds()))
+}
+
 // CountRequest adds a request of the account to the window of the wall time.
 func (u *usageCounter) countRequest(account string, wall time.Time) {
 	if account == "" || !u.node.Settings.ReportsUsage {
@@ -102,7 +107,8 @@
 
 // reportUsage seals the windows that ended at least sealDelay ago, and reports the sealed
 // ones to the platform. As the seal fixes the counts before the first report, a repeated
-// report has the same counts. It also prunes old jobs and windows from the state.
+// report has the same counts. Windows that ended before this instance skipped records of the log are
+// left alone: an unread seal may fix other counts. It also prunes old jobs and windows from the state.
 func (c *Controller) reportUsage(ctx context.Context) {
 	if !c.Settings.ReportsUsage || c.cloud == nil {
 		return
@@ -115,6 +121,8 @@
 		for w := newest - windowLookback; w <= newest; w++ {
 			window := c.StateLoop.State.Windows[w]
 			switch {
+			case c.SkippedWithin(wall.Sub(endOf(c.Node, w))):
+				// It may have been sealed, and reported, by the records that were skipped since its end.
 			case window == nil:
 				seals = append(seals, job.UsageSealed{Window: w, Counts: map[string]int64{}})
 			case window.SealedCounts == nil:
--- a/internal/hosted/skipped_test.go
+++ b/internal/hosted/skipped_test.go
@@ -1,6 +1,7 @@
 package hosted_test
 
 import (
+	"fmt"
 	"net/http"
 	"regexp"
 	"slices"
@@ -49,4 +50,24 @@
 		d.start(2)
 		Eventually(d.logged, eventuallyTimeout).Should(ContainSubstring(`event="duty holder" instance="n2" holder="n2/`), "nobody knows the lease any more")
 	})
+
+	// Guards against two bills of one window: the seals and counts of its first bill were not read.
+	It("reports no window that may have been reported before", func() {
+		d := newDeployment(1, 1)
+		var calls int64
+		reported := func() int64 {
+			calls++
+			Expect(d.instances[0].call(http.MethodPost, "/confirm/x", fmt.Sprint(calls), key, nil).status).To(Equal(http.StatusOK))
+			return d.cloud.RequestCounts()["acme"]
+		}
+		Eventually(reported, eventuallyTimeout, "50ms").Should(BeNumerically(">", 20))
+		before := d.cloud.RequestCounts()["acme"]
+		d.store.TrimTopic("control")
+		d.store.TrimTopic("usage")
+		young := d.start(1)
+		Eventually(young.isReady, eventuallyTimeout).Should(BeTrue())
+		d.instances[0].kill()
+		Eventually(d.logged, eventuallyTimeout).Should(ContainSubstring(`event="usage reported" instance="n1"`))
+		Expect(d.cloud.RequestCounts()["acme"]).To(BeNumerically(">=", before))
+	})
 })
