An instance that starts is told of the instances whose announcements the log has removed

What callers and targets saw, with a log that keeps less than a minute of records: an instance that had started, or had stood still for that long, knew no other one until these renewed their announcements. Requests that it could not send itself were refused in place of relayed, and it granted the limits of all targets beside their owners. Cause: announcements are renewed every minute, "short enough that the log always retains one of every running instance". An instance of which no announcement was read counted as not there. Change: the announcement of a start, and one after records were skipped, asks for those that are gone (InstanceStarted.Asks, which earlier builds ignore). One instance repeats those that are older than half of the retention, with their offset, age and start, so that the state becomes that of a reader of the whole log; the others read its answer and give none (KnownInstances, which earlier builds pass over). Now a start costs one record at most, and none where the log keeps more than two minutes. Result: the spec passes with one answer; core/job, core/peering, internal/node, internal/reference and the specs of skipped records, of the port between instances, of allowances and of condemned requests pass, also with -race.

--- a/core/job/fuzz_test.go
+++ b/core/job/fuzz_test.go
@@ -65,6 +65,7 @@
 		{UsageReported: &job.UsageReported{Window: -1}},
 		{LoadOrdered: &job.LoadOrdered{Version: math.MinInt64}},
 		{InstanceStarted: &job.InstanceStarted{StartedAt: math.MinInt64}},
+		{KnownInstances: &job.KnownInstances{Instances: []job.KnownInstance{{}, {Writer: "x", Offset: math.MaxInt64, SinceAnnounced: math.MaxInt64}, {Writer: "x", Offset: math.MinInt64, SinceAnnounced: -1}}}},
 		{InstanceLeaving: &job.InstanceLeaving{}, Claimed: &job.Claimed{}},
 		{StreamStarted: &job.StreamStarted{}},
 	}
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -82,6 +82,7 @@
 	TargetCrashed   *TargetCrashed   `cbor:"16,keyasint,omitempty"`
 	SuspectServed   *SuspectServed   `cbor:"17,keyasint,omitempty"`
 	Condemned       *Condemned       `cbor:"18,keyasint,omitempty"`
+	KnownInstances  *KnownInstances  `cbor:"19,keyasint,omitempty"`
 }
 
 // Submitted submits a job. The first one of a job's id is accepted, later ones are rejected.
@@ -225,6 +226,9 @@
 	// KeyFingerprint is that of the key with which the process proves its identity to other
 	// instances. Builds without such a key leave it empty.
 	KeyFingerprint string `cbor:"4,keyasint,omitempty"`
+	// Asks is set by a writer that may not have read the announcements of others, as the log does
+	// not keep them: it asks for KnownInstances.
+	Asks bool `cbor:"5,keyasint,omitempty"`
 }
 
 // StreamStarted records which software version began a caller's stream. The first one of a
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -152,6 +152,8 @@
 		return s.applyStarted(offset, now, r.Writer, *r.InstanceStarted)
 	case r.StreamStarted != nil:
 		return s.applyStreamStarted(now, *r.StreamStarted)
+	case r.KnownInstances != nil:
+		return s.applyKnown(now, *r.KnownInstances)
 	case r.InstanceLeaving != nil:
 		return s.removeRunner(r.Writer)
 	default:
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -228,6 +228,25 @@
 
 	// Guards against an instance that restarts and stays unknown, because the wall clock of its
 	// machine was set back.
+	It("are known from a repeated announcement as they were announced, to those only that have not read it", func() {
+		all, _ := replay(started("n1/a", 1000), started("n1/a", 1000), submitted("j", "n1/a", "x"))
+		known := job.Record{Writer: "n2/x", KnownInstances: &job.KnownInstances{Instances: all.KnownInstances(9*time.Second, 5*time.Second, func(string) bool { return true })}}
+		Expect(all.Apply(7, 10*time.Second, known)).To(BeFalse(), "all of them were read")
+		young := job.NewState()
+		young.SkipTo(7)
+		Expect(young.Apply(7, 90*time.Second, known)).To(BeTrue())
+		i := young.Instances["n1"]
+		Expect([]any{i.Incarnation, i.StartedAt, i.AnnouncedOffset, i.AnnouncedAt}).To(Equal([]any{"n1/a", int64(1000), int64(1), 82 * time.Second}))
+		Expect(young.Apply(8, 91*time.Second, known)).To(BeFalse())
+
+		paused, _ := replay(started("n1/old", 500), submitted("j", "n1/old", "x"))
+		Expect(paused.Apply(7, 90*time.Second, known)).To(BeTrue())
+		Expect(paused.Jobs["j"].Runner).To(BeEmpty(), "its former incarnation has ended")
+		restarted := job.NewState()
+		restarted.Apply(8, 91*time.Second, started("n1/b", 2000))
+		Expect(restarted.Apply(9, 92*time.Second, known)).To(BeFalse(), "a later start is known")
+		Expect(all.KnownInstances(9*time.Second, 9*time.Second, func(string) bool { return true })).To(BeEmpty(), "the log still keeps it")
+	})
 	It("are replaced by an incarnation that claims an earlier start once it has announced itself twice in a row", func() {
 		s, accepted := replay(started("n1/a", 20), started("n1/b", 10), started("n1/a", 20), started("n1/b", 10))
 		Expect(accepted).To(Equal([]bool{true, false, false, false}), "the announcement that was appended late")
--- a/core/peering/peering.go
+++ b/core/peering/peering.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// AnnounceInterval is the time between two announcements of an instance. It is short
-	// enough that the log always retains one of every running instance.
+	// AnnounceInterval is the time between two announcements of an instance. A log that retains
+	// none of some instances has them repeated for one that starts.
 	AnnounceInterval = time.Minute
 	// lapseAfter is how long an entry is kept without an announcement.
 	lapseAfter = 3 * AnnounceInterval
--- a/internal/forward/poison.go
+++ b/internal/forward/poison.go
@@ -17,8 +17,6 @@
 	// announcementsPerRetention is how often condemned requests are announced while the log keeps
 	// a record, so that an instance that starts finds an announcement.
 	announcementsPerRetention = 4
-	// defaultRetention is used if the settings do not state how long the log keeps records.
-	defaultRetention = time.Minute
 )
 
 // poisonGuard keeps callers' requests that crash their targets from being sent on; see
@@ -150,11 +148,7 @@
 // and one that reads another's announcement makes none.
 func (g *poisonGuard) run(ctx context.Context) error {
 	f := g.forwarder
-	retention := f.Settings.Store.Retention
-	if retention <= 0 {
-		retention = defaultRetention
-	}
-	interval := retention / announcementsPerRetention
+	interval := f.Retention() / announcementsPerRetention
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/hosted/skipped_test.go
+++ b/internal/hosted/skipped_test.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"regexp"
 	"slices"
+	"strings"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
 )
 
@@ -51,6 +54,24 @@
 		Eventually(d.logged, eventuallyTimeout).Should(ContainSubstring(`event="duty holder" instance="n2" holder="n2/`), "nobody knows the lease any more")
 	})
 
+	// Guards against an instance that knows no other one for up to a minute: it relays nothing, and owns
+	// the limits of all targets beside their owners.
+	It("knows the instances whose announcements it could not read", func() {
+		d := newDeployment(2, 1)
+		Eventually(func() bool { return d.announcedFor() > time.Second }, eventuallyTimeout).Should(BeTrue())
+		d.store.TrimTopic("control")
+		young := d.start(2)
+		Eventually(young.isReady, eventuallyTimeout).Should(BeTrue())
+		young.links.set(refusing)
+		Eventually(d.logged, eventuallyTimeout).Should(ContainSubstring(`event="instances announced"`))
+		for n := range 3 {
+			Eventually(func() int {
+				return young.callWithin(2*time.Second, http.MethodPost, "/confirm/x", fmt.Sprint("r", n), key, nil).status
+			}, eventuallyTimeout).Should(Equal(http.StatusOK))
+		}
+		Expect(strings.Count(d.logged(), `event="instances announced"`)).To(Equal(1), "one answer is enough")
+	})
+
 	// Guards against two bills of one window: the seals and counts of its first bill were not read.
 	It("reports no window that may have been reported before", func() {
 		d := newDeployment(1, 1)
@@ -71,3 +92,16 @@
 		Expect(d.cloud.RequestCounts()["acme"]).To(BeNumerically(">=", before))
 	})
 })
+
+// announcedFor returns how long ago the latest announcement was appended.
+func (d *deployment) announcedFor() time.Duration {
+	latest := int64(0)
+	for _, data := range d.store.Records("control", 0) {
+		r, err := job.Decode(data)
+		Expect(err).NotTo(HaveOccurred())
+		if r.InstanceStarted != nil {
+			latest = max(latest, r.At)
+		}
+	}
+	return time.Since(time.UnixMilli(latest))
+}
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -100,6 +100,7 @@
 			n.Log("log trimmed", events.F("from", fmt.Sprint(n.StateLoop.nextOffset)), events.F("first", fmt.Sprint(trimmed.OldestOffset)))
 			n.StateLoop.lastSkip.Store(int64(n.Clock.Now())) // before CatchUp returns
 			n.readBack.lose()
+			n.Peers.noteSkip()
 			n.StateLoop.Do(ctx, func() {
 				n.StateLoop.nextOffset = trimmed.OldestOffset
 				n.StateLoop.State.SkipTo(trimmed.OldestOffset)
@@ -217,7 +218,9 @@
 func (n *Node) onApplied(now time.Duration, r job.Record, accepted bool) {
 	switch {
 	case r.InstanceStarted != nil:
-		n.Peers.noteAnnouncement(now, r.Writer, accepted)
+		n.Peers.noteAnnouncement(now, r, accepted)
+	case r.KnownInstances != nil:
+		n.Peers.noteKnown(accepted)
 	case r.Submitted != nil && accepted:
 		if desired := n.StateLoop.desiredVersions[r.Submitted.Model]; desired > 0 {
 			n.StateLoop.AllowedStaleness[r.Submitted.Model] = max(0, desired-r.Submitted.MinVersion)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,6 @@
 
 	"github.com/amaranthfold/amaranthfold/core/hash"
 	"github.com/amaranthfold/amaranthfold/core/job"
-	"github.com/amaranthfold/amaranthfold/core/peering"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/platform"
@@ -128,7 +127,7 @@
 	return []func(context.Context) error{
 		n.StateLoop.run, n.controlLog.run, n.contentLog.run, n.usageLog.run,
 		n.followLog, n.watchOperator, n.watchRegistry, n.publishWarmTargets,
-		n.LogTransport.run, n.announce, n.Links.run,
+		n.LogTransport.run, n.announce, n.answerAsks, n.Links.run,
 	}
 }
 
@@ -150,21 +149,6 @@
 	}
 }
 
-// announce appends the InstanceStarted record, at once and every peering.AnnounceInterval. It
-// publishes the incarnation, the address at which the instance listens for peers and the
-// fingerprint of its key.
-func (n *Node) announce(ctx context.Context) error {
-	started := &job.InstanceStarted{
-		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
-		KeyFingerprint: n.Peers.identity.Fingerprint(),
-	}
-	n.AppendRecordAsync(job.Record{InstanceStarted: started})
-	if clock.Sleep(ctx, n.Jitter(peering.AnnounceInterval)) { // all instances may have started at once
-		n.AppendRecordAsync(job.Record{InstanceStarted: started})
-	}
-	return clock.Every(ctx, peering.AnnounceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
-}
-
 // Stop makes IsStopping true and closes the channel stopping.
 func (n *Node) Stop() { n.stopOnce.Do(func() { close(n.stopping) }) }
 
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,8 +14,8 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-// PeerLinks are the connections between this instance and the others. The fields renewals
-// and changed belong to the state goroutine.
+// PeerLinks are the connections between this instance and the others. The fields renewals,
+// changed and unanswered belong to the state goroutine.
 type PeerLinks struct {
 	node     *Node
 	identity *peerlink.Identity
@@ -24,6 +24,11 @@
 	renewals peering.Renewals
 	changed  bool // an announcement was read that may change who is accepted
 
+	unanswered bool // an instance has asked for announcements, and no answer was read since
+
+	asked   chan struct{} // another instance has asked
+	skipped chan struct{} // this instance has skipped records and asks
+
 	refusedCallAt atomic.Int64 // reading of clock.Now when a refused call was logged; zero: never
 }
 
@@ -32,7 +37,7 @@
 	if err != nil {
 		panic(err.Error()) // crypto/rand does not fail
 	}
-	return &PeerLinks{node: n, identity: identity, Peers: peerlink.NewPeers(identity, peerlink.Options{
+	return &PeerLinks{node: n, identity: identity, asked: make(chan struct{}, 1), skipped: make(chan struct{}, 1), Peers: peerlink.NewPeers(identity, peerlink.Options{
 		Clock:   n.Clock,
 		Counted: n.Metrics.peersRefused.Inc,
 		Refused: func(r peerlink.Refusal) {
@@ -42,14 +47,23 @@
 }
 
 // noteAnnouncement notes that an announcement was read. It runs on the state goroutine.
-func (l *PeerLinks) noteAnnouncement(now time.Duration, writer string, accepted bool) {
-	own := writer == l.node.Self
+func (l *PeerLinks) noteAnnouncement(now time.Duration, r job.Record, accepted bool) {
+	own := r.Writer == l.node.Self
 	if own {
 		l.renewals.OwnRead(now)
+	} else if r.InstanceStarted.Asks {
+		l.noteAsk()
 	}
 	l.changed = l.changed || own || accepted
 }
 
+// noteKnown notes that an answer to an instance that asked was read, and whether it told of
+// instances that were not known. It runs on the state goroutine.
+func (l *PeerLinks) noteKnown(changed bool) {
+	l.unanswered = false
+	l.changed = l.changed || changed
+}
+
 // update replaces the instances that are accepted, if a batch of the log has changed them, and
 // returns the others. It runs on the state goroutine.
 func (l *PeerLinks) update(now time.Duration, instances map[string]job.Instance) (others []peering.Peer, changed bool) {
@@ -57,6 +71,13 @@
 		return nil, false
 	}
 	l.changed = false
+	others = l.renewals.Current(now, l.peersOf(instances))
+	l.Update(others)
+	return others, true
+}
+
+// peersOf returns the other instances.
+func (l *PeerLinks) peersOf(instances map[string]job.Instance) (others []peering.Peer) {
 	for name, i := range instances {
 		if name != l.node.Settings.Instance {
 			others = append(others, peering.Peer{
@@ -64,9 +85,7 @@
 			})
 		}
 	}
-	others = l.renewals.Current(now, others)
-	l.Update(others)
-	return others, true
+	return others
 }
 
 // refusedCallInterval is the time between two log lines of refused calls.
