An instance logs that it has stood still

Cause: a process that is paused, or gets no processor time, writes nothing of it.

Hypotheses on the check (12 to 27 requests to a cold target within 1 s, allowed 11), before any change of logic: 1. Two instances grant at once after the owner is lost: then the requests are granted ones, and come from several instances. 2. Requests bypass the allowance (hedges, score calls, relayed requests): then an instance that knows the target as cold exceeds what it was granted. 3. An instance that does not know that the target is cold sends as if it were warm: then the requests come from one instance, without a grant, and before it has read the target's new entry. A paused instance neither reads the entry nor sends a request that fails while the target is down.

Change: a tick every 100 ms; one that is half a second late writes "instance stood still" with the time, and counts in amaranth_hosted_standstills_total.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,6 +27,7 @@
 	peersRefused, entriesUnused      *metrics.Counter
 	TargetsCrashed, Condemned        *metrics.Counter
 	SuspectsServed, CondemnedRefused *metrics.Counter
+	standstills                      *metrics.Counter
 
 	allowancesGranted, allowancesDenied, allowancesUnanswered *metrics.Counter
 
@@ -68,6 +69,7 @@
 		Relayed:          set.NewCounter("amaranth_hosted_calls_relayed_total"),
 		peersRefused:     set.NewCounter("amaranth_hosted_peer_connections_refused_total"),
 		targetsDoubted:   set.NewCounter("amaranth_hosted_targets_doubted_total"),
+		standstills:      set.NewCounter("amaranth_hosted_standstills_total"),
 		entriesUnused:    set.NewCounter("amaranth_hosted_entries_unused_total"),
 		startsRead:       set.NewCounter("amaranth_hosted_target_starts_read_total"),
 		linksLost:        set.NewCounter("amaranth_hosted_links_lost_total"),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	contentCache *contentCache
 	dependencies dependencyStatus
 	starts       starts
+	standstill   standstill
 	connections  connections
 	stopping     chan struct{} // closed by stop
 	stopOnce     sync.Once
@@ -99,6 +100,7 @@
 		OnRecord:     func(time.Duration, job.Record, bool) {},
 	}
 	n.connections = connections{node: n, lost: map[string][]*targetConn{}, open: map[string]int{}}
+	n.standstill.node = n
 	n.Links = newLinkMonitor(n, cfg.DialTarget)
 	n.TargetClient = &http.Client{Transport: targetTransport{platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget)}, CheckRedirect: NoRedirect}
 	n.Peers = newPeerLinks(n)
@@ -127,7 +129,7 @@
 func (n *Node) Loops() []func(context.Context) error {
 	return []func(context.Context) error{
 		n.StateLoop.run, n.controlLog.run, n.contentLog.run, n.usageLog.run,
-		n.followLog, n.watchOperator, n.watchRegistry, n.publishWarmTargets,
+		n.followLog, n.watchOperator, n.watchRegistry, n.publishWarmTargets, n.standstill.run,
 		n.LogTransport.run, n.announce, n.Links.run,
 	}
 }
