An instance that has stood still takes its targets for cold

The requests of callers that had waited meanwhile, 8 to 15 of an instance, were sent within some 50 ms by the view from before the pause, without an allowance: the entry that says that the target is cold was not read, and no request of the instance had failed. Other instances kept to the rate all the while, so that neither two owners nor requests past the allowance explain it.

Change: right before the view is used to send something, a request or the start of a run, an instance finds out whether its last tick is half a second old. Then the targets of services with a cold start are in doubt for as long as the registry may be late, as after a readmission, and the view is published before the request goes on. The event says how many.

Evidence: the spec "gets no more requests a second from an instance that has stood still" fails without the change (none of 40 requests at once refused), and passes with it under -race.

--- a/core/directory/warmup.go
+++ b/core/directory/warmup.go
@@ -53,6 +53,17 @@
 	return !wasCold
 }
 
+// DoubtAll is Doubt for every target: nothing was heard of any of them for a while. It returns the
+// number of targets that count as cold only since.
+func (d *Directory) DoubtAll(now time.Duration) (doubted int) {
+	for id, t := range d.targets {
+		if d.Doubt(now, id, t.StartedAt) {
+			doubted++
+		}
+	}
+	return doubted
+}
+
 func (d *Directory) doubt(now time.Duration, id string) {
 	w := d.warmUps[id]
 	w.doubtedAt = now
--- a/core/directory/warmup_test.go
+++ b/core/directory/warmup_test.go
@@ -74,6 +74,19 @@
 		Expect(at).To(Equal(43 * time.Second))
 	})
 
+	It("takes all targets for cold when nothing was heard of them for a while", func() {
+		d.Put(9*time.Second, entry(2, 10, 4*time.Second))
+		other := entry(1, 10, 0)
+		other.ID, other.Service = "b", "desk"
+		d.Put(0, other)
+		Expect(d.DoubtAll(12*time.Second)).To(BeZero(), "it is cold already")
+		Expect(coldAt(14 * time.Second)).To(BeTrue())
+		Expect(coldAt(15 * time.Second)).To(BeFalse())
+		Expect(d.DoubtAll(20 * time.Second)).To(Equal(1))
+		Expect(coldAt(22 * time.Second)).To(BeTrue())
+		Expect(d.Targets(22 * time.Second)[1].Cold).To(BeFalse(), "a service without a cold start")
+	})
+
 	It("applies a configuration that is read after the entries", func() {
 		late := directory.New(2 * time.Second)
 		late.Put(0, entry(1, 10, 0))
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -210,6 +210,7 @@
 // no job before and now has one.
 func (r *runner) syncJobs(ctx context.Context) (becameBusy bool) {
 	b := r.batch
+	b.CheckStandstill(ctx)
 	state := r.readState(ctx)
 	r.occupancy.runners.Store(&state.runners)
 	view := b.CurrentView()
--- a/internal/forward/holdback.go
+++ b/internal/forward/holdback.go
@@ -34,6 +34,7 @@
 // awaitAllowance waits until a plain request may be sent to a target, if the target limits
 // its rate. It fails with a *noAllowanceError if that would take too long.
 func (f *Forwarder) awaitAllowance(ctx context.Context, p *PlainRequest, id string) error {
+	f.CheckStandstill(ctx)
 	t, found := f.CurrentView().Target(id)
 	if !found || !t.Limited {
 		return nil
--- a/internal/hosted/availability_test.go
+++ b/internal/hosted/availability_test.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -52,6 +54,17 @@
 	}
 }
 
+// jumpingClock is a clock that jumps when the process of its instance would have stood still.
+type jumpingClock struct {
+	clock.System
+	ahead atomic.Int64 // nanoseconds
+}
+
+// Now implements clock.Clock.
+func (c *jumpingClock) Now() time.Duration { return c.System.Now() + time.Duration(c.ahead.Load()) }
+
+func (c *jumpingClock) jump(d time.Duration) { c.ahead.Add(int64(d)) }
+
 var _ = Describe("An evacuated data centre", func() {
 	It("gets no request from any instance, also one that starts later, until it is readmitted", func() {
 		d := newDeployment(2, 1)
@@ -90,9 +103,8 @@
 })
 
 var _ = Describe("A cold target", func() {
-	// mostInSecond returns the largest number of requests that arrived at a target within a second.
-	mostInSecond := func(e *hostplatform.Engine) int {
-		arrivals, most := e.Arrivals(), 0
+	// mostInSecond returns the largest number of arrivals within a second.
+	mostInSecond := func(arrivals []time.Time) (most int) {
 		for i := range arrivals {
 			n := 0
 			for _, at := range arrivals[i:] {
@@ -135,7 +147,7 @@
 		}
 		Expect(refused).To(BeNumerically(">", 0))
 		for i, p := range d.plain {
-			Expect(mostInSecond(p)).To(BeNumerically("<=", int(1.5*perSecond)+5))
+			Expect(mostInSecond(p.Arrivals())).To(BeNumerically("<=", int(1.5*perSecond)+5))
 			Expect(len(p.Arrivals())).To(BeNumerically(">", before[i]), "the rate is used")
 		}
 	})
@@ -155,6 +167,33 @@
 			return view.status == http.StatusAccepted
 		}, eventuallyTimeout).Should(BeTrue())
 		checkOutputs(d.instances[0].awaitResults("j", 12), events)
-		Expect(mostInSecond(d.engines[0])).To(BeNumerically("<=", int(1.5*perSecond)+5))
+		Expect(mostInSecond(d.engines[0].Arrivals())).To(BeNumerically("<=", int(1.5*perSecond)+5))
+	})
+
+	// Guards against a burst of an instance that wakes after its targets have started again.
+	It("gets no more requests a second from an instance that has stood still", func() {
+		const perSecond = 4.0
+		d := newDeployment(1, 1)
+		d.awaitAnnouncements()
+		configureCold(d, perSecond)
+		for i := range d.plain {
+			d.alter(fmt.Sprint("p", i), map[string]any{"cold-remaining-ms": 0})
+		}
+		refused := func(responses map[string]response) (count int) {
+			for _, res := range responses {
+				if res.status == http.StatusServiceUnavailable {
+					count++
+				}
+			}
+			return count
+		}
+		Eventually(func() int { return refused(d.callAll(12, 0)) }, eventuallyTimeout).Should(BeZero(), "the targets are warm")
+		d.instances[0].logProxy.SetFault(hostplatform.Unresponsive)
+		before := []int{len(d.plain[0].Arrivals()), len(d.plain[1].Arrivals())}
+		d.instances[0].clock.jump(1400 * time.Millisecond)
+		Expect(refused(d.callAll(40, 0))).To(BeNumerically(">", 0))
+		for i, p := range d.plain {
+			Expect(mostInSecond(p.Arrivals()[before[i]:])).To(BeNumerically("<=", int(1.5*perSecond)+5))
+		}
 	})
 })
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -59,6 +59,7 @@
 	name             string
 	logProxy         *hostplatform.FaultProxy
 	links            *targetLinks
+	clock            *jumpingClock
 	frontAddress     string
 	readinessAddress string
 	peersAddress     string
@@ -257,13 +258,13 @@
 	d.mu.Lock()
 	d.logOutputs = append(d.logOutputs, logOutput)
 	d.mu.Unlock()
-	links := newTargetLinks()
+	links, clock := newTargetLinks(), &jumpingClock{}
 	d.starts[settings.Instance]++ // two incarnations of an instance must not draw the same name
 	instance := hosted.New(hosted.Config{
-		Settings: settings, LogOutput: logOutput, Random: rand.New(rand.NewPCG(uint64(number), uint64(d.starts[settings.Instance]))), Listen: listeners.listen, DialTarget: links.dial,
+		Settings: settings, LogOutput: logOutput, Clock: clock, Random: rand.New(rand.NewPCG(uint64(number), uint64(d.starts[settings.Instance]))), Listen: listeners.listen, DialTarget: links.dial,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
-	started := &testInstance{instance: instance, name: settings.Instance, logProxy: logProxy, links: links, frontAddress: settings.Front, readinessAddress: settings.Readiness, peersAddress: settings.Peers, metricsAddress: settings.Metrics, cancel: cancel, done: make(chan error, 1)}
+	started := &testInstance{instance: instance, name: settings.Instance, logProxy: logProxy, links: links, clock: clock, frontAddress: settings.Front, readinessAddress: settings.Readiness, peersAddress: settings.Peers, metricsAddress: settings.Metrics, cancel: cancel, done: make(chan error, 1)}
 	go func() { started.done <- instance.Run(ctx) }()
 	d.instances = append(d.instances, started)
 	return started
--- a/internal/node/standstill.go
+++ b/internal/node/standstill.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,8 +45,11 @@
 	return s.node.Clock.Now() - time.Duration(last)
 }
 
-// CheckStandstill notes a standstill of this process that has ended just now.
-func (n *Node) CheckStandstill(context.Context) {
+// CheckStandstill notes a standstill of this process that has ended just now. Targets may have
+// started again meanwhile, without a request of this instance that failed, and their entries have
+// not been read: those that may be cold count as cold for a while. It is called right before the
+// view is used to send something.
+func (n *Node) CheckStandstill(ctx context.Context) {
 	s := &n.standstill
 	if s.sinceTick() < standstillThreshold {
 		return
@@ -56,7 +60,17 @@
 	if stoodStill < standstillThreshold { // noted by another goroutine
 		return
 	}
+	doubted := 0
+	noted := n.StateLoop.Do(ctx, func() {
+		if doubted = n.StateLoop.targets.DoubtAll(n.Clock.Now()); doubted > 0 {
+			n.StateLoop.publish()
+		}
+	})
+	if !noted {
+		return
+	}
 	n.Metrics.standstills.Inc()
-	n.Log("instance stood still", events.F("for", stoodStill.Round(time.Millisecond).String()))
+	n.Metrics.targetsDoubted.Add(doubted)
+	n.Log("instance stood still", events.F("for", stoodStill.Round(time.Millisecond).String()), events.F("doubted", fmt.Sprint(doubted)))
 	s.lastTick.Store(int64(n.Clock.Now()))
 }
