A target that closes connections in use counts as one that may be cold

Cause: the target crashed between two requests of one instance, 280 ms after the first and 1.3 s before the next, and had started again by then. That instance could not read the registry from 0.16 s before the start until 1.8 s after it (the log refuses all reads), so it went on at the rate of a warm target, ten requests in the first second; the three others had each seen a request fail and kept to the rate. That the target had closed its connections was only counted.

Change: a connection that the target closes or resets without a word in the response, within a second of its last use, puts the target in doubt, as a request without an answer does. Connections idle for longer may be closed by the target at any time and say nothing.

Evidence: "TestTargetThatClosesConnectionsInUseMayBeCold" fails without the change ("cold is false, want true"), and passes with it, also its entry for an idle connection.

--- a/internal/node/availability.go
+++ b/internal/node/availability.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
@@ -18,6 +19,9 @@
 // warmCheckInterval bounds how late a target that has become warm gets its full load.
 const warmCheckInterval = 250 * time.Millisecond
 
+// brokenNoteTimeout bounds the wait for the state goroutine, which may have ended.
+const brokenNoteTimeout = time.Second
+
 // coldStarts returns the cold starts of the services whose targets may be cold.
 func coldStarts(c *catalog.Catalog) map[string]directory.ColdStart {
 	out := map[string]directory.ColdStart{}
@@ -66,16 +70,40 @@
 // NoteNoAnswer records that a target did not answer a request: it may have started again and be
 // cold. An attempt that this instance canceled says nothing.
 func (n *Node) NoteNoAnswer(ctx context.Context, t directory.Target) {
-	if ctx.Err() != nil || t.Cold {
+	if ctx.Err() == nil {
+		n.doubt(ctx, t, "no answer")
+	}
+}
+
+// noteConnectionBroken records that the target with the address has closed a connection that was
+// in use a moment before: it may have crashed, and be cold when it answers again. It does not wait
+// for the record.
+func (n *Node) noteConnectionBroken(address string) {
+	view := n.CurrentView()
+	i := slices.IndexFunc(view.Targets, func(t directory.Target) bool { return t.Address == address })
+	if i < 0 || !hasColdStart(view, view.Targets[i]) {
 		return
 	}
-	if view := n.CurrentView(); view.Catalog == nil || view.Catalog.Services[t.Service].ColdPerSecond <= 0 {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), brokenNoteTimeout)
+		defer cancel()
+		n.doubt(ctx, view.Targets[i], "connection closed")
+	}()
+}
+
+func hasColdStart(view *View, t directory.Target) bool {
+	return view.Catalog != nil && view.Catalog.Services[t.Service].ColdPerSecond > 0
+}
+
+// doubt records that the target may have started again and be cold.
+func (n *Node) doubt(ctx context.Context, t directory.Target, reason string) {
+	if t.Cold || !hasColdStart(n.CurrentView(), t) {
 		return
 	}
 	n.StateLoop.Do(ctx, func() {
 		if n.StateLoop.targets.Doubt(n.Clock.Now(), t.ID, t.StartedAt) {
 			n.Metrics.targetsDoubted.Inc()
-			n.Log("target may be cold", events.F("target", t.ID), events.F("reason", "no answer"))
+			n.Log("target may be cold", events.F("target", t.ID), events.F("reason", reason))
 			n.StateLoop.publish()
 		}
 	})
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -115,11 +115,21 @@
 		c.usedAt.Store(int64(c.connections.node.Clock.Now()))
 	}
 	if errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) {
-		c.byTarget.Store(true)
+		c.closedByTarget()
 	}
 	return n, err
 }
 
+// closedByTarget notes that the target has closed or reset the connection. A connection in use is
+// not closed for idleness: without a word in the response, the target may have crashed.
+func (c *targetConn) closedByTarget() {
+	announced := c.byTarget.Swap(true)
+	usedAt, now := c.usedAt.Load(), int64(c.connections.node.Clock.Now())
+	if !announced && usedAt > 0 && now-usedAt < int64(idleBeforeClose) {
+		c.connections.node.noteConnectionBroken(c.address)
+	}
+}
+
 // Write implements net.Conn.
 func (c *targetConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -7,9 +7,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -80,3 +84,55 @@
 		}
 	}
 }
+
+// jumpingClock is the system's clock, set ahead.
+type jumpingClock struct {
+	clock.System
+	ahead atomic.Int64 // nanoseconds
+}
+
+func (c *jumpingClock) Now() time.Duration { return c.System.Now() + time.Duration(c.ahead.Load()) }
+
+// Guards against a burst to a target that has crashed and started again between two requests of an
+// instance that cannot read the registry.
+func TestTargetThatClosesConnectionsInUseMayBeCold(t *testing.T) {
+	for _, c := range []struct {
+		idle time.Duration
+		cold bool
+	}{{0, true}, {2 * idleBeforeClose, false}} {
+		jumping := &jumpingClock{}
+		n := New(Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard, Clock: jumping})
+		go func() { _ = n.StateLoop.run(t.Context()) }()
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		defer server.Close()
+		address := server.Listener.Addr().String()
+		state := n.StateLoop
+		state.Do(t.Context(), func() {
+			state.catalog = &catalog.Catalog{Services: map[string]catalog.Service{"s": {ColdPerSecond: 4}}}
+			state.targets.SetColdStarts(coldStarts(state.catalog), n.RegistryDelay())
+			state.targets.Put(jumping.Now(), directory.Target{ID: "a", Service: "s", Address: address, Ready: true, ColdStated: true})
+		})
+		jumping.ahead.Add(int64(n.RegistryDelay()))
+		state.update(t.Context(), func() {})
+		changed := state.NextChange()
+		res, err := n.TargetClient.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = res.Body.Close()
+		jumping.ahead.Add(int64(c.idle))
+		server.CloseClientConnections()
+		for deadline := time.Now().Add(time.Minute); n.OpenConnections(address) > 0 && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		if c.cold {
+			select {
+			case <-changed:
+			case <-time.After(10 * time.Second):
+			}
+		}
+		if target, _ := n.CurrentView().Target("a"); target.Cold != c.cold {
+			t.Errorf("closed after %s without use: cold is %t, want %t", c.idle, target.Cold, c.cold)
+		}
+	}
+}
