A target stays in doubt from the latest request without an answer

Cause: a target of a service with a cold start is in doubt for as long as the registry may be late, counted from the first request that got no answer. Those that followed while the target was in doubt said nothing. A target that was down for 2.9 of the 3 s counted as warm 0.1 s after its start, with up to 2.9 s to go until its entry is read.

Change: each request without an answer starts the doubt anew. It costs a function on the state goroutine for each of them; the view is published only when it changes.

Evidence: "TestDoubtLastsFromTheLatestRequestWithoutAnswer" fails without the change.

--- a/internal/node/availability.go
+++ b/internal/node/availability.go
@@ -95,9 +95,10 @@
 	return view.Catalog != nil && view.Catalog.Services[t.Service].ColdPerSecond > 0
 }
 
-// doubt records that the target may have started again and be cold.
+// doubt records that the target may have started again and be cold. It does so also while the
+// target is in doubt: the start may follow any request that gets no answer.
 func (n *Node) doubt(ctx context.Context, t directory.Target, reason string) {
-	if t.Cold || !hasColdStart(n.CurrentView(), t) {
+	if !hasColdStart(n.CurrentView(), t) {
 		return
 	}
 	n.StateLoop.Do(ctx, func() {
--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -93,6 +93,38 @@
 
 func (c *jumpingClock) Now() time.Duration { return c.System.Now() + time.Duration(c.ahead.Load()) }
 
+// coldStartNode returns a node that knows the target "a" at the address, of a service with a cold
+// start, as warm.
+func coldStartNode(t *testing.T, jumping *jumpingClock, address string) *Node {
+	n := New(Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard, Clock: jumping})
+	go func() { _ = n.StateLoop.run(t.Context()) }()
+	state := n.StateLoop
+	state.Do(t.Context(), func() {
+		state.catalog = &catalog.Catalog{Services: map[string]catalog.Service{"s": {ColdPerSecond: 4}}}
+		state.targets.SetColdStarts(coldStarts(state.catalog), n.RegistryDelay())
+		state.targets.Put(jumping.Now(), directory.Target{ID: "a", Service: "s", Address: address, Ready: true, ColdStated: true})
+	})
+	jumping.ahead.Add(int64(n.RegistryDelay()))
+	state.update(t.Context(), func() {})
+	return n
+}
+
+// Guards against a burst to a target that is back after some seconds: the doubt lasted from the
+// first request without an answer.
+func TestDoubtLastsFromTheLatestRequestWithoutAnswer(t *testing.T) {
+	jumping := &jumpingClock{}
+	n := coldStartNode(t, jumping, "10.0.0.1:1")
+	for range 2 {
+		target, _ := n.CurrentView().Target("a")
+		n.NoteNoAnswer(t.Context(), target)
+		jumping.ahead.Add(int64(n.RegistryDelay()) * 3 / 4)
+	}
+	n.StateLoop.update(t.Context(), func() {})
+	if target, _ := n.CurrentView().Target("a"); !target.Cold {
+		t.Error("the target counts as warm")
+	}
+}
+
 // Guards against a burst to a target that has crashed and started again between two requests of an
 // instance that cannot read the registry.
 func TestTargetThatClosesConnectionsInUseMayBeCold(t *testing.T) {
@@ -101,20 +133,11 @@
 		cold bool
 	}{{0, true}, {2 * idleBeforeClose, false}} {
 		jumping := &jumpingClock{}
-		n := New(Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard, Clock: jumping})
-		go func() { _ = n.StateLoop.run(t.Context()) }()
 		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 		defer server.Close()
 		address := server.Listener.Addr().String()
-		state := n.StateLoop
-		state.Do(t.Context(), func() {
-			state.catalog = &catalog.Catalog{Services: map[string]catalog.Service{"s": {ColdPerSecond: 4}}}
-			state.targets.SetColdStarts(coldStarts(state.catalog), n.RegistryDelay())
-			state.targets.Put(jumping.Now(), directory.Target{ID: "a", Service: "s", Address: address, Ready: true, ColdStated: true})
-		})
-		jumping.ahead.Add(int64(n.RegistryDelay()))
-		state.update(t.Context(), func() {})
-		changed := state.NextChange()
+		n := coldStartNode(t, jumping, address)
+		changed := n.StateLoop.NextChange()
 		res, err := n.TargetClient.Get(server.URL)
 		if err != nil {
 			t.Fatal(err)
