A target in doubt counts as warm only once the registry has been read

Cause: an instance takes a target that did not answer for cold as long as the registry may be late, 3 s. That the registry is read in these 3 s was assumed.

Change: the directory is told of which time all entries were read. A doubt is over when that is the end of the 3 s, and in any case after the duration of a cold start more, so that an outage of the registry does not limit the requests for good.

Evidence: "takes a target in doubt for cold until the registry has been read" states both ends; there was no such rule before.

--- a/core/directory/directory.go
+++ b/core/directory/directory.go
@@ -52,6 +52,7 @@
 	warmUps     map[string]warmUp // by id
 	coldStarts  map[string]ColdStart
 	entryDelay  time.Duration // how late an entry may say that its target is cold
+	currentAt   time.Duration // see RegistryCurrent
 }
 
 // MaxReclaimNotice bounds the time until a target is reclaimed: a longer one is no notice, and
--- a/core/directory/warmup.go
+++ b/core/directory/warmup.go
@@ -23,15 +23,25 @@
 	doubtedAt time.Duration
 }
 
-// coldEnd returns when the target counts as warm.
-func (w warmUp) coldEnd(c ColdStart, entryDelay time.Duration) time.Duration {
+// coldEnd returns when the target counts as warm, as of now. A doubt ends once the entries of the
+// time in which the target could say that it is cold have been read; while they cannot be read, when
+// a target that started again as late as the registry may be would be warm.
+func (d *Directory) coldEnd(now time.Duration, t Target) time.Duration {
+	w, c := d.warmUps[t.ID], d.coldStarts[t.Service]
 	end := w.registeredAt + c.Duration
 	if w.stated {
 		end = w.coldUntil
 	}
-	return max(end, w.doubtedAt+entryDelay)
+	doubtEnd := w.doubtedAt + d.entryDelay
+	if now >= doubtEnd && d.currentAt < doubtEnd {
+		doubtEnd += c.Duration
+	}
+	return max(end, doubtEnd)
 }
 
+// RegistryCurrent records that every entry that was in the registry at the time at was passed in.
+func (d *Directory) RegistryCurrent(at time.Duration) { d.currentAt = at }
+
 // SetColdStarts replaces the cold starts of the services, by name. entryDelay is how late the
 // registry may say that a target has become cold.
 func (d *Directory) SetColdStarts(byService map[string]ColdStart, entryDelay time.Duration) {
@@ -87,7 +97,7 @@
 
 // cold reports whether the target is cold at now, or may be.
 func (d *Directory) cold(now time.Duration, t Target) bool {
-	return d.HasColdStart(t.Service) && now < d.warmUps[t.ID].coldEnd(d.coldStarts[t.Service], d.entryDelay)
+	return d.HasColdStart(t.Service) && now < d.coldEnd(now, t)
 }
 
 // applyWarmUp sets the limit of a cold target.
@@ -101,14 +111,14 @@
 	}
 }
 
-// NextWarm returns when the next cold target stops being cold, after now. It returns false if
-// no target is cold.
+// NextWarm returns when the next cold target stops being cold, after now, if the registry is read
+// until then. It returns false if no target is cold.
 func (d *Directory) NextWarm(now time.Duration) (at time.Duration, found bool) {
-	for id, t := range d.targets {
+	for _, t := range d.targets {
 		if !d.cold(now, t) {
 			continue
 		}
-		if end := d.warmUps[id].coldEnd(d.coldStarts[t.Service], d.entryDelay); !found || end < at {
+		if end := d.coldEnd(now, t); !found || end < at {
 			at, found = end, true
 		}
 	}
--- a/core/directory/warmup_test.go
+++ b/core/directory/warmup_test.go
@@ -19,6 +19,7 @@
 		}
 	}
 	coldAt := func(now time.Duration) bool {
+		d.RegistryCurrent(now)
 		t := d.Targets(now)[0]
 		if t.Cold {
 			Expect(t.Limited).To(BeTrue())
@@ -74,6 +75,20 @@
 		Expect(at).To(Equal(43 * time.Second))
 	})
 
+	It("takes a target in doubt for cold until the registry has been read", func() {
+		d.RegistryCurrent(9 * time.Second)
+		d.Doubt(10*time.Second, "a", 10)
+		coldUnread := func(now time.Duration) bool { return d.Targets(now)[0].Cold }
+		at, _ := d.NextWarm(12 * time.Second)
+		Expect(at).To(Equal(13 * time.Second))
+		d.RegistryCurrent(13*time.Second - 1)
+		Expect(coldUnread(13 * time.Second)).To(BeTrue())
+		Expect(coldUnread(17*time.Second - 1)).To(BeTrue())
+		Expect(coldUnread(17*time.Second)).To(BeFalse(), "no start can be that late")
+		d.RegistryCurrent(13 * time.Second)
+		Expect(coldUnread(14 * time.Second)).To(BeFalse())
+	})
+
 	It("takes all targets for cold when nothing was heard of them for a while", func() {
 		d.Put(9*time.Second, entry(2, 10, 4*time.Second))
 		other := entry(1, 10, 0)
@@ -93,6 +108,7 @@
 		Expect(late.Targets(time.Second)[0].Cold).To(BeFalse(), "no service with a cold start is known")
 		late.SetColdStarts(map[string]directory.ColdStart{"models": {PerSecond: 8}}, entryDelay)
 		Expect(late.Targets(time.Second)[0].Cold).To(BeTrue())
+		late.RegistryCurrent(entryDelay)
 		Expect(late.Targets(entryDelay)[0].Cold).To(BeFalse())
 	})
 
--- a/internal/node/keyed.go
+++ b/internal/node/keyed.go
@@ -23,6 +23,7 @@
 	put          func(now time.Duration, e platform.Entry)     // called with each entry
 	retain       func(now time.Duration, keys map[string]bool) // nil, or called with all keys of the topic
 	outage       func(now time.Duration)                       // nil, or called after an outage
+	current      func(at time.Duration)                        // nil, or called when all entries of the time at were put
 }
 
 // followKeyed reads the latest entry of each key, then further entries until ctx ends.
@@ -49,12 +50,18 @@
 		if n.markRead(k.lastRead) && k.outage != nil {
 			n.StateLoop.Do(ctx, func() { k.outage(n.Clock.Now()) })
 		}
+		put := func() {
+			for _, e := range entries {
+				k.put(n.Clock.Now(), e)
+			}
+			if k.current != nil && next >= end {
+				k.current(started)
+			}
+		}
 		if len(entries) > 0 {
-			n.StateLoop.update(ctx, func() {
-				for _, e := range entries {
-					k.put(n.Clock.Now(), e)
-				}
-			})
+			n.StateLoop.update(ctx, put)
+		} else if k.current != nil {
+			n.StateLoop.Do(ctx, put)
 		}
 		if k.nextOffset != nil {
 			k.nextOffset.Store(next)
@@ -166,7 +173,8 @@
 			}
 			n.StateLoop.targets.Put(now, t)
 		},
-		retain: func(now time.Duration, keys map[string]bool) { n.StateLoop.targets.Retain(now, keys) },
-		outage: func(now time.Duration) { n.StateLoop.targets.RegistryRestored(now) },
+		retain:  func(now time.Duration, keys map[string]bool) { n.StateLoop.targets.Retain(now, keys) },
+		outage:  func(now time.Duration) { n.StateLoop.targets.RegistryRestored(now) },
+		current: func(at time.Duration) { n.StateLoop.targets.RegistryCurrent(at) },
 	})
 }
