An instance that has skipped records of the log has no other results

Callers would read, at an instance that was cut off or paused for longer than the log keeps its records, or has started late, other results at the positions of a job than before (TWICE), or an end of the results where there are more (LOST). A submission that came again there was accepted as a new job and run and listed by itself.

Cause: what the state had not read counted as not there. After `log trimmed` it went on with jobs whose results, claims and ends were among the skipped records, and took a repeated submission for the first. The identity was missing: which submission a record belongs to, and which results it comes after.

Change: jobs without all results are incomplete after a gap. Such a job keeps the results that were read before, answers 503 after them, and is neither claimed nor run here; records about it, and about jobs that are not known, are kept. The instance asks for these jobs in one record, and an instance that has read all records of one, first its runner, restates it as of a record; the kept records after that are applied. A submission names how far its writer had read, so that one right after the gap is known to be the first; an instance that cannot know refuses it with 503 while it may be a repetition. Nothing is written unless records were skipped.

The model of stored events skips what it says (it was one record off), and compares the parts that a restated job has with those of the log.

--- a/core/job/fuzz_test.go
+++ b/core/job/fuzz_test.go
@@ -31,6 +31,10 @@
 		for i, earlier := range []job.Record{submitted("j", "n1", "x", "y"), submitted("k", "n1", "y"), r, r, submitted("l", "n1", "x", "y")} {
 			s.Apply(int64(i), time.Duration(i)*time.Second, earlier)
 		}
+		s.SkipTo(6)
+		for i, later := range []job.Record{r, submitted("n", "n1", "z"), r} {
+			s.Apply(int64(6+i), time.Minute, later)
+		}
 		for _, j := range s.Jobs {
 			j.OpenDuration(time.Minute)
 			for task := range j.Tasks {
@@ -67,6 +71,8 @@
 		{InstanceStarted: &job.InstanceStarted{StartedAt: math.MinInt64}},
 		{InstanceLeaving: &job.InstanceLeaving{}, Claimed: &job.Claimed{}},
 		{StreamStarted: &job.StreamStarted{}},
+		{JobsRequested: &job.JobsRequested{Jobs: []string{"", "j", "none"}}},
+		{Restated: &job.Restated{ReadTo: math.MaxInt64}},
 	}
 	for _, task := range []int{-1, 2, math.MinInt, math.MaxInt} {
 		records = append(records,
@@ -75,6 +81,10 @@
 				Unscored: []job.CompleteOutput{{Task: task, Location: location}, {Task: 0}}, ScoreFailures: []job.ScoreFailure{{Task: task, Count: math.MinInt}},
 			}},
 			job.Record{Listed: &job.Listed{Job: "j", Results: []job.Result{{Task: task}, {Task: 1}, {Task: 1}}}},
+			job.Record{Restated: &job.Restated{
+				Submitted: job.Submitted{Job: "j", Tasks: []job.TaskRef{{}, {}}}, Term: -1, ReadTo: math.MaxInt64, Results: []job.Result{{Task: task}, {Task: task}},
+				Tasks: []job.RestatedTask{{Task: task}, {Task: 1, Failures: -1, Chunks: []job.Chunk{{Task: task, First: 1, Last: math.MinInt64}}}},
+			}},
 		)
 	}
 	return records
--- a/core/job/lease.go
+++ b/core/job/lease.go
@@ -32,13 +32,15 @@
 
 // SkipTo makes the state go on at the offset: the log does not keep the records before. The
 // holders of leases may have changed in them and are unknown until two records are read of which
-// one supersedes the other.
+// one supersedes the other. Jobs about which there may be records are incomplete until they are
+// restated.
 func (s *State) SkipTo(offset int64) {
 	from := LeaseOffset(offset)
 	s.skipped = leaseGap{from: from, last: from - 1}
 	s.lastRead = from - 1
 	clear(s.Leases)
 	clear(s.leaseGaps)
+	s.skipJobs(from)
 }
 
 // UnknownLease returns whether it is unknown who holds the lease, since records were skipped. If
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -21,6 +21,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/amaranthfold/amaranthfold/core/poison"
+	"github.com/amaranthfold/amaranthfold/core/record"
 )
 
 // Task is one request of a job.
@@ -82,6 +83,8 @@
 	TargetCrashed   *TargetCrashed   `cbor:"16,keyasint,omitempty"`
 	SuspectServed   *SuspectServed   `cbor:"17,keyasint,omitempty"`
 	Condemned       *Condemned       `cbor:"18,keyasint,omitempty"`
+	JobsRequested   *JobsRequested   `cbor:"19,keyasint,omitempty"`
+	Restated        *Restated        `cbor:"20,keyasint,omitempty"`
 }
 
 // Submitted submits a job. The first one of a job's id is accepted, later ones are rejected.
@@ -102,6 +105,10 @@
 	Runner        string     `cbor:"14,keyasint"`
 	// Configuration is the version that has the route, zero in records of earlier builds.
 	Configuration int64 `cbor:"15,keyasint,omitempty"`
+	// ReadTo is the last record that the writer had read, as in lease records. It knows each job
+	// that was submitted up to there and may be submitted again: there was none of this id. Zero, as
+	// in records of earlier builds: this is not stated.
+	ReadTo record.Offset `cbor:"16,keyasint,omitempty"`
 }
 
 // TaskRef identifies a task of a job.
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -29,6 +29,9 @@
 	MaxSlotWait time.Duration
 	// ListedAtClaim is the number of results at the latest accepted claim.
 	ListedAtClaim int
+	// Incomplete is set while records about the job may have been skipped: Results is then the
+	// beginning of the job's results, and the other fields are as of the last record before.
+	Incomplete bool
 
 	taskIndex map[string]int
 }
@@ -71,6 +74,7 @@
 	skipped   leaseGap            // of leases of which no record was read since; zero: nothing was skipped
 	leaseGaps map[string]leaseGap // of the other leases that are unknown, by name
 	lastRead  record.Offset       // last record that was applied or skipped
+	gap       gap                 // of the jobs whose records may be among the skipped
 }
 
 // LoadOrder is an announced load of weights and when it was read, by the reader's clock.
@@ -117,14 +121,21 @@
 	return &State{
 		Jobs: map[string]*Job{}, Leases: map[string]fold.Lease{}, Windows: map[int64]*Window{},
 		LoadOrders: map[string]LoadOrder{}, Instances: map[string]Instance{}, Runners: map[string]Runner{}, tasks: map[taskKey]jobTask{},
-		streams: streams{software: map[string]string{}}, leaseGaps: map[string]leaseGap{},
+		streams: streams{software: map[string]string{}}, leaseGaps: map[string]leaseGap{}, gap: gap{requests: map[string]request{}},
 	}
 }
 
 // Apply applies the record at offset, read at now by the reader's clock. It reports whether
-// the record was accepted.
+// the record was accepted. One about a job that is not whole is kept until the job is restated.
 func (s *State) Apply(offset int64, now time.Duration, r Record) bool {
 	s.lastRead = LeaseOffset(offset)
+	if s.keep(s.lastRead, now, r) {
+		return false
+	}
+	return s.apply(offset, now, r)
+}
+
+func (s *State) apply(offset int64, now time.Duration, r Record) bool {
 	switch {
 	case r.Submitted != nil:
 		return s.applySubmitted(now, r)
@@ -154,6 +165,10 @@
 		return s.applyStreamStarted(now, *r.StreamStarted)
 	case r.InstanceLeaving != nil:
 		return s.removeRunner(r.Writer)
+	case r.JobsRequested != nil:
+		return s.applyRequested(now, *r.JobsRequested)
+	case r.Restated != nil:
+		return s.applyRestated(now, r.Writer, *r.Restated)
 	default:
 		return false
 	}
@@ -302,19 +317,24 @@
 	s.markRunnerSeen(j, writer, now)
 	changed := false
 	for _, result := range listed.Results {
-		if result.Task < 0 || result.Task >= len(j.Status) || j.Status[result.Task].Listed {
-			continue
-		}
-		if len(j.Results)+1 == len(j.Tasks) {
-			j.markClosed(now)
-		}
-		j.Status[result.Task].Listed, j.Status[result.Task].Position = true, len(j.Results)
-		j.Results = append(j.Results, result)
-		changed = true
+		changed = j.list(now, result) || changed
 	}
 	return changed
 }
 
+// list adds a result if it is the first of its task.
+func (j *Job) list(now time.Duration, result Result) bool {
+	if result.Task < 0 || result.Task >= len(j.Status) || j.Status[result.Task].Listed {
+		return false
+	}
+	if len(j.Results)+1 == len(j.Tasks) {
+		j.markClosed(now)
+	}
+	j.Status[result.Task].Listed, j.Status[result.Task].Position = true, len(j.Results)
+	j.Results = append(j.Results, result)
+	return true
+}
+
 func (s *State) applyEnded(now time.Duration, e Ended) bool {
 	j := s.Jobs[e.Job]
 	if j == nil || j.Ended {
@@ -352,6 +372,7 @@
 			continue
 		}
 		delete(s.Jobs, id)
+		delete(s.gap.requests, id)
 		for i, t := range j.Tasks {
 			key := taskKey{j.Account, t.ID}
 			if s.tasks[key] == (jobTask{id, i}) {
--- a/internal/batch/batch.go
+++ b/internal/batch/batch.go
@@ -19,6 +19,7 @@
 	runner       *runner
 	resultWriter *resultWriter
 	scorer       *scorer
+	restater     *restater
 }
 
 // New returns the batch role of a node. It sends score calls and responses to callers
@@ -28,13 +29,14 @@
 	b.runner = newRunner(b)
 	b.resultWriter = newResultWriter(b)
 	b.scorer = newScorer(b)
+	b.restater = newRestater(b)
 	return b
 }
 
 // Loops returns the functions that run, record, score and claim jobs. Each runs until its
 // context ends.
 func (b *Batch) Loops() []func(context.Context) error {
-	return []func(context.Context) error{b.runner.run, b.runner.occupancy.exchange.Run, b.resultWriter.run, b.scorer.run, b.claimOrphans}
+	return []func(context.Context) error{b.runner.run, b.runner.occupancy.exchange.Run, b.resultWriter.run, b.scorer.run, b.claimOrphans, b.restater.run}
 }
 
 // OccupancyHandler serves messages of other runners about the engines that they use.
--- a/internal/batch/chains_test.go
+++ b/internal/batch/chains_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"reflect"
 	"slices"
 	"strings"
 	"testing"
@@ -71,6 +72,12 @@
 
 func (i *chainInstance) name() string { return fmt.Sprintf("n%d/%d", i.number, i.incarnation) }
 
+// whole reports whether the instance has read all records of the job.
+func (i *chainInstance) whole() bool {
+	j := i.state.Jobs["j"]
+	return j != nil && !j.Incomplete
+}
+
 func (m *chainModel) append(r job.Record) {
 	m.changed = true
 	m.log = append(m.log, r)
@@ -115,7 +122,7 @@
 	case action < 18 && len(i.loading) > 0: // a load of the job ends
 		i.output, i.left, i.run = m.loaded(i), nil, 0
 		i.loading = i.loading[1:]
-	case action < 19 && i.applied == len(m.log) && i.state.Jobs["j"] != nil && i.state.Jobs["j"].Runner != i.name():
+	case action < 19 && i.applied == len(m.log) && i.whole() && i.state.Jobs["j"].Runner != i.name():
 		i.queue = append(i.queue, job.Record{Writer: i.name(), Claimed: &job.Claimed{Job: "j", Term: i.state.Jobs["j"].Term + 1, Runner: i.name()}})
 	case action == 19:
 		m.disturb(i)
@@ -130,7 +137,7 @@
 	}
 	if m.random.IntN(8) == 0 { // the log does not keep what it has not read
 		i.applied += m.random.IntN(len(m.log) - i.applied + 1)
-		i.state.SkipTo(int64(i.applied))
+		i.state.SkipTo(int64(i.applied) + 1) // offsets count from 1 here
 		m.note(i, "skips records up to %d", i.applied)
 		return
 	}
@@ -165,17 +172,26 @@
 		m.changed = true
 		r := m.log[i.applied-1]
 		i.state.Apply(int64(i.applied), 0, r)
-		if j := i.state.Jobs["j"]; m.seed%2 == 0 && j != nil && r.Progress != nil && r.Writer == i.name() && j.Runner == i.name() && i.output != nil && !j.Status[0].IsLatestChunk(r.Progress.Chunks[0]) {
+		if j := i.state.Jobs["j"]; m.seed%2 == 0 && i.whole() && r.Progress != nil && r.Writer == i.name() && j.Runner == i.name() && i.output != nil && !j.Status[0].IsLatestChunk(r.Progress.Chunks[0]) {
 			i.output.refused(r.Progress.Chunks[0].Location)
 		}
 	}
+	if missing := i.state.Missing(); len(missing) > 0 && m.random.IntN(4) == 0 {
+		i.queue = append(i.queue, job.Record{Writer: i.name(), JobsRequested: &job.JobsRequested{Jobs: missing}})
+	}
+	if _, requested := i.state.Requested()["j"]; requested && m.random.IntN(4) == 0 {
+		restated, _ := i.state.Restate("j")
+		i.queue = append(i.queue, job.Record{Writer: i.name(), Restated: &restated})
+		m.note(i, "restates the job, read to %d", restated.ReadTo-1)
+	}
 	j := i.state.Jobs["j"]
 	switch {
 	case j == nil:
-	case j.Runner == i.name() && i.output == nil && len(i.loading) == 0:
+	case j.Incomplete && i.output == nil:
+	case !j.Incomplete && j.Runner == i.name() && i.output == nil && len(i.loading) == 0:
 		i.loading = append(i.loading, slices.Clone(j.Status[0].ContiguousChunks(0)))
 		m.note(i, "takes the job")
-	case j.Runner != i.name() && i.output != nil:
+	case (j.Incomplete || j.Runner != i.name()) && i.output != nil:
 		i.output.stopRun()
 		if m.random.IntN(6) == 0 { // it is kept for a while only
 			i.left = i.output
@@ -202,6 +218,11 @@
 // check compares the stored events with the runs that generated them, as an instance knows them that
 // has read all records, and as each of the others does.
 func (m *chainModel) check() error {
+	for _, i := range m.instances {
+		if i.whole() && i.applied == len(m.log) && !reflect.DeepEqual(chunkLocations(i.state), chunkLocations(m.state)) {
+			return fmt.Errorf("%s has the parts %v, not %v", i.name(), chunkLocations(i.state), chunkLocations(m.state))
+		}
+	}
 	for _, state := range append(m.states(), m.state) {
 		if j := state.Jobs["j"]; j != nil {
 			if err := m.checkChunks(j.Status[0].ContiguousChunks(0)); err != nil {
@@ -212,6 +233,13 @@
 	return nil
 }
 
+func chunkLocations(s *job.State) (out []job.Location) {
+	for _, c := range s.Jobs["j"].Status[0].ContiguousChunks(0) {
+		out = append(out, c.Location)
+	}
+	return out
+}
+
 func (m *chainModel) states() (out []*job.State) {
 	for _, i := range m.instances {
 		out = append(out, i.state)
--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -51,6 +51,11 @@
 		b.forwarder.Respond(c, http.StatusConflict, "another job has the request id")
 		return
 	}
+	readTo, isNew := b.isNewJob(ctx, c.ID)
+	if !isNew {
+		b.forwarder.Refuse(c, errRecordsSkipped.Error())
+		return
+	}
 	if err := checkScorers(c.View.Catalog, sub.Tasks); err != nil {
 		b.forwarder.Deny(c, http.StatusBadRequest, err.Error())
 		return
@@ -66,7 +71,9 @@
 		return
 	}
 	b.runner.cacheTasks(cacheKey(c.Account, c.ID), sub.Tasks)
-	switch err := b.AppendRecord(ctx, job.Record{Submitted: b.newSubmitted(c, sub, locations, b.chooseRunner(ctx, sub.Model))}); {
+	submitted := b.newSubmitted(c, sub, locations, b.chooseRunner(ctx, sub.Model))
+	submitted.ReadTo = readTo
+	switch err := b.AppendRecord(ctx, job.Record{Submitted: submitted}); {
 	case err == nil:
 		b.respondAccepted(c, len(sub.Tasks), "new")
 	case errors.Is(err, node.ErrNotAppended):
@@ -164,26 +171,6 @@
 	c.Writer.WriteHeader(http.StatusAccepted)
 }
 
-// jobOwner returns the account of the job of the id, as far as the log was read.
-func (b *Batch) jobOwner(ctx context.Context, id string) (account string, known bool) {
-	b.StateLoop.Do(ctx, func() {
-		if j := b.StateLoop.State.Jobs[id]; j != nil {
-			account, known = j.Account, true
-		}
-	})
-	return account, known
-}
-
-// hasJob reports whether the account of the request has a job of the id, as far as the
-// log was read.
-func (b *Batch) hasJob(ctx context.Context, c *forward.CallerRequest, id string) (found bool) {
-	b.StateLoop.Do(ctx, func() {
-		j := b.StateLoop.State.Jobs[id]
-		found = j != nil && j.Account == c.Account
-	})
-	return found
-}
-
 // ServeJobRequest serves a request about a submitted job.
 func (b *Batch) ServeJobRequest(c *forward.CallerRequest, jobRequest platform.JobRequest) {
 	ctx, cancel := context.WithTimeout(c.Request.Context(), c.Wait+readTimeout)
@@ -208,37 +195,6 @@
 	}
 }
 
-// KnowsJob reports whether the account of the request's key has a job of the id. It fails if this
-// instance cannot be sure.
-func (b *Batch) KnowsJob(c *forward.CallerRequest, id string) (bool, error) {
-	account, keyFound := c.View.Catalog.AccountByKey(c.Key)
-	if !keyFound {
-		return false, nil
-	}
-	c.Account = account.Name
-	ctx, cancel := context.WithTimeout(c.Request.Context(), readTimeout)
-	defer cancel()
-	return b.findJob(ctx, c, id)
-}
-
-var errRecordsSkipped = errors.New("the job's submission may be among records that were skipped")
-
-// findJob reports whether the account of the request has the job. Before it returns
-// false, it waits until the log is applied to its end. It fails if the log no longer held the
-// submission of a job that may still be readable when this instance read it.
-func (b *Batch) findJob(ctx context.Context, c *forward.CallerRequest, id string) (bool, error) {
-	if b.hasJob(ctx, c, id) {
-		return true, nil
-	}
-	if err := b.CatchUp(ctx); err != nil {
-		return false, err
-	}
-	if _, known := b.jobOwner(ctx, id); !known && b.SkippedWithin(job.OpenRetentions*b.Settings.JobRetention) {
-		return false, errRecordsSkipped
-	}
-	return b.hasJob(ctx, c, id), nil
-}
-
 // readLatestRecords reads the log to its end at an instance that reads it with pauses, so
 // that callers see results as soon as at a busy one. If the log is out of reach, the request
 // is served from what was read before.
@@ -257,12 +213,14 @@
 		var total int
 		var entries []job.Result
 		var ids []string
+		incomplete := false
 		if !b.StateLoop.Do(ctx, func() {
 			j := b.StateLoop.State.Jobs[jobRequest.Job]
 			if j == nil {
 				return
 			}
 			total = len(j.Tasks)
+			incomplete = j.Incomplete
 			entries = page(j.Results, jobRequest.After)
 			for _, e := range entries {
 				ids = append(ids, j.Tasks[e.Task].ID)
@@ -272,6 +230,10 @@
 			return
 		}
 		remaining := waitUntil - b.Clock.Now()
+		if len(entries) == 0 && remaining <= 0 && incomplete {
+			b.forwarder.Refuse(c, "records about the job were skipped")
+			return
+		}
 		if len(entries) > 0 || remaining <= 0 {
 			b.sendResults(ctx, c, jobRequest, total, entries, ids)
 			return
--- a/internal/batch/refusals.go
+++ b/internal/batch/refusals.go
@@ -18,14 +18,17 @@
 	at   job.Location
 }
 
-// OnRecord tells the runner which of its stored parts the log does not keep, after a record of the
-// log has been applied. It runs on the state goroutine.
+// OnRecord tells the runner which of its stored parts the log does not keep, and the restater that a
+// job was requested, after a record of the log has been applied. It runs on the state goroutine.
 func (b *Batch) OnRecord(r job.Record) {
+	if r.JobsRequested != nil {
+		b.restater.requested.Store(true)
+	}
 	if r.Progress == nil || r.Writer != b.Self {
 		return
 	}
 	j := b.StateLoop.State.Jobs[r.Progress.Job]
-	if j == nil {
+	if j == nil || j.Incomplete {
 		return
 	}
 	for _, c := range r.Progress.Chunks {
--- a/internal/batch/snapshot.go
+++ b/internal/batch/snapshot.go
@@ -26,7 +26,7 @@
 
 // stateSnapshot is what the runner reads of the state.
 type stateSnapshot struct {
-	assigned         map[string]jobSnapshot // open jobs that this instance runs
+	assigned         map[string]jobSnapshot // open jobs that this instance runs and about which it has read all records
 	left             map[string]jobSnapshot // jobs that it has run until now
 	orders           map[string]job.LoadOrder
 	allowedStaleness map[string]int64
@@ -42,7 +42,7 @@
 		for id, j := range loop.State.Jobs {
 			released := j.Runner == "" && r.jobs[id] != nil // released for handover, not claimed yet
 			switch {
-			case (j.Runner == r.batch.Self || released) && j.Open():
+			case (j.Runner == r.batch.Self || released) && j.Open() && !j.Incomplete:
 				snapshot := newJobSnapshot(j)
 				snapshot.status = slices.Clone(j.Status)
 				s.assigned[id] = snapshot
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -162,6 +162,16 @@
 	s.notifyReaders()
 }
 
+// TrimBefore removes the records of a partition before the offset.
+func (s *Store) TrimBefore(topic string, part int, offset int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.partition(topic, part)
+	p.records = p.records[offset-p.first:]
+	p.first = offset
+	s.notifyReaders()
+}
+
 // Records returns the records of a partition.
 func (s *Store) Records(topic string, part int) [][]byte {
 	s.mu.Lock()
