A job of which no instance has read all records goes on with what was read

What callers would see: the results of a job ended, and reads of it were answered 503 until it was forgotten, if records about it expired before any instance had read them: the log was out of reach for all of them for longer than it keeps its records.

A job is neither run nor read on by an instance that has skipped records of it, until one restates it that has not. That there is such a one was taken for granted.

Change: when no statement has come 4 s after the first request and twice the delay of the log, the runner of the job restates it as it was before the gap, and after twice that time another instance does; all go on from there, with what they have read since. An instance asks only for jobs that nobody has asked for within a second, after a delay that grows with the number of instances. A statement that is too large goes without stored events: those tasks start over.

--- a/core/job/gap.go
+++ b/core/job/gap.go
@@ -15,7 +15,8 @@
 const maxKeptRecords = 2048
 
 // Restated repeats the state of a job as of the record ReadTo, for readers that have skipped records
-// about it. Its writer has read them all.
+// about it. Its writer has read them all, unless nobody who has is left: then what it has read is what
+// the job goes on with.
 type Restated struct {
 	Submitted   Submitted      `cbor:"1,keyasint"` // with the present runner
 	SubmittedAt int64          `cbor:"2,keyasint"` // as in Job
@@ -44,12 +45,16 @@
 // gap is what the state knows of jobs whose records may be among those that were skipped. What was read
 // of them before stays as it is, and what is read after waits in kept, until they are restated.
 type gap struct {
-	from     record.Offset // the records about jobs that are not whole are in kept from here on
-	since    int64         // when the first record after the gap was written, Unix milliseconds; zero: not read
-	kept     []keptRecord  // in order
-	requests map[string]request
+	from     record.Offset      // the records about jobs that are not whole are in kept from here on
+	since    int64              // when the first record after the gap was written, Unix milliseconds; zero: not read
+	kept     []keptRecord       // in order
+	requests map[string]request // of jobs that are whole
+	asked    map[string]Asked   // of jobs that are not
 }
 
+// Asked is when the first and the latest request for a job that is not whole were read.
+type Asked struct{ First, Last time.Duration }
+
 type keptRecord struct {
 	job    string
 	offset record.Offset
@@ -66,7 +71,7 @@
 // skipJobs marks the jobs about which records before from may be missing: all without a full list of
 // results, which nothing changes.
 func (s *State) skipJobs(from record.Offset) {
-	s.gap = gap{from: from, requests: s.gap.requests}
+	s.gap = gap{from: from, requests: s.gap.requests, asked: map[string]Asked{}}
 	for id, j := range s.Jobs {
 		if len(j.Results) < len(j.Tasks) {
 			j.Incomplete = true
@@ -149,6 +154,7 @@
 func (s *State) applyRequested(now time.Duration, r JobsRequested) bool {
 	for _, id := range r.Jobs {
 		if j := s.Jobs[id]; j == nil || j.Incomplete {
+			s.noteAsked(now, id)
 			continue
 		}
 		first, found := s.gap.requests[id]
@@ -160,22 +166,53 @@
 	return true
 }
 
+func (s *State) noteAsked(now time.Duration, id string) {
+	if s.skipped.last == 0 {
+		return
+	}
+	a, found := s.gap.asked[id]
+	if !found {
+		a.First = now
+	}
+	a.Last = now
+	s.gap.asked[id] = a
+}
+
+// Asked returns when a job that is not whole was asked for, false if no request was read.
+func (s *State) Asked(id string) (Asked, bool) {
+	a, found := s.gap.asked[id]
+	return a, found
+}
+
 // Restate returns the state of a job that is whole.
 func (s *State) Restate(id string) (Restated, bool) {
 	j := s.Jobs[id]
 	if j == nil || j.Incomplete {
 		return Restated{}, false
 	}
+	return j.restate(s.lastRead), true
+}
+
+// RestateAsRead returns the state of a job that is not whole, as it was before the skipped records.
+func (s *State) RestateAsRead(id string) (Restated, bool) {
+	j := s.Jobs[id]
+	if j == nil || !j.Incomplete {
+		return Restated{}, false
+	}
+	return j.restate(s.gap.from - 1), true
+}
+
+func (j *Job) restate(readTo record.Offset) Restated {
 	out := Restated{
 		Submitted: j.Submitted, SubmittedAt: j.SubmittedAt, Term: j.Term, Ended: j.Ended,
-		Results: slices.Clone(j.Results), ReadTo: s.lastRead,
+		Results: slices.Clone(j.Results), ReadTo: readTo,
 	}
 	for i, t := range j.Status {
 		if !t.Listed && (t.Resubmitted || t.Failures > 0 || len(t.Chunks) > 0 || t.Unscored != nil || t.ScoreFailures > 0) {
 			out.Tasks = append(out.Tasks, RestatedTask{i, t.Resubmitted, t.Failures, slices.Clone(t.Chunks), t.Unscored, t.ScoreFailures})
 		}
 	}
-	return out, true
+	return out
 }
 
 // applyRestated makes a job whole: its state as of ReadTo, and the records after that, which were kept.
@@ -216,6 +253,7 @@
 		j.FirstSeenAt, j.MaxSlotWait = known.FirstSeenAt, known.MaxSlotWait
 	}
 	s.Jobs[id] = j
+	delete(s.gap.asked, id)
 	if s.Runners[j.Model].Name == "" && j.Open() {
 		s.Runners[j.Model] = Runner{j.Runner, now}
 	}
--- a/core/job/gap_test.go
+++ b/core/job/gap_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -168,4 +169,35 @@
 			Expect(w.check()).To(Succeed(), "seed %d", seed)
 		}
 	})
+
+	It("that no reader has read cost a job no more than what was in them", func() {
+		var readers []*job.State
+		apply := func(offset int64, r job.Record) {
+			for _, s := range readers {
+				s.Apply(offset, time.Duration(offset)*time.Second, r)
+			}
+		}
+		for range 2 {
+			readers = append(readers, job.NewState())
+		}
+		apply(0, submitted("j", "n0", "x", "y", "z"))
+		apply(1, job.Record{Writer: "n0", Listed: &job.Listed{Job: "j", Results: []job.Result{{Task: 1}}}})
+		for _, s := range readers {
+			s.SkipTo(5)
+		}
+		apply(5, job.Record{Writer: "n0", Listed: &job.Listed{Job: "j", Results: []job.Result{{Task: 2}}}})
+		apply(6, job.Record{JobsRequested: &job.JobsRequested{Jobs: []string{"j"}}})
+		apply(8, job.Record{JobsRequested: &job.JobsRequested{Jobs: []string{"j"}}})
+		asked, found := readers[1].Asked("j")
+		Expect(found).To(BeTrue())
+		Expect(asked).To(Equal(job.Asked{First: 6 * time.Second, Last: 8 * time.Second}))
+		restated, known := readers[1].RestateAsRead("j")
+		Expect(known).To(BeTrue())
+		apply(9, job.Record{Writer: "n1", Restated: &restated})
+		for _, s := range readers {
+			Expect(s.Jobs["j"].Incomplete).To(BeFalse())
+			Expect(s.Jobs["j"].Results).To(Equal([]job.Result{{Task: 1}, {Task: 2}}))
+			Expect(s.Missing()).To(BeEmpty())
+		}
+	})
 })
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -375,6 +375,7 @@
 		}
 		delete(s.Jobs, id)
 		delete(s.gap.requests, id)
+		delete(s.gap.asked, id)
 		for i, t := range j.Tasks {
 			key := taskKey{j.Account, t.ID}
 			if s.tasks[key] == (jobTask{id, i}) {
--- a/internal/batch/restate.go
+++ b/internal/batch/restate.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
+	"github.com/amaranthfold/amaranthfold/core/pace"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 )
@@ -23,6 +24,10 @@
 	restateDelay  = time.Second
 	restateJitter = 2 * time.Second
 	restateRepeat = 1500 * time.Millisecond // while the record is not in the log
+	// unansweredAfter is how long after the first request it is taken that no instance has the job
+	// whole: all have skipped records, or the others are gone. Its runner then goes on with what it has
+	// read, and another instance after twice that time.
+	unansweredAfter = restateDelay + restateJitter + time.Second
 )
 
 // restater asks for the jobs about which this instance has skipped records of the log, and restates
@@ -34,11 +39,12 @@
 	missing     []string // of the latest request
 	pause       time.Duration
 	nextRequest time.Duration
-	restateAt   map[string]time.Duration
+	restateAt   map[string]time.Duration // jobs that are whole here
+	asReadAt    map[string]time.Duration // jobs that nobody seems to have whole
 }
 
 func newRestater(b *Batch) *restater {
-	return &restater{batch: b, restateAt: map[string]time.Duration{}}
+	return &restater{batch: b, restateAt: map[string]time.Duration{}, asReadAt: map[string]time.Duration{}}
 }
 
 func (r *restater) run(ctx context.Context) error {
@@ -52,21 +58,56 @@
 	})
 }
 
-// request asks for the jobs that are not whole here.
+// request asks for the jobs that are not whole here, unless another instance has just done so, and
+// restates those that nobody has whole.
 func (r *restater) request(ctx context.Context) {
 	b, now := r.batch, r.batch.Clock.Now()
-	var missing []string
-	b.StateLoop.Do(ctx, func() { missing = b.StateLoop.State.Missing() })
+	var missing, unasked []string
+	var unanswered []job.Restated
+	var logDelay time.Duration
+	b.StateLoop.Do(ctx, func() {
+		state := b.StateLoop.State
+		missing, logDelay = state.Missing(), b.LogDelay(now)
+		for _, id := range missing {
+			asked, found := state.Asked(id)
+			if !found || now-asked.Last >= r.pause {
+				unasked = append(unasked, id)
+			}
+			if found && now-asked.First >= r.unansweredAfter(state.Jobs[id], logDelay) && now >= r.asReadAt[id] {
+				if restated, known := state.RestateAsRead(id); known {
+					r.asReadAt[id] = now + restateRepeat + logDelay
+					unanswered = append(unanswered, restated)
+				}
+			}
+		}
+	})
+	r.append(unanswered)
 	if slices.ContainsFunc(missing, func(id string) bool { return !slices.Contains(r.missing, id) }) {
-		r.pause, r.nextRequest = requestPause, now
+		r.pause = requestPause
+		r.nextRequest = now + b.Jitter(pace.Spread(restateInterval, int(b.Pace.Instances.Load()), logDelay))
 	}
 	r.missing = missing
+	if len(missing) == 0 {
+		clear(r.asReadAt)
+	}
 	if len(missing) == 0 || now < r.nextRequest {
 		return
 	}
 	r.nextRequest, r.pause = now+r.pause, min(2*r.pause, maxRequestPause)
-	b.Log("jobs requested", events.F("jobs", fmt.Sprint(len(missing))))
-	b.AppendRecordAsync(job.Record{JobsRequested: &job.JobsRequested{Jobs: missing[:min(len(missing), maxRequestedJobs)]}})
+	if len(unasked) > 0 {
+		b.Log("jobs requested", events.F("jobs", fmt.Sprint(len(unasked))))
+		b.AppendRecordAsync(job.Record{JobsRequested: &job.JobsRequested{Jobs: unasked[:min(len(unasked), maxRequestedJobs)]}})
+	}
+}
+
+// unansweredAfter returns how long after the first request this instance restates a job, nil if it is
+// not known, that nobody has whole.
+func (r *restater) unansweredAfter(j *job.Job, logDelay time.Duration) time.Duration {
+	after := unansweredAfter + 2*logDelay
+	if j != nil && j.Runner == r.batch.Self {
+		return after
+	}
+	return 2*after + r.batch.Jitter(restateJitter)
 }
 
 // restate appends the state of the jobs that others have asked for: at once if this instance runs the
@@ -90,7 +131,7 @@
 			}
 			at, planned := r.restateAt[id]
 			if !planned && restated.Submitted.Runner != b.Self {
-				at = readAt + restateDelay + b.Jitter(restateJitter)
+				at = readAt + restateDelay + b.Jitter(pace.Spread(restateJitter, int(b.Pace.Instances.Load()), b.LogDelay(now)))
 				r.restateAt[id] = at
 			}
 			if now >= at {
@@ -99,8 +140,21 @@
 			}
 		}
 	})
+	r.append(due)
+}
+
+// append appends the states of jobs. A record that the log does not take is appended without stored
+// events: the tasks start over.
+func (r *restater) append(due []job.Restated) {
+	b := r.batch
 	for _, restated := range due {
 		b.Log("job restated", events.F("job", restated.Submitted.Job), events.F("results", fmt.Sprint(len(restated.Results))))
-		b.AppendRecordAsync(job.Record{Restated: &restated})
+		record := job.Record{Restated: &restated}
+		if data, err := b.EncodeRecord(record); err == nil && len(data) > b.Settings.Store.RecordBytes {
+			for i := range restated.Tasks {
+				restated.Tasks[i].Chunks = nil
+			}
+		}
+		b.AppendRecordAsync(record)
 	}
 }
--- a/internal/hosted/trimmed_test.go
+++ b/internal/hosted/trimmed_test.go
@@ -51,4 +51,17 @@
 		all := other.awaitResults("j", len(events))
 		Expect(started.awaitResults("j", len(events))).To(Equal(all))
 	})
+
+	It("goes on with a job of which no instance has read all records", func() {
+		late.logProxy.SetTopicFault("control", hostplatform.Unresponsive)
+		other.logProxy.SetTopicFault("control", hostplatform.Unresponsive)
+		time.Sleep(2 * time.Second) // no read is in progress
+		d.store.PutBytes("control", "another writer", []byte("none of them has read this"))
+		d.store.TrimBefore("control", 0, int64(len(d.store.Records("control", 0))))
+		late.logProxy.SetFault(hostplatform.Healthy)
+		other.logProxy.SetFault(hostplatform.Healthy)
+		all := other.awaitResults("j", len(events))
+		Expect(late.awaitResults("j", len(events))).To(Equal(all))
+		checkOutputs(all, events)
+	})
 })
