An announcement of an incarnation that is gone does not replace the running one

Callers would see the tasks of jobs broken off and run anew: the jobs and leases of a running instance are released.

Cause: an incarnation that claims an earlier start than the known one replaces it once it has announced itself twice in a row, since the wall clock may have been set back. One call that reaches the log late, after the instance has restarted, may hold two announcements of the incarnation before: they come in a row.

Evidence: the spec fails without the change: the second late announcement is accepted. Not seen on a deployment.

Change: an announcement states the last record that its writer had read, from the second one on, and these wait until something was read. One with an earlier start replaces another incarnation only if its writer had read that one's latest announcement: a process that is gone has read none of its successor's. Announcements of earlier builds state nothing and go by the old rule; earlier builds pass over the new field.

--- a/core/job/record.go
+++ b/core/job/record.go
@@ -232,6 +232,9 @@
 	// KeyFingerprint is that of the key with which the process proves its identity to other
 	// instances. Builds without such a key leave it empty.
 	KeyFingerprint string `cbor:"4,keyasint,omitempty"`
+	// ReadTo is the last record that the writer had read, as in lease records; zero: none, or an earlier
+	// build. It has started after an incarnation whose latest announcement it had read.
+	ReadTo record.Offset `cbor:"5,keyasint,omitempty"`
 }
 
 // StreamStarted records which software version began a caller's stream. The first one of a
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -83,23 +83,6 @@
 	ReadAt time.Duration
 }
 
-// Instance is the latest incarnation of an instance.
-type Instance struct {
-	Incarnation string // instance and incarnation, as in Record.Writer
-	PeerAddress string // listener for other instances, IP and port
-	StartedAt   int64  // start of the process, Unix milliseconds
-	// KeyFingerprint is that of its key; empty: its build has none.
-	KeyFingerprint string
-	// AnnouncedAt is when its latest announcement was read, by the reader's clock, and
-	// AnnouncedOffset is the offset of that record.
-	AnnouncedAt     time.Duration
-	AnnouncedOffset int64
-
-	// challenger is another incarnation that claims an earlier start and has announced itself
-	// since the latest announcement of this one; empty: none.
-	challenger string
-}
-
 // Runner is the instance that runs a model's jobs. LastSeen is when it was set or its latest
 // record about one of these jobs was read, by the reader's clock.
 type Runner struct {
@@ -174,59 +157,6 @@
 	}
 }
 
-// applyStarted replaces an instance's incarnation and releases the jobs and leases of the
-// previous one. It rejects a record of the current incarnation, which renews the announcement,
-// and one of an incarnation that started earlier: it was appended late. An incarnation that
-// announces itself twice, without the current one in between, is no such case: it started after
-// the wall clock of its machine was set back.
-func (s *State) applyStarted(offset int64, now time.Duration, writer string, started InstanceStarted) bool {
-	previous := s.Instances[started.Instance]
-	switch {
-	case previous.Incarnation == writer:
-		previous.AnnouncedAt, previous.AnnouncedOffset, previous.challenger = now, offset, ""
-		s.Instances[started.Instance] = previous
-		return false
-	case previous.StartedAt >= started.StartedAt && previous.challenger != writer:
-		previous.challenger = writer
-		s.Instances[started.Instance] = previous
-		return false
-	}
-	s.Instances[started.Instance] = Instance{
-		Incarnation: writer, PeerAddress: started.PeerAddress, StartedAt: started.StartedAt,
-		KeyFingerprint: started.KeyFingerprint, AnnouncedAt: now, AnnouncedOffset: offset,
-	}
-	if previous.Incarnation == "" {
-		return true
-	}
-	for _, j := range s.Jobs {
-		if j.Runner == previous.Incarnation {
-			j.Runner = ""
-		}
-	}
-	s.removeRunner(previous.Incarnation)
-	for name, l := range s.Leases {
-		if l.Holder == previous.Incarnation {
-			l.Holder = ""
-			s.Leases[name] = l
-		}
-	}
-	return true
-}
-
-// removeRunner removes an incarnation from the runners of all models, so that it gets no
-// further jobs. It stays the runner of its current jobs until other instances claim them. It
-// returns false if the incarnation was not the runner of any model.
-func (s *State) removeRunner(writer string) bool {
-	removed := false
-	for model, r := range s.Runners {
-		if r.Name == writer {
-			delete(s.Runners, model)
-			removed = true
-		}
-	}
-	return removed
-}
-
 func (s *State) applySubmitted(now time.Duration, r Record) bool {
 	if s.Jobs[r.Submitted.Job] != nil {
 		return false
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -226,9 +226,25 @@
 		Expect(s.Instances["n1"].KeyFingerprint).To(BeEmpty(), "an older build has taken its place")
 	})
 
+	// Guards against jobs and leases that are taken from a running incarnation: one call that reaches
+	// the log late has two announcements of the incarnation before.
+	It("are not replaced by an incarnation that had not read their announcement", func() {
+		read := func(r job.Record, to record.Offset) job.Record {
+			r.InstanceStarted.ReadTo = to
+			return r
+		}
+		s, accepted := replay(started("n1/a", 10), read(started("n1/b", 20), 0), submitted("j", "n1/b", "x"), read(started("n1/a", 10), 0), read(started("n1/a", 10), 1))
+		Expect(accepted).To(Equal([]bool{true, true, true, false, false}))
+		Expect(s.Jobs["j"].Runner).To(Equal("n1/b"))
+		s, _ = replay(started("n1/a", 20), read(started("n1/b", 10), 0), read(started("n1/a", 20), 1), read(started("n1/b", 10), 2))
+		Expect(s.Instances["n1"].Incarnation).To(Equal("n1/a"), "its latest announcement was not read")
+		Expect(s.Apply(4, 0, read(started("n1/b", 10), 4))).To(BeTrue(), "the wall clock was set back")
+		Expect(s.Instances["n1"].Incarnation).To(Equal("n1/b"))
+	})
+
 	// Guards against an instance that restarts and stays unknown, because the wall clock of its
 	// machine was set back.
-	It("are replaced by an incarnation that claims an earlier start once it has announced itself twice in a row", func() {
+	It("are replaced by an incarnation that claims an earlier start once it has announced itself twice in a row, in an earlier build", func() {
 		s, accepted := replay(started("n1/a", 20), started("n1/b", 10), started("n1/a", 20), started("n1/b", 10))
 		Expect(accepted).To(Equal([]bool{true, false, false, false}), "the announcement that was appended late")
 		Expect(s.Instances["n1"].Incarnation).To(Equal("n1/a"))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -152,17 +152,24 @@
 
 // announce appends the InstanceStarted record, at once and every peering.AnnounceInterval. It
 // publishes the incarnation, the address at which the instance listens for peers and the
-// fingerprint of its key.
+// fingerprint of its key. Later announcements state how far the log was read, and wait until it was.
 func (n *Node) announce(ctx context.Context) error {
 	started := &job.InstanceStarted{
 		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
 		KeyFingerprint: n.Peers.identity.Fingerprint(),
 	}
 	n.AppendRecordAsync(job.Record{InstanceStarted: started})
+	renew := func() {
+		renewed := *started
+		n.StateLoop.Do(ctx, func() { renewed.ReadTo = n.StateLoop.State.LastRead() })
+		if renewed.ReadTo > 0 {
+			n.AppendRecordAsync(job.Record{InstanceStarted: &renewed})
+		}
+	}
 	if clock.Sleep(ctx, n.Jitter(peering.AnnounceInterval)) { // all instances may have started at once
-		n.AppendRecordAsync(job.Record{InstanceStarted: started})
+		renew()
 	}
-	return clock.Every(ctx, peering.AnnounceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
+	return clock.Every(ctx, peering.AnnounceInterval, renew)
 }
 
 // Stop makes IsStopping true and closes the channel stopping.
