A moved stream goes on from the KV cache of its own attempt and weights only

Callers would get tokens that an engine computed from a KV cache made under other weights, or from one that belongs to another stream.

Cause: the version of an exported cache was that of the engine when the attempt started; an engine that loaded weights while the stream ran exported tokens of both under the older version, and engines with that one imported them. An attempt that moved before its first event was exported by the id that its stream had at the engine before: the id fitted, if the new engine happened to have a stream of it.

Evidence: the test fails without the two conditions (weights loaded in between, unknown weights, no event of the attempt, other weights than those of the imported cache). Not seen on a deployment.

Change: the version is the one that the attempt's events name, all of them, and that of the cache which it imported; an attempt has a stream once it has sent an event. Otherwise the cache is not exported and the next engine computes it again.

--- a/internal/caller/history.go
+++ b/internal/caller/history.go
@@ -24,7 +24,9 @@
 
 	resumedTokens  int         // tokens delivered before the current attempt
 	resumed        bool        // the current attempt continues another engine's response
-	engineStreamID string      // id of the stream at the engine of the current attempt
+	engineStreamID string      // id of the stream at the engine of the current attempt; empty: it has sent no event
+	version        int64       // weights of the current attempt's events and imported KV cache, zero: unknown
+	mixedVersions  bool        // the current attempt has events of several versions
 	afterFinish    bool        // the current attempt began after the finish reason: only the usage event is missing
 	kvSource       *kvLocation // where the KV cache was exported; nil: not exported
 }
@@ -33,6 +35,7 @@
 type streamEvent struct {
 	ID      string          `json:"id"`
 	Created json.RawMessage `json:"created"`
+	Version int64           `json:"weight_version"`
 	Choices []streamChoice  `json:"choices"`
 	Usage   *engine.Usage   `json:"usage"`
 }
@@ -77,6 +80,8 @@
 		d.id, d.engineStreamID, d.created = ev.ID, ev.ID, ev.Created
 	}
 	for i := range ev.Choices {
+		d.mixedVersions = d.mixedVersions || ev.Version == 0 || d.version != 0 && d.version != ev.Version
+		d.version = ev.Version
 		d.addChoice(&ev.Choices[i])
 	}
 	d.template = newEventTemplate(payload, &ev)
@@ -161,6 +166,15 @@
 	return true
 }
 
+// kvOrigin returns the id of the current attempt's stream at its engine and the version of the weights
+// that made all of its events and so its KV cache. It returns "" if there is no such stream or version.
+func (d *deliveredStream) kvOrigin() (stream string, version int64) {
+	if d.engineStreamID == "" || d.mixedVersions {
+		return "", 0
+	}
+	return d.engineStreamID, d.version
+}
+
 // prepareAttempt prepares for the next attempt and returns its request body, which
 // contains a continuation if tokens have been delivered. kv is the handle of an imported
 // KV cache, or empty.
@@ -168,6 +182,10 @@
 	d.resumedTokens = d.tokens
 	d.resumed = d.id != ""
 	d.afterFinish = d.finished
+	d.engineStreamID, d.version, d.mixedVersions = "", 0, false
+	if kv != "" && d.kvSource != nil {
+		d.version = d.kvSource.version // the engine may have loaded others since it was chosen
+	}
 	if d.tokens == 0 {
 		return body, nil
 	}
--- a/internal/caller/history_test.go
+++ b/internal/caller/history_test.go
@@ -113,3 +113,42 @@
 		t.Errorf("got %s, want %s", rewritten, want)
 	}
 }
+
+// Guards against a stream that goes on from the KV cache of another stream, or of other weights: an
+// attempt has sent no event before it moves, or its engine has loaded weights in between.
+func TestKVCacheIsOfTheEventsOfOneAttemptAndVersion(t *testing.T) {
+	versions := func(versions ...int64) *deliveredStream {
+		d := &deliveredStream{}
+		for i, v := range versions {
+			_ = d.add(fmt.Appendf(nil, `{"id":"1","weight_version":%d,"choices":[{"index":0,"text":"%d"}]}`, v, i))
+		}
+		return d
+	}
+	next, loaded := versions(1), versions(1)
+	loaded.kvSource = &kvLocation{version: 1}
+	for d, kv := range map[*deliveredStream]string{next: "", loaded: "k"} {
+		if _, err := d.prepareAttempt([]byte("{}"), kv); err != nil {
+			t.Fatal(err)
+		}
+	}
+	resumed, err := loaded.rewriteEvent([]byte(`{"id":"2","weight_version":2,"choices":[{"index":0,"text":"x"}]}`))
+	if err != nil || loaded.add(resumed) != nil {
+		t.Fatalf("event of the next attempt: %v", err)
+	}
+	for _, c := range []struct {
+		name      string
+		delivered *deliveredStream
+		stream    string
+		version   int64
+	}{
+		{"one version", versions(2, 2, 2), "1", 2},
+		{"weights loaded in between", versions(1, 1, 2), "", 0},
+		{"unknown weights", versions(0, 0), "", 0},
+		{"no event of the attempt", next, "", 0},
+		{"other weights than those of the imported cache", loaded, "", 0},
+	} {
+		if stream, version := c.delivered.kvOrigin(); stream != c.stream || version != c.version {
+			t.Errorf("%s: KV cache of stream %q, version %d; expected %q, %d", c.name, stream, version, c.stream, c.version)
+		}
+	}
+}
