Samples: contents of later owners are restored before those of former ones

Callers (trainers) would get samples of a definition of a group that was replaced, with the same prompt and another size or token limit, or of the group's former text.

Cause: a new owner adds what the mirrors hold in the order in which their replies arrive, and the first definition and sample of an id counts. A mirror that was cut off has those of a former owner.

Evidence: the test fails without the change: the contents of the unknown term come first.

Change: a page names the term of its owner, and the latest come first. Replies of earlier builds name none and come last.

--- a/internal/samples/mirror.go
+++ b/internal/samples/mirror.go
@@ -1,6 +1,7 @@
 package samples
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -58,6 +59,7 @@
 type mirrorPage struct {
 	Contents sample.Snapshot `cbor:"1,keyasint"`
 	More     bool            `cbor:"2,keyasint"`
+	Term     record.Offset   `cbor:"3,keyasint,omitempty"` // of the owner; zero in replies of earlier builds
 }
 
 // splitPages splits contents into pages of about pageBytes, each for one message. An item
@@ -218,7 +220,11 @@
 func (m *Manager) fetchMirrors(ctx context.Context, trainer string) []sample.Snapshot {
 	ctx, cancel := context.WithTimeout(ctx, mirrorTimeout)
 	defer cancel()
-	fetched := m.mirrors.pages(trainer)
+	own, term := m.mirrors.pages(trainer)
+	fetched := make([]mirrorPage, 0, len(own))
+	for _, c := range own {
+		fetched = append(fetched, mirrorPage{Contents: c, Term: term})
+	}
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	for _, p := range m.Loop.Snapshot().Peers {
@@ -229,7 +235,7 @@
 					return
 				}
 				mu.Lock()
-				fetched = append(fetched, reply.Contents)
+				fetched = append(fetched, reply)
 				mu.Unlock()
 				if !reply.More {
 					return
@@ -242,12 +248,13 @@
 }
 
 // groupsBeforeSamples puts all groups before all samples, since a sample can be restored
-// only after its group.
-func groupsBeforeSamples(contents []sample.Snapshot) []sample.Snapshot {
+// only after its group. The contents of later owners come first: they replace those of former ones.
+func groupsBeforeSamples(pages []mirrorPage) []sample.Snapshot {
+	slices.SortStableFunc(pages, func(a, b mirrorPage) int { return cmp.Compare(b.Term, a.Term) })
 	var groups, samples sample.Snapshot
-	for _, c := range contents {
-		groups.Groups = append(groups.Groups, c.Groups...)
-		samples.Samples = append(samples.Samples, c.Samples...)
+	for _, p := range pages {
+		groups.Groups = append(groups.Groups, p.Contents.Groups...)
+		samples.Samples = append(samples.Samples, p.Contents.Samples...)
 	}
 	return []sample.Snapshot{groups, samples}
 }
@@ -298,12 +305,12 @@
 
 // pages returns the trainer's groups and samples, sorted by id and split into pages. The
 // pages are rebuilt at each call.
-func (k *mirrorStore) pages(trainer string) []sample.Snapshot {
+func (k *mirrorStore) pages(trainer string) ([]sample.Snapshot, record.Offset) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	m := k.entries[trainer]
 	if m == nil {
-		return nil
+		return nil, 0
 	}
 	var c sample.Snapshot
 	for _, id := range slices.Sorted(maps.Keys(m.groups)) {
@@ -312,7 +319,7 @@
 	for _, id := range slices.Sorted(maps.Keys(m.samples)) {
 		c.Samples = append(c.Samples, m.samples[id])
 	}
-	return splitPages(c)
+	return splitPages(c), m.term
 }
 
 // prune removes the groups whose batch was acknowledged, according to the delivery state
@@ -367,9 +374,9 @@
 	if err != nil {
 		return nil, err
 	}
-	pages := m.mirrors.pages(fetch.Trainer)
+	pages, term := m.mirrors.pages(fetch.Trainer)
 	if fetch.Page < 0 || fetch.Page >= len(pages) {
 		return mirrorPage{}, nil
 	}
-	return mirrorPage{Contents: pages[fetch.Page], More: fetch.Page+1 < len(pages)}, nil
+	return mirrorPage{Contents: pages[fetch.Page], More: fetch.Page+1 < len(pages), Term: term}, nil
 }
--- a/internal/samples/mirror_test.go
+++ b/internal/samples/mirror_test.go
@@ -46,6 +46,24 @@
 	}
 }
 
+// Guards against samples of a definition that a later owner has replaced.
+func TestContentsOfLaterOwnersAreRestoredFirst(t *testing.T) {
+	page := func(term record.Offset, steps ...int64) mirrorPage {
+		p := mirrorPage{Term: term}
+		for _, step := range steps {
+			p.Contents.Groups = append(p.Contents.Groups, sample.Group{ID: "g", Step: step})
+			p.Contents.Samples = append(p.Contents.Samples, sample.Sample{ID: "s", Segments: []sample.Segment{{Version: step}}})
+		}
+		return p
+	}
+	restored := groupsBeforeSamples([]mirrorPage{page(0, 4), page(5, 2), page(7, 1), page(5, 3)})
+	for i, step := range []int64{1, 2, 3, 4} {
+		if restored[0].Groups[i].Step != step || restored[1].Samples[i].Segments[0].Version != step {
+			t.Fatalf("contents are restored in the order %+v", restored)
+		}
+	}
+}
+
 func TestMirrorPagesContainEveryItemOnce(t *testing.T) {
 	const groups = 7
 	store := newMirrorStore()
@@ -54,16 +72,17 @@
 			t.Fatalf("page %d was rejected", i)
 		}
 	}
-	pages := store.pages("coach")
+	pages, _ := store.pages("coach")
 	if len(pages) < 2 {
 		t.Fatalf("%d pages, want several", len(pages))
 	}
 	itemCounts := map[string]int{}
 	for i := range pages {
-		for _, g := range store.pages("coach")[i].Groups { // one call per page, as in the fetches of a new owner
+		rebuilt, _ := store.pages("coach") // one call per page, as in the fetches of a new owner
+		for _, g := range rebuilt[i].Groups {
 			itemCounts[g.ID]++
 		}
-		for _, s := range store.pages("coach")[i].Samples {
+		for _, s := range rebuilt[i].Samples {
 			itemCounts[s.ID]++
 		}
 	}
