--- a/core/job/record.go
+++ b/core/job/record.go
@@ -236,6 +236,9 @@
 	// Asks is set by a writer that may not have read the announcements of others, as the log does
 	// not keep them: it asks for KnownInstances.
 	Asks bool `cbor:"5,keyasint,omitempty"`
+	// ReadTo is the last record that the writer had read, as in lease records; zero: none, or an earlier
+	// build. It has started after an incarnation whose latest announcement it had read.
+	ReadTo record.Offset `cbor:"6,keyasint,omitempty"`
 }
 
 // StreamStarted records which software version of which service began a caller's stream. The first
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -33,16 +33,23 @@
 
 // announce appends the InstanceStarted record, at once and every peering.AnnounceInterval. It
 // publishes the incarnation, the address at which the instance listens for peers and the
-// fingerprint of its key. At the start, and when records were skipped, it asks for the announcements
-// that the log does not keep: at that interval they may come late.
+// fingerprint of its key. Later announcements state how far the log was read, and wait until it was.
+// At the start, and when records were skipped, it asks for the announcements that the log does not
+// keep: at that interval they may come late.
 func (n *Node) announce(ctx context.Context) error {
 	started := job.InstanceStarted{
 		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
-		KeyFingerprint: n.Peers.identity.Fingerprint(),
+		KeyFingerprint: n.Peers.identity.Fingerprint(), Asks: true,
+	}
+	n.AppendRecordAsync(job.Record{InstanceStarted: &started})
+	renew := func(asks bool) {
+		renewed := started
+		renewed.Asks = asks
+		n.StateLoop.Do(ctx, func() { renewed.ReadTo = n.StateLoop.State.LastRead() })
+		if renewed.ReadTo > 0 {
+			n.AppendRecordAsync(job.Record{InstanceStarted: &renewed})
+		}
 	}
-	asking := started
-	asking.Asks = true
-	n.AppendRecordAsync(job.Record{InstanceStarted: &asking})
 	next := n.Jitter(peering.AnnounceInterval) // all instances may have started at once
 	for {
 		timer := time.NewTimer(next)
@@ -52,9 +59,9 @@
 			return nil
 		case <-n.Peers.skipped:
 			timer.Stop()
-			n.AppendRecordAsync(job.Record{InstanceStarted: &asking})
+			renew(true)
 		case <-timer.C:
-			n.AppendRecordAsync(job.Record{InstanceStarted: &started})
+			renew(false)
 		}
 		next = peering.AnnounceInterval
 	}
