Engines that refuse orders to load weights keep no other engine from loading

What trainers saw: a named version of the weights was loaded by no engine of a service as long as two or more of its engines refused the order (of fewer than 15, more beyond), so that steps that need it stood still. The refusals were repeated every 1.2 s. Cause: an order counted as pending for 1.2 s whatever its outcome was, also after 400, 404, 421 and 503, which say that it is not executed. Engines with the oldest version are ordered first, so those that refuse took all places of orders in flight again and again. Change: the outcomes are of three kinds. Done or unknown: pending, until the report tells. Refused: not pending, and others are ordered in its place; it is sent again after 1.2 s, and after twice the time before, up to 20 s, if the content is refused or the address is that of another target. A restart of the engine or a later version ends the wait.

--- a/core/loads/loads.go
+++ b/core/loads/loads.go
@@ -20,6 +20,7 @@
 	ID           string
 	Versions     map[string]int64 // weight versions by model
 	OrderPending bool             // an order to the engine is in flight or being executed
+	Refuses      bool             // it has refused the order for the model's desired version: it gets none for now
 }
 
 // Model is a model that the service's engines generate with. DesiredVersion is the weight
@@ -132,7 +133,7 @@
 			out.serving++
 		}
 		switch {
-		case e.OrderPending || staleness <= 0:
+		case e.OrderPending || e.Refuses || staleness <= 0:
 		case staleness > m.MaxStaleness:
 			out.urgent = append(out.urgent, order)
 			upToDate++
--- a/core/loads/loads_test.go
+++ b/core/loads/loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -86,6 +87,20 @@
 		Expect(p.Plan(list, threeModels(2, 0), 2)).To(HaveLen(2))
 	})
 
+	It("loads other engines in place of those that refuse", func() {
+		list := engines(12, map[string]int64{"a": 1, "b": 1, "c": 1})
+		for _, o := range loads.New().Plan(list, threeModels(2, 1), 2) {
+			i := slices.IndexFunc(list, func(e loads.Engine) bool { return e.ID == o.Engine })
+			list[i].Refuses = true
+		}
+		orders := loads.New().Plan(list, threeModels(2, 1), 2)
+		Expect(orders).To(HaveLen(2))
+		for _, o := range orders {
+			i := slices.IndexFunc(list, func(e loads.Engine) bool { return e.ID == o.Engine })
+			Expect(list[i].Refuses).To(BeFalse())
+		}
+	})
+
 	It("first orders the loads without which engines cannot serve the next job", func() {
 		p := loads.New()
 		list := engines(4, map[string]int64{"a": 4, "b": 1})
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"time"
@@ -21,6 +22,9 @@
 	// unknownOrderDelay is the time after which a target is queried about an order whose
 	// outcome is unknown.
 	unknownOrderDelay = 1200 * time.Millisecond
+	// maxRefusalDelay is the longest time after which an order that a target refuses for its content
+	// is sent again: each further refusal doubles it.
+	maxRefusalDelay = 20 * time.Second
 	// concurrentLoadDivisor divides the number of a service's engines: one in five may load
 	// at once. More concurrent loads slow each other down.
 	concurrentLoadDivisor = 5
@@ -35,6 +39,7 @@
 	planners   map[string]*loads.Planner // by service
 	orders     map[string]*sentOrder     // by target
 	sequences  map[string]orderSequence  // by target
+	refusals   map[string]refusal        // latest refused order, by target
 }
 
 // orderSequence is the number of orders that one incarnation of a target has accepted.
@@ -42,6 +47,14 @@
 // a version that the target already has does not advance it.
 type orderSequence struct{ startedAt, count int64 }
 
+// refusal is an order that a target has refused: it is not executed, and not sent again for a while.
+type refusal struct {
+	order     loads.Order
+	startedAt int64         // start of the target's incarnation
+	delay     time.Duration // from the refusal until
+	until     time.Duration
+}
+
 // sentOrder is an unresolved order to a target: it may be in flight or in progress.
 type sentOrder struct {
 	order     loads.Order
@@ -50,7 +63,7 @@
 }
 
 func newWeightUpdater(c *Controller) *weightUpdater {
-	return &weightUpdater{controller: c, planners: map[string]*loads.Planner{}, orders: map[string]*sentOrder{}, sequences: map[string]orderSequence{}}
+	return &weightUpdater{controller: c, planners: map[string]*loads.Planner{}, orders: map[string]*sentOrder{}, sequences: map[string]orderSequence{}, refusals: map[string]refusal{}}
 }
 
 // step sends the load orders that the planner of each service returns.
@@ -60,6 +73,10 @@
 	if view.Catalog == nil {
 		return
 	}
+	maps.DeleteFunc(w.refusals, func(id string, _ refusal) bool {
+		_, found := view.Target(id)
+		return !found
+	})
 	allowedStaleness := map[string]int64{}
 	c.StateLoop.Do(ctx, func() { maps.Copy(allowedStaleness, c.StateLoop.AllowedStaleness) })
 	for name, service := range view.Catalog.Services {
@@ -93,7 +110,9 @@
 			continue
 		}
 		targets[t.ID] = t
-		out = append(out, loads.Engine{ID: t.ID, Versions: t.Models, OrderPending: w.orderPending(ctx, now, t)})
+		out = append(out, loads.Engine{
+			ID: t.ID, Versions: t.Models, OrderPending: w.orderPending(ctx, now, t), Refuses: w.refuses(now, view, t),
+		})
 	}
 	for id, o := range w.orders {
 		if _, present := targets[id]; !present && now >= o.checkAt {
@@ -122,6 +141,37 @@
 	}
 }
 
+// refuses reports whether the target has refused the order for the desired version of a model and
+// does not get it again yet. It forgets refusals of other starts and versions.
+func (w *weightUpdater) refuses(now time.Duration, view *node.View, t directory.Target) bool {
+	r, found := w.refusals[t.ID]
+	if found && (r.startedAt != t.StartedAt || r.order.Version < view.DesiredVersions[r.order.Model]) {
+		delete(w.refusals, t.ID)
+		return false
+	}
+	return found && now < r.until
+}
+
+// noteOutcome records the outcome of an order. One that is refused has no effect, so it takes none
+// of the places of orders that are pending. As the engine refuses it at once, others are ordered.
+func (w *weightUpdater) noteOutcome(t directory.Target, o loads.Order, err error) {
+	now := w.controller.Clock.Now()
+	forContent := errors.Is(err, platform.ErrInvalid) || errors.Is(err, platform.ErrWrongTarget)
+	switch {
+	case err == nil:
+		delete(w.refusals, t.ID)
+		w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: now + loadTimeout}
+	case forContent, errors.Is(err, platform.ErrRefused):
+		delay := unknownOrderDelay
+		if last := w.refusals[t.ID]; forContent && last.order == o {
+			delay = min(2*last.delay, maxRefusalDelay)
+		}
+		w.refusals[t.ID] = refusal{order: o, startedAt: t.StartedAt, delay: delay, until: now + delay}
+	default:
+		w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: now + unknownOrderDelay}
+	}
+}
+
 // checkOrder queries the target about an overdue order. It removes the order unless the
 // target is executing it or does not respond.
 func (w *weightUpdater) checkOrder(ctx context.Context, t directory.Target, o *sentOrder) {
@@ -175,11 +225,8 @@
 	c.Log("order sent", events.F("target", t.ID), events.F("model", o.Model), events.F("version", fmt.Sprint(o.Version)),
 		events.F("had", fmt.Sprint(t.Models[o.Model])), events.F("expected", fmt.Sprint(expected)),
 		events.F("term", fmt.Sprint(holder.Fencing)), events.F("done", fmt.Sprint(hadVersion)), events.F("error", fmt.Sprint(err)))
-	checkDelay := loadTimeout
-	if err != nil {
-		checkDelay = unknownOrderDelay
-	} else if !hadVersion {
+	if err == nil && !hadVersion {
 		w.sequences[t.ID] = orderSequence{t.StartedAt, expected + 1}
 	}
-	w.orders[t.ID] = &sentOrder{order: o, startedAt: t.StartedAt, checkAt: c.Clock.Now() + checkDelay}
+	w.noteOutcome(t, o, err)
 }
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -31,6 +31,7 @@
 	stalled         bool // streams send no more events, connections stay open
 	marksRuns       bool // see MarkRuns
 	statusByRequest map[string]int
+	orderStatus     int // see RefuseOrders
 	plainHandler    func(w http.ResponseWriter, r *http.Request) bool
 	streamHandler   func(w http.ResponseWriter, r *http.Request) bool
 	beforeReport    func(w http.ResponseWriter)
@@ -98,6 +99,14 @@
 	e.statusByRequest[id] = status
 }
 
+// RefuseOrders makes the engine respond with the status to every order and execute none. Zero turns
+// the fault off.
+func (e *Engine) RefuseOrders(status int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orderStatus = status
+}
+
 // SetPlainHandler sets a handler for plain requests. It reports whether it has
 // responded; if not, the engine does.
 func (e *Engine) SetPlainHandler(f func(w http.ResponseWriter, r *http.Request) bool) {
@@ -213,6 +222,8 @@
 		e.violations = append(e.violations, fmt.Sprintf("an order to engine %s is for model %q", e.ID, o.Model))
 	}
 	switch {
+	case e.orderStatus != 0:
+		w.WriteHeader(e.orderStatus)
 	case o.Fence < e.highestFencing:
 		w.WriteHeader(http.StatusPreconditionFailed)
 	case o.Expected != e.sequence:
