--- a/core/loads/loads.go
+++ b/core/loads/loads.go
@@ -20,7 +20,9 @@
 	ID           string
 	Versions     map[string]int64 // weight versions by model
 	OrderPending bool             // an order to the engine is in flight or being executed
-	Silent       bool             // the engine did not answer lately: it gets no order, and takes no other's place
+	// Unavailable is set if the engine did not answer lately or refuses the order for the model's
+	// desired version: it gets no order for now, and takes no other's place.
+	Unavailable bool
 }
 
 // Model is a model that the service's engines generate with. DesiredVersion is the weight
@@ -133,7 +135,7 @@
 			out.serving++
 		}
 		switch {
-		case e.OrderPending || e.Silent || staleness <= 0:
+		case e.OrderPending || e.Unavailable || staleness <= 0:
 		case staleness > m.MaxStaleness:
 			out.urgent = append(out.urgent, order)
 			upToDate++
--- a/internal/duty/weights.go
+++ b/internal/duty/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"maps"
 	"sync"
@@ -24,6 +25,9 @@
 	// unknownOrderDelay is the time after which a target is queried about an order whose
 	// outcome is unknown.
 	unknownOrderDelay = 1200 * time.Millisecond
+	// maxRefusalDelay is the longest time after which an order that a target refuses for its content
+	// is sent again: each further refusal doubles it.
+	maxRefusalDelay = 20 * time.Second
 	// concurrentLoadDivisor divides the number of a service's engines: one in five may load
 	// at once. More concurrent loads slow each other down.
 	concurrentLoadDivisor = 5
@@ -41,6 +45,7 @@
 	mu        sync.Mutex
 	orders    map[string]*sentOrder    // by target
 	sequences map[string]orderSequence // by target
+	refusals  map[string]refusal       // latest refused order, by target
 }
 
 // orderSequence is the number of orders that one incarnation of a target has accepted.
@@ -48,6 +53,14 @@
 // a version that the target already has does not advance it.
 type orderSequence struct{ startedAt, count int64 }
 
+// refusal is an order that a target has refused: it is not executed, and not sent again for a while.
+type refusal struct {
+	order     loads.Order
+	startedAt int64         // start of the target's incarnation
+	delay     time.Duration // from the refusal until
+	until     time.Duration
+}
+
 // sentOrder is an unresolved order to a target: it may be in flight or in progress, or waits for
 // the target to answer.
 type sentOrder struct {
@@ -58,7 +71,7 @@
 }
 
 func newWeightUpdater(c *Controller) *weightUpdater {
-	return &weightUpdater{controller: c, planners: map[string]*loads.Planner{}, orders: map[string]*sentOrder{}, sequences: map[string]orderSequence{}}
+	return &weightUpdater{controller: c, planners: map[string]*loads.Planner{}, orders: map[string]*sentOrder{}, sequences: map[string]orderSequence{}, refusals: map[string]refusal{}}
 }
 
 // step sends the load orders that the planner of each service returns. Calls to engines run at
@@ -105,24 +118,44 @@
 func (w *weightUpdater) engines(view *node.View, service string) (map[string]directory.Target, []loads.Engine) {
 	targets := map[string]directory.Target{}
 	var out []loads.Engine
+	now := w.controller.Clock.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, t := range view.Targets {
 		if t.Service == service && t.Ready {
 			targets[t.ID] = t
 			o := w.orders[t.ID]
-			out = append(out, loads.Engine{ID: t.ID, Versions: t.Models, OrderPending: o != nil && !o.silent, Silent: o != nil && o.silent})
+			out = append(out, loads.Engine{
+				ID: t.ID, Versions: t.Models, OrderPending: o != nil && !o.silent, Unavailable: o != nil && o.silent || w.refuses(now, view, t),
+			})
 		}
 	}
 	return targets, out
 }
 
+// refuses reports whether the target has refused the order for the desired version of a model and
+// does not get it again yet. It forgets refusals of other starts and versions. It is called with mu
+// held.
+func (w *weightUpdater) refuses(now time.Duration, view *node.View, t directory.Target) bool {
+	r, found := w.refusals[t.ID]
+	if found && (r.startedAt != t.StartedAt || r.order.Version < view.DesiredVersions[r.order.Model]) {
+		delete(w.refusals, t.ID)
+		return false
+	}
+	return found && now < r.until
+}
+
 // resolveOrders removes the orders that are done or were sent to an earlier incarnation of a target,
-// checks overdue ones, and removes those of targets that are not ready.
+// checks overdue ones, and removes those of targets that are not ready, and the refusals of targets
+// that are gone.
 func (w *weightUpdater) resolveOrders(ctx context.Context, view *node.View) {
 	now := w.controller.Clock.Now()
 	var overdue []directory.Target
 	w.mu.Lock()
+	maps.DeleteFunc(w.refusals, func(id string, _ refusal) bool {
+		_, found := view.Target(id)
+		return !found
+	})
 	for id, o := range w.orders {
 		t, found := view.Target(id)
 		switch {
@@ -203,13 +236,33 @@
 	c.Log("order sent", events.F("target", t.ID), events.F("model", o.Model), events.F("version", fmt.Sprint(o.Version)),
 		events.F("had", fmt.Sprint(t.Models[o.Model])), events.F("expected", fmt.Sprint(expected)),
 		events.F("term", fmt.Sprint(holder.Fencing)), events.F("done", fmt.Sprint(hadVersion)), events.F("error", fmt.Sprint(err)))
-	checkDelay := loadTimeout
-	if err != nil {
-		checkDelay = unknownOrderDelay
-	} else if !hadVersion {
+	if err == nil && !hadVersion {
 		w.setSequence(t.ID, orderSequence{t.StartedAt, expected + 1})
 	}
-	w.noteOrder(sentOrder{order: o, startedAt: t.StartedAt}, checkDelay)
+	w.noteOutcome(t, o, err)
+}
+
+// noteOutcome records the outcome of an order. One that is refused has no effect, so it takes none
+// of the places of orders that are pending. As the engine refuses it at once, others are ordered.
+func (w *weightUpdater) noteOutcome(t directory.Target, o loads.Order, err error) {
+	forContent := errors.Is(err, platform.ErrInvalid) || errors.Is(err, platform.ErrWrongTarget)
+	switch {
+	case err == nil:
+		w.mu.Lock()
+		delete(w.refusals, t.ID)
+		w.mu.Unlock()
+		w.noteOrder(sentOrder{order: o, startedAt: t.StartedAt}, loadTimeout)
+	case forContent, errors.Is(err, platform.ErrRefused):
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		delay := unknownOrderDelay
+		if last := w.refusals[t.ID]; forContent && last.order == o {
+			delay = min(2*last.delay, maxRefusalDelay)
+		}
+		w.refusals[t.ID] = refusal{order: o, startedAt: t.StartedAt, delay: delay, until: w.controller.Clock.Now() + delay}
+	default:
+		w.noteOrder(sentOrder{order: o, startedAt: t.StartedAt}, unknownOrderDelay)
+	}
 }
 
 // noteOrder notes an order, and when to query the target about it.
