Responses to HEAD have the length that the target states

Cause: the length of the body that the instance holds replaced the header, and a response of status 200 on a route of streams was taken for a stream.

Evidence: "A response to HEAD has the length that its target states, also through another instance" failed before with length zero.

Change: the header stays as the target sent it.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -159,7 +159,9 @@
 		f.forwardStream(ctx, c, request, r)
 		return
 	}
-	c.Writer.Header().Set("Content-Length", fmt.Sprint(len(r.body)))
+	if c.Request.Method != http.MethodHead { // its length is that of a body that is not sent
+		c.Writer.Header().Set("Content-Length", fmt.Sprint(len(r.body)))
+	}
 	if r.Status < http.StatusInternalServerError {
 		f.poisonGuard.served(request)
 	}
@@ -261,7 +263,7 @@
 		r.Err = errors.New("the answer is not signed")
 	case r.PlatformHeader.Encoded:
 		r.Err = errors.New("the answer is encoded, which nobody asked for")
-	case p.Kind == catalog.Stream && res.StatusCode == http.StatusOK:
+	case p.Kind == catalog.Stream && res.StatusCode == http.StatusOK && p.Method != http.MethodHead:
 		r.stream = res.Body
 		return
 	default:
--- a/internal/hosted/wronganswer_test.go
+++ b/internal/hosted/wronganswer_test.go
@@ -176,3 +176,25 @@
 		Entry("up to the end of the connection", "", "id: 1\ndata: a\n\nid: 2\n"),
 	)
 })
+
+var _ = Describe("A response to HEAD", func() {
+	It("has the length that its target states, also through another instance", func() {
+		d := newDeployment(2, 1)
+		d.awaitAnnouncements()
+		answer := func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set("Server-Stamp", "s")
+			w.Header().Set("Content-Length", "12345")
+			return true
+		}
+		d.handlePlain(answer)
+		d.engines[0].SetPlainHandler(answer)
+		for _, id := range []string{"direct", "relayed"} {
+			for _, path := range []string{"/once/x", "/confirm/x", "/talk/x"} {
+				res := d.instances[0].call(http.MethodHead, path, id+path, key, nil)
+				Expect(res.status).To(Equal(http.StatusOK))
+				Expect(res.header.Get("Content-Length")).To(Equal("12345"), "%s %s", id, path)
+			}
+			d.instances[0].links.set(refusing)
+		}
+	})
+})
