An entry nested too deeply does not stop the lists of instances and targets

Cause: entries are decoded one by one, but the reply that has them as a whole first, and package json bounds its depth.

Evidence: two entries of "A list with an odd entry is read without it" failed before.

Change: a reply that does not decode is read again without what is nested more than 100 deep, which no reply uses.

Result: internal/platform passes with -race; the linter has no findings.

--- a/internal/platform/entries_test.go
+++ b/internal/platform/entries_test.go
@@ -32,4 +32,6 @@
 	Entry("no object", "7"), Entry("no id", "{}"), Entry("null", "null"), Entry("id of another type", `{"id":7}`),
 	Entry("state of another type", `{"id":"c","state":{"a":[]}}`), Entry("data centre that is a long number", `{"id":"c","dataCentre":`+strings.Repeat("9", 5000)+`}`),
 	Entry("nested deeply", strings.Repeat("[", 9000)+strings.Repeat("]", 9000)),
+	Entry("nested too deeply", strings.Repeat("[", 20_000)+`"]\\\"[{"`+strings.Repeat("]", 20_000)),
+	Entry("field that is nested too deeply", `{"id":"c","state":`+strings.Repeat(`{"a":[1,`, 20_000)+"2"+strings.Repeat("]}", 20_000)+`}`),
 )
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -130,8 +130,44 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(data, out); err != nil {
+	err = json.Unmarshal(data, out)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) { // maybe as one entry of a list is nested too deeply
+		err = json.Unmarshal(withoutDepth(data), out)
+	}
+	if err != nil {
 		return fmt.Errorf("%s %s: decode: %w", method, path, err)
 	}
 	return nil
 }
+
+// maxReplyDepth is far more than any reply has that this package decodes, and far less than
+// package json takes.
+const maxReplyDepth = 100
+
+// withoutDepth returns the JSON text with null in place of what is nested more deeply than
+// maxReplyDepth.
+func withoutDepth(text []byte) []byte {
+	out := make([]byte, 0, len(text))
+	depth, inString, escaped := 0, false, false
+	for _, b := range text {
+		opens, closes := !inString && (b == '[' || b == '{'), !inString && (b == ']' || b == '}')
+		if opens {
+			depth++
+		}
+		switch {
+		case depth <= maxReplyDepth:
+			out = append(out, b)
+		case opens && depth == maxReplyDepth+1:
+			out = append(out, "null"...)
+		}
+		if closes {
+			depth--
+		}
+		if b == '"' && !escaped {
+			inString = !inString
+		}
+		escaped = inString && b == '\\' && !escaped
+	}
+	return out
+}
