Soak: requests wait for the owner of their connection only while links are cut

Cause: the proxy before a target found out which instance had opened a connection before it forwarded anything. Requests that had waited for it arrived together, and were counted within one second although they were sent over more.

Change: the lookup runs beside the connection, and is waited for only while the links of some instance are cut or the proxy resets connections. No check changes.

--- a/internal/soak/link.go
+++ b/internal/soak/link.go
@@ -41,10 +41,15 @@
 	mu       sync.Mutex
 	listener net.Listener
 	mode     proxyMode
-	cut      map[int]proxyMode // for the connections of single instances
-	changed  chan struct{}     // closed when a mode changes
-	conns    map[net.Conn]int  // owners of the open connections, to clients and to the server
-	sent     []time.Time       // when clients sent bytes, or opened connections while the proxy refused them
+	cut      map[int]proxyMode     // for the connections of single instances
+	changed  chan struct{}         // closed when a mode changes
+	conns    map[net.Conn]*session // of the open connections, to clients and to the server
+	sent     []time.Time           // when clients sent bytes, or opened connections while the proxy refused them
+}
+
+// session is a client's connection and the one to the server that belongs to it.
+type session struct {
+	owner int // instance that has opened it, noOwner until it is known; guarded by the proxy's mu
 }
 
 // newFaultProxy starts a proxy in mode forwarding for the server at the address upstream. owners
@@ -60,7 +65,7 @@
 		_ = listener.Close() // nobody knows of it
 		return nil, err
 	}
-	p := &faultProxy{listener: listener, port: port, releasePort: release, listenAddress: listener.Addr().String(), upstream: upstream, owners: owners, changed: make(chan struct{}), cut: map[int]proxyMode{}, conns: map[net.Conn]int{}}
+	p := &faultProxy{listener: listener, port: port, releasePort: release, listenAddress: listener.Addr().String(), upstream: upstream, owners: owners, changed: make(chan struct{}), cut: map[int]proxyMode{}, conns: map[net.Conn]*session{}}
 	go p.accept(listener)
 	return p, nil
 }
@@ -102,8 +107,8 @@
 
 // resetConns resets the open connections of the owners. The caller holds the lock.
 func (p *faultProxy) resetConns(affected func(owner int) bool) {
-	for c, owner := range p.conns {
-		if !affected(owner) {
+	for c, s := range p.conns {
+		if !affected(s.owner) {
 			continue
 		}
 		if tcp, ok := c.(*net.TCPConn); ok {
@@ -190,45 +195,64 @@
 		if err != nil {
 			return // the listener is closed
 		}
+		s := &session{owner: noOwner}
 		p.mu.Lock()
-		p.conns[client] = noOwner
+		p.conns[client] = s
 		p.mu.Unlock()
-		go p.admit(client)
+		go p.admit(client, s)
 	}
 }
 
-// admit finds out whose connection it is, beside the accept loop, as that may take long. It serves
-// the connection, or resets it.
-func (p *faultProxy) admit(client net.Conn) {
+// admit finds out whose connection it is, beside the accept loop. It serves the connection, or
+// resets it. The lookup takes up to a second on a busy machine. The connection waits for it only
+// while the links of an instance are cut: else requests sent meanwhile would arrive together.
+func (p *faultProxy) admit(client net.Conn, s *session) {
+	served := !p.resetsOrCuts()
+	if served {
+		go p.serve(client, s)
+	}
 	owner := noOwner
 	if p.owners != nil {
 		owner = p.owners(client)
 	}
 	p.mu.Lock()
 	reset := p.modeFor(owner) == resetting
-	p.conns[client] = owner
+	s.owner = owner
 	if reset {
 		p.resetConns(func(o int) bool { return o == owner })
 	}
 	p.mu.Unlock()
-	if !reset {
-		p.serve(client, owner)
+	if !reset && !served {
+		p.serve(client, s)
+	}
+}
+
+// resetsOrCuts reports whether new connections are reset, or those of single instances have a mode
+// of their own.
+func (p *faultProxy) resetsOrCuts() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.cut {
+		if m != forwarding {
+			return true
+		}
 	}
+	return p.mode == resetting
 }
 
 // serve connects the client to the server and forwards bytes both ways until the
 // connection ends.
-func (p *faultProxy) serve(client net.Conn, owner int) {
+func (p *faultProxy) serve(client net.Conn, s *session) {
 	server, err := net.Dial("tcp", p.upstream)
 	if err != nil {
 		_ = client.Close() // the server does not accept connections
 		return
 	}
 	p.mu.Lock()
-	p.conns[server] = owner
+	p.conns[server] = s
 	p.mu.Unlock()
-	go p.copy(server, client, owner, false)
-	p.copy(client, server, owner, true)
+	go p.copy(server, client, s, false)
+	p.copy(client, server, s, true)
 	p.mu.Lock()
 	delete(p.conns, server)
 	delete(p.conns, client)
@@ -237,7 +261,7 @@
 
 // copy forwards bytes from src to dst as the mode allows, until either side ends.
 // responses is true for the direction from the server to the client.
-func (p *faultProxy) copy(dst, src net.Conn, owner int, responses bool) {
+func (p *faultProxy) copy(dst, src net.Conn, s *session, responses bool) {
 	defer dst.Close()
 	defer src.Close()
 	buffer := make([]byte, 16<<10)
@@ -247,7 +271,7 @@
 			if !responses {
 				p.noteSent()
 			}
-			p.waitWhileBlocked(owner, responses)
+			p.waitWhileBlocked(s, responses)
 			if _, writeErr := dst.Write(buffer[:n]); writeErr != nil {
 				return
 			}
@@ -260,10 +284,10 @@
 
 // waitWhileBlocked waits until the mode lets a chunk pass in the given direction. In mode
 // delayed it waits for chunkDelay.
-func (p *faultProxy) waitWhileBlocked(owner int, responses bool) {
+func (p *faultProxy) waitWhileBlocked(s *session, responses bool) {
 	for {
 		p.mu.Lock()
-		m, changed := p.modeFor(owner), p.changed
+		m, changed := p.modeFor(s.owner), p.changed
 		p.mu.Unlock()
 		switch {
 		case m == delayed:
