An instance that has stood still sends targets one request at a time until they answer

Cause: a limit is learned from answers.

Change: for 3 s after a standstill, a target that has answered no request sent since gets one at a time (core/allowance: Probes); the others wait for that answer, a plain request for half of its target latency, a run for half a second. Then plain requests try the next target, and the run is placed anew, by the limit if there is one now. Instances that have not stood still are not affected.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -59,6 +59,10 @@
 // output.
 func (b *Batch) runTask(ctx context.Context, r taskRun) runEnd {
 	end := runEnd{run: r.id, key: r.key, taskID: r.task.ID, engine: r.target.ID, outcome: assign.Broken}
+	if err := b.awaitProbe(ctx, r.target); err != nil {
+		end.outcome, end.err = assign.NotRun, err
+		return markCanceled(ctx, end)
+	}
 	lastEvent := r.output.startRun(r.id, r.target.Software)
 	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.remaining, lastEvent)
 	req := &http.Request{
--- a/internal/forward/holdback.go
+++ b/internal/forward/holdback.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/internal/clock"
+	"github.com/amaranthfold/amaranthfold/internal/node"
 )
 
 // allowanceWaitFraction is the fraction of the target latency for which a request waits for
@@ -22,6 +24,9 @@
 
 // Error implements error.
 func (e *noAllowanceError) Error() string {
+	if errors.Is(e.err, node.ErrNotProbed) {
+		return fmt.Sprintf("target %s: %v", e.target, e.err)
+	}
 	if e.err != nil {
 		return fmt.Sprintf("target %s takes %g requests a second: %v", e.target, e.perSecond, e.err)
 	}
@@ -32,14 +37,17 @@
 func (e *noAllowanceError) Unwrap() error { return e.err }
 
 // awaitAllowance waits until a plain request may be sent to a target, if the target limits
-// its rate. It fails with a *noAllowanceError if that would take too long.
+// its rate, or may do so since this instance stood still. It fails with a *noAllowanceError if that would take too long.
 func (f *Forwarder) awaitAllowance(ctx context.Context, p *PlainRequest, id string) error {
-	f.CheckStandstill(ctx)
+	maxWait := time.Duration(allowanceWaitFraction * float64(p.TargetLatency))
+	if err := f.AwaitProbe(ctx, id, maxWait); err != nil {
+		return &noAllowanceError{target: id, err: err}
+	}
 	t, found := f.CurrentView().Target(id)
 	if !found || !t.Limited {
 		return nil
 	}
-	grant, err := f.Allowances.Take(ctx, t, 1, time.Duration(allowanceWaitFraction*float64(p.TargetLatency)))
+	grant, err := f.Allowances.Take(ctx, t, 1, maxWait)
 	if err != nil || grant.Count == 0 {
 		return &noAllowanceError{t.ID, t.RequestLimit, grant.RetryAfter, err}
 	}
--- a/internal/hosted/allowance_test.go
+++ b/internal/hosted/allowance_test.go
@@ -49,6 +49,22 @@
 }
 
 var _ = Describe("A target that names a limit of requests a second", func() {
+	// Guards against an instance that wakes and fills the slots of an engine before its first answer.
+	It("gets one request of an instance that stood still when the limit was first named", func() {
+		d := newDeployment(1, 1)
+		d.awaitAnnouncements()
+		events := map[string]int{}
+		for i := range 8 {
+			events[fmt.Sprint("t", i)] = 1
+		}
+		before := len(d.engines[0].Runs())
+		d.engines[0].SetRequestLimit(1)
+		d.instances[0].clock.jump(1400 * time.Millisecond)
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		Eventually(func() int { return len(d.engines[0].Runs()) }, eventuallyTimeout).Should(BeNumerically(">", before))
+		Consistently(func() int { return len(d.engines[0].Runs()) - before }, "500ms").Should(BeNumerically("<=", 2))
+	})
+
 	It("is not sent several times its limit by all instances together", func() {
 		const limit = 4.0
 		d := newDeployment(3, 1)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,6 +70,7 @@
 	dependencies dependencyStatus
 	starts       starts
 	standstill   standstill
+	probes       probes
 	connections  connections
 	stopping     chan struct{} // closed by stop
 	stopOnce     sync.Once
@@ -101,6 +102,7 @@
 	}
 	n.connections = connections{node: n, lost: map[string][]*targetConn{}, open: map[string]int{}}
 	n.standstill.node = n
+	n.probes = probes{clock: cfg.Clock, answered: make(chan struct{})}
 	n.Links = newLinkMonitor(n, cfg.DialTarget)
 	n.TargetClient = &http.Client{Transport: targetTransport{platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget)}, CheckRedirect: NoRedirect}
 	n.Peers = newPeerLinks(n)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -28,6 +28,9 @@
 	case answersRequest && n.isLimited(t):
 		n.noteNoLimit(ctx, t, sentAt)
 	}
+	if h.Limit.Stated || answersRequest {
+		n.probes.noteAnswer(t.ID, sentAt)
+	}
 }
 
 // noteLeaving keeps requests from a target that leaves.
--- a/internal/node/standstill.go
+++ b/internal/node/standstill.go
@@ -60,6 +60,7 @@
 	if stoodStill < standstillThreshold { // noted by another goroutine
 		return
 	}
+	n.probes.stoodStill()
 	doubted := 0
 	noted := n.StateLoop.Do(ctx, func() {
 		if doubted = n.StateLoop.targets.DoubtAll(n.Clock.Now()); doubted > 0 {
