A lease holder reports no window that may have been sealed in skipped records

Cause: a window whose seal was not read counted as not sealed. An instance that starts, or reads on, after the log has removed seals, and takes the lease, sealed the latest six windows again and reported them with the counts that it could still read. A second seal is rejected by those who know the first; the one who does not is the one who reports.

Change: a window is neither sealed nor reported by an instance that may have skipped its seal: one that it has not read, of a window whose seal could have been written before the first record that it has read since, or up to 5 s later, as records reach the log late and clocks differ. Such a window is missing if it was not sealed, and no other instance seals it.

--- a/core/job/gap.go
+++ b/core/job/gap.go
@@ -11,6 +11,10 @@
 // they give it, some seconds.
 const resubmitWindow = 20 * time.Second
 
+// maxLateness is by how much a record may be older than an earlier one in the log: the log may be slow,
+// and clocks differ.
+const maxLateness = 5 * time.Second
+
 // maxKeptRecords bounds the records of jobs that are not whole.
 const maxKeptRecords = 2048
 
@@ -122,6 +126,12 @@
 	return s.lastRead, s.gap.since != 0 && wallMillis >= s.gap.since+resubmitWindow.Milliseconds() && !s.hasKept(id)
 }
 
+// MayHaveSkipped reports whether a record that was written at the time or later, in Unix milliseconds,
+// may be among those that were skipped.
+func (s *State) MayHaveSkipped(wallMillis int64) bool {
+	return s.skipped.last != 0 && (s.gap.since == 0 || wallMillis <= s.gap.since+maxLateness.Milliseconds())
+}
+
 // Missing returns the jobs that are known not to be whole, in order.
 func (s *State) Missing() []string {
 	var out []string
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -114,10 +114,13 @@
 	c.StateLoop.Do(ctx, func() {
 		for w := newest - windowLookback; w <= newest; w++ {
 			window := c.StateLoop.State.Windows[w]
+			sealed := window != nil && window.SealedCounts != nil
 			switch {
+			case !sealed && c.StateLoop.State.MayHaveSkipped((w+1)*c.Settings.UsageWindow.Milliseconds()+sealDelay.Milliseconds()):
+				// Its seal may have other counts, and may have been reported.
 			case window == nil:
 				seals = append(seals, job.UsageSealed{Window: w, Counts: map[string]int64{}})
-			case window.SealedCounts == nil:
+			case !sealed:
 				seals = append(seals, job.UsageSealed{Window: w, Counts: window.Total()})
 			case !window.Reported:
 				reports[w] = window.SealedCounts
