A call that was perhaps executed is not divided after one refusal

Callers could see server errors of tasks counted twice, and later records of the instance (results, claims, heartbeats) given for appended that the log does not have.

Cause: the appender divides a call of several groups as soon as the log refuses it as invalid. If an earlier call with the same records has no response, it may have been executed, and the refusal be due to a call that was garbled on the way. The first group then repeats the number of the executed call and counts as appended, the others are appended again, and the instance reads more own records than it counts: a later append without a response ends as executed at once.

Evidence: the test fails without the change: the log has a, b, b, c. Not seen on a deployment; a log that refuses a sound repetition is needed.

Change: after a call without a response it takes two refusals, as for single groups.

--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -282,8 +282,8 @@
 		}
 		if errors.Is(err, platform.ErrInvalid) {
 			// The log judges the same records alike, so an earlier call without a response has not
-			// appended them either.
-			if refusals++; len(batch) > 1 || refusals == maxRefusals {
+			// appended them either, unless this one was garbled.
+			if refusals++; len(batch) > 1 && !maybeAppended || refusals == maxRefusals {
 				return recordPosition{}, fmt.Errorf("%w: %w", ErrNotAppended, err)
 			}
 		}
--- a/internal/node/appender_test.go
+++ b/internal/node/appender_test.go
@@ -161,3 +161,37 @@
 		t.Errorf("the log has %s", got)
 	}
 }
+
+// Guards against records that are appended twice, and later ones that count as appended and are not:
+// a call is executed without a response, and its repetition is refused as invalid on the way.
+func TestOneGarbledRepetitionDividesNoCall(t *testing.T) {
+	log, calls := hostplatform.NewStore(), 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch calls++; calls {
+		case 1:
+			log.ServeHTTP(httptest.NewRecorder(), r)
+			panic(http.ErrAbortHandler)
+		case 2:
+			w.WriteHeader(http.StatusBadRequest)
+		default:
+			log.ServeHTTP(w, r)
+		}
+	}))
+	defer server.Close()
+	w := &idempotentWriter{store: platform.NewStore(strings.TrimPrefix(server.URL, "http://"), platform.NewTransport()), topic: controlTopic, producer: "p", readBack: &readBack{}}
+	a := newAppender(w, controlTopic, platform.StoreSettings{RecordBytes: 20, CallBytes: 50}, func() bool { return true }, func(error) {})
+	for _, records := range []string{"ab", "c"} {
+		var batch []*pendingAppend
+		for _, r := range records {
+			p, err := a.enqueue(t.Context(), [][]byte{[]byte(string(r))})
+			if err != nil {
+				t.Fatal(err)
+			}
+			batch = append(batch, p)
+		}
+		a.send(t.Context(), batch)
+	}
+	if got := fmt.Sprintf("%s", log.Records(controlTopic, 0)); got != "[a b c]" {
+		t.Errorf("the log has %s", got)
+	}
+}
