A usage report that the platform refuses as invalid is sent twice, not until its window is old

What the platform saw: the same refused report of a window every 0.2 s until the window was no longer among the latest six; each refused call is priced. A seal that the log refuses as invalid or too large was repeated in the same way, and no later window was sealed or reported meanwhile. Cause: every failure of a seal or report was taken for one of the moment. That a refused seal holds up later windows is read from the code, without a test. Change: a window is left out after two refusals for its content, the first of which may be due to a garbled call. Unknown outcomes and refusals of the moment are repeated as before.

--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -42,6 +42,7 @@
 	cloud          *platform.Cloud // nil: there is none
 	usageCounter   *usageCounter
 	usageReader    *node.UsageReader
+	windowRefusals map[int64]int // see noteRefusal
 	lease          *lease.Machine
 	claimOrder     float64      // from 0 to below 1: the instances claim in this order
 	supersededTerm atomic.Int64 // latest term that the platform or a target has rejected
@@ -52,7 +53,7 @@
 
 // New returns the controller of a node.
 func New(n *node.Node) *Controller {
-	c := &Controller{Node: n, usageCounter: newUsageCounter(n), usageReader: node.NewUsageReader(n)}
+	c := &Controller{Node: n, usageCounter: newUsageCounter(n), usageReader: node.NewUsageReader(n), windowRefusals: map[int64]int{}}
 	if n.Settings.Cloud != "" {
 		c.cloud = platform.NewCloud(n.Settings.Cloud)
 	}
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 const (
@@ -26,6 +29,9 @@
 	partialSealDelay = 5 * time.Second
 	windowLookback   = 5   // windows before the newest ended one that a new lease holder still seals and reports
 	windowsKept      = 120 // windows that the state retains
+	// maxWindowRefusals is how often the seal or report of a window may be refused for its content:
+	// the first refusal may be due to a garbled call.
+	maxWindowRefusals = 2
 )
 
 // usageCounter counts the requests of each account at this instance, by billing window.
@@ -121,6 +127,7 @@
 		for w := newest - windowLookback; w <= newest; w++ {
 			window := c.StateLoop.State.Windows[w]
 			switch {
+			case c.windowRefusals[w] >= maxWindowRefusals:
 			case c.SkippedWithin(wall.Sub(endOf(c.Node, w))):
 				// It may have been sealed, and reported, by the records that were skipped since its end.
 			case window == nil:
@@ -136,6 +143,9 @@
 	for _, s := range seals {
 		if err := c.seal(ctx, s); err != nil {
 			c.Log("usage not sealed", events.F("window", fmt.Sprint(s.Window)), events.F("error", err.Error()))
+			if c.noteRefusal(s.Window, err) {
+				continue
+			}
 			return
 		}
 		c.Log("usage sealed", events.F("window", fmt.Sprint(s.Window)), events.F("accounts", fmt.Sprint(len(s.Counts))))
@@ -150,6 +160,17 @@
 	}
 }
 
+// noteRefusal counts the refusal of a window's seal or report for its content, which no repeat
+// changes. It reports false for any other error.
+func (c *Controller) noteRefusal(window int64, err error) bool {
+	if !errors.Is(err, platform.ErrInvalid) && !errors.Is(err, node.ErrTooLarge) {
+		return false
+	}
+	maps.DeleteFunc(c.windowRefusals, func(w int64, _ int) bool { return w < window-windowsKept })
+	c.windowRefusals[window]++
+	return true
+}
+
 // readUsage reads the counts of a window that is to be sealed, and returns the newest one whose
 // counts are complete or are waited for no longer.
 func (c *Controller) readUsage(ctx context.Context, wall time.Time) (newest int64) {
@@ -188,6 +209,7 @@
 	err := c.cloud.ReportUsage(ctx, holder, window, counts)
 	if err != nil {
 		c.checkSuperseded(holder, err)
+		c.noteRefusal(window, err)
 		c.Log("usage not reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
 		return
 	}
--- a/internal/hosted/usage_test.go
+++ b/internal/hosted/usage_test.go
@@ -37,4 +37,19 @@
 		Expect(d.instances[2].call(http.MethodPost, "/confirm/x", "last", key, nil).status).To(Equal(http.StatusOK))
 		Eventually(reported, eventuallyTimeout).Should(Equal(int64(calls + 1)))
 	})
+
+	// Guards against calls without an end: a report that is refused was repeated every 0.2 s.
+	It("are not reported again and again if the platform refuses the report of a window", func() {
+		d := newDeployment(1, 1)
+		windows := func() int {
+			_, windows := d.cloud.Reports()
+			return windows
+		}
+		Eventually(windows, eventuallyTimeout).Should(BeNumerically(">", 0))
+		d.cloud.RefuseReports()
+		before := windows()
+		Eventually(windows, eventuallyTimeout).Should(BeNumerically(">", before+7), "the other windows")
+		refused, _ := d.cloud.Reports()
+		Expect(refused).To(Equal(2), "the first refusal may be due to a garbled call")
+	})
 })
--- a/internal/standin/hostplatform/cloud.go
+++ b/internal/standin/hostplatform/cloud.go
@@ -26,6 +26,8 @@
 	violations     []string
 	orders         []ScaleOrder
 	refusesOrders  map[string]bool // by data centre
+	refusedWindow  int64           // see RefuseReports; zero: none
+	refusedReports int
 }
 
 // ScaleOrder is an accepted order of targets.
@@ -42,6 +44,23 @@
 	c.refusesOrders[dataCentre] = true
 }
 
+// RefuseReports makes the platform refuse all reports of the window after those that were reported
+// as invalid.
+func (c *Cloud) RefuseReports() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for window := range c.reportedCounts {
+		c.refusedWindow = max(c.refusedWindow, window+1)
+	}
+}
+
+// Reports returns how many reports were refused by RefuseReports, and how many windows were reported.
+func (c *Cloud) Reports() (refused, windows int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.refusedReports, len(c.reportedCounts)
+}
+
 // ScaleOrders returns the accepted orders of targets.
 func (c *Cloud) ScaleOrders() []ScaleOrder {
 	c.mu.Lock()
@@ -151,6 +170,11 @@
 		return
 	}
 	c.highestFencing = max(c.highestFencing, fencing)
+	if report.Window == c.refusedWindow {
+		c.refusedReports++
+		http.Error(w, "window", http.StatusBadRequest)
+		return
+	}
 	if previous, repeated := c.reportedCounts[report.Window]; repeated && !maps.Equal(previous, report.Counts) {
 		c.violations = append(c.violations, fmt.Sprintf("window %d was reported with %v and %v", report.Window, previous, report.Counts))
 	}
