Heartbeats that are too large for a record are divided, not dropped

What trainers saw, by the code: a save of some thousand parts of outputs in one job left no heartbeat, so that the job was claimed from its runner, and the next runner began the tasks at their first events. The save counted as stored. Change: heartbeats and lists of outputs that wait for their scores are appended as two or more records, as lists of results are.

--- a/internal/batch/handover.go
+++ b/internal/batch/handover.go
@@ -108,11 +108,26 @@
 		for i := range p.Chunks {
 			p.Chunks[i].Location, locations = locations[0], locations[1:]
 		}
-		b.AppendRecordAsync(job.Record{Progress: p})
+		b.appendProgress(p)
 	}
 	return err == nil
 }
 
+// appendProgress appends the record, as two or more if it is too large for one.
+func (b *Batch) appendProgress(p *job.Progress) {
+	data, err := b.EncodeRecord(job.Record{Progress: p})
+	if err != nil || len(data) <= b.Settings.Store.RecordBytes || max(len(p.Chunks), len(p.Unscored)) < 2 {
+		b.AppendRecordAsync(job.Record{Progress: p}) // which logs what is dropped
+		return
+	}
+	first, second := *p, job.Progress{Job: p.Job, Term: p.Term, MaxSlotWait: p.MaxSlotWait}
+	chunks, unscored := len(p.Chunks)/2, len(p.Unscored)/2
+	first.Chunks, second.Chunks = p.Chunks[:chunks], p.Chunks[chunks:]
+	first.Unscored, second.Unscored = p.Unscored[:unscored], p.Unscored[unscored:]
+	b.appendProgress(&first)
+	b.appendProgress(&second)
+}
+
 // storeParts stores the parts and returns their locations: all or none, of which the outputs are told.
 func (r *runner) storeParts(ctx context.Context, parts []outputPart) ([]job.Location, error) {
 	var locations []job.Location
--- a/internal/batch/lister.go
+++ b/internal/batch/lister.go
@@ -123,7 +123,7 @@
 			job.Result{Task: r.task, Completed: r.completed, Versions: r.versions, Location: *r.location, Score: r.score})
 	}
 	for _, p := range unscored {
-		b.AppendRecordAsync(job.Record{Progress: p})
+		b.appendProgress(p)
 	}
 	for _, id := range jobIDs {
 		w.list(ctx, listed[id])
