Counts of requests outlast a history that is shorter than their window

What the platform would see: a usage report that lacks requests of the beginning of its window, where the log keeps less than a window. Cause: an instance stores its counts of a window when they change, and the lease holder reads them when the window has ended. Counts that did not change for as long as the log keeps records are gone by then and counted as zero. Evidence: TestCountsAreStoredAgainWhileTheirWindowOutlastsTheHistory, with a fake clock, a window of 60 s and a history of 20 s, fails before: the counts of 10m0s are not stored again within 10 s. Change: counts of unsealed windows that began a quarter of the retention ago are stored again at that interval, and the holder reads them at it as well. Shorter windows cause no record and no read more.

--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -42,6 +42,7 @@
 	cloud          *platform.Cloud // nil: there is none
 	usageCounter   *usageCounter
 	usageReader    *node.UsageReader
+	usageReadAt    time.Duration // last read of the counts of all instances
 	windowRefusals map[int64]int // see noteRefusal
 	lease          *lease.Machine
 	claimOrder     float64      // from 0 to below 1: the instances claim in this order
--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -27,8 +27,11 @@
 	// partialSealDelay is the time from the end of a window until it is sealed without the counts
 	// that cannot be read: half of the time until the report is due.
 	partialSealDelay = 5 * time.Second
-	windowLookback   = 5   // windows before the newest ended one that a new lease holder still seals and reports
-	windowsKept      = 120 // windows that the state retains
+	// renewalsPerRetention is how often the counts of a window that lasts so long are stored, and read,
+	// while the log keeps a record.
+	renewalsPerRetention = 4
+	windowLookback       = 5   // windows before the newest ended one that a new lease holder still seals and reports
+	windowsKept          = 120 // windows that the state retains
 	// maxWindowRefusals is how often the seal or report of a window may be refused for its content:
 	// the first refusal may be due to a garbled call.
 	maxWindowRefusals = 2
@@ -41,6 +44,8 @@
 	mu     sync.Mutex
 	counts map[int64]map[string]int64 // by window, then account
 	dirty  map[int64]bool             // windows that have changed since the last takeChanged
+
+	renewedAt time.Duration // last renewal
 }
 
 func newUsageCounter(n *node.Node) *usageCounter {
@@ -94,6 +99,7 @@
 func (u *usageCounter) takeChanged() []job.UsageCounted {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.renew()
 	var out []job.UsageCounted
 	for w := range u.dirty {
 		counts := make(map[string]int64, len(u.counts[w]))
@@ -111,6 +117,22 @@
 	return out
 }
 
+// renew makes takeChanged return the counts of unsealed windows that began long ago, at intervals.
+// The log may remove their latest record before the window ends.
+func (u *usageCounter) renew() {
+	interval := u.node.Retention() / renewalsPerRetention
+	now, wall := u.node.Clock.Now(), u.node.Clock.Wall()
+	if now-u.renewedAt < interval {
+		return
+	}
+	u.renewedAt = now
+	for w := range u.counts {
+		if wall.Sub(endOf(u.node, w-1)) >= interval && wall.Sub(endOf(u.node, w)) < partialSealDelay {
+			u.dirty[w] = true
+		}
+	}
+}
+
 // reportUsage seals the windows that ended at least sealDelay ago, and reports the sealed
 // ones to the platform. As the seal fixes the counts before the first report, a repeated
 // report has the same counts. Windows that ended before this instance skipped records of the log are
@@ -180,11 +202,15 @@
 		window := c.StateLoop.State.Windows[newest]
 		sealed = window != nil && window.SealedCounts != nil
 	})
-	if sealed {
+	if now := c.Clock.Now(); sealed && now-c.usageReadAt < c.Retention()/renewalsPerRetention {
 		return newest
 	}
+	c.usageReadAt = c.Clock.Now()
 	if err := c.usageReader.CatchUp(ctx, c.callTimeout()); err != nil {
 		c.Log("usage not read", events.F("error", err.Error()))
+		if sealed {
+			return newest
+		}
 		return windowOf(c.Node, wall.Add(-partialSealDelay)) - 1
 	}
 	return newest
