--- a/internal/duty/usage.go
+++ b/internal/duty/usage.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,6 +13,7 @@
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/node"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 const (
@@ -24,8 +27,14 @@
 	// partialSealDelay is the time from the end of a window until it is sealed without the counts
 	// that cannot be read: half of the time until the report is due.
 	partialSealDelay = 5 * time.Second
-	windowLookback   = 5   // windows before the newest ended one that a new lease holder still seals and reports
-	windowsKept      = 120 // windows that the state retains
+	// renewalsPerRetention is how often the counts of a window that lasts so long are stored, and read,
+	// while the log keeps a record.
+	renewalsPerRetention = 4
+	windowLookback       = 5   // windows before the newest ended one that a new lease holder still seals and reports
+	windowsKept          = 120 // windows that the state retains
+	// maxWindowRefusals is how often the seal or report of a window may be refused for its content:
+	// the first refusal may be due to a garbled call.
+	maxWindowRefusals = 2
 )
 
 // usageCounter counts the requests of each account at this instance, by billing window.
@@ -35,6 +44,8 @@
 	mu     sync.Mutex
 	counts map[int64]map[string]int64 // by window, then account
 	dirty  map[int64]bool             // windows that have changed since the last takeChanged
+
+	renewedAt time.Duration // last renewal
 }
 
 func newUsageCounter(n *node.Node) *usageCounter {
@@ -88,6 +99,7 @@
 func (u *usageCounter) takeChanged() []job.UsageCounted {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.renew()
 	var out []job.UsageCounted
 	for w := range u.dirty {
 		counts := make(map[string]int64, len(u.counts[w]))
@@ -105,10 +117,26 @@
 	return out
 }
 
+// renew makes takeChanged return the counts of unsealed windows that began long ago, at intervals.
+// The log may remove their latest record before the window ends.
+func (u *usageCounter) renew() {
+	interval := u.node.Retention() / renewalsPerRetention
+	now, wall := u.node.Clock.Now(), u.node.Clock.Wall()
+	if now-u.renewedAt < interval {
+		return
+	}
+	u.renewedAt = now
+	for w := range u.counts {
+		if wall.Sub(endOf(u.node, w-1)) >= interval && wall.Sub(endOf(u.node, w)) < partialSealDelay {
+			u.dirty[w] = true
+		}
+	}
+}
+
 // reportUsage seals the windows that ended at least sealDelay ago, and reports the sealed
 // ones to the platform. As the seal fixes the counts before the first report, a repeated
-// report has the same counts. Windows that ended before this instance skipped records of the log are
-// left alone: an unread seal may fix other counts. It also prunes old jobs and windows from the state.
+// report has the same counts. Windows whose seal may be among records that were skipped are
+// left alone. It also prunes old jobs and windows from the state.
 func (c *Controller) reportUsage(ctx context.Context) {
 	if !c.Settings.ReportsUsage || c.cloud == nil {
 		return
@@ -122,7 +150,8 @@
 			window := c.StateLoop.State.Windows[w]
 			sealed := window != nil && window.SealedCounts != nil
 			switch {
-			case !sealed && c.StateLoop.State.MayHaveSkipped((w+1)*c.Settings.UsageWindow.Milliseconds()+sealDelay.Milliseconds()):
+			case c.windowRefusals[w] >= maxWindowRefusals:
+			case !sealed && c.StateLoop.State.MayHaveSkipped(endOf(c.Node, w).Add(sealDelay).UnixMilli()):
 				// Its seal may have other counts, and may have been reported.
 			case window == nil:
 				seals = append(seals, job.UsageSealed{Window: w, Counts: map[string]int64{}})
@@ -137,6 +166,9 @@
 	for _, s := range seals {
 		if err := c.seal(ctx, s); err != nil {
 			c.Log("usage not sealed", events.F("window", fmt.Sprint(s.Window)), events.F("error", err.Error()))
+			if c.noteRefusal(s.Window, err) {
+				continue
+			}
 			return
 		}
 		c.Log("usage sealed", events.F("window", fmt.Sprint(s.Window)), events.F("accounts", fmt.Sprint(len(s.Counts))))
@@ -151,6 +183,17 @@
 	}
 }
 
+// noteRefusal counts the refusal of a window's seal or report for its content, which no repeat
+// changes. It reports false for any other error.
+func (c *Controller) noteRefusal(window int64, err error) bool {
+	if !errors.Is(err, platform.ErrInvalid) && !errors.Is(err, node.ErrTooLarge) {
+		return false
+	}
+	maps.DeleteFunc(c.windowRefusals, func(w int64, _ int) bool { return w < window-windowsKept })
+	c.windowRefusals[window]++
+	return true
+}
+
 // readUsage reads the counts of a window that is to be sealed, and returns the newest one whose
 // counts are complete or are waited for no longer.
 func (c *Controller) readUsage(ctx context.Context, wall time.Time) (newest int64) {
@@ -160,11 +203,15 @@
 		window := c.StateLoop.State.Windows[newest]
 		sealed = window != nil && window.SealedCounts != nil
 	})
-	if sealed {
+	if now := c.Clock.Now(); sealed && now-c.usageReadAt < c.Retention()/renewalsPerRetention {
 		return newest
 	}
+	c.usageReadAt = c.Clock.Now()
 	if err := c.usageReader.CatchUp(ctx, c.callTimeout()); err != nil {
 		c.Log("usage not read", events.F("error", err.Error()))
+		if sealed {
+			return newest
+		}
 		return windowOf(c.Node, wall.Add(-partialSealDelay)) - 1
 	}
 	return newest
@@ -189,6 +236,7 @@
 	err := c.cloud.ReportUsage(ctx, holder, window, counts)
 	if err != nil {
 		c.checkSuperseded(holder, err)
+		c.noteRefusal(window, err)
 		c.Log("usage not reported", events.F("window", fmt.Sprint(window)), events.F("term", fmt.Sprint(holder.Fencing)), events.F("error", err.Error()))
 		return
 	}
