Entries with the address 0.0.0.0 in the form of IPv6, or long names, name no target

What callers saw: another writer's entry with "[::ffff:0.0.0.0]:80" names a target, and requests to it go to the instance's own machine; one with a version of 60 KB puts as much into each log line of a request and into the record of each stream.

Cause: the address was checked in the form in which it is written, and names had no bound.

--- a/internal/hosted/oddentries_test.go
+++ b/internal/hosted/oddentries_test.go
@@ -38,7 +38,10 @@
 		entry(`"sequence":99999999999999999999`), entry(`"born":1.5`), entry(`"leaves_ms":1e400`), entry(`"cold-remaining-ms":{}`), entry(`"models":{}`),
 		entry(`"models":[{"name":"m","version":1e400}]`), entry(`"state":"` + strings.Repeat("x", 60_000) + `"`), entry(`"state":1`), entry(`"state":"tired"`),
 		entry(`"address":""`), entry(`"address":":9"`), entry(`"address":"127.0.0.1:0"`), entry(`"address":"127.0.0.1:70000"`), entry(`"address":"127.0.0.1:-1"`),
-		entry(`"address":"localhost:9"`), entry(`"address":"0.0.0.0:9"`), entry(`"address":"127.0.0.1:9\r\nX: y"`), entry(`"address":"u@127.0.0.1:9/x"`),
+		entry(`"address":"localhost:9"`), entry(`"address":"0.0.0.0:9"`), entry(`"address":"[::ffff:0.0.0.0]:9"`), entry(`"address":"[::ffff:224.0.0.1]:9"`), entry(`"address":"255.255.255.255:9"`),
+		entry(`"version":"` + strings.Repeat("x", 60_000) + `"`), entry(`"zone":"` + strings.Repeat("x", 60_000) + `"`), entry(`"slots":8.0`), entry(`"slots":8e0`),
+		"[" + entry(`"further":1`) + "]", entry(`"further":1`) + "{}", "\xef\xbb\xbf" + entry(`"further":1`),
+		entry(`"address":"127.0.0.1:9\r\nX: y"`), entry(`"address":"u@127.0.0.1:9/x"`),
 	} {
 		out[fmt.Sprintf("odd-%s-%d", service, i)] = text
 	}
