A writer that reads of a slow log does not repeat its first append after 0.5 s

Cause: Patience learns from a writer's own appends only. Each writer that appends once in a while repeats its append after 0.5 s, and again, though it reads that records take 2 s into the log; each repeat takes a place of its own in the queue.

Change: the timeout is no shorter than twice the delay of the log, as far as it was read.

--- a/core/pace/patience.go
+++ b/core/pace/patience.go
@@ -14,7 +14,8 @@
 // answers all of them late. Repeated before, each would be executed several times, which makes the
 // log slower still, and no writer would ever get a response in time. So the writer waits for longer
 // after the second append in a row without a response, and as long as the log stays slow: one
-// response may be lost. A log that answers nothing at all is away, not slow: then the writer repeats
+// response may be lost. A writer that reads the records of others knows that the log is slow before
+// its own first append. A log that answers nothing at all is away, not slow: then the writer repeats
 // soon, to be among the first when it is back. The zero value waits minPatience. It is not safe for
 // concurrent use.
 type Patience struct {
@@ -22,8 +23,11 @@
 	timeouts int // in a row
 }
 
-// Timeout returns how long to wait for the next response.
-func (p *Patience) Timeout() time.Duration { return max(p.timeout, minPatience) }
+// Timeout returns how long to wait for the next response. logDelay is how long records take
+// into the log, zero if that is not known.
+func (p *Patience) Timeout(logDelay time.Duration) time.Duration {
+	return min(max(p.timeout, 2*logDelay, minPatience), maxPatience)
+}
 
 // Answered records a response that took so long.
 func (p *Patience) Answered(took time.Duration) {
@@ -38,6 +42,6 @@
 		return
 	}
 	if p.timeouts++; p.timeouts > 1 {
-		p.timeout = min(2*p.Timeout(), maxPatience)
+		p.timeout = min(2*max(p.timeout, minPatience), maxPatience)
 	}
 }
--- a/core/pace/patience_test.go
+++ b/core/pace/patience_test.go
@@ -13,7 +13,11 @@
 var _ = Describe("Patience", func() {
 	// A log executes one append after the other, also those that are repeats of one that it has
 	// executed, and refuses an append that would wait for longer than 2 s.
-	run := func(writers int, executes time.Duration) (answered, executed int) {
+	// Besides the writers, which always have something to append, each 200 ms another one appends
+	// once. logDelay returns what the writers know of a log in which the latest records took so long.
+	run := func(writers int, executes time.Duration, others int, logDelay func(time.Duration) time.Duration) (answered, executed int) {
+		regular, latest := writers, time.Duration(0)
+		writers += others
 		patience := make([]pace.Patience, writers)
 		type call struct {
 			writer int
@@ -22,10 +26,13 @@
 		var queue []call
 		sentAt, next := make([]time.Duration, writers), make([]time.Duration, writers)
 		waits := make([]bool, writers)
+		for i := regular; i < writers; i++ {
+			next[i] = time.Duration(i-regular) * 200 * time.Millisecond
+		}
 		free := time.Duration(0)
 		for now := time.Duration(0); now < 30*time.Second; now += 5 * time.Millisecond {
 			for i := range writers {
-				if waits[i] && now-sentAt[i] >= patience[i].Timeout() {
+				if waits[i] && now-sentAt[i] >= patience[i].Timeout(logDelay(latest)) {
 					waits[i], next[i] = false, now+100*time.Millisecond
 					patience[i].TimedOut(true)
 				}
@@ -44,10 +51,14 @@
 			c := queue[0]
 			queue = queue[1:]
 			executed++
+			latest = now - c.sent
 			if waits[c.writer] && sentAt[c.writer] == c.sent {
 				answered++
 				waits[c.writer], next[c.writer] = false, now
 				patience[c.writer].Answered(now - c.sent)
+				if c.writer >= regular {
+					next[c.writer] = time.Hour
+				}
 			}
 		}
 		return answered, executed
@@ -55,7 +66,7 @@
 
 	DescribeTable("gets the responses of a log that is slow for all its writers",
 		func(writers int, executes time.Duration) {
-			answered, executed := run(writers, executes)
+			answered, executed := run(writers, executes, 0, func(time.Duration) time.Duration { return 0 })
 			Expect(answered).To(BeNumerically(">", executed/2), "most of what the log executes is no repeat")
 		},
 		Entry("few writers, an append takes 600 ms", 4, 600*time.Millisecond),
@@ -63,6 +74,11 @@
 		Entry("1700 writers, an append takes 40 ms", 1700, 40*time.Millisecond),
 	)
 
+	It("gets the responses of a slow log to writers that append once", func() {
+		answered, executed := run(10, 100*time.Millisecond, 150, func(latest time.Duration) time.Duration { return latest })
+		Expect(answered).To(BeNumerically(">", executed*9/10), "the others read how long records take")
+	})
+
 	It("repeats an append soon that a log loses half of the responses to", func() {
 		random := rand.New(rand.NewPCG(1, 2))
 		var p pace.Patience
@@ -70,7 +86,7 @@
 		waited := time.Duration(0)
 		for range appends {
 			for random.IntN(2) == 0 {
-				waited += p.Timeout()
+				waited += p.Timeout(0)
 				p.TimedOut(true)
 			}
 			p.Answered(4 * time.Millisecond)
@@ -85,18 +101,18 @@
 		}
 		for range 10 {
 			p.TimedOut(false)
-			Expect(p.Timeout()).To(Equal(500*time.Millisecond), "after an outage all appends waited for 2.5 s")
+			Expect(p.Timeout(0)).To(Equal(500*time.Millisecond), "after an outage all appends waited for 2.5 s")
 		}
 	})
 
 	It("returns to the usual timeout with the usual responses", func() {
 		p := &pace.Patience{}
-		Expect(p.Timeout()).To(Equal(500 * time.Millisecond))
+		Expect(p.Timeout(0)).To(Equal(500 * time.Millisecond))
 		for range 5 {
 			p.TimedOut(true)
 		}
-		Expect(p.Timeout()).To(Equal(2500 * time.Millisecond))
+		Expect(p.Timeout(0)).To(Equal(2500 * time.Millisecond))
 		p.Answered(4 * time.Millisecond)
-		Expect(p.Timeout()).To(Equal(500 * time.Millisecond))
+		Expect(p.Timeout(0)).To(Equal(500 * time.Millisecond))
 	})
 })
--- a/internal/node/appender.go
+++ b/internal/node/appender.go
@@ -97,6 +97,8 @@
 	logAnswers  func() bool     // reports whether the log has answered a read lately
 	// onAppended is nil, or called after each successful call.
 	onAppended func()
+	// logDelay is nil, or returns how long records take into the topic, as far as it was read.
+	logDelay func(context.Context) time.Duration
 }
 
 // pendingAppend is a queued append. Its records are sent in one call and stay contiguous.
@@ -307,7 +309,11 @@
 
 // write sends the records in one call, and waits for the response as long as the log may take.
 func (a *appender) write(ctx context.Context, records [][]byte) (recordPosition, error) {
-	ctx, cancel := context.WithTimeout(ctx, a.patience.Timeout())
+	delay := time.Duration(0)
+	if a.logDelay != nil {
+		delay = a.logDelay(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.patience.Timeout(delay))
 	defer cancel()
 	sent := time.Now()
 	position, err := a.writer.write(ctx, records)
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -204,6 +204,12 @@
 	return max(n.StateLoop.logDelay.Estimate(now), n.controlLog.pending())
 }
 
+// readDelay returns how long records take into the log at present, as far as it was read.
+func (n *Node) readDelay(ctx context.Context) (delay time.Duration) {
+	n.StateLoop.Do(ctx, func() { delay = n.StateLoop.logDelay.Estimate(n.Clock.Now()) })
+	return delay
+}
+
 // noteDelay adds the delay of a record to logDelay: how long its writer had it before the reply
 // in which it was still missing. A record that was in the log by then tells nothing.
 func (s *StateLoop) noteDelay(now time.Duration, offset int64, r job.Record) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -107,7 +107,7 @@
 	n.Self = fmt.Sprintf("%s/%x", s.Instance, n.Rand64())
 	n.controlLog = newAppender(&idempotentWriter{store: n.store, topic: controlTopic, producer: n.Self, readBack: &n.readBack},
 		controlTopic, s.Store, n.logAnswers, n.trackAppends("log"))
-	n.controlLog.onAppended = n.Pace.expectRecords
+	n.controlLog.onAppended, n.controlLog.logDelay = n.Pace.expectRecords, n.readDelay
 	n.contentLog = n.newSpreadLog(contentTopic)
 	n.usageLog = n.newSpreadLog(usageTopic)
 	n.Allowances = newAllowances(n)
