Instances put off their announcements while the log is slow

Cause: 295 instances that announce themselves once a minute add five appends a second to a log that executes ten while it is slow. The heartbeats of runners, their results and the renewals of the lease queue behind them. Announcements can wait: an entry lapses after three intervals.

Change: peering.PutOff puts an announcement off while records take 200 ms and more into the log, up to two intervals after the one before, and spreads those that were put off.

Test: core/peering, "Announcements while the log is slow", for 9, 295 and 1,700 instances: none for a minute, no entry older than two intervals, no herd afterwards. There was no such decision before.

--- a/core/peering/peering.go
+++ b/core/peering/peering.go
@@ -26,8 +26,26 @@
 	// An entry whose announcements came at their interval until then is no older than
 	// logAwayAfter and one interval, which is less than lapseAfter.
 	logAwayAfter = AnnounceInterval * 3 / 2
+	// slowDelay is the delay of a log that is slow: well above that of a sound one, below the interval
+	// of the heartbeats that announcements would hold up.
+	slowDelay = 200 * time.Millisecond
+	// maxAnnouncementAge leaves an interval for the append until the entry lapses.
+	maxAnnouncementAge = 2 * AnnounceInterval
+	// putOffSpread spreads the announcements that were put off: hundreds may come due in one outage.
+	putOffSpread = AnnounceInterval / 4
 )
 
+// PutOff returns how long an announcement that is due waits until it is due again, zero if it is to
+// be appended now. The appends of hundreds of instances, several a second, hold up everything else
+// in a log that is slow, and can wait. age is the time since the latest announcement, logDelay how
+// long records take into the log, random from 0 to below 1.
+func PutOff(age, logDelay time.Duration, random float64) time.Duration {
+	if logDelay < slowDelay || age >= maxAnnouncementAge {
+		return 0
+	}
+	return min(time.Duration((0.5+random)*float64(putOffSpread)), maxAnnouncementAge-age)
+}
+
 // Peer is an instance as the log announces it.
 type Peer struct {
 	Name        string
--- a/core/peering/peering_test.go
+++ b/core/peering/peering_test.go
@@ -1,6 +1,7 @@
 package peering_test
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -160,3 +161,52 @@
 		}
 	})
 })
+
+// Guards against announcements of all instances, several a second, that hold up the heartbeats and
+// results in a log that executes ten appends a second.
+var _ = DescribeTable("Announcements while the log is slow", func(instances int, slowFor time.Duration) {
+	const slowAt = 2 * interval
+	random := rand.New(rand.NewPCG(1, 2))
+	due, announced := make([]time.Duration, instances), make([]time.Duration, instances)
+	for i := range due {
+		due[i] = time.Duration(random.Float64() * float64(interval))
+	}
+	whileSlow, mostInASecond, inThisSecond, oldest := 0, 0, 0, time.Duration(0)
+	for now := time.Duration(0); now < 10*interval; now += 10 * time.Millisecond {
+		if now%time.Second == 0 {
+			inThisSecond = 0
+		}
+		slow, delay := now >= slowAt && now < slowAt+slowFor, 4*time.Millisecond
+		if slow {
+			delay = time.Second
+		}
+		for i := range due {
+			if now < due[i] {
+				continue
+			}
+			age := now - announced[i]
+			if wait := peering.PutOff(age, delay, random.Float64()); wait > 0 {
+				due[i] = now + wait
+				continue
+			}
+			oldest, announced[i], due[i] = max(oldest, age), now, now+interval
+			inThisSecond++
+			if slow {
+				whileSlow++
+			}
+		}
+		mostInASecond = max(mostInASecond, inThisSecond)
+	}
+	if slowFor <= interval {
+		Expect(whileSlow).To(BeZero())
+	}
+	Expect(oldest).To(BeNumerically("<", 3*interval-10*time.Second), "an entry lapses after three intervals, an append may take 10 s")
+	Expect(mostInASecond).To(BeNumerically("<=", max(4, instances/5)), "a sound log executes 500 appends a second")
+},
+	Entry("9 instances", 9, 8*time.Second),
+	Entry("295 instances", 295, 8*time.Second),
+	Entry("295 instances, for a minute", 295, interval),
+	Entry("295 instances, for good", 295, 10*interval),
+	Entry("1,700 instances", 1700, 8*time.Second),
+	Entry("1,700 instances, for a minute", 1700, interval),
+)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,19 +150,26 @@
 	}
 }
 
-// announce appends the InstanceStarted record, at once and every peering.AnnounceInterval. It
-// publishes the incarnation, the address at which the instance listens for peers and the
-// fingerprint of its key.
+// announce appends the InstanceStarted record, at once and every peering.AnnounceInterval, later
+// while the log is slow. It publishes the incarnation, the address at which the instance listens
+// for peers and the fingerprint of its key.
 func (n *Node) announce(ctx context.Context) error {
 	started := &job.InstanceStarted{
 		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
 		KeyFingerprint: n.Peers.identity.Fingerprint(),
 	}
+	announced := n.Clock.Now()
 	n.AppendRecordAsync(job.Record{InstanceStarted: started})
-	if clock.Sleep(ctx, n.Jitter(peering.AnnounceInterval)) { // all instances may have started at once
-		n.AppendRecordAsync(job.Record{InstanceStarted: started})
+	wait := n.Jitter(peering.AnnounceInterval) // all instances may have started at once
+	for clock.Sleep(ctx, wait) {
+		now := n.Clock.Now()
+		wait = peering.PutOff(now-announced, n.readDelay(ctx), float64(n.Rand64()%1000)/1000)
+		if wait == 0 {
+			n.AppendRecordAsync(job.Record{InstanceStarted: started})
+			announced, wait = now, peering.AnnounceInterval
+		}
 	}
-	return clock.Every(ctx, peering.AnnounceInterval, func() { n.AppendRecordAsync(job.Record{InstanceStarted: started}) })
+	return nil
 }
 
 // Stop makes IsStopping true and closes the channel stopping.
