Results do not wait until all earlier ones are recorded

Cause: the writer of results appended the records of one job after the other and waited for each before it stored the next outputs.

Change: outputs are stored while records of earlier results wait. A result is recorded after its output is stored, as before; the order of results is that of the log.

--- a/internal/batch/lister.go
+++ b/internal/batch/lister.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/job"
@@ -32,11 +33,13 @@
 // needsScore reports whether the result is to be scored before it is listed.
 func (r *taskResult) needsScore() bool { return r.completed && r.scoring != nil }
 
-// resultWriter stores outputs and records results in the log. Results that are queued
-// during a write are written together in the next one.
+// resultWriter stores outputs and records results in the log. Outputs that are queued while others
+// are stored are stored together in the next call. It does not wait until results are recorded: on
+// a slow log that takes seconds.
 type resultWriter struct {
 	batch *Batch
 	queue chan taskResult
+	lists sync.WaitGroup // records of results that wait for the log
 }
 
 func newResultWriter(b *Batch) *resultWriter {
@@ -44,6 +47,7 @@
 }
 
 func (w *resultWriter) run(ctx context.Context) error {
+	defer w.lists.Wait()
 	for {
 		select {
 		case <-ctx.Done():
@@ -70,7 +74,7 @@
 	return batch
 }
 
-// writeBatch stores the outputs, then records the results, so that the output of every
+// writeBatch stores the outputs, then starts to record the results, so that the output of every
 // recorded result can be read. Results that need a score go to the scorer instead: their
 // stored outputs are recorded, so that another runner needs to score them only.
 func (w *resultWriter) writeBatch(ctx context.Context, batch []taskResult) {
@@ -126,7 +130,7 @@
 		b.AppendRecordAsync(job.Record{Progress: p})
 	}
 	for _, id := range jobIDs {
-		w.list(ctx, listed[id])
+		w.lists.Go(func() { w.list(ctx, listed[id]) })
 	}
 }
 
