--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -31,39 +31,45 @@
 	return defaultRetention
 }
 
-// announce appends the InstanceStarted record, at once and every peering.AnnounceInterval. It
-// publishes the incarnation, the address at which the instance listens for peers and the
-// fingerprint of its key. Later announcements state how far the log was read, and wait until it was.
-// At the start, and when records were skipped, it asks for the announcements that the log does not
-// keep: at that interval they may come late.
+// announce appends the InstanceStarted record, at once and every peering.AnnounceInterval, later
+// while the log is slow. It publishes the incarnation, the address at which the instance listens for
+// peers and the fingerprint of its key. Later announcements state how far the log was read, and wait
+// until it was. At the start, and when records were skipped, it asks for the announcements that the
+// log does not keep: at that interval they may come late.
 func (n *Node) announce(ctx context.Context) error {
 	started := job.InstanceStarted{
 		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
 		KeyFingerprint: n.Peers.identity.Fingerprint(), Asks: true,
 	}
 	n.AppendRecordAsync(job.Record{InstanceStarted: &started})
-	renew := func(asks bool) {
-		renewed := started
-		renewed.Asks = asks
-		n.StateLoop.Do(ctx, func() { renewed.ReadTo = n.StateLoop.State.LastRead() })
-		if renewed.ReadTo > 0 {
-			n.AppendRecordAsync(job.Record{InstanceStarted: &renewed})
-		}
-	}
-	next := n.Jitter(peering.AnnounceInterval) // all instances may have started at once
+	announced, next := n.Clock.Now(), n.Jitter(peering.AnnounceInterval) // all instances may have started at once
 	for {
 		timer := time.NewTimer(next)
+		asks := false
 		select {
 		case <-ctx.Done():
 			timer.Stop()
 			return nil
 		case <-n.Peers.skipped:
-			timer.Stop()
-			renew(true)
+			asks = true
 		case <-timer.C:
-			renew(false)
 		}
+		timer.Stop()
+		now := n.Clock.Now()
 		next = peering.AnnounceInterval
+		if !asks {
+			if wait := peering.PutOff(now-announced, n.readDelay(ctx), float64(n.Rand64()%1000)/1000); wait > 0 {
+				next = wait
+				continue
+			}
+		}
+		renewed := started
+		renewed.Asks = asks
+		n.StateLoop.Do(ctx, func() { renewed.ReadTo = n.StateLoop.State.LastRead() })
+		if renewed.ReadTo > 0 {
+			n.AppendRecordAsync(job.Record{InstanceStarted: &renewed})
+			announced = now
+		}
 	}
 }
 
