The state of a job that is too large for a record is logged, not sent again and again

Operators would see a record dropped every 1.5 s, at every instance, as long as another one asks for a job whose state exceeds the size of a record.

Cause: the restater did not look at the size; the append is asynchronous.

Evidence: by reading; no spec has a job of that size.

--- a/internal/batch/restate.go
+++ b/internal/batch/restate.go
@@ -100,7 +100,13 @@
 		}
 	})
 	for _, restated := range due {
-		b.Log("job restated", events.F("job", restated.Submitted.Job), events.F("results", fmt.Sprint(len(restated.Results))))
-		b.AppendRecordAsync(job.Record{Restated: &restated})
+		id, record := restated.Submitted.Job, job.Record{Restated: &restated}
+		if data, err := b.EncodeRecord(record); err != nil || len(data) > b.Settings.Store.RecordBytes {
+			r.restateAt[id] = now + maxRequestPause
+			b.Log("job not restated", events.F("job", id), events.F("bytes", fmt.Sprint(len(data))), events.F("error", fmt.Sprint(err)))
+			continue
+		}
+		b.Log("job restated", events.F("job", id), events.F("results", fmt.Sprint(len(restated.Results))))
+		b.AppendRecordAsync(record)
 	}
 }
