Cached tasks are those of the submission that the log has accepted

Callers that use a request id twice with other tasks would see bodies of the one run under the ids of the other, if one instance got both.

Cause: the tasks that an instance has accepted are cached by account and id of the job, and only their number was compared with the accepted submission.

Evidence: the test fails without the comparison. Not seen on a deployment.

Change: cached tasks have their locations in the content topic, which the accepted submission names. Otherwise the tasks are read from there.

--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -70,7 +70,7 @@
 		b.refuseUnstored(c, "the tasks were not stored: ", err) // without the Submitted record the job never runs
 		return
 	}
-	b.runner.cacheTasks(cacheKey(c.Account, c.ID), sub.Tasks)
+	b.runner.cacheTasks(cacheKey(c.Account, c.ID), sub.Tasks, locations)
 	submitted := b.newSubmitted(c, sub, locations, b.chooseRunner(ctx, sub.Model))
 	submitted.ReadTo = readTo
 	switch err := b.AppendRecord(ctx, job.Record{Submitted: submitted}); {
--- a/internal/batch/left_test.go
+++ b/internal/batch/left_test.go
@@ -106,3 +106,17 @@
 		}
 	}
 }
+
+// Guards against tasks of a submission that the log has not accepted: an instance got another one of the
+// same id.
+func TestCachedTasksAreThoseOfTheAcceptedSubmission(t *testing.T) {
+	r := newTestRunner()
+	stored := []job.Location{{Offset: 1, Records: 1}}
+	for _, content := range [][]job.Location{stored, {{Offset: 2, Records: 1}}} {
+		r.cacheTasks(cacheKey("a", "j"), make([]job.Task, 1), stored)
+		accepted := &job.Job{Submitted: job.Submitted{Job: "j", Account: "a", Content: content}}
+		if found := r.takeCached(accepted) != nil; found != (content[0] == stored[0]) || r.takeCached(accepted) != nil {
+			t.Errorf("tasks of %v for a submission of %v: %t", stored, content, found)
+		}
+	}
+}
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -19,14 +19,7 @@
 // outputs of earlier runs. It sends the loaded job to the runner's goroutine.
 func (r *runner) loadJob(ctx context.Context, snapshot jobSnapshot, claimed *claimedJob) {
 	loaded := loadedJob{id: snapshot.job.Job, claimed: claimed}
-	r.mu.Lock()
-	key := cacheKey(snapshot.job.Account, loaded.id)
-	cached, found := r.taskCache[key]
-	delete(r.taskCache, key)
-	r.mu.Unlock()
-	if found {
-		loaded.tasks = cached.tasks
-	} else {
+	if loaded.tasks = r.takeCached(snapshot.job); loaded.tasks == nil {
 		loaded.tasks, loaded.err = r.batch.tasksOf(ctx, loaded.id)
 	}
 	if loaded.err == nil && len(loaded.tasks) != len(snapshot.job.Tasks) {
--- a/internal/batch/runner.go
+++ b/internal/batch/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,7 @@
 
 type cachedTasks struct {
 	tasks    []job.Task
+	content  []job.Location // where they are stored
 	cachedAt time.Duration
 }
 
@@ -107,7 +109,7 @@
 
 // cacheTasks keeps the tasks of a job that this instance accepts for taskCacheTTL, so
 // that it need not read them from the log if it becomes the runner.
-func (r *runner) cacheTasks(key string, tasks []job.Task) {
+func (r *runner) cacheTasks(key string, tasks []job.Task, content []job.Location) {
 	now := r.batch.Clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -116,7 +118,21 @@
 			delete(r.taskCache, other)
 		}
 	}
-	r.taskCache[key] = cachedTasks{tasks, now}
+	r.taskCache[key] = cachedTasks{tasks, content, now}
+}
+
+// takeCached removes the tasks of the job from the cache and returns them, nil if the cache has none
+// or those of another submission of the job's id, which the log has not accepted.
+func (r *runner) takeCached(j *job.Job) []job.Task {
+	key := cacheKey(j.Account, j.Job)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	cached := r.taskCache[key]
+	delete(r.taskCache, key)
+	if !slices.Equal(cached.content, j.Content) {
+		return nil
+	}
+	return cached.tasks
 }
 
 // openJobCount returns the number of jobs that run here.
