--- a/internal/batch/restate.go
+++ b/internal/batch/restate.go
@@ -143,18 +143,32 @@
 	r.append(due)
 }
 
-// append appends the states of jobs. A record that the log does not take is appended without stored
-// events: the tasks start over.
+// append appends the states of jobs. One that is too large for a record is appended without stored
+// events, if that is enough: the tasks start over.
 func (r *restater) append(due []job.Restated) {
 	b := r.batch
 	for _, restated := range due {
-		b.Log("job restated", events.F("job", restated.Submitted.Job), events.F("results", fmt.Sprint(len(restated.Results))))
-		record := job.Record{Restated: &restated}
-		if data, err := b.EncodeRecord(record); err == nil && len(data) > b.Settings.Store.RecordBytes {
+		id, record := restated.Submitted.Job, job.Record{Restated: &restated}
+		size, err := r.sizeOf(record)
+		if size > b.Settings.Store.RecordBytes {
 			for i := range restated.Tasks {
 				restated.Tasks[i].Chunks = nil
 			}
+			size, err = r.sizeOf(record)
 		}
+		if err != nil || size > b.Settings.Store.RecordBytes {
+			again := b.Clock.Now() + maxRequestPause
+			r.restateAt[id], r.asReadAt[id] = again, again
+			b.Log("job not restated", events.F("job", id), events.F("bytes", fmt.Sprint(size)), events.F("error", fmt.Sprint(err)))
+			continue
+		}
+		b.Log("job restated", events.F("job", id), events.F("results", fmt.Sprint(len(restated.Results))))
 		b.AppendRecordAsync(record)
 	}
 }
+
+// sizeOf returns the size of the record in bytes.
+func (r *restater) sizeOf(record job.Record) (int, error) {
+	data, err := r.batch.EncodeRecord(record)
+	return len(data), err
+}
