One list of announcements answers all instances that start within a quarter of the retention

Cause: each start was answered with the announcements that the log may not keep. Of hundreds that start within seconds, with others that stay up, each would have caused a list of all instances, which all read. Change: a list that was read less than a quarter of the retention ago answers later questions too: who asks reads it as well, and the log still keeps what it did not repeat, as that was announced less than half of the retention before it. Evidence: TestInstancesThatAskOneAfterTheOtherGetOneAnswer needs the new argument; without the condition in noteAsk it fails ("at 2s an answer is due: true"). Result: internal/node with -race and the spec of internal/hosted pass.

--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -72,8 +72,13 @@
 	}
 }
 
-// noteAsk notes that another instance asks for announcements. It runs on the state goroutine.
-func (l *PeerLinks) noteAsk() {
+// noteAsk notes that another instance asks for announcements. It reads the answer to an earlier
+// question, too: one answer is enough until the log may remove what that did not repeat, as it was
+// announced less than half of the retention before. It runs on the state goroutine.
+func (l *PeerLinks) noteAsk(now time.Duration) {
+	if l.answered && now-l.answeredAt < l.node.Retention()/4 {
+		return
+	}
 	l.unanswered = true
 	select {
 	case l.asked <- struct{}{}:
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -220,7 +220,7 @@
 	case r.InstanceStarted != nil:
 		n.Peers.noteAnnouncement(now, r, accepted)
 	case r.KnownInstances != nil:
-		n.Peers.noteKnown(accepted)
+		n.Peers.noteKnown(now, accepted)
 	case r.Submitted != nil && accepted:
 		if desired := n.StateLoop.desiredVersions[r.Submitted.Model]; desired > 0 {
 			n.StateLoop.AllowedStaleness[r.Submitted.Model] = max(0, desired-r.Submitted.MinVersion)
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -14,8 +14,8 @@
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
-// PeerLinks are the connections between this instance and the others. The fields renewals,
-// changed and unanswered belong to the state goroutine.
+// PeerLinks are the connections between this instance and the others. The fields from
+// renewals to answeredAt belong to the state goroutine.
 type PeerLinks struct {
 	node     *Node
 	identity *peerlink.Identity
@@ -24,7 +24,9 @@
 	renewals peering.Renewals
 	changed  bool // an announcement was read that may change who is accepted
 
-	unanswered bool // an instance has asked for announcements, and no answer was read since
+	unanswered bool          // an instance has asked for announcements, and no answer was read since
+	answered   bool          // an answer was read
+	answeredAt time.Duration // when it was last
 
 	asked   chan struct{} // another instance has asked
 	skipped chan struct{} // this instance has skipped records and asks
@@ -52,15 +54,15 @@
 	if own {
 		l.renewals.OwnRead(now)
 	} else if r.InstanceStarted.Asks {
-		l.noteAsk()
+		l.noteAsk(now)
 	}
 	l.changed = l.changed || own || accepted
 }
 
 // noteKnown notes that an answer to an instance that asked was read, and whether it told of
 // instances that were not known. It runs on the state goroutine.
-func (l *PeerLinks) noteKnown(changed bool) {
-	l.unanswered = false
+func (l *PeerLinks) noteKnown(now time.Duration, changed bool) {
+	l.unanswered, l.answered, l.answeredAt = false, true, now
 	l.changed = l.changed || changed
 }
 
