Kept events of a task belong to their service

What callers saw: the route of a job moves to another service while its tasks run, and tasks go on there after events of the former service, if the versions of both have the same name.

Cause: the same as of the streams that are taken up: kept events and stored parts name a version and not the service that it belongs to.

Evidence: "holds no events of another service whose version has the same name when its route moves" failed before: a run at the other service went on after event 35.

Change: stored parts state the service, and what is compared of kept events is the service with the version. A part of an earlier build states none: it fits to any, and is taken for one of the service that the route leads to, so that a release of this service loses no kept events.

--- a/core/assign/types.go
+++ b/core/assign/types.go
@@ -78,7 +78,7 @@
 type Engine struct {
 	ID            string
 	Service       string
-	Software      string // version of its program, not of its weights
+	Software      string // what its events are made by: the version of its program, not of its weights, and its service
 	Slots         int
 	Ready         bool
 	Versions      map[string]int64 // weight versions by model
--- a/core/job/output.go
+++ b/core/job/output.go
@@ -31,7 +31,7 @@
 // job and got it back. The numbers of their chunks may fit though a run of the one was not asked to
 // go on after the events of the other. A chunk therefore names the one before it.
 //
-// Invariant: the chunks of a task are contiguous and of one software version, and each was generated
+// Invariant: the chunks of a task are contiguous and of one software version of one service, and each was generated
 // by runs that went on after the ones before it.
 func (s *TaskStatus) appendChunk(c Chunk) {
 	if c.First == 1 {
@@ -42,7 +42,8 @@
 		return
 	}
 	latest := &s.Chunks[len(s.Chunks)-1]
-	if *c.After == latest.Location && c.First == latest.Last+1 && c.Software == latest.Software {
+	sameService := c.Service == latest.Service || c.Service == "" || latest.Service == ""
+	if *c.After == latest.Location && c.First == latest.Last+1 && c.Software == latest.Software && sameService {
 		s.Chunks = append(s.Chunks[:len(s.Chunks):len(s.Chunks)], c) // append copies: later jobs share the old slice
 	}
 }
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -163,7 +163,8 @@
 	// After is the location of the chunk that the events go on after: the writer has stored it
 	// before this one, or has loaded it. nil: the events begin with the first one. Key 7 was used by
 	// earlier builds.
-	After *Location `cbor:"8,keyasint,omitempty"`
+	After   *Location `cbor:"8,keyasint,omitempty"`
+	Service string    `cbor:"9,keyasint,omitempty"` // of the target; empty in records of earlier builds
 
 	writer string // of the record; set when it is applied
 }
--- a/core/job/streams_test.go
+++ b/core/job/streams_test.go
@@ -66,6 +66,16 @@
 		Expect(chunks[0].Software).To(Equal("v2"))
 	})
 
+	It("of another service do not go on with a task's stored events; an earlier build states none", func() {
+		s.Apply(0, 0, job.Record{Writer: "n1", Submitted: &job.Submitted{Job: "j", Account: "a", Tasks: []job.TaskRef{{ID: "t"}}, Runner: "n1"}})
+		for i, service := range []string{"", "s", "other", "s", ""} {
+			first := int64(len(s.Jobs["j"].Status[0].Chunks)) + 1
+			c := job.Chunk{First: first, Last: first, Versions: []int64{1}, Software: "v1", Service: service, After: &job.Location{}}
+			s.Apply(0, 0, job.Record{Writer: "n1", Progress: &job.Progress{Job: "j", Chunks: []job.Chunk{c}}})
+			Expect(s.Jobs["j"].Status[0].Chunks).To(HaveLen([]int{1, 2, 2, 3, 4}[i]))
+		}
+	})
+
 	Describe("and numbers", func() {
 		var at int64 // location of the latest chunk
 		const none = int64(-1)
--- a/internal/batch/chains_test.go
+++ b/internal/batch/chains_test.go
@@ -191,7 +191,7 @@
 	for _, c := range i.loading[0] {
 		parts = append(parts, m.content[c.Location.Offset])
 	}
-	output := outputOf(i.loading[0], parts)
+	output := outputOf(i.loading[0], parts, "")
 	if i.left != nil && i.left.kept().Events > output.lastEvent {
 		output = i.left
 	}
@@ -240,7 +240,7 @@
 // runner in place of the first one of this runner, and so none that goes on after it.
 func TestOutputOfARefusedPartIsStoredAnew(t *testing.T) {
 	first := job.Chunk{First: 1, Last: 1, Versions: []int64{1}, Software: "v1", Location: job.Location{Offset: 1, Records: 1}}
-	output := outputOf([]job.Chunk{first}, [][]byte{[]byte("a")})
+	output := outputOf([]job.Chunk{first}, [][]byte{[]byte("a")}, "")
 	output.startRun(1, "v1")
 	store := func(number, offset int64, data string) (chunk job.Chunk, stored string) {
 		output.addEvent(1, number, []byte(data), 1, 0)
--- a/internal/batch/engines.go
+++ b/internal/batch/engines.go
@@ -24,7 +24,7 @@
 		if len(t.Models) == 0 {
 			continue
 		}
-		e := assign.Engine{ID: t.ID, Service: t.Service, Slots: t.Slots, Ready: t.Ready, Limited: t.Limited, Software: t.Software, Versions: t.Models}
+		e := assign.Engine{ID: t.ID, Service: t.Service, Slots: t.Slots, Ready: t.Ready, Limited: t.Limited, Software: originOf(t), Versions: t.Models}
 		if o, ordered := orders[t.ID]; ordered && t.Models[o.Model] < o.Version {
 			e.LoadOrderedAt, e.LoadingModel = o.ReadAt, o.Model
 		}
--- a/internal/batch/progress.go
+++ b/internal/batch/progress.go
@@ -90,12 +90,21 @@
 		r.batch.Log("text unreadable", events.F("job", j.Job), events.F("task", j.Tasks[i].ID), events.F("error", fmt.Sprint(err)))
 		return &taskOutput{}
 	}
-	t := outputOf(chunks, parts)
+	t := outputOf(chunks, parts, r.batch.serviceOf(j))
 	r.batch.Log("stored events loaded", events.F("job", j.Job), events.F("task", j.Tasks[i].ID), events.F("events", fmt.Sprint(t.lastEvent)),
 		events.F("parts", fmt.Sprint(len(chunks))), events.F("writers", strings.Join(writersOf(chunks), ",")))
 	return t
 }
 
+// serviceOf returns a service that the route of the job leads to, empty if there is none.
+func (b *Batch) serviceOf(j *job.Job) string {
+	route, found := b.CurrentView().Catalog.RouteByName(j.Route)
+	if !found {
+		return ""
+	}
+	return route.Pick(0)
+}
+
 // writersOf returns the writers of the chunks, each once for contiguous chunks of it.
 func writersOf(chunks []job.Chunk) []string {
 	var out []string
--- a/internal/batch/runs.go
+++ b/internal/batch/runs.go
@@ -71,8 +71,9 @@
 		event, counter = "run starts over", r.batch.Metrics.RunsStartedOver
 	}
 	counter.Inc()
+	service, madeBy := splitOrigin(kept.Software)
 	r.batch.Log(event, events.F("job", s.Task.Job), events.F("task", j.job.Tasks[s.Task.Task].ID), events.F("run", fmt.Sprint(s.Run)),
-		events.F("target", s.Engine), events.F("software", software), events.F("events", fmt.Sprint(kept.Events)), events.F("made_by", kept.Software))
+		events.F("target", s.Engine), events.F("software", software), events.F("events", fmt.Sprint(kept.Events)), events.F("made_by", madeBy), events.F("service", service))
 }
 
 // onRunEnd handles the end of a run. It records the result of a completed task or a
--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -59,7 +59,7 @@
 // output.
 func (b *Batch) runTask(ctx context.Context, r taskRun) runEnd {
 	end := runEnd{run: r.id, key: r.key, taskID: r.task.ID, engine: r.target.ID, outcome: assign.Broken}
-	lastEvent := r.output.startRun(r.id, r.target.Software)
+	lastEvent := r.output.startRun(r.id, originOf(r.target))
 	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.remaining, lastEvent)
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: r.target.Address, Opaque: r.task.Path}, Host: r.host,
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -18,13 +18,13 @@
 	lastEvent   int64         // number of the last event; zero: none
 	versions    []int64       // weight versions that generated the events, ascending
 	lastEventAt time.Duration // arrival of the last event
-	software    string        // version of the engines that generated the events; empty: not known
+	origin      string        // of the engines that generated the events, see originOf; empty: not known
 	activeRun   int64         // run that may add events; zero: none
 	// startsOver is set until the first event of an active run that does not go on after the
-	// events. Its first event replaces them; activeSoftware is its engine's version.
-	startsOver     bool
-	activeSoftware string
-	runEvents      int64 // added by the active run
+	// events. Its first event replaces them; activeOrigin is its engine's origin.
+	startsOver   bool
+	activeOrigin string
+	runEvents    int64 // added by the active run
 	// maker is set while it is not known whether the events since before are made by an engine with
 	// the version software.
 	maker        *maker
@@ -55,18 +55,19 @@
 	bytes     int
 	lastEvent int64
 	versions  []int64
-	software  string
+	origin    string
 }
 
 // outputOf returns the output that contiguous chunks from event 1 on hold, with the data of each.
-func outputOf(chunks []job.Chunk, parts [][]byte) *taskOutput {
+// routed is the service that the job's route leads to.
+func outputOf(chunks []job.Chunk, parts [][]byte, routed string) *taskOutput {
 	t := &taskOutput{}
 	for k, c := range chunks {
 		if k > 0 {
 			t.data = append(t.data, '\n')
 		}
 		t.data = append(t.data, parts[k]...)
-		t.lastEvent, t.software = c.Last, c.Software
+		t.lastEvent, t.origin = c.Last, originOfChunk(c, routed)
 		for _, v := range c.Versions {
 			t.versions = withVersion(t.versions, v)
 		}
@@ -79,17 +80,17 @@
 	return t
 }
 
-// startRun makes run, at an engine with the software version, the only run that may add
+// startRun makes run, at an engine with the origin, the only run that may add
 // events. It returns the number of the event after which the run resumes, zero if it starts
 // from the first event.
-func (t *taskOutput) startRun(run int64, software string) (resumeAfter int64) {
+func (t *taskOutput) startRun(run int64, origin string) (resumeAfter int64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.settle() {
 		t.rollBack()
 	}
-	t.activeRun, t.activeSoftware, t.runEvents, t.firstEventAt = run, software, 0, 0
-	t.startsOver = t.lastEvent == 0 || software == "" || t.software != software
+	t.activeRun, t.activeOrigin, t.runEvents, t.firstEventAt = run, origin, 0, 0
+	t.startsOver = t.lastEvent == 0 || origin == "" || t.origin != origin
 	if t.startsOver {
 		return 0
 	}
@@ -102,7 +103,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.activeRun == run {
-		t.maker, t.before = m, outputMark{len(t.data), t.lastEvent, t.versions, t.software}
+		t.maker, t.before = m, outputMark{len(t.data), t.lastEvent, t.versions, t.origin}
 	}
 }
 
@@ -127,7 +128,7 @@
 
 // rollBack discards the events of a run whose maker is not known. It is called with mu held.
 func (t *taskOutput) rollBack() {
-	t.data, t.lastEvent, t.versions, t.software = t.data[:t.before.bytes], t.before.lastEvent, t.before.versions, t.before.software
+	t.data, t.lastEvent, t.versions, t.origin = t.data[:t.before.bytes], t.before.lastEvent, t.before.versions, t.before.origin
 	t.maker = nil
 }
 
@@ -167,7 +168,7 @@
 	}
 	if t.startsOver && number == 1 {
 		t.discard()
-		t.software, t.startsOver = t.activeSoftware, false
+		t.origin, t.startsOver = t.activeOrigin, false
 	}
 	if t.startsOver || number != t.lastEvent+1 {
 		return false
@@ -241,9 +242,9 @@
 func (t *taskOutput) kept() assign.Kept {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	kept := assign.Kept{Events: t.lastEvent, Software: t.software}
+	kept := assign.Kept{Events: t.lastEvent, Software: t.origin}
 	if !t.settle() {
-		kept = assign.Kept{Events: t.before.lastEvent, Software: t.before.software}
+		kept = assign.Kept{Events: t.before.lastEvent, Software: t.before.origin}
 	}
 	if kept.Software == "" {
 		return assign.Kept{}
@@ -265,14 +266,15 @@
 func (t *taskOutput) takeUnsaved(minEvents int64) (chunk job.Chunk, data []byte, part *unstoredPart) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.saving != nil || t.lastEvent-t.savedLastEvent < minEvents || t.lastEvent == t.savedLastEvent || t.software == "" || !t.settle() {
+	if t.saving != nil || t.lastEvent-t.savedLastEvent < minEvents || t.lastEvent == t.savedLastEvent || t.origin == "" || !t.settle() {
 		return job.Chunk{}, nil, nil
 	}
 	from := t.savedBytes
 	if t.savedLastEvent > 0 {
 		from++ // the line feed between the parts
 	}
-	chunk = job.Chunk{First: t.savedLastEvent + 1, Last: t.lastEvent, Versions: slices.Clone(t.versions), Software: t.software, After: t.savedAt}
+	service, software := splitOrigin(t.origin)
+	chunk = job.Chunk{First: t.savedLastEvent + 1, Last: t.lastEvent, Versions: slices.Clone(t.versions), Service: service, Software: software, After: t.savedAt}
 	data = slices.Clone(t.data[from:])
 	t.saving = &unstoredPart{t.savedLastEvent, t.savedBytes}
 	t.savedLastEvent, t.savedBytes = t.lastEvent, len(t.data)
--- a/internal/hosted/software_test.go
+++ b/internal/hosted/software_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 const (
@@ -81,6 +82,27 @@
 		}
 	})
 
+	It("holds no events of another service whose version has the same name when its route moves", func() {
+		d.remove("e1")
+		d.engines = append(d.engines, d.addTarget("e2", "others", 8, oldSoftware))
+		d.engines[0].SetEventInterval(20 * time.Millisecond)
+		events := tasks(4, 400)
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		Eventually(d.storedChunks, eventuallyTimeout).Should(BeNumerically(">=", 4))
+		d.version += 3
+		config := hostplatform.Config(d.version, host, []string{key})
+		config["routes"].([]map[string]any)[2]["service"] = "others"
+		config["services"] = append(config["services"].([]map[string]any), map[string]any{"name": "others", "engine": map[string]any{"models": []map[string]any{{"name": "m"}}}})
+		d.store.Put(platform.OperatorTopic, "config", config)
+		d.awaitLogged("config applied", 4)
+		d.instances[0].kill()
+		d.remove("e0")
+		checkSoftware(d.instances[1].awaitResults("j", 4), events)
+		for _, r := range d.engines[2].Runs() {
+			Expect(r.From).To(BeZero(), "a run at the other service that goes on after kept events")
+		}
+	})
+
 	It("is taken up by callers through any instance at a target of its version only", func() {
 		const total = 30
 		for _, e := range d.engines {
