--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -63,7 +63,7 @@
 		end.outcome, end.err = assign.NotRun, err
 		return markCanceled(ctx, end)
 	}
-	lastEvent := r.output.startRun(r.id, r.target.Software)
+	lastEvent := r.output.startRun(r.id, originOf(r.target))
 	header := platform.TaskHeader(r.task, r.target.ID, r.account, r.remaining, lastEvent)
 	req := &http.Request{
 		Method: http.MethodPost, URL: &url.URL{Scheme: "http", Host: r.target.Address, Opaque: r.task.Path}, Host: r.host,
