The time of a gap in the log does not follow the clock of one writer

Callers would see submissions refused with 503 at an instance that has skipped records, and the platform would miss windows, for as long as the clock of the writer of one record was ahead; with one that was behind, a repetition could count as new and a window be reported again.

Cause: when the first record after the gap was written was taken from that record alone, and compared with the wall clock of the instance or of another writer.

Evidence: two of the three entries of the new table fail without the bounds.

Change: the time is bounded by the log's retention and the moment at which the gap was found, the 20 s are counted by the reader's clock, and a submission that states how far its writer had read is judged by that alone.

--- a/core/job/fuzz_test.go
+++ b/core/job/fuzz_test.go
@@ -31,7 +31,7 @@
 		for i, earlier := range []job.Record{submitted("j", "n1", "x", "y"), submitted("k", "n1", "y"), r, r, submitted("l", "n1", "x", "y")} {
 			s.Apply(int64(i), time.Duration(i)*time.Second, earlier)
 		}
-		s.SkipTo(6)
+		s.SkipTo(6, math.MinInt64, math.MaxInt64)
 		for i, later := range []job.Record{r, submitted("n", "n1", "z"), r} {
 			s.Apply(int64(6+i), time.Minute, later)
 		}
--- a/core/job/gap.go
+++ b/core/job/gap.go
@@ -50,6 +50,9 @@
 type gap struct {
 	from     record.Offset // the records about jobs that are not whole are in kept from here on
 	since    int64         // when the first record after the gap was written, Unix milliseconds; zero: not read
+	oldest   int64         // since is between oldest and newest, whatever its writer's clock shows
+	newest   int64
+	readAt   time.Duration // when that record was read, by the reader's clock
 	kept     []keptRecord  // in order
 	requests map[string]request
 }
@@ -69,8 +72,8 @@
 
 // skipJobs marks the jobs about which records before from may be missing: all without a full list of
 // results, which nothing changes.
-func (s *State) skipJobs(from record.Offset) {
-	s.gap = gap{from: from, requests: s.gap.requests}
+func (s *State) skipJobs(from record.Offset, oldest, newest int64) {
+	s.gap = gap{from: from, oldest: oldest, newest: newest, requests: s.gap.requests}
 	for id, j := range s.Jobs {
 		if len(j.Results) < len(j.Tasks) {
 			j.Incomplete = true
@@ -85,7 +88,7 @@
 		return false
 	}
 	if s.gap.since == 0 {
-		s.gap.since = r.At
+		s.gap.since, s.gap.readAt = max(s.gap.oldest, min(r.At, s.gap.newest)), now
 	}
 	id, found := r.job()
 	if !found || s.isWhole(id, r) {
@@ -100,16 +103,18 @@
 }
 
 // isWhole reports whether all records about the job were read, or r is the first of them: either its
-// writer knew no such job and this reader has read what that writer has not, or nobody repeats an
-// earlier submission any more.
+// writer knew no such job and this reader has read what that writer has not, or, by the clocks, nobody
+// repeats an earlier submission any more.
 func (s *State) isWhole(id string, r Record) bool {
 	switch {
 	case s.Jobs[id] != nil:
 		return !s.Jobs[id].Incomplete
 	case r.Submitted == nil || s.hasKept(id):
 		return false
-	default:
-		return r.Submitted.ReadTo >= s.skipped.last || r.At >= s.gap.since+resubmitWindow.Milliseconds()
+	case r.Submitted.ReadTo > 0:
+		return r.Submitted.ReadTo >= s.skipped.last
+	default: // earlier builds state nothing
+		return r.At >= s.gap.since+resubmitWindow.Milliseconds()
 	}
 }
 
@@ -118,12 +123,13 @@
 }
 
 // IsNew reports whether a job that the state does not have was never submitted, as far as the log was
-// read, and returns the ReadTo of its submission. wallMillis is the current time in Unix milliseconds.
-func (s *State) IsNew(id string, wallMillis int64) (readTo record.Offset, isNew bool) {
+// read at now by the reader's clock, and returns the ReadTo of its submission.
+func (s *State) IsNew(id string, now time.Duration) (readTo record.Offset, isNew bool) {
 	if s.skipped.last == 0 {
 		return s.lastRead, true
 	}
-	return s.lastRead, s.gap.since != 0 && wallMillis >= s.gap.since+resubmitWindow.Milliseconds() && !s.hasKept(id)
+	known := now - s.gap.readAt + time.Duration(s.gap.newest-s.gap.since)*time.Millisecond // since the gap
+	return s.lastRead, s.gap.since != 0 && known >= resubmitWindow && !s.hasKept(id)
 }
 
 // MayHaveSkipped reports whether a record that was written at the time or later, in Unix milliseconds,
--- a/core/job/gap_test.go
+++ b/core/job/gap_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"reflect"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -34,7 +35,9 @@
 	return w
 }
 
-func (w *gapWorld) at() int64 { return 1_000_000 + 100*w.step }
+func (w *gapWorld) now() time.Duration { return time.Duration(w.step) * 100 * time.Millisecond }
+
+func (w *gapWorld) at() int64 { return 1_000_000 + w.now().Milliseconds() }
 
 func (w *gapWorld) append(r job.Record) {
 	w.oracle.Apply(int64(len(w.log)), 0, r)
@@ -43,7 +46,7 @@
 
 func (w *gapWorld) read(n, count int) {
 	for range min(count, len(w.log)-w.applied[n]) {
-		w.readers[n].Apply(int64(w.applied[n]), 0, w.log[w.applied[n]])
+		w.readers[n].Apply(int64(w.applied[n]), w.now(), w.log[w.applied[n]])
 		w.applied[n]++
 	}
 }
@@ -53,7 +56,7 @@
 	j := s.Jobs[id]
 	switch action := w.random.IntN(10); {
 	case action < 2 && j == nil:
-		readTo, isNew := s.IsNew(id, w.at())
+		readTo, isNew := s.IsNew(id, w.now())
 		if first, found := w.first[id]; !isNew || found && w.at()-first > 12_000 {
 			return
 		} else if !found {
@@ -91,7 +94,7 @@
 	}
 	if w.random.IntN(60) == 0 {
 		w.applied[n] += w.random.IntN(len(w.log) - w.applied[n] + 1)
-		w.readers[n].SkipTo(int64(w.applied[n]))
+		w.readers[n].SkipTo(int64(w.applied[n]), 0, w.at())
 	}
 	if n != 0 || w.random.IntN(8) == 0 { // one of them is mostly behind
 		w.read(n, w.random.IntN(12))
@@ -168,4 +171,20 @@
 			Expect(w.check()).To(Succeed(), "seed %d", seed)
 		}
 	})
+
+	// Guards against submissions that are refused, and windows that are not reported, for as long as the
+	// clock of the writer of one record was ahead, and against repetitions that count as new.
+	DescribeTable("are told from later ones whatever the clock of a writer shows", func(at int64) {
+		s := job.NewState()
+		s.SkipTo(7, 980_000, 1_000_000)
+		s.Apply(7, 0, job.Record{At: at, InstanceLeaving: &job.InstanceLeaving{}})
+		for now, after := range map[time.Duration]bool{-21 * time.Second: false, 20 * time.Second: true} {
+			_, isNew := s.IsNew("j", now)
+			Expect([]bool{isNew, s.MayHaveSkipped(1_000_000 + now.Milliseconds())}).To(Equal([]bool{after, !after}), "after %s", now)
+		}
+	},
+		Entry("the time", int64(990_000)),
+		Entry("an hour ahead", int64(4_590_000)),
+		Entry("an hour behind", int64(-2_610_000)),
+	)
 })
--- a/core/job/lease.go
+++ b/core/job/lease.go
@@ -33,14 +33,14 @@
 // SkipTo makes the state go on at the offset: the log does not keep the records before. The
 // holders of leases may have changed in them and are unknown until two records are read of which
 // one supersedes the other. Jobs about which there may be records are incomplete until they are
-// restated.
-func (s *State) SkipTo(offset int64) {
+// restated. The first record that is kept was written between oldest and newest, in Unix milliseconds.
+func (s *State) SkipTo(offset, oldest, newest int64) {
 	from := LeaseOffset(offset)
 	s.skipped = leaseGap{from: from, last: from - 1}
 	s.lastRead = from - 1
 	clear(s.Leases)
 	clear(s.leaseGaps)
-	s.skipJobs(from)
+	s.skipJobs(from, oldest, newest)
 }
 
 // UnknownLease returns whether it is unknown who holds the lease, since records were skipped. If
--- a/core/job/lease_test.go
+++ b/core/job/lease_test.go
@@ -34,7 +34,7 @@
 	// applyFrom applies the records from the offset on, as a reader that finds the earlier ones removed.
 	applyFrom := func(from int, records ...job.Record) *job.State {
 		s := job.NewState()
-		s.SkipTo(int64(from))
+		s.SkipTo(int64(from), 0, 0)
 		for i, r := range records[from:] {
 			s.Apply(int64(from+i), 0, r)
 		}
@@ -74,7 +74,7 @@
 		Expect(s.Apply(3, 0, renewal("n1", 2, 1))).To(BeTrue())
 		_, _, unknown = s.UnknownLease("l")
 		Expect(unknown).To(BeFalse())
-		s.SkipTo(9)
+		s.SkipTo(9, 0, 0)
 		_, _, unknown = s.UnknownLease("l")
 		Expect(unknown).To(BeTrue())
 	})
@@ -208,7 +208,7 @@
 func (in *leaseInstance) read(w *leaseWorld) {
 	if in.next < w.first {
 		in.next = w.first
-		in.state.SkipTo(int64(w.first))
+		in.state.SkipTo(int64(w.first), 0, 0)
 	}
 	for ; in.next < len(w.log); in.next++ {
 		r := w.log[in.next]
--- a/internal/batch/chains_test.go
+++ b/internal/batch/chains_test.go
@@ -137,7 +137,7 @@
 	}
 	if m.random.IntN(8) == 0 { // the log does not keep what it has not read
 		i.applied += m.random.IntN(len(m.log) - i.applied + 1)
-		i.state.SkipTo(int64(i.applied) + 1) // offsets count from 1 here
+		i.state.SkipTo(int64(i.applied)+1, 0, 0) // offsets count from 1 here
 		m.note(i, "skips records up to %d", i.applied)
 		return
 	}
--- a/internal/batch/known.go
+++ b/internal/batch/known.go
@@ -22,7 +22,7 @@
 // isNewJob reports whether a job that is not known was never submitted, as far as the log was read, and
 // returns the ReadTo of its submission.
 func (b *Batch) isNewJob(ctx context.Context, id string) (readTo record.Offset, isNew bool) {
-	b.StateLoop.Do(ctx, func() { readTo, isNew = b.StateLoop.State.IsNew(id, b.Clock.Wall().UnixMilli()) })
+	b.StateLoop.Do(ctx, func() { readTo, isNew = b.StateLoop.State.IsNew(id, b.Clock.Now()) })
 	return readTo, isNew
 }
 
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -102,7 +102,8 @@
 			n.readBack.lose()
 			n.StateLoop.Do(ctx, func() {
 				n.StateLoop.nextOffset = trimmed.OldestOffset
-				n.StateLoop.State.SkipTo(trimmed.OldestOffset)
+				now := n.Clock.Wall().UnixMilli()
+				n.StateLoop.State.SkipTo(trimmed.OldestOffset, now-n.Settings.Store.Retention.Milliseconds(), now)
 			})
 		case err != nil:
 			n.DependencyLost("log", err)
