--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -247,7 +247,7 @@
 		known := job.Record{Writer: "n2/x", KnownInstances: &job.KnownInstances{Instances: all.KnownInstances(9*time.Second, 5*time.Second, func(string) bool { return true })}}
 		Expect(all.Apply(7, 10*time.Second, known)).To(BeFalse(), "all of them were read")
 		young := job.NewState()
-		young.SkipTo(7)
+		young.SkipTo(7, 0, 0)
 		Expect(young.Apply(7, 90*time.Second, known)).To(BeTrue())
 		i := young.Instances["n1"]
 		Expect([]any{i.Incarnation, i.StartedAt, i.AnnouncedOffset, i.AnnouncedAt}).To(Equal([]any{"n1/a", int64(1000), int64(1), 82 * time.Second}))
--- a/internal/node/follow.go
+++ b/internal/node/follow.go
@@ -103,7 +103,8 @@
 			n.Peers.noteSkip()
 			n.StateLoop.Do(ctx, func() {
 				n.StateLoop.nextOffset = trimmed.OldestOffset
-				n.StateLoop.State.SkipTo(trimmed.OldestOffset)
+				now := n.Clock.Wall().UnixMilli()
+				n.StateLoop.State.SkipTo(trimmed.OldestOffset, now-n.Retention().Milliseconds(), now)
 			})
 		case err != nil:
 			n.DependencyLost("log", err)
