A target that switches to another protocol has given no response

What callers saw: a target answers 101 to a request that asked for no other protocol; the caller gets that head and no end of a response, and waits until its deadline.

Cause: the status was passed on like any other. The body of such a response is the connection.

Change: hosted instances, and the product's plain calls, take it for a failure of the target after which the request may have run.

--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -274,6 +275,9 @@
 		return nil, &engine.AttemptError{Target: base, Outcome: outcome, Err: err}
 	}
 	defer res.Body.Close()
+	if res.StatusCode == http.StatusSwitchingProtocols { // its body is the connection, without an end
+		return nil, &engine.AttemptError{Target: base, Outcome: retry.Unknown, Err: errors.New("the target switches to another protocol, which nobody asked for")}
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(nil, res.Body, maxPlainResponse))
 	if err != nil {
 		return nil, &engine.AttemptError{Target: base, Outcome: retry.Unknown, Err: err}
--- a/internal/caller/plain_test.go
+++ b/internal/caller/plain_test.go
@@ -30,6 +30,22 @@
 	}
 }
 
+// Guards against a caller that waits in vain: a head without an end was passed on.
+func TestSwitchToAnotherProtocolIsNoResponse(t *testing.T) {
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_, _ = conn.Write([]byte("HTTP/1.1 101 Switching Protocols\r\n\r\n"))
+			_ = conn.Close()
+		}
+	}))
+	defer target.Close()
+	req := &plainRequest{call: &call{id: "r"}, route: &config.Route{Name: "/"}, method: "GET", path: "/", header: http.Header{}}
+	if response, err := newPlainClient().do(t.Context(), req, target.URL); outcomeOf(err) != retry.Unknown {
+		t.Errorf("%+v, %v", response, err)
+	}
+}
+
 // Guards against a part of a response that looks whole to a caller of HTTP/1.0.
 func TestResponseInMemoryStatesItsLength(t *testing.T) {
 	body := bytes.Repeat([]byte("a"), 8<<10) // more than the server measures itself
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -259,6 +259,8 @@
 	switch {
 	case r.PlatformHeader.Misdirected:
 		r.Err = errMisdirected
+	case res.StatusCode == http.StatusSwitchingProtocols: // its body is the connection, without an end
+		r.Err = errors.New("the target switches to another protocol, which nobody asked for")
 	case res.StatusCode/100 == 2 && r.PlatformHeader.Signature == "":
 		r.Err = errors.New("the answer is not signed")
 	case r.PlatformHeader.Encoded:
--- a/internal/hosted/wronganswer_test.go
+++ b/internal/hosted/wronganswer_test.go
@@ -198,3 +198,19 @@
 		}
 	})
 })
+
+// Guards against a caller that waits in vain: a head without an end was passed on.
+var _ = Describe("A target that switches to another protocol", func() {
+	It("has given no response to a caller", func() {
+		d := newDeployment(1, 1)
+		for _, rest := range []string{"", "x"} {
+			d.handlePlain(func(w http.ResponseWriter, r *http.Request) bool {
+				raw("HTTP/1.1 101 Switching Protocols\r\nRequest-Id: ID\r\nServer-Stamp: s\r\n\r\n"+rest)(w, r, r.Header.Get("Request-Id"))
+				return true
+			})
+			for _, path := range []string{"/once/x", "/confirm/x"} {
+				Expect(d.instances[0].call(http.MethodPost, path, path+rest, key, nil).status).To(Equal(http.StatusBadGateway), path+rest)
+			}
+		}
+	})
+})
