The renewal of the controller lease does not wait for the duties

What callers saw: on the large deployment, with a log 50 times slower, no weights were ordered for up to six seconds and windows of usage were not sealed, though the holder lived and was not replaced.

Cause: one loop renewed the lease and carried out the duties. On a slow log a window that is due takes 0.9 s to be read and 0.9 s for the seal, both in vain, so that the lease of 3 s is renewed every two seconds instead of every one, by an append that waits itself; what is left of it is too short for a call under the lease. The orders of weights waited for the usage as well.

Change: the renewal, the usage, and the weights with the scaling have a loop each. Each duty checks the lease right before each call, as before.

Test: internal/duty, TestLeaseIsRenewedWhileADutyWaits, failed before: no renewal within 20 s while a read of the usage waits.

--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -69,7 +69,7 @@
 // Loops returns the functions that perform the duties and count requests. Each runs until its
 // context ends.
 func (c *Controller) Loops() []func(context.Context) error {
-	return []func(context.Context) error{c.run, c.usageCounter.run}
+	return []func(context.Context) error{c.keepLease, c.runUsage, c.runTargets, c.usageCounter.run}
 }
 
 // CountRequest adds a request of the account to the usage of the wall time.
@@ -105,14 +105,30 @@
 	}
 }
 
-// run updates the lease and, while it is held, runs the guarded tasks, until ctx ends.
-func (c *Controller) run(ctx context.Context) error {
+// keepLease updates the lease until ctx ends. The duties wait for the log and for targets, so they
+// have loops of their own: a renewal must not wait for them.
+func (c *Controller) keepLease(ctx context.Context) error {
 	return clock.Every(ctx, controllerInterval, func() {
 		c.updateLease(ctx)
 		_, held := c.holder(ctx)
 		c.Pace.LeaseHeld.Store(held)
-		if held {
+	})
+}
+
+// runUsage reports the usage while the lease is held, until ctx ends.
+func (c *Controller) runUsage(ctx context.Context) error {
+	return clock.Every(ctx, controllerInterval, func() {
+		if _, held := c.holder(ctx); held {
 			c.reportUsage(ctx)
+		}
+	})
+}
+
+// runTargets updates the weights of targets and scales them, until ctx ends.
+func (c *Controller) runTargets(ctx context.Context) error {
+	return clock.Every(ctx, controllerInterval, func() {
+		_, held := c.holder(ctx)
+		if held {
 			c.weightUpdater.step(ctx)
 		}
 		c.scaler.step(ctx, held)
