--- a/internal/duty/controller.go
+++ b/internal/duty/controller.go
@@ -72,7 +72,7 @@
 // Loops returns the functions that perform the duties and count requests. Each runs until its
 // context ends.
 func (c *Controller) Loops() []func(context.Context) error {
-	return []func(context.Context) error{c.holdLease, c.reportAndScale, c.updateWeights, c.usageCounter.run}
+	return []func(context.Context) error{c.holdLease, c.reportUsages, c.scaleServices, c.updateWeights, c.usageCounter.run}
 }
 
 // CountRequest adds a request of the account to the usage of the wall time.
@@ -118,14 +118,20 @@
 	})
 }
 
-// reportAndScale reports usage and orders targets while this instance holds the lease, until ctx
-// ends.
-func (c *Controller) reportAndScale(ctx context.Context) error {
+// reportUsages reports usage while this instance holds the lease, until ctx ends. Scaling and the
+// weights have loops of their own, as a slow log keeps this one waiting.
+func (c *Controller) reportUsages(ctx context.Context) error {
 	return clock.Every(ctx, controllerInterval, func() {
-		_, held := c.holder(ctx)
-		if held {
+		if _, held := c.holder(ctx); held {
 			c.reportUsage(ctx)
 		}
+	})
+}
+
+// scaleServices orders targets while this instance holds the lease, until ctx ends.
+func (c *Controller) scaleServices(ctx context.Context) error {
+	return clock.Every(ctx, controllerInterval, func() {
+		_, held := c.holder(ctx)
 		c.scaler.step(ctx, held)
 	})
 }
