Specs: the spec of a job that nobody has read whole submits it

What was seen: "goes on with a job of which no instance has read all records" failed after 60 s in a whole run of internal/hosted on.

Cause: the job was submitted before each spec of the container; a merge moved the submission into the specs, and this one had none.

Result: the specs of skipped records pass under -race. Without the restatement of jobs that nobody has whole this one fails, as before.

--- a/internal/hosted/trimmed_test.go
+++ b/internal/hosted/trimmed_test.go
@@ -62,6 +62,7 @@
 	})
 
 	It("goes on with a job of which no instance has read all records", func() {
+		submit(other)
 		late.logProxy.SetTopicFault("control", hostplatform.Unresponsive)
 		other.logProxy.SetTopicFault("control", hostplatform.Unresponsive)
 		time.Sleep(2 * time.Second) // no read is in progress
