--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -50,6 +50,9 @@
 	if e.hasSeries() {
 		faults = append(faults, drawSeries(e.random, e.cfg.Duration)...)
 	}
+	if e.hasShortHistory() {
+		faults = e.shortenHistory(e.random, faults)
+	}
 	slices.SortStableFunc(faults, func(a, b fault) int { return cmp.Compare(a.start, b.start) })
 	return faults
 }
@@ -70,6 +73,9 @@
 	switch f.kind {
 	case killInstance:
 		p.kill()
+		if e.hasShortHistory() {
+			e.forgetHistory(ctx)
+		}
 		sleep(ctx, f.duration/4)
 		e.restart(p)
 	case pauseInstance:
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -64,7 +64,7 @@
 record-bytes = 262144
 call-bytes = 2097152
 reads-per-s = 2000
-retention-s = 300
+retention-s = %g
 [cloud]
 address = %q
 duties = ["usage"]
@@ -72,7 +72,7 @@
 
 // newProcess writes the settings of an instance to the run's folder. It does not start the
 // instance.
-func newProcess(cfg Config, index int, logProxy *faultProxy, cloudAddress string) (*process, error) {
+func newProcess(cfg Config, index int, logProxy *faultProxy, cloudAddress string, history time.Duration) (*process, error) {
 	ports, err := freePorts(4)
 	if err != nil {
 		return nil, err
@@ -85,7 +85,7 @@
 	}
 	p.settingsPath = filepath.Join(cfg.Dir, p.name+".toml")
 	p.logPath = filepath.Join(cfg.Dir, p.name+".log")
-	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, leaseTerm.Milliseconds(), coldOvershoot, coldSlack, logProxy.address(), logPartitions, cloudAddress)
+	settings := fmt.Sprintf(settingsFormat, p.name, ports[2], ports[2]+1, p.callerAddress, p.readyAddress, leaseTerm.Milliseconds(), coldOvershoot, coldSlack, logProxy.address(), logPartitions, history.Seconds(), cloudAddress)
 	return p, writeFile(p.settingsPath, settings)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,7 +11,8 @@
 // compete for the slots of the same engines. Engines differ in speed, and the targets of an
 // evacuated data centre must not get requests, nor must engines that are about to be reclaimed, or
 // are. A client that is no instance must get no answer from the listeners between
-// instances. In some runs, plain targets that start again are cold and must get few requests.
+// instances. In some runs, plain targets that start again are cold and must get few requests,
+// and in some, instances that start again find the latest second of the log only.
 //
 // Run is given the binary, a seed and the size of the run. It returns the numbers of jobs,
 // results, requests and faults, and every broken promise. The seed fixes the faults and
@@ -185,7 +186,7 @@
 		if err != nil {
 			return err
 		}
-		p, err := newProcess(e.cfg, i, proxy, cloudAddress)
+		p, err := newProcess(e.cfg, i, proxy, cloudAddress, e.history())
 		if err != nil {
 			return err
 		}
--- a/internal/standin/hostplatform/store.go
+++ b/internal/standin/hostplatform/store.go
@@ -162,6 +162,32 @@
 	s.notifyReaders()
 }
 
+// Ends returns the end offset of each partition of a topic.
+func (s *Store) Ends(topic string) map[string]int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ends := map[string]int64{}
+	for name, p := range s.partitions {
+		if strings.HasPrefix(name, topic+"/") {
+			ends[name] = p.first + int64(len(p.records))
+		}
+	}
+	return ends
+}
+
+// TrimTo removes the records before the offsets, which Ends has returned.
+func (s *Store) TrimTo(ends map[string]int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, end := range ends {
+		if p := s.partitions[name]; end > p.first {
+			p.records = p.records[end-p.first:]
+			p.first = end
+		}
+	}
+	s.notifyReaders()
+}
+
 // Records returns the records of a partition.
 func (s *Store) Records(topic string, part int) [][]byte {
 	s.mu.Lock()
