Spec: a target that is added last gets a request on a fast machine, too

Cause: the spec waits until p9 gets one of 20 requests that are sent 1 ms apart. In the log of the failed run 36,170 of 36,800 requests took 1 ms, so no instance ever had half of the slots of p0 or p1 in use. Until then it stays with the targets that it has connections to (idleConnectionBonus), as it is meant to. The earlier suspicion, that p9 was missing from the views, is wrong.

The other targets now hold their requests until p9 has got one. As strict as before: with p9 in a service that nobody uses the spec fails.

--- a/internal/hosted/oddentries_test.go
+++ b/internal/hosted/oddentries_test.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 	"unicode/utf8"
 
@@ -96,8 +97,23 @@
 		}
 		checkOutputs(d.instances[1].awaitResults("j", len(events)), events)
 
+		// An instance stays with the targets that it has connections to until half of the slots of one
+		// are in use, so these hold their requests until the added one gets some.
+		reached, reachedOnce := make(chan struct{}), sync.Once{}
+		d.handlePlain(func(_ http.ResponseWriter, r *http.Request) bool {
+			select {
+			case <-reached:
+			case <-r.Context().Done():
+			}
+			return false
+		})
 		added := d.addTarget("p9", "desk", 6, hostplatform.FirstSoftware)
+		added.SetPlainHandler(func(http.ResponseWriter, *http.Request) bool {
+			reachedOnce.Do(func() { close(reached) })
+			return false
+		})
 		Eventually(func() int { d.callAll(20, time.Millisecond); return len(added.Arrivals()) }, eventuallyTimeout).Should(BeNumerically(">", 0))
+		d.handlePlain(nil)
 		d.remove("p9")
 		before := len(added.Arrivals())
 		for id, res := range d.callAll(40, time.Millisecond) {
