A body that a reset cuts while the request is being sent is not whole

What callers saw: a target answers a long upload at once, without a length, and resets the connection while the upload is still being written.

Cause: a socket reports a reset to one call only. If the write of the request meets it, the read that follows returns what has arrived and then a plain end of file, and net/http ends a body of unstated length there. The belief "the connection was closed in order" is formed in the read.

Change: every HTTP client uses the transport of internal/httpclient. Its connections report the end of a response only once the request has been written; if a write has failed by then, or the connection is closed, the body ends with ErrCut. This is enough: the write that takes the error of the socket has begun before the read sees the end, so it is waited for; after the last write only a read can meet the reset. A target that closes its side only and reads on is still believed.

--- a/internal/batch/occupancy.go
+++ b/internal/batch/occupancy.go
@@ -9,6 +9,7 @@
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	core "github.com/amaranthfold/amaranthfold/core/occupancy"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/internal/occupancy"
 	"github.com/amaranthfold/amaranthfold/internal/peerlink"
@@ -73,10 +74,10 @@
 		Runners: func() []occupancy.Runner { return *o.runners.Load() },
 		Known:   func(name string) bool { return b.Allowances.Knows(name) },
 		MaySend: peerlink.MaySend,
-		Client: &http.Client{CheckRedirect: node.NoRedirect, Transport: &http.Transport{
+		Client: &http.Client{CheckRedirect: node.NoRedirect, Transport: httpclient.New(&http.Transport{
 			DialContext:         b.Peers.DialWithin(occupancyDialTimeout),
 			MaxIdleConnsPerHost: 1, IdleConnTimeout: occupancyIdleTimeout, DisableCompression: true,
-		}},
+		})},
 		Log: b.Log, Metrics: b.Metrics.Set, News: func() { notify(o.news) },
 		Gone: func(name string) { o.noteRefused(b.Clock.Now(), name) },
 	})
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -69,7 +69,7 @@
 // New returns a server. Its background work needs Run.
 func New(o Options) *Server {
 	return &Server{
-		Options: o, activeRequests: newActiveRequests(), limiter: newLimiter(o.Loop, o.Peers, o.Clock), plainClient: newPlainClient(),
+		Options: o, activeRequests: newActiveRequests(), limiter: newLimiter(o.Loop, o.Peers, o.Clock), plainClient: newPlainClient(engine.Dial),
 		retries: newRetryState(o.Loop, o.Clock), activeStreams: newActiveStreams(),
 		claims: newClaimBatcher(o.Loop, o.Clock.Wall), responses: newResponseCache(o.Clock.Now),
 	}
--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -18,6 +18,7 @@
 	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 const maxPlainResponse = 32 << 20 // bytes; a longer response is a failure of the target
@@ -37,16 +38,16 @@
 	noKeepAlive *http.Client
 }
 
-func newPlainClient() *plainClient {
-	dialer := &net.Dialer{Timeout: 2 * time.Second}
+// newPlainClient returns a client that opens connections with dial.
+func newPlainClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *plainClient {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &plainClient{
-		keepAlive: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute, DisableCompression: true,
-		}},
-		noKeepAlive: &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
-			DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
-		}},
+		keepAlive: &http.Client{CheckRedirect: noRedirect, Transport: httpclient.New(&http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute, DisableCompression: true,
+		})},
+		noKeepAlive: &http.Client{CheckRedirect: noRedirect, Transport: httpclient.New(&http.Transport{
+			DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
+		})},
 	}
 }
 
--- a/internal/caller/plain_test.go
+++ b/internal/caller/plain_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/retry"
+	"github.com/amaranthfold/amaranthfold/internal/engine"
 )
 
 // Guards against a response of which a part is passed on as the whole.
@@ -24,7 +25,7 @@
 		}))
 		defer target.Close()
 		req := &plainRequest{call: &call{id: "r"}, route: &config.Route{Name: "/"}, method: "GET", path: "/", header: http.Header{}}
-		if response, err := newPlainClient().do(t.Context(), req, target.URL); outcomeOf(err) != c.want || err == nil && len(response.body) != c.bytes {
+		if response, err := newPlainClient(engine.Dial).do(t.Context(), req, target.URL); outcomeOf(err) != c.want || err == nil && len(response.body) != c.bytes {
 			t.Errorf("%s: %v", c.name, err)
 		}
 	}
@@ -41,7 +42,7 @@
 	}))
 	defer target.Close()
 	req := &plainRequest{call: &call{id: "r"}, route: &config.Route{Name: "/"}, method: "GET", path: "/", header: http.Header{}}
-	if response, err := newPlainClient().do(t.Context(), req, target.URL); outcomeOf(err) != retry.Unknown {
+	if response, err := newPlainClient(engine.Dial).do(t.Context(), req, target.URL); outcomeOf(err) != retry.Unknown {
 		t.Errorf("%+v, %v", response, err)
 	}
 }
--- a/internal/caller/resend_test.go
+++ b/internal/caller/resend_test.go
@@ -33,9 +33,11 @@
 	}
 }
 
-func engineSender(c *engine.Client) sender {
+func engineSender(c *engine.Client) sender { return completionSender(c, `{"model":"m"}`) }
+
+func completionSender(c *engine.Client, body string) sender {
 	return func(ctx context.Context, base string) retry.Outcome {
-		stream, err := c.Open(ctx, base, "/v1/completions", []byte(`{"model":"m"}`))
+		stream, err := c.Open(ctx, base, "/v1/completions", []byte(body))
 		if err != nil {
 			return outcomeOf(err)
 		}
@@ -58,14 +60,14 @@
 func TestEachRequestIsSentOnce(t *testing.T) {
 	idempotent := http.Header{"Idempotency-Key": {"k"}, "X-Idempotency-Key": {"k"}}
 	senders := map[string]func() sender{
-		"POST":                        func() sender { return plainSender(newPlainClient(), "POST", http.Header{}, "x", false) },
-		"POST without body":           func() sender { return plainSender(newPlainClient(), "POST", http.Header{}, "", false) },
-		"POST with idempotency key":   func() sender { return plainSender(newPlainClient(), "POST", idempotent, "x", false) },
-		"bodyless, idempotency key":   func() sender { return plainSender(newPlainClient(), "POST", idempotent, "", false) },
-		"GET":                         func() sender { return plainSender(newPlainClient(), "GET", http.Header{}, "", false) },
-		"DELETE":                      func() sender { return plainSender(newPlainClient(), "DELETE", http.Header{}, "", false) },
+		"POST":                        func() sender { return plainSender(newPlainClient(engine.Dial), "POST", http.Header{}, "x", false) },
+		"POST without body":           func() sender { return plainSender(newPlainClient(engine.Dial), "POST", http.Header{}, "", false) },
+		"POST with idempotency key":   func() sender { return plainSender(newPlainClient(engine.Dial), "POST", idempotent, "x", false) },
+		"bodyless, idempotency key":   func() sender { return plainSender(newPlainClient(engine.Dial), "POST", idempotent, "", false) },
+		"GET":                         func() sender { return plainSender(newPlainClient(engine.Dial), "GET", http.Header{}, "", false) },
+		"DELETE":                      func() sender { return plainSender(newPlainClient(engine.Dial), "DELETE", http.Header{}, "", false) },
 		"completion":                  func() sender { return engineSender(engine.NewClient()) },
-		"repeatable POST with a body": func() sender { return plainSender(newPlainClient(), "POST", idempotent, "x", true) },
+		"repeatable POST with a body": func() sender { return plainSender(newPlainClient(engine.Dial), "POST", idempotent, "x", true) },
 	}
 	faults := []struct {
 		name    string
@@ -112,7 +114,7 @@
 	}
 	target.Close()
 	for name, send := range map[string]sender{
-		"plain":  plainSender(newPlainClient(), "POST", http.Header{}, "x", false),
+		"plain":  plainSender(newPlainClient(engine.Dial), "POST", http.Header{}, "x", false),
 		"engine": engineSender(engine.NewClient()),
 	} {
 		if got := send(t.Context(), target.URL); got != retry.NotRun {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -13,9 +13,13 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/core/retry"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
-const maxResponseBytes = 64 << 20 // of one complete response
+const (
+	maxResponseBytes = 64 << 20 // of one complete response
+	dialTimeout      = 2 * time.Second
+)
 
 // TimeoutHeader is the header with the time that the caller still waits for the
 // response, as a duration such as 1500ms. The service sends it to targets; callers may
@@ -49,14 +53,21 @@
 }
 
 // NewClient returns a client with its own connection pool.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: 2 * time.Second}
-	return &Client{http: &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
+func NewClient() *Client { return NewClientThrough(Dial) }
+
+// NewClientThrough is NewClient with connections that dial opens.
+func NewClientThrough(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
+	return &Client{http: &http.Client{Transport: httpclient.New(&http.Transport{
+		DialContext:         dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
 		DisableCompression:  true,
-	}}}
+	})}}
+}
+
+// Dial opens a connection to a target.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
 }
 
 // Open posts body to path of the engine at base and returns the response. It returns an
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -13,6 +13,7 @@
 	"github.com/amaranthfold/amaranthfold/core/relay"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 	"github.com/amaranthfold/amaranthfold/internal/node"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
@@ -56,10 +57,10 @@
 		forwarder: f, peers: relay.NewPeers(), slots: make(chan struct{}, maxRelayedPending),
 		client: &http.Client{
 			CheckRedirect: node.NoRedirect,
-			Transport: &http.Transport{
+			Transport: httpclient.New(&http.Transport{
 				DialContext:         f.Peers.DialWithin(relayDialTimeout),
 				MaxIdleConnsPerHost: relayIdleConns, IdleConnTimeout: relayIdleTimeout, DisableCompression: true,
-			},
+			}),
 		},
 	}
 }
--- a/internal/hosted/fixture_test.go
+++ b/internal/hosted/fixture_test.go
@@ -35,22 +35,24 @@
 
 // deployment consists of a platform stand-in, instances and stand-in targets on loopback.
 type deployment struct {
-	store        *hostplatform.Store
-	cloud        *hostplatform.Cloud
-	engines      []*hostplatform.Engine
-	plain        []*hostplatform.Engine
-	entries      map[string]func() map[string]any // registry entries by target
-	servers      map[string]*standin.Server       // by target
-	instances    []*testInstance
-	starts       map[string]int // by instance
-	memoryBytes  int64          // of each instance
-	version      int64          // of the configuration
-	logs         *gbytes.Buffer
-	logOutputs   []*logline.Writer // of the instances, which write to logs
-	logReads     atomic.Int64
-	cloudAddress string
-	stopped      chan struct{} // ends writeHeartbeats
-	mu           sync.Mutex    // guards entries, servers and logOutputs
+	store       *hostplatform.Store
+	cloud       *hostplatform.Cloud
+	engines     []*hostplatform.Engine
+	plain       []*hostplatform.Engine
+	entries     map[string]func() map[string]any // registry entries by target
+	servers     map[string]*standin.Server       // by target
+	instances   []*testInstance
+	starts      map[string]int // by instance
+	memoryBytes int64          // of each instance
+	// receiveBuffer is that of the connections of targets that are added, in bytes; zero: the system's.
+	receiveBuffer int
+	version       int64 // of the configuration
+	logs          *gbytes.Buffer
+	logOutputs    []*logline.Writer // of the instances, which write to logs
+	logReads      atomic.Int64
+	cloudAddress  string
+	stopped       chan struct{} // ends writeHeartbeats
+	mu            sync.Mutex    // guards entries, servers and logOutputs
 }
 
 // testInstance is an instance that reaches the log through its own fault proxy.
@@ -138,7 +140,7 @@
 func (d *deployment) startTarget(id, service string, slots int, software string) (*hostplatform.Engine, *standin.Server) {
 	e := hostplatform.NewEngine(id, "m", slots)
 	e.SetSoftware(software)
-	server, err := standin.Serve(e)
+	server, err := standin.ServeWithBuffer(e, d.receiveBuffer)
 	Expect(err).NotTo(HaveOccurred())
 	addr := address(server)
 	d.mu.Lock()
--- a/internal/hosted/links_test.go
+++ b/internal/hosted/links_test.go
@@ -17,6 +17,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+	"github.com/amaranthfold/amaranthfold/internal/standin/rawtarget"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -37,6 +38,7 @@
 	changed chan struct{}
 	open    map[*linkedConn]bool
 	hanging map[string]bool // addresses to which dials hang whatever the fault
+	uploads atomic.Bool     // see rawtarget.NewUploadConn
 }
 
 func newTargetLinks() *targetLinks {
@@ -93,6 +95,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if l.uploads.Load() {
+		c = rawtarget.NewUploadConn(c, l.uploads.Load)
+	}
 	linked := &linkedConn{Conn: c, links: l, closed: make(chan struct{})}
 	l.open[linked] = true
 	return linked, nil
--- /dev/null
+++ b/internal/httpclient/conn.go
@@ -0,0 +1,114 @@
+package httpclient
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+)
+
+// ErrCut is wrapped by the error of a body that ends with a connection on which the request could
+// not be sent whole.
+var ErrCut = errors.New("connection broke while the request was being sent")
+
+// conn tells the end of a connection from a reset. A socket reports a reset to one call only. If
+// that is a write, the reads that follow return what has arrived and then io.EOF, as after an
+// orderly close. So io.EOF is returned only once the request has been written, as no write can fail
+// any more; a body that ends before is cut.
+type conn struct {
+	net.Conn
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	writing  int  // writes in progress
+	sending  bool // a request is being sent
+	answered bool // the response to the latest request has begun
+	closed   bool
+	writeErr error // of the first write that failed; nil: none has
+}
+
+func newConn(c net.Conn) *conn {
+	wrapped := &conn{Conn: c}
+	wrapped.changed = sync.NewCond(&wrapped.mu)
+	return wrapped
+}
+
+// beginRequest notes that a request will be written.
+func (c *conn) beginRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sending, c.answered = true, false
+}
+
+// endRequest notes that nothing of the request is left to be written but what the transport has
+// buffered, or that err has ended it.
+func (c *conn) endRequest(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sending = false
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	c.changed.Broadcast()
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	c.writing++
+	c.mu.Unlock()
+	n, err := c.Conn.Write(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing--
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
+	c.changed.Broadcast()
+	return n, err
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.mu.Lock()
+		c.answered = true
+		c.mu.Unlock()
+	}
+	if errors.Is(err, io.EOF) {
+		err = c.checkEnd()
+	}
+	return n, err
+}
+
+// checkEnd waits until the request has been sent or the connection is closed, if a response has
+// begun. It returns io.EOF if the other side has closed the connection, and an error that wraps
+// ErrCut if that is not known.
+func (c *conn) checkEnd() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.answered && c.writeErr == nil && !c.closed && (c.sending || c.writing > 0) {
+		c.changed.Wait()
+	}
+	switch {
+	case !c.answered: // there is no end to tell
+		return io.EOF
+	case c.writeErr != nil:
+		return fmt.Errorf("%w: %w", ErrCut, c.writeErr)
+	case c.sending || c.writing > 0:
+		return fmt.Errorf("%w: %w", ErrCut, net.ErrClosed)
+	default:
+		return io.EOF
+	}
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/httpclient/transport.go
@@ -0,0 +1,101 @@
+// Package httpclient provides the transport of all HTTP clients of the service. net/http trusts what
+// a faulty server sends more than a service may that passes responses on; a Transport returns a
+// response, or the end of its body, only if the connection shows it to be the server's.
+package httpclient
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+// Transport is an http.RoundTripper for HTTP/1. It is safe for concurrent use.
+//
+// A body without a stated length ends with its connection. Such an end is reported only after the
+// request has been sent whole: until then it may be a reset, see conn.
+type Transport struct{ base *http.Transport }
+
+// New returns a transport with the settings of base, which it takes over.
+func New(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	config := base.TLSClientConfig
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newConn(c), nil
+	}
+	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		secured, err := handshake(ctx, c, config, address)
+		if err != nil {
+			_ = c.Close() // the handshake's error is returned
+			return nil, err
+		}
+		return newConn(secured), nil
+	}
+	return &Transport{base}
+}
+
+// Default is a transport for calls that need no settings of their own.
+var Default = New(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: time.Minute})
+
+// handshake secures the connection to the server at address.
+func handshake(ctx context.Context, c net.Conn, config *tls.Config, address string) (*tls.Conn, error) {
+	if config == nil {
+		config = &tls.Config{MinVersion: tls.VersionTLS12}
+	}
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			return nil, err
+		}
+		config = config.Clone()
+		config.ServerName = host
+	}
+	secured := tls.Client(c, config)
+	return secured, secured.HandshakeContext(ctx)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
+	var used atomic.Pointer[conn] // by the latest attempt: net/http may repeat a request
+	return t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			if c, ok := info.Conn.(*conn); ok {
+				c.beginRequest()
+				used.Store(c)
+			}
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			if c := used.Load(); c != nil {
+				c.endRequest(info.Err)
+			}
+		},
+	})))
+}
+
+// CloseIdleConnections closes the idle connections, as http.Client asks for.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// Unwrap returns the connection c of a Transport as its dial function has returned it, without TLS.
+func Unwrap(c net.Conn) net.Conn {
+	if own, ok := c.(*conn); ok {
+		c = own.Conn
+	}
+	if secured, ok := c.(*tls.Conn); ok {
+		c = secured.NetConn()
+	}
+	return c
+}
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -17,6 +17,7 @@
 	"github.com/amaranthfold/amaranthfold/core/assign"
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -57,10 +58,10 @@
 func newAllowances(n *Node) *Allowances {
 	a := &Allowances{
 		node: n, granter: allowance.NewGranter(), owners: allowance.NewOwners(),
-		client: &http.Client{Transport: &http.Transport{
+		client: &http.Client{Transport: httpclient.New(&http.Transport{
 			DialContext:         n.Peers.DialWithin(allowanceTimeout),
 			MaxIdleConnsPerHost: allowanceIdleConns, IdleConnTimeout: allowanceIdleTimeout, DisableCompression: true,
-		}},
+		})},
 	}
 	a.peers.Store(&peerSet{names: []string{n.Settings.Instance}})
 	return a
--- a/internal/node/connections.go
+++ b/internal/node/connections.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 // Causes of a new connection to a target.
@@ -95,7 +97,7 @@
 	res, err := t.RoundTripper.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { connection = info.Conn },
 	})))
-	if c, ok := connection.(*targetConn); ok && err == nil && res.Close {
+	if c, ok := httpclient.Unwrap(connection).(*targetConn); ok && err == nil && res.Close {
 		c.byTarget.Store(true)
 	}
 	return res, err
--- a/internal/node/detour.go
+++ b/internal/node/detour.go
@@ -64,10 +64,8 @@
 }
 
 func newLogTransport(n *Node, logAddress string) *LogTransport {
-	throughPeer := platform.NewTransport()
-	throughPeer.DialContext = n.Peers.Dial
 	return &LogTransport{
-		node: n, direct: platform.NewTransport(), peerTransport: throughPeer, logAddress: logAddress,
+		node: n, direct: platform.NewTransport(), peerTransport: platform.NewTransportThrough(n.Peers.Dial), logAddress: logAddress,
 		failedPeers: map[string]time.Duration{}, directReads: map[*directRead]struct{}{},
 		failoverStarted: make(chan struct{}, 1), relaySlots: make(chan struct{}, maxRelayedCalls),
 	}
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/amaranthfold/amaranthfold/core/directory"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -45,7 +46,7 @@
 // StartKnown reports whether what comes over the connection is known to be made by the start of
 // the target that the entry t describes, without asking the target.
 func (n *Node) StartKnown(t directory.Target, connection net.Conn) bool {
-	c, ok := connection.(*targetConn)
+	c, ok := httpclient.Unwrap(connection).(*targetConn)
 	if !ok || t.StartedAt == 0 {
 		return false
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 const (
@@ -41,13 +42,13 @@
 
 // NewClient returns a client of the operator listener at the URL base.
 func NewClient(base, key string) *Client {
-	return &Client{base: base, key: key, http: &http.Client{Timeout: callTimeout}}
+	return &Client{base: base, key: key, http: &http.Client{Timeout: callTimeout, Transport: httpclient.Default}}
 }
 
 // WithRoots returns a client, with the same base and key, that trusts the given CAs in
 // place of the operating system's.
 func (c *Client) WithRoots(roots *x509.CertPool) *Client {
-	transport := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}}
+	transport := httpclient.New(&http.Transport{TLSClientConfig: &tls.Config{RootCAs: roots, MinVersion: tls.VersionTLS12}})
 	return &Client{base: c.base, key: c.key, http: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
--- a/internal/platform/check.go
+++ b/internal/platform/check.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
 	"net/http/httptrace"
 	"sync"
+
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 // ErrNotSent is wrapped by the error of a call whose check failed. Nothing was sent.
@@ -71,11 +72,7 @@
 		return checkErr
 	}
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		raw := info.Conn
-		if secure, ok := raw.(*tls.Conn); ok {
-			raw = secure.NetConn()
-		}
-		if conn, ok := raw.(*checkedConn); ok {
+		if conn, ok := httpclient.Unwrap(info.Conn).(*checkedConn); ok {
 			conn.setBeforeWrite(runCheck)
 		}
 	}}
--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -19,6 +19,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 // maxReplyBytes is how much of a response is read into memory; a longer one is cut off.
@@ -75,12 +77,12 @@
 // newClient returns a client with its own transport, so that a slow interface cannot
 // exhaust the connections to another.
 func newClient(base string) client {
-	transport := &http.Transport{
+	transport := httpclient.New(&http.Transport{
 		DialContext:           dialChecked,
 		MaxIdleConnsPerHost:   8,
 		IdleConnTimeout:       time.Minute,
 		ResponseHeaderTimeout: 30 * time.Second,
-	}
+	})
 	return client{base: base, http: &http.Client{Transport: transport}}
 }
 
--- a/internal/samples/score.go
+++ b/internal/samples/score.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthfold/amaranthfold/core/config"
 	"github.com/amaranthfold/amaranthfold/core/sample"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 const (
@@ -27,7 +28,7 @@
 type scorerClient struct{ http *http.Client }
 
 func newScorerClient() *scorerClient {
-	return &scorerClient{&http.Client{Timeout: scoreTimeout}}
+	return &scorerClient{&http.Client{Timeout: scoreTimeout, Transport: httpclient.Default}}
 }
 
 // scoreRequest is the body of POST /score.
--- a/internal/standin/hostplatform/target.go
+++ b/internal/standin/hostplatform/target.go
@@ -33,6 +33,7 @@
 	statusByRequest map[string]int
 	orderStatus     int // see RefuseOrders
 	plainHandler    func(w http.ResponseWriter, r *http.Request) bool
+	earlyHandler    func(w http.ResponseWriter, r *http.Request) bool
 	streamHandler   func(w http.ResponseWriter, r *http.Request) bool
 	beforeReport    func(w http.ResponseWriter)
 	eventInterval   time.Duration
@@ -115,6 +116,14 @@
 	e.plainHandler = f
 }
 
+// SetEarlyHandler sets a handler that is called before the body of a request is read, and reports
+// whether it has responded.
+func (e *Engine) SetEarlyHandler(f func(w http.ResponseWriter, r *http.Request) bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.earlyHandler = f
+}
+
 // SetStreamHandler is SetPlainHandler for requests for a stream.
 func (e *Engine) SetStreamHandler(f func(w http.ResponseWriter, r *http.Request) bool) {
 	e.mu.Lock()
@@ -243,6 +252,12 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.mu.Lock()
+	early := e.earlyHandler
+	e.mu.Unlock()
+	if early != nil && early(w, r) {
+		return
+	}
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -5,12 +5,14 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 )
 
@@ -25,8 +27,21 @@
 
 // Serve starts a server for handler on a free loopback port. It fails if it can't
 // listen.
-func Serve(handler http.Handler) (*Server, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func Serve(handler http.Handler) (*Server, error) { return ServeWithBuffer(handler, 0) }
+
+// ServeWithBuffer is Serve with a fixed receive buffer of each connection in bytes; zero: the system's.
+func ServeWithBuffer(handler http.Handler, receiveBuffer int) (*Server, error) {
+	var config net.ListenConfig
+	if receiveBuffer > 0 {
+		config.Control = func(_, _ string, c syscall.RawConn) error {
+			var setErr error
+			err := c.Control(func(fd uintptr) {
+				setErr = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBuffer)
+			})
+			return errors.Join(err, setErr)
+		}
+	}
+	listener, err := config.Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("listen on loopback: %w", err)
 	}
