A head that net/http reads in another way than the target means it is refused

Cause: net/http tolerates such heads and reads the malformed field as another one, or as none; the belief "this is the target's framing" is formed there. A head cut at any byte was refused before.

Change: internal/httpclient checks the bytes of each head as they arrive, for all HTTP clients of both interfaces (headCheck), and fails with ErrMalformedHead. The transport also refuses a response whose head arrived before its request was sent, which it has not checked. Callers get a 502.

--- a/internal/caller/wronganswer_test.go
+++ b/internal/caller/wronganswer_test.go
@@ -64,6 +64,7 @@
 	{"503 with a text", true, status(503, foreign)},
 	{"an end before the head", true, rawAnswer("")},
 	{"an end in the head", true, rawAnswer("HTTP/1.1 200 OK\r\nX-" + foreign)},
+	{"a head with a blank in a name", true, rawAnswer(strings.Replace(okHead, "\r\n\r\n", "\r\nContent-Length : 4\r\n\r\n", 1) + oneWord + "\n\n" + done)},
 	{"an end in an event", true, rawAnswer(okHead + oneWord)},
 	{"200 with a text", true, status(200, foreign)},
 	{"200 with a JSON error", true, status(200, `{"error":{"message":"`+foreign+`"}}`)},
--- a/internal/hosted/wronganswer_test.go
+++ b/internal/hosted/wronganswer_test.go
@@ -57,6 +57,7 @@
 	"206 with events":                   whole(206, eventStream, "id: 3\ndata: wrong\n\n"),
 	"an end before the head":            raw(""),
 	"an end in the head":                raw("HTTP/1.1 200 OK\r\nServer-St"),
+	"a head with a blank in a name":     raw(rawHead + "Transfer-Encoding : chunked\r\n\r\nid: 3\ndata: wrong\n\n"),
 	"an end in an event":                raw(rawHead + "\r\nid: 3\ndata: wro"),
 	"an end in an event's number":       raw(rawHead + "\r\nid: 3\n"),
 	"200 with a text":                   whole(200, "Server-Stamp: s", "an error\n\n"),
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -12,10 +12,14 @@
 // not be sent whole.
 var ErrCut = errors.New("connection broke while the request was being sent")
 
-// conn tells the end of a connection from a reset. A socket reports a reset to one call only. If
-// that is a write, the reads that follow return what has arrived and then io.EOF, as after an
-// orderly close. So io.EOF is returned only once the request has been written, as no write can fail
-// any more; a body that ends before is cut.
+// ErrUnsolicited is the error of a response that had arrived before its request was sent.
+var ErrUnsolicited = errors.New("response without a request")
+
+// conn checks the heads of responses, and tells the end of a connection from a reset.
+//
+// A socket reports a reset to one call only. If that is a write, the reads that follow return what
+// has arrived and then io.EOF, as after an orderly close. So io.EOF is returned only once the request
+// has been written, as no write can fail any more; a body that ends before is cut.
 type conn struct {
 	net.Conn
 
@@ -23,13 +27,14 @@
 	changed  *sync.Cond
 	writing  int  // writes in progress
 	sending  bool // a request is being sent
-	answered bool // the response to the latest request has begun
 	closed   bool
 	writeErr error // of the first write that failed; nil: none has
+	head     *headCheck
+	headErr  error // of the latest head; nil: none so far
 }
 
 func newConn(c net.Conn) *conn {
-	wrapped := &conn{Conn: c}
+	wrapped := &conn{Conn: c, head: &headCheck{done: true}}
 	wrapped.changed = sync.NewCond(&wrapped.mu)
 	return wrapped
 }
@@ -38,7 +43,7 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sending, c.answered = true, false
+	c.sending, c.head, c.headErr = true, &headCheck{}, nil
 }
 
 // endRequest notes that nothing of the request is left to be written but what the transport has
@@ -72,10 +77,8 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.mu.Lock()
-		c.answered = true
-		c.mu.Unlock()
+	if headErr := c.checkHead(b[:n]); headErr != nil {
+		return 0, headErr
 	}
 	if errors.Is(err, io.EOF) {
 		err = c.checkEnd()
@@ -83,17 +86,46 @@
 	return n, err
 }
 
-// checkEnd waits until the request has been sent or the connection is closed, if a response has
-// begun. It returns io.EOF if the other side has closed the connection, and an error that wraps
+// checkHead checks the bytes that have arrived if they belong to the head of a response. After an
+// error nothing more is read from the connection.
+func (c *conn) checkHead(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr == nil && !c.head.done {
+		c.headErr = c.head.add(data)
+	}
+	return c.headErr
+}
+
+// responded returns nil if the final head of a response to the latest request has arrived and is
+// well formed.
+func (c *conn) responded() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr == nil && !c.head.done {
+		return ErrUnsolicited
+	}
+	return c.headErr
+}
+
+// headError returns the error of the latest head, nil if it is well formed as far as it has arrived.
+func (c *conn) headError() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headErr
+}
+
+// checkEnd waits until the request has been sent or the connection is closed, if the body of a
+// response has begun. It returns io.EOF if the other side has closed the connection, and an error that wraps
 // ErrCut if that is not known.
 func (c *conn) checkEnd() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for c.answered && c.writeErr == nil && !c.closed && (c.sending || c.writing > 0) {
+	for c.head.done && c.writeErr == nil && !c.closed && (c.sending || c.writing > 0) {
 		c.changed.Wait()
 	}
 	switch {
-	case !c.answered: // there is no end to tell
+	case !c.head.done: // there is no body
 		return io.EOF
 	case c.writeErr != nil:
 		return fmt.Errorf("%w: %w", ErrCut, c.writeErr)
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -15,7 +15,8 @@
 
 // Transport is an http.RoundTripper for HTTP/1. It is safe for concurrent use.
 //
-// A body without a stated length ends with its connection. Such an end is reported only after the
+// It fails with ErrMalformedHead for a head that is no proper one, and with ErrUnsolicited for a
+// response that had arrived before the request was sent. A body without a stated length ends with its connection. Such an end is reported only after the
 // request has been sent whole: until then it may be a reset, see conn.
 type Transport struct{ base *http.Transport }
 
@@ -71,7 +72,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[conn] // by the latest attempt: net/http may repeat a request
-	return t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+	res, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
 				c.beginRequest()
@@ -84,6 +85,18 @@
 			}
 		},
 	})))
+	c := used.Load()
+	switch {
+	case err != nil && c != nil && c.headError() != nil: // err says less
+		return nil, c.headError()
+	case err != nil || c == nil:
+		return res, err
+	}
+	if err := c.responded(); err != nil {
+		_ = c.Close() // what it brings belongs to no request
+		return nil, err
+	}
+	return res, nil
 }
 
 // CloseIdleConnections closes the idle connections, as http.Client asks for.
