A status that the protocol does not have is a failure of the target

What callers saw: a target that answers with status 000 makes a hosted instance panic in its handler ("invalid WriteHeader code 0"), and the caller's connection ends with nothing. The client of the product's own interface took the answer for a response; so did plain calls with status 600.

Cause: net/http reads any three digits as a status. Its server panics for those below 100 when the status is passed on.

Change: the check of heads, which all clients use, allows 100 to 599. Others are ErrMalformedHead: callers get a 502 or the request's next attempt.

Evidence: before, statuses 000, 001, 099, 600 and 999 gave a response, the instance panicked for 000 and 099, and 999 reached the caller. With the change all give a 502, on routes of both kinds, for streams and through another instance; statuses up to 599 are passed on as before.

--- a/internal/caller/malformedhead_test.go
+++ b/internal/caller/malformedhead_test.go
@@ -31,6 +31,8 @@
 		"HTTP/1.1 200 OK\r\nX Y: 1\r\nContent-Length: 14\r\n\r\n" + `{"choices":[]}`,
 		"HTTP/1.1 200 OK\r\nX: a\r\n Content-Length: 14\r\n\r\n" + `{"choices":[]}`,
 		"HTTP/1.1 200 OK\r\nX\x01: 1\r\nContent-Length: 14\r\n\r\n" + `{"choices":[]}`,
+		"HTTP/1.1 000 OK\r\nContent-Length: 14\r\n\r\n" + `{"choices":[]}`,
+		"HTTP/1.1 600 OK\r\nContent-Length: 14\r\n\r\n" + `{"choices":[]}`,
 		"HTTP/1.1 200 OK\r\nContent-Length: 14\r\n",
 	} {
 		for name, send := range senders {
--- a/internal/hosted/malformedhead_test.go
+++ b/internal/hosted/malformedhead_test.go
@@ -18,6 +18,9 @@
 	Entry("a length stands beside the encoding", rawHead+"Content-Length: 15\r\nTransfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"),
 	Entry("HTTP/1.0 has an encoding", strings.Replace(rawHead, "1.1", "1.0", 1)+"Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n0\r\n\r\n"),
 	Entry("the version is another", strings.Replace(rawHead, "1.1", "2.0", 1)+"Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n"),
+	Entry("the status is 000", strings.Replace(rawHead, "200", "000", 1)+"Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n"),
+	Entry("the status is 099", strings.Replace(rawHead, "200", "099", 1)+"Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n"),
+	Entry("the status is 999", strings.Replace(rawHead, "200", "999", 1)+"Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n"),
 	Entry("it is cut", rawHead+"Content-Length: 15\r\n"),
 }
 
--- a/internal/httpclient/head.go
+++ b/internal/httpclient/head.go
@@ -74,7 +74,7 @@
 	switch {
 	case version != "HTTP/1.1" && version != "HTTP/1.0":
 		return fmt.Errorf("version %.20q", version)
-	case len(status) != 3 || !isNumber(status):
+	case len(status) != 3 || !isNumber(status) || status < "100" || status > "599":
 		return fmt.Errorf("status %.20q", status)
 	case !httpguts.ValidHeaderFieldValue(reason):
 		return errors.New("control byte in the reason")
--- a/internal/httpclient/head_test.go
+++ b/internal/httpclient/head_test.go
@@ -140,3 +140,16 @@
 		}
 	}
 }
+
+func TestStatusOutsideTheProtocolGivesNoResponse(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999"} {
+		if body, err := respondWith(t, "HTTP/1.1 "+status+" OK\r\n"+length, 0); !errors.Is(err, httpclient.ErrMalformedHead) {
+			t.Errorf("%s: body %q, error %v", status, body, err)
+		}
+	}
+	for _, status := range []string{"200", "299", "404", "599"} {
+		if body, err := respondWith(t, "HTTP/1.1 "+status+" OK\r\n"+length, 0); body != "body" || err != nil {
+			t.Errorf("%s: body %q, error %v", status, body, err)
+		}
+	}
+}
