Responses hold a quarter of an instance's memory together, not each a sixteenth

Here 60 requests at eight targets that send 3.5 MB and go on kept some 190 MB in an instance that is given 64 MB.

Cause: the limit of what is read into memory is one of each response; nothing bounds the sum, be it of bodies, heads or events.

Buffers are counted before they grow, bodies of plain requests, relayed ones, score calls, reports and orders, heads from 8 KB on and events from 4 KB on. When it is spent, the largest response that is still being read yields, whoever asks, and the one that asks waits until it has: the small ones of sound targets go on. The attempt fails without blame for the target, as it may be sound, and a request that may be repeated gets its next attempt. A whole response never yields. Once whole responses that wait for their callers hold half of the budget, further requests are refused with 503 before they are sent; a caller that reads nothing of a large response for 30 s is disconnected.

Two more gauges show the bytes that are held and the responses that were ended.

--- a/internal/batch/scorer.go
+++ b/internal/batch/scorer.go
@@ -225,6 +225,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	attempted := b.forwarder.RunAttempts(callCtx, scoreRequest(r.scoring.request, route.Pick(b.Rand64()), route, maxFailures-r.scoring.failures), started+timeout)
+	attempted.Release() // the body of a score is not used
 	if ctx.Err() != nil {
 		return // removed from the queue
 	}
--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -166,6 +166,7 @@
 // the engine's weight version at the start of the stream.
 func (b *Batch) readEvents(body io.Reader, r taskRun, version int64, connection net.Conn) (assign.Outcome, error) {
 	reader := platform.NewEventReader(body)
+	defer reader.Close()
 	for {
 		// A response without events states no version: that to a run which resumes after the last
 		// event, because an earlier run was stopped just before the end of its stream.
--- a/internal/forward/attempts.go
+++ b/internal/forward/attempts.go
@@ -36,6 +36,11 @@
 	refusedByResponse bool            // since all targets were tried last, one of them answered
 	noneAccepts       bool            // no target of the service accepts a connection
 	heldBack          int             // attempts that were not sent, as their targets limit the rate of requests
+	// Release gives back the memory of the responses, those of later attempts included. The body of
+	// Best must not be used after it.
+	Release func()
+	// keep gives the memory of a result back when Release is called.
+	keep func(r *AttemptResult)
 	// granted is the target that has a slot for the next attempt; empty: none is known.
 	granted string
 	// refusal is the decision that ended the attempts for lack of a free slot; nil: none.
@@ -57,6 +62,13 @@
 		forwarder: f, request: p, deadline: deadline,
 		tried: map[string]bool{}, peers: map[string]bool{}, results: make(chan *AttemptResult, p.MaxAttempts+relay.MaxTries),
 	}
+	used, release := context.WithCancel(context.WithoutCancel(ctx))
+	a.Release = release
+	a.keep = func(r *AttemptResult) {
+		if r.hold != nil {
+			context.AfterFunc(used, r.hold.Close)
+		}
+	}
 	a.run(ctx)
 	return a
 }
@@ -183,7 +195,9 @@
 	a.granted = ""
 	a.countStart()
 	go func() {
-		a.results <- f.sendAttempt(ctx, a.request, target, suspected, a.deadline, countReadyTargets(view, a.request.Service))
+		r := f.sendAttempt(ctx, a.request, target, suspected, a.deadline, countReadyTargets(view, a.request.Service))
+		a.keep(r)
+		a.results <- r
 	}()
 	return true
 }
@@ -215,7 +229,11 @@
 	}
 	a.peers[name] = true
 	a.countStart()
-	go func() { a.results <- a.forwarder.relays.send(ctx, a.request, name, address, a.deadline) }()
+	go func() {
+		r := a.forwarder.relays.send(ctx, a.request, name, address, a.deadline)
+		a.keep(r)
+		a.results <- r
+	}()
 	return true
 }
 
--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -19,6 +19,7 @@
 	"github.com/amaranthfold/amaranthfold/core/poison"
 	"github.com/amaranthfold/amaranthfold/core/retry"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -30,6 +31,10 @@
 	// instance's memory.
 	maxResponseBytes          = 32 << 20
 	maxResponseMemoryFraction = 1.0 / 16
+	// responseWriteTimeout bounds how long a caller that reads nothing keeps a large response in
+	// memory. A smaller one is taken by the buffers of the connection.
+	responseWriteTimeout = 30 * time.Second
+	largeResponseBytes   = 64 << 10
 )
 
 // PlainRequest is a request to a plain service: a caller's, or one of the service itself.
@@ -80,7 +85,8 @@
 	Status         int
 	header         http.Header
 	body           []byte
-	stream         io.ReadCloser // replaces body for a response that is forwarded as it arrives
+	hold           *httpclient.Hold // of body
+	stream         io.ReadCloser    // replaces body for a response that is forwarded as it arrives
 	Err            error
 	sentAt         time.Duration
 	connection     net.Conn // that the request was sent on; nil: none
@@ -114,7 +120,12 @@
 		f.refuseCondemned(c, v)
 		return
 	}
+	if request.Kind != catalog.Stream && f.Responses.Spent() {
+		f.Refuse(c, "the responses that wait for their callers hold the memory for responses")
+		return
+	}
 	attempted := f.RunAttempts(ctx, request, deadline)
+	defer attempted.Release()
 	best, attempts := attempted.Best, attempted.StartedAttempts
 	took := f.Clock.Now() - c.Started
 	f.Metrics.RequestTime.Update(took.Seconds())
@@ -165,6 +176,10 @@
 	if r.Status < http.StatusInternalServerError {
 		f.poisonGuard.served(request)
 	}
+	if connection := http.NewResponseController(c.Writer); len(r.body) > largeResponseBytes {
+		_ = connection.SetWriteDeadline(time.Now().Add(responseWriteTimeout)) // the server's connections support it
+		defer func() { _ = connection.SetWriteDeadline(time.Time{}) }()       // for later requests on the connection
+	}
 	c.Writer.WriteHeader(r.Status)
 	_, _ = c.Writer.Write(r.body) // a caller that has disconnected needs no response
 }
@@ -211,7 +226,7 @@
 		r.Outcome = retry.Ran
 	}
 	f.intakes.ended(ctx, p, r, true)
-	ok := r.Err == nil || ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled)
+	ok := r.Err == nil || errors.Is(r.Err, httpclient.ErrBudgetSpent) || ctx.Err() != nil && errors.Is(ctx.Err(), context.Canceled)
 	if f.plainTargets.release(f.Clock.Now(), target, suspected, readyTargets, ok, float64(f.Rand64()%1000)/1000) {
 		f.Log("target ejected", events.F("target", target.ID), events.F("error", fmt.Sprint(r.Err)))
 	}
@@ -269,8 +284,8 @@
 		r.stream = res.Body
 		return
 	default:
-		r.body, r.Err = platform.ReadBody(res.Body, f.responseLimit())
-		r.brokenOff = r.Err != nil
+		r.body, r.hold, r.Err = httpclient.ReadBody(res.Body, f.responseLimit())
+		r.brokenOff = r.Err != nil && !errors.Is(r.Err, httpclient.ErrBudgetSpent)
 	}
 	_ = res.Body.Close() // its content is read, or not used
 }
--- a/internal/forward/relay.go
+++ b/internal/forward/relay.go
@@ -57,7 +57,7 @@
 		forwarder: f, peers: relay.NewPeers(), slots: make(chan struct{}, maxRelayedPending),
 		client: &http.Client{
 			CheckRedirect: node.NoRedirect,
-			Transport: httpclient.New(&http.Transport{
+			Transport: httpclient.NewWithin(f.Responses, &http.Transport{
 				DialContext:         f.Peers.DialWithin(relayDialTimeout),
 				MaxIdleConnsPerHost: relayIdleConns, IdleConnTimeout: relayIdleTimeout, DisableCompression: true,
 			}),
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -12,6 +12,11 @@
 // not be sent whole.
 var ErrCut = errors.New("connection broke while the request was being sent")
 
+const (
+	largeHeadBytes = 8 << 10 // a head is counted in the budget of responses from this size on
+	headCopies     = 2       // a head without an end is held by its check and by net/http
+)
+
 // ErrUnsolicited is the error of a response that had arrived before its request was sent.
 var ErrUnsolicited = errors.New("response without a request")
 
@@ -22,19 +27,22 @@
 // has been written, as no write can fail any more; a body that ends before is cut.
 type conn struct {
 	net.Conn
+	budget *Budget // nil: none
 
-	mu       sync.Mutex
-	changed  *sync.Cond
-	writing  int  // writes in progress
-	sending  bool // a request is being sent
-	closed   bool
-	writeErr error // of the first write that failed; nil: none has
-	head     *headCheck
-	headErr  error // of the latest head; nil: none so far
+	mu        sync.Mutex
+	changed   *sync.Cond
+	writing   int  // writes in progress
+	sending   bool // a request is being sent
+	closed    bool
+	writeErr  error // of the first write that failed; nil: none has
+	head      *headCheck
+	headErr   error // of the latest head; nil: none so far
+	headBytes int
+	headHold  *Hold // nil: the latest head is small, or there is no budget
 }
 
-func newConn(c net.Conn) *conn {
-	wrapped := &conn{Conn: c, head: &headCheck{done: true}}
+func newConn(c net.Conn, budget *Budget) *conn {
+	wrapped := &conn{Conn: c, budget: budget, head: &headCheck{done: true}}
 	wrapped.changed = sync.NewCond(&wrapped.mu)
 	return wrapped
 }
@@ -43,7 +51,9 @@
 func (c *conn) beginRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sending, c.head, c.headErr = true, &headCheck{}, nil
+	c.sending, c.head, c.headErr, c.headBytes = true, &headCheck{}, nil, 0
+	c.headHold.Close()
+	c.headHold = nil
 }
 
 // endRequest notes that nothing of the request is left to be written but what the transport has
@@ -80,6 +90,9 @@
 	if headErr := c.checkHead(b[:n]); headErr != nil {
 		return 0, headErr
 	}
+	if holdErr := c.holdHead(n); holdErr != nil {
+		return 0, holdErr
+	}
 	if errors.Is(err, io.EOF) {
 		err = c.checkEnd()
 	}
@@ -97,6 +110,36 @@
 	return c.headErr
 }
 
+// holdHead adds bytes that have arrived to the hold of the head, if it is a large one.
+func (c *conn) holdHead(bytes int) error {
+	c.mu.Lock()
+	if c.headBytes += bytes; c.head.done || c.headBytes < largeHeadBytes || c.closed {
+		c.mu.Unlock()
+		return nil
+	}
+	if c.headHold == nil {
+		c.headHold = c.budget.open(func() { c.failHead(ErrBudgetSpent) })
+		bytes = c.headBytes
+	}
+	hold := c.headHold
+	c.mu.Unlock()
+	err := hold.Grow(int64(headCopies * bytes))
+	if err != nil {
+		c.failHead(err)
+	}
+	return err
+}
+
+// failHead ends the latest head with an error, unless it has one.
+func (c *conn) failHead(err error) {
+	c.mu.Lock()
+	if c.headErr == nil {
+		c.headErr = err
+	}
+	c.mu.Unlock()
+	_ = c.Close()
+}
+
 // responded returns nil if the final head of a response to the latest request has arrived and is
 // well formed.
 func (c *conn) responded() error {
@@ -140,6 +183,7 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
+	c.headHold.Close()
 	c.changed.Broadcast()
 	c.mu.Unlock()
 	return c.Conn.Close()
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -18,10 +18,16 @@
 // It fails with ErrMalformedHead for a head that is no proper one, and with ErrUnsolicited for a
 // response that had arrived before the request was sent. A body without a stated length ends with its connection. Such an end is reported only after the
 // request has been sent whole: until then it may be a reset, see conn.
-type Transport struct{ base *http.Transport }
+type Transport struct {
+	base   *http.Transport
+	budget *Budget // of the bodies that ReadBody reads; nil: none
+}
 
 // New returns a transport with the settings of base, which it takes over.
-func New(base *http.Transport) *Transport {
+func New(base *http.Transport) *Transport { return NewWithin(nil, base) }
+
+// NewWithin is New with a budget for the bodies that ReadBody reads and for those with a hold; nil: none.
+func NewWithin(budget *Budget, base *http.Transport) *Transport {
 	dial := base.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
@@ -32,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return newConn(c), nil
+		return newConn(c, budget), nil
 	}
 	base.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := dial(ctx, network, address)
@@ -44,9 +50,9 @@
 			_ = c.Close() // the handshake's error is returned
 			return nil, err
 		}
-		return newConn(secured), nil
+		return newConn(secured, budget), nil
 	}
-	return &Transport{base}
+	return &Transport{base, budget}
 }
 
 // Default is a transport for calls that need no settings of their own.
@@ -96,6 +102,9 @@
 		_ = c.Close() // what it brings belongs to no request
 		return nil, err
 	}
+	if t.budget != nil && res.Body != http.NoBody && res.StatusCode != http.StatusSwitchingProtocols {
+		res.Body = &budgetedBody{res.Body, t.budget}
+	}
 	return res, nil
 }
 
--- a/internal/node/allowance.go
+++ b/internal/node/allowance.go
@@ -18,7 +18,6 @@
 	"github.com/amaranthfold/amaranthfold/core/directory"
 	"github.com/amaranthfold/amaranthfold/internal/events"
 	"github.com/amaranthfold/amaranthfold/internal/httpclient"
-	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 // AllowancePath is the path of requests for allowances on the listener for other instances.
@@ -216,7 +215,8 @@
 		return allowance.Grant{}, fmt.Errorf("status %d", res.StatusCode)
 	}
 	var grant allowance.Grant
-	body, err := platform.ReadBody(res.Body, maxAllowanceBytes)
+	body, hold, err := httpclient.ReadBody(res.Body, maxAllowanceBytes)
+	defer hold.Close()
 	if err != nil {
 		return allowance.Grant{}, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/clock"
 	"github.com/amaranthfold/amaranthfold/internal/events"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 	"github.com/amaranthfold/amaranthfold/platform"
 	"github.com/cespare/xxhash/v2"
 )
@@ -38,6 +39,7 @@
 const (
 	idleConnsPerTarget  = 24 // idle connections kept to each target: two batches of twelve slots
 	contentCacheDivisor = 16 // the content cache gets 1/16 of the memory
+	responsesDivisor    = 4  // the responses that are held get 1/4 of the memory
 )
 
 // Node is what the roles of one instance share.
@@ -49,6 +51,8 @@
 	Self string
 	// TargetClient sends requests to targets.
 	TargetClient *http.Client
+	// Responses is the memory that responses of targets and of other instances may hold together.
+	Responses    *httpclient.Budget
 	StateLoop    *StateLoop
 	Pace         *Pace
 	Allowances   *Allowances
@@ -95,15 +99,18 @@
 		Metrics:      newMetricSet(),
 		StateLoop:    newStateLoop(cfg.Clock, rejoinTimeout),
 		Pace:         newFollowPace(),
+		Responses:    httpclient.NewBudget(s.MemoryBytes / responsesDivisor),
 		contentCache: newContentCache(s.MemoryBytes / contentCacheDivisor),
 		stopping:     make(chan struct{}),
 		OnRecord:     func(time.Duration, job.Record, bool) {},
 	}
+	n.Metrics.Set.NewGauge("amaranth_hosted_response_bytes", func() float64 { return float64(n.Responses.Used()) })
+	n.Metrics.Set.NewGauge("amaranth_hosted_responses_ended_total", func() float64 { return float64(n.Responses.Ended()) })
 	n.connections = connections{node: n, lost: map[string][]*targetConn{}, open: map[string]int{}}
 	n.standstill.node = n
 	n.probes = probes{clock: cfg.Clock, answered: make(chan struct{})}
 	n.Links = newLinkMonitor(n, cfg.DialTarget)
-	n.TargetClient = &http.Client{Transport: targetTransport{platform.NewTargetTransport(idleConnsPerTarget, n.Links.dialTarget)}, CheckRedirect: NoRedirect}
+	n.TargetClient = &http.Client{Transport: targetTransport{platform.NewTargetTransport(n.Responses, idleConnsPerTarget, n.Links.dialTarget)}, CheckRedirect: NoRedirect}
 	n.Peers = newPeerLinks(n)
 	n.LogTransport = newLogTransport(n, s.Store.Address)
 	n.store = platform.NewStore(s.Store.Address, n.LogTransport)
