The product's own interface has a budget for responses, too

Responses that wait for their callers are counted until they are written. A scorer's response is limited to 64 KB.

--- a/internal/caller/plain.go
+++ b/internal/caller/plain.go
@@ -42,10 +42,10 @@
 func newPlainClient(dial func(ctx context.Context, network, address string) (net.Conn, error)) *plainClient {
 	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 	return &plainClient{
-		keepAlive: &http.Client{CheckRedirect: noRedirect, Transport: httpclient.New(&http.Transport{
+		keepAlive: &http.Client{CheckRedirect: noRedirect, Transport: httpclient.NewWithin(engine.Responses, &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 32, IdleConnTimeout: time.Minute, DisableCompression: true,
 		})},
-		noKeepAlive: &http.Client{CheckRedirect: noRedirect, Transport: httpclient.New(&http.Transport{
+		noKeepAlive: &http.Client{CheckRedirect: noRedirect, Transport: httpclient.NewWithin(engine.Responses, &http.Transport{
 			DialContext: dial, DisableKeepAlives: true, DisableCompression: true,
 		})},
 	}
@@ -229,10 +229,12 @@
 	status int
 	header http.Header
 	body   []byte
+	hold   *httpclient.Hold // of body; nil: none
 }
 
-// write writes the response to the caller.
+// write writes the response to the caller and gives back its memory.
 func (r *plainResponse) write(w http.ResponseWriter) {
+	defer r.hold.Close()
 	for name, values := range r.header {
 		w.Header()[name] = values
 	}
@@ -279,9 +281,9 @@
 	if res.StatusCode == http.StatusSwitchingProtocols { // its body is the connection, without an end
 		return nil, &engine.AttemptError{Target: base, Outcome: retry.Unknown, Err: errors.New("the target switches to another protocol, which nobody asked for")}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, res.Body, maxPlainResponse))
+	body, hold, err := httpclient.ReadBody(res.Body, maxPlainResponse)
 	if err != nil {
 		return nil, &engine.AttemptError{Target: base, Outcome: retry.Unknown, Err: err}
 	}
-	return &plainResponse{status: res.StatusCode, header: res.Header, body: body}, nil
+	return &plainResponse{status: res.StatusCode, header: res.Header, body: body, hold: hold}, nil
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -57,7 +57,7 @@
 
 // NewClientThrough is NewClient with connections that dial opens.
 func NewClientThrough(dial func(ctx context.Context, network, address string) (net.Conn, error)) *Client {
-	return &Client{http: &http.Client{Transport: httpclient.New(&http.Transport{
+	return &Client{http: &http.Client{Transport: httpclient.NewWithin(Responses, &http.Transport{
 		DialContext:         dial,
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     time.Minute,
@@ -122,18 +122,24 @@
 	*EventReader
 	target string
 	body   io.ReadCloser
+	whole  *httpclient.Hold // of the response that ReadAll has read
 }
 
 // Close closes the response, which cancels an unfinished generation at the engine.
-func (s *Stream) Close() { _ = s.body.Close() } // the response is no longer needed
+func (s *Stream) Close() {
+	_ = s.body.Close() // the response is no longer needed
+	s.hold.Close()
+	s.whole.Close()
+}
 
 // ReadAll returns the complete response of a completion that is not streamed. It fails if
-// the response exceeds maxResponseBytes.
+// the response exceeds maxResponseBytes. Its memory is counted in the budget until Close.
 func (s *Stream) ReadAll() ([]byte, error) {
-	data, err := io.ReadAll(http.MaxBytesReader(nil, s.body, maxResponseBytes))
+	data, hold, err := httpclient.ReadBody(s.body, maxResponseBytes)
 	if err != nil {
 		return nil, &AttemptError{Target: s.target, Outcome: retry.Unknown, Err: err}
 	}
+	s.whole = hold
 	return data, nil
 }
 
@@ -202,7 +208,12 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(io.LimitReader(res.Body, maxResponseBytes)).Decode(out); err != nil {
+	data, hold, err := httpclient.ReadBody(res.Body, maxResponseBytes)
+	defer hold.Close()
+	if err == nil {
+		err = json.NewDecoder(bytes.NewReader(data)).Decode(out)
+	}
+	if err != nil {
 		return fmt.Errorf("decode response of %s: %w", req.URL.Host, err)
 	}
 	return nil
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 const (
@@ -29,16 +31,21 @@
 // EventReader reads the data fields of server-sent events, each on one line.
 type EventReader struct {
 	reader *bufio.Reader
+	hold   *httpclient.Hold
+	held   int // bytes in hold, of the latest event
 }
 
-// NewEventReader returns a reader of the events in r.
+// NewEventReader returns a reader of the events in r. If r is the body of a response of a transport
+// with a budget, events that are larger than a buffer are counted in it.
 func NewEventReader(r io.Reader) *EventReader {
-	return &EventReader{reader: bufio.NewReaderSize(r, eventBufferBytes)}
+	return &EventReader{reader: bufio.NewReaderSize(r, eventBufferBytes), hold: httpclient.OpenHold(r)}
 }
 
 // Next returns the next event's payload, io.EOF after the end marker, or an
 // error that wraps ErrTruncated or ErrEngine. The slice is valid until the next call.
 func (s *EventReader) Next() ([]byte, error) {
+	s.hold.Shrink(int64(s.held))
+	s.held = 0
 	for {
 		line, err := s.reader.ReadSlice('\n')
 		if errors.Is(err, bufio.ErrBufferFull) {
@@ -68,6 +75,10 @@
 	line := append([]byte(nil), prefix...)
 	for len(line) < maxEventBytes {
 		part, err := s.reader.ReadSlice('\n')
+		if holdErr := s.hold.Grow(int64(len(part))); holdErr != nil {
+			return nil, holdErr
+		}
+		s.held += len(part)
 		line = append(line, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return line, err
--- a/internal/samples/score.go
+++ b/internal/samples/score.go
@@ -21,7 +21,8 @@
 	scoreTimeout          = 10 * time.Second // of one call
 	scoreMinBackoff       = 100 * time.Millisecond
 	scoreMaxBackoff       = 10 * time.Second
-	scoreFailuresPerEvent = 8 // failed attempts per recorded event
+	maxScoreBytes         = 64 << 10 // of one response
+	scoreFailuresPerEvent = 8        // failed attempts per recorded event
 )
 
 // scorerClient calls the trainers' scoring services over HTTP.
@@ -65,7 +66,7 @@
 	if res.StatusCode != http.StatusOK {
 		return 0, fmt.Errorf("score sample %q: status %d", s.ID, res.StatusCode)
 	}
-	if err := json.NewDecoder(res.Body).Decode(&reply); err != nil {
+	if err := json.NewDecoder(http.MaxBytesReader(nil, res.Body, maxScoreBytes)).Decode(&reply); err != nil {
 		return 0, fmt.Errorf("score sample %q: %w", s.ID, err)
 	}
 	if reply.Reward == nil {
