A planned stop answers the requests that outlast it

What callers saw: requests that an instance takes after the stop has begun and that last longer than its grace period are passed on and cut at its end.

Cause: nothing ends a request before the cut but its own deadline, and a handler whose context ends took its caller for gone.

Change: 0.2 s before the cut the contexts of all requests end with forward.ErrStopping, on the listener for callers and on that for other instances. A request that has not been sent gets a 503, one that may have run a 504. A stream that has begun is cut, as before. If the caller is gone, the handler aborts, so that no response can look whole.

Evidence: the spec sends 18 requests over the time in which a stopping instance accepts some, of three routes, beside three that run and one that is relayed, all longer than the grace period. Before: a 200 with an empty body. Now all get a 502, 503 or 504, none runs twice, and none with a 503 has run. Job calls were bounded before (submitTimeout, readTimeout); their spec stays.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -138,8 +138,9 @@
 	switch {
 	case best != nil && best.HasResponse():
 		f.forwardResponse(ctx, c, request, best, attempts, took)
-	case c.Request.Context().Err() != nil:
+	case callerGone(c.Request.Context()):
 		f.Log("request abandoned", events.F("request", c.ID), events.F("took", took.String()))
+		panic(http.ErrAbortHandler) // a return would be an empty response of status 200
 	case attempted.heldBack > 0 && best.Outcome == retry.NotRun:
 		f.refuseFor(c, f.limitedRetryAfter(attempted.allowedIn), "the targets take no further requests now")
 	case attempted.refusal != nil && (best == nil || best.Outcome == retry.NotRun):
--- a/internal/forward/request.go
+++ b/internal/forward/request.go
@@ -29,6 +29,15 @@
 	defaultMaxBodyBytes = 1 << 20
 )
 
+// ErrStopping is the cause of the end of a request's context when the instance stops before the
+// request has ended. Its caller still waits for a response.
+var ErrStopping = errors.New("the instance stops")
+
+// callerGone reports whether the caller of the request has disconnected.
+func callerGone(ctx context.Context) bool {
+	return ctx.Err() != nil && !errors.Is(context.Cause(ctx), ErrStopping)
+}
+
 // CallerRequest is a request of a caller, with the configuration, route and account that
 // apply to it.
 type CallerRequest struct {
--- a/internal/hosted/instance.go
+++ b/internal/hosted/instance.go
@@ -62,6 +62,8 @@
 	batch      *batch.Batch
 	controller *duty.Controller
 
+	atGraceEnd   func(f func()) (stop func() bool) // calls f when the grace period is nearly over
+	endGrace     context.CancelFunc
 	frontDrained chan context.Context // receives the context of the grace period
 	peersDrained chan struct{}        // closed when the listener for other instances has drained
 }
@@ -69,6 +71,9 @@
 // New returns an instance that has not been started.
 func New(cfg Config) *Instance {
 	in := &Instance{listen: cfg.Listen, frontDrained: make(chan context.Context, 1), peersDrained: make(chan struct{})}
+	grace, endGrace := context.WithCancel(context.Background())
+	in.endGrace = endGrace
+	in.atGraceEnd = func(f func()) func() bool { return context.AfterFunc(grace, f) }
 	if in.listen == nil {
 		in.listen = net.Listen
 	}
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -16,7 +16,7 @@
 	mux.HandleFunc("POST "+node.AllowancePath, in.node.Allowances.Serve)
 	mux.Handle(occupancy.Path, in.batch.OccupancyHandler())
 	mux.HandleFunc("/", in.node.LogTransport.Relay)
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return in.endsBeforeCut(func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get(forward.HeaderRelayed) != "" { // any path
 			in.forwarder.ServeRelayed(w, r)
 			return
--- a/internal/hosted/ready.go
+++ b/internal/hosted/ready.go
@@ -24,6 +24,8 @@
 	// shutdownMargin is the time from the cut of the last requests to the end of the grace
 	// period.
 	shutdownMargin = 800 * time.Millisecond
+	// answerMargin is the time before that cut in which requests that have not ended are answered.
+	answerMargin = 200 * time.Millisecond
 
 	// Both are longer than the configured limits, with which callers comply.
 	headerTimeout = 10 * time.Second
@@ -69,7 +71,7 @@
 
 // serveFront serves callers and trainers until the instance has drained.
 func (in *Instance) serveFront(ctx context.Context) error {
-	return in.serve(ctx, in.node.Settings.Front, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	return in.serve(ctx, in.node.Settings.Front, in.endsBeforeCut(func(w http.ResponseWriter, r *http.Request) {
 		if in.node.IsStopping() {
 			w.Header().Set("Connection", "close")
 		}
@@ -77,6 +79,17 @@
 	}), in.drain)
 }
 
+// endsBeforeCut returns a handler that ends the context of a request with forward.ErrStopping when
+// the grace period is nearly over, so that the request is answered before its connection is cut.
+func (in *Instance) endsBeforeCut(handler http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, end := context.WithCancelCause(r.Context())
+		stop := in.atGraceEnd(func() { end(forward.ErrStopping) })
+		defer stop()
+		handler(w, r.WithContext(ctx))
+	})
+}
+
 // serve runs an HTTP server until ctx ends. If stop is not nil, the server runs until
 // stop, which is called at the start, has shut it down.
 func (in *Instance) serve(ctx context.Context, address string, handler http.Handler, stop func(context.Context, *http.Server) error) error {
@@ -128,6 +141,7 @@
 	case <-in.node.StopStarted():
 	}
 	in.node.Log("instance stopping", events.F("grace", in.node.Settings.Grace.String()))
+	defer time.AfterFunc(in.node.Settings.Grace-shutdownMargin-answerMargin, in.endGrace).Stop()
 	graceCtx, cancel := context.WithTimeout(ctx, in.node.Settings.Grace-shutdownMargin)
 	defer cancel()
 	select {
