An output without end is given up when the log could not store it

What callers saw: nothing yet; found on the way through the readers. An engine that sends proper events without end makes the output of a task grow in memory until its run is moved; a whole output of that size is refused by the log, and the task is given up.

Cause: the size of an output is looked at only when it is complete.

Change: a run whose output is larger than a record of the log ends there, and is given up as a complete one of that size is ("output cut", "output refused").

The specs of package batch state a record size now, as settings must.

--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -52,6 +52,7 @@
 	errEventGap       = errors.New("event is not the next in sequence")
 	errNoEvents       = errors.New("the stream ended before its first event")
 	errEndNotStated   = errors.New("the stream ended with its connection, so it may have been cut")
+	errOutputTooLarge = errors.New("the output is larger than the log stores")
 	errNotStream      = errors.New("the engine did not respond with a stream")
 )
 
@@ -103,7 +104,10 @@
 			ask:   func(ctx context.Context) error { return b.ConfirmStart(ctx, r.target, connection) },
 		})
 		end.outcome, end.err = b.readEvents(res.Body, r, response.Version, connection)
-		if end.outcome == assign.Completed {
+		if errors.Is(end.err, errOutputTooLarge) {
+			b.Log("output cut", events.F("job", r.key.Job), events.F("task", r.task.ID), events.F("target", r.target.ID), events.F("error", end.err.Error()))
+			end.outcome, end.err = assign.Completed, nil // it is refused as a whole one is that is too large
+		} else if end.outcome == assign.Completed {
 			if end.err = b.checkEnd(ctx, r, res, lastEvent); end.err != nil {
 				end.outcome = assign.Broken
 			}
@@ -197,5 +201,8 @@
 		if !r.output.addEvent(r.id, e.Number, e.Data, version, b.Clock.Now()) {
 			return assign.Broken, fmt.Errorf("%w: number %d", errEventGap, e.Number)
 		}
+		if size := r.output.size(); size > b.Settings.Store.RecordBytes {
+			return assign.Broken, fmt.Errorf("%w: %d bytes", errOutputTooLarge, size)
+		}
 	}
 }
--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -17,7 +17,7 @@
 // answered each further run with an empty stream without a version, which counted as too old
 // weights, and the task ran again for ever.
 func TestRunThatResumesAfterTheLastEventCompletesTheTask(t *testing.T) {
-	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1, RecordBytes: 1 << 20}}, LogOutput: io.Discard})}
 	for _, c := range []struct {
 		name, body string
 		version    int64
@@ -47,7 +47,7 @@
 // Guards against a result with two weight versions on a route that allows one: a run that went on
 // after kept events compared its own events only.
 func TestRunOfASingleVersionDoesNotGoOnAfterEventsOfAnother(t *testing.T) {
-	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1, RecordBytes: 1 << 20}}, LogOutput: io.Discard})}
 	for _, c := range []struct {
 		name, body string
 		version    int64
@@ -74,7 +74,7 @@
 // Guards against a record that names this instance as a runner before it has read the
 // configuration: that ended the process.
 func TestTasksWaitForTheConfiguration(t *testing.T) {
-	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1, RecordBytes: 1 << 20}}, LogOutput: io.Discard})}
 	r := newRunner(b)
 	j := &claimedJob{
 		job: &job.Job{Submitted: job.Submitted{Job: "j", Route: "r", Tasks: []job.TaskRef{{ID: "t"}}}}, tasks: make([]job.Task, 1),
@@ -90,7 +90,7 @@
 // older than that of the instance that had accepted their job.
 func TestTasksOfARouteAreGivenUpOnlyAfterItsConfiguration(t *testing.T) {
 	for version, givenUp := range map[int64]bool{6: false, 7: true, 9: true} {
-		b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+		b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1, RecordBytes: 1 << 20}}, LogOutput: io.Discard})}
 		b.resultWriter = newResultWriter(b)
 		r := newRunner(b)
 		j := &claimedJob{
@@ -107,7 +107,7 @@
 // Guards against tasks that wait for ever: their route has moved to another service, and the one of
 // before has no targets any more.
 func TestTasksFollowTheirRouteToAnotherService(t *testing.T) {
-	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1, RecordBytes: 1 << 20}}, LogOutput: io.Discard})}
 	r := newRunner(b)
 	tasks := []job.TaskRef{{ID: "t"}}
 	j := &claimedJob{
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -231,6 +231,13 @@
 	return t.firstEventAt
 }
 
+// size returns the bytes of the output so far.
+func (t *taskOutput) size() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.data)
+}
+
 // eventCount returns the number of the last event.
 func (t *taskOutput) eventCount() int64 {
 	t.mu.Lock()
--- a/internal/batch/text_test.go
+++ b/internal/batch/text_test.go
@@ -12,7 +12,7 @@
 )
 
 func TestRunThatStartsOverAndEndsWithoutEventsDoesNotCompleteTheOtherVersionsOutput(t *testing.T) {
-	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1}}, LogOutput: io.Discard})}
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1, RecordBytes: 1 << 20}}, LogOutput: io.Discard})}
 	output := &taskOutput{}
 	read := func(run int64, software, events string) (assign.Outcome, error) {
 		output.startRun(run, software)
--- a/internal/hosted/toolarge_test.go
+++ b/internal/hosted/toolarge_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -76,6 +77,37 @@
 		checkOutputs(page, events)
 		d.awaitLogged("output refused", 1)
 	})
+	It("is an output without end, which is given up before the engine stops", func() {
+		var written atomic.Int64
+		for _, e := range d.engines {
+			e.SetStreamHandler(func(w http.ResponseWriter, r *http.Request) bool {
+				if r.Header.Get("Request-Id") != "endless" {
+					return false
+				}
+				w.Header().Set("Server-Stamp", "s")
+				w.Header().Set("Content-Type", "text/event-stream")
+				w.Header().Set("Weight-Versions", "1")
+				for n := 1; ; n++ {
+					if _, err := fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, strings.Repeat("x", recordBytes/16)); err != nil {
+						return true
+					}
+					written.Add(recordBytes / 16)
+				}
+			})
+		}
+		all := map[string]int{"endless": 20, "t1": 30, "t2": 40, "t3": 50}
+		Expect(in.call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, all)).status).To(Equal(http.StatusAccepted))
+		page := in.awaitResults("j", 4)
+		for i, r := range page.Results {
+			if r.ID == "endless" {
+				Expect(r.State).To(Equal("terminated"))
+				page.Results = append(page.Results[:i:i], page.Results[i+1:]...)
+				break
+			}
+		}
+		checkOutputs(page, events)
+		Expect(written.Load()).To(BeNumerically("<", 16<<20), "more than the sockets of both sides hold")
+	})
 	It("is divided where it can be: tasks that fit into no record together are accepted and run", func() {
 		Expect(in.call(http.MethodPost, "/train/j", "j", key, withBodies(events, recordBytes*2/3)).status).To(Equal(http.StatusAccepted))
 		for id := range events {
