A relayed request that finds the memory for responses spent tries another instance

What callers saw: nothing yet; found while reading the diff. The refusal was marked as one that every instance would give, so that the relaying instance passed it on in place of asking another one.

Change: it is marked as one of this instance, as the refusals before the route is known are. The design note of plain requests has the budget.

Not measured: no spec relays a request to an instance whose memory is spent.

--- a/internal/forward/plain.go
+++ b/internal/forward/plain.go
@@ -121,6 +121,7 @@
 		return
 	}
 	if request.Kind != catalog.Stream && f.Responses.Spent() {
+		c.ownResponse = ownTryAnother // for a relayed request
 		f.Refuse(c, "the responses that wait for their callers hold the memory for responses")
 		return
 	}
