Whole completions are counted in the budget until they are written

What callers saw: nothing; found while reading the diff. The hold of a completion was closed with the stream, before the response was written to its caller, so that callers who read slowly were not counted.

Change: ReadAll returns the hold, and the handler closes it after the write. Heads have a limit of 1 MB where the settings of a transport state none; it was that of net/http, 10 MB. Comments of the transport are in lines.

Evidence: internal/caller, internal/engine and internal/httpclient pass under -race. No spec of its own: no caller of the tests reads slowly enough.

--- a/internal/caller/completions.go
+++ b/internal/caller/completions.go
@@ -14,6 +14,7 @@
 	"github.com/amaranthfold/amaranthfold/core/usage"
 	"github.com/amaranthfold/amaranthfold/internal/dispatch"
 	"github.com/amaranthfold/amaranthfold/internal/engine"
+	"github.com/amaranthfold/amaranthfold/internal/httpclient"
 )
 
 const (
@@ -104,8 +105,9 @@
 			}
 			break
 		}
-		response, err := s.attemptUnary(ctx, req, target)
+		response, hold, err := s.attemptUnary(ctx, req, target)
 		if err == nil {
+			defer hold.Close()
 			attempts.succeeded(target)
 			w.Header().Set("Content-Type", "application/json")
 			writeBody(w, http.StatusOK, response)
@@ -118,36 +120,38 @@
 	attempts.failure(ctx).write(w)
 }
 
-// attemptUnary runs the completion on one target and returns the response body.
-func (s *Server) attemptUnary(ctx context.Context, req *completionRequest, target *route.Target) ([]byte, error) {
+// attemptUnary runs the completion on one target and returns the response body. The caller closes
+// its hold.
+func (s *Server) attemptUnary(ctx context.Context, req *completionRequest, target *route.Target) (data []byte, hold *httpclient.Hold, err error) {
 	grant, err := s.admitCompletion(ctx, req, target, 0)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	generated := 0
 	defer func() { grant.Finish(float64(generated)) }()
 	stream, err := s.Engines.Open(ctx, target.URL, req.path, req.body)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	defer stream.Close()
-	data, err := stream.ReadAll()
-	if err != nil {
-		return nil, err
+	if data, hold, err = stream.ReadAll(); err != nil {
+		return nil, nil, err
 	}
 	var chunk engine.Chunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
-		return nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer: %w", err)}
+		hold.Close()
+		return nil, nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer: %w", err)}
 	}
 	if chunk.Choices == nil {
-		return nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer without choices: %.200s", data)}
+		defer hold.Close() // the error names the start of the response
+		return nil, nil, &engine.AttemptError{Target: target.ID, Outcome: retry.Unknown, Err: fmt.Errorf("answer without choices: %.200s", data)}
 	}
 	generated = 1 // if the engine reports no usage
 	if chunk.Usage != nil {
 		generated = chunk.Usage.CompletionTokens
 	}
 	s.meterTokens(req, generated)
-	return data, nil
+	return data, hold, nil
 }
 
 // admitCompletion waits for a slot at the target. The cost is that of the completion
--- a/internal/caller/resend_test.go
+++ b/internal/caller/resend_test.go
@@ -42,7 +42,8 @@
 			return outcomeOf(err)
 		}
 		defer stream.Close()
-		_, err = stream.ReadAll()
+		_, hold, err := stream.ReadAll()
+		hold.Close()
 		return outcomeOf(err)
 	}
 }
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -122,25 +122,23 @@
 	*EventReader
 	target string
 	body   io.ReadCloser
-	whole  *httpclient.Hold // of the response that ReadAll has read
 }
 
 // Close closes the response, which cancels an unfinished generation at the engine.
 func (s *Stream) Close() {
 	_ = s.body.Close() // the response is no longer needed
 	s.hold.Close()
-	s.whole.Close()
 }
 
 // ReadAll returns the complete response of a completion that is not streamed. It fails if
-// the response exceeds maxResponseBytes. Its memory is counted in the budget until Close.
-func (s *Stream) ReadAll() ([]byte, error) {
+// the response exceeds maxResponseBytes. The response is counted in the budget until the hold is
+// closed.
+func (s *Stream) ReadAll() ([]byte, *httpclient.Hold, error) {
 	data, hold, err := httpclient.ReadBody(s.body, maxResponseBytes)
 	if err != nil {
-		return nil, &AttemptError{Target: s.target, Outcome: retry.Unknown, Err: err}
+		return nil, nil, &AttemptError{Target: s.target, Outcome: retry.Unknown, Err: err}
 	}
-	s.whole = hold
-	return data, nil
+	return data, hold, nil
 }
 
 // Next returns the next event's payload. It returns io.EOF after the end marker, and an
--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -8,18 +8,20 @@
 	"sync"
 )
 
-// ErrCut is wrapped by the error of a body that ends with a connection on which the request could
-// not be sent whole.
-var ErrCut = errors.New("connection broke while the request was being sent")
+// Errors of responses.
+var (
+	// ErrCut is wrapped by the error of a body that ends with a connection on which the request
+	// could not be sent whole.
+	ErrCut = errors.New("connection broke while the request was being sent")
+	// ErrUnsolicited is the error of a response that had arrived before its request was sent.
+	ErrUnsolicited = errors.New("response without a request")
+)
 
 const (
 	largeHeadBytes = 8 << 10 // a head is counted in the budget of responses from this size on
 	headCopies     = 2       // a head without an end is held by its check and by net/http
 )
 
-// ErrUnsolicited is the error of a response that had arrived before its request was sent.
-var ErrUnsolicited = errors.New("response without a request")
-
 // conn checks the heads of responses, and tells the end of a connection from a reset.
 //
 // A socket reports a reset to one call only. If that is a write, the reads that follow return what
@@ -37,7 +39,7 @@
 	writeErr  error // of the first write that failed; nil: none has
 	head      *headCheck
 	headErr   error // of the latest head; nil: none so far
-	headBytes int
+	headBytes int   // of the latest response, until its head is whole
 	headHold  *Hold // nil: the latest head is small, or there is no budget
 }
 
@@ -159,8 +161,8 @@
 }
 
 // checkEnd waits until the request has been sent or the connection is closed, if the body of a
-// response has begun. It returns io.EOF if the other side has closed the connection, and an error that wraps
-// ErrCut if that is not known.
+// response has begun. It returns io.EOF if the other side has closed the connection, and an error
+// that wraps ErrCut if that is not known.
 func (c *conn) checkEnd() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -15,9 +15,10 @@
 
 // Transport is an http.RoundTripper for HTTP/1. It is safe for concurrent use.
 //
-// It fails with ErrMalformedHead for a head that is no proper one, and with ErrUnsolicited for a
-// response that had arrived before the request was sent. A body without a stated length ends with its connection. Such an end is reported only after the
-// request has been sent whole: until then it may be a reset, see conn.
+// It fails with ErrMalformedHead for a head that is not well formed, and with ErrUnsolicited for a
+// response that had arrived before its request was sent. A body without a stated length ends with its
+// connection: that end is reported only after the request has been sent, as it may be a reset before,
+// and the body fails with ErrCut if it is one.
 type Transport struct {
 	base   *http.Transport
 	budget *Budget // of the bodies that ReadBody reads; nil: none
@@ -26,8 +27,15 @@
 // New returns a transport with the settings of base, which it takes over.
 func New(base *http.Transport) *Transport { return NewWithin(nil, base) }
 
-// NewWithin is New with a budget for the bodies that ReadBody reads and for those with a hold; nil: none.
+// maxHeadBytes is the limit of a response's head, unless the settings have another one.
+const maxHeadBytes = 1 << 20
+
+// NewWithin is New with a budget for large heads, for the bodies that ReadBody reads and for what
+// is read under a hold of OpenHold. nil: none.
 func NewWithin(budget *Budget, base *http.Transport) *Transport {
+	if base.MaxResponseHeaderBytes == 0 {
+		base.MaxResponseHeaderBytes = maxHeadBytes
+	}
 	dial := base.DialContext
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
