A write error of an earlier connection does not end a later one's body

What callers would see: a whole body of unstated length taken for a cut one, as a 502, after net/http has repeated a request on another connection while the first one's writer was still at work. Found while reading the diff; the writer tells of its error through the request, which has the later connection by then.

Cause: the transport passed the error on to the latest connection.

Change: only a write on the connection itself sets its error; a request that fails to be written otherwise ends with its connection.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -59,14 +59,11 @@
 }
 
 // endRequest notes that nothing of the request is left to be written but what the transport has
-// buffered, or that err has ended it.
-func (c *conn) endRequest(err error) {
+// buffered.
+func (c *conn) endRequest() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sending = false
-	if c.writeErr == nil {
-		c.writeErr = err
-	}
 	c.changed.Broadcast()
 }
 
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -94,8 +94,9 @@
 			}
 		},
 		WroteRequest: func(info httptrace.WroteRequestInfo) {
-			if c := used.Load(); c != nil {
-				c.endRequest(info.Err)
+			// An error is known to the connection that has it, which may be an earlier one here.
+			if c := used.Load(); c != nil && info.Err == nil {
+				c.endRequest()
 			}
 		},
 	})))
