A response that is told to end is not waited for in its reader

What callers would see: a response that waits for memory waits for a slow caller of another one, beyond its own deadline. Found while reading the diff.

Cause: the budget took the memory back only when the reader of the response that yields had returned. A reader of the product's own interface may be writing an earlier event to its caller.

Change: the hold is closed once the body is, and a reader that asks for more gets ErrBudgetSpent.

--- a/internal/httpclient/hold.go
+++ b/internal/httpclient/hold.go
@@ -86,12 +86,16 @@
 	for b.holds[h.id] != nil {
 		verdict, yield := b.budget.Grow(h.id, bytes)
 		for _, id := range yield {
-			b.holds[id].yielding = true
+			other := b.holds[id]
+			other.yielding = true
 			b.ended++
-			go b.holds[id].end() // may wait for a read
+			go func() { // may wait for a read
+				other.end()
+				other.Close() // its reader may be busy, such as with a caller who reads slowly
+			}()
 		}
 		if len(yield) > 0 {
-			b.closed.Broadcast()
+			b.closed.Broadcast() // one that yields may wait itself
 		}
 		switch verdict {
 		case budget.Granted:
@@ -105,6 +109,9 @@
 			b.closed.Wait()
 		}
 	}
+	if h.yielding {
+		return ErrBudgetSpent
+	}
 	return io.ErrClosedPipe // the response is not wanted any more
 }
 
--- a/internal/httpclient/hold_test.go
+++ b/internal/httpclient/hold_test.go
@@ -63,3 +63,41 @@
 		}
 	}
 }
+
+// A reader that has been told to end may be busy elsewhere, such as with a write to a slow caller.
+func TestResponseThatEndsIsNotWaitedForInItsReader(t *testing.T) {
+	const capacity = 1 << 20
+	budget := httpclient.NewBudget(capacity)
+	client := &http.Client{Transport: httpclient.NewWithin(budget, &http.Transport{})}
+	stop := make(chan struct{})
+	defer close(stop)
+	server := rawServer(t, func(conn *net.TCPConn, _ *http.Request, _ io.Reader) {
+		_, _ = io.WriteString(conn, unframed)
+		<-stop
+	})
+	open := func() (*http.Response, *httpclient.Hold) {
+		res, err := client.Get(server)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res, httpclient.OpenHold(res.Body)
+	}
+	large, largeHold := open()
+	defer large.Body.Close()
+	small, smallHold := open()
+	defer small.Body.Close()
+	if err := largeHold.Grow(capacity * 3 / 4); err != nil {
+		t.Fatal(err)
+	}
+	if err := smallHold.Grow(capacity / 2); err != nil {
+		t.Errorf("the smaller response ends: %v", err)
+	}
+	if err := largeHold.Grow(1); !errors.Is(err, httpclient.ErrBudgetSpent) {
+		t.Errorf("the response that was told to end: %v", err)
+	}
+	largeHold.Close()
+	smallHold.Close()
+	if used := budget.Used(); used != 0 {
+		t.Errorf("%d bytes are held after the responses", used)
+	}
+}
