--- a/review/stand2/clients.go
+++ b/review/stand2/clients.go
@@ -150,3 +150,8 @@
 	l.attempts = append(l.attempts, attempt{id, in.name, sentAt, time.Now(), status})
 	return status, after
 }
+
+// promisesNotRun reports whether a status means that the request has not run and never will.
+func promisesNotRun(status int) bool {
+	return status == 429 || status == 503 || status == 408 || status == 421
+}
