Add review case 6: orders of a former lease holder arrive after a cut

Cause: an order whose time is over ends with a close of its connection, so the system goes on sending what a cut has held up; the next holder has ordered the same samplers by then.

--- a/review/stand2/engine.go
+++ b/review/stand2/engine.go
@@ -30,9 +30,11 @@
 
 	mu       sync.Mutex
 	version  map[string]int64 // by model
+	loading  bool             // an order is in progress
 	sequence int64
 	running  int
 	runs     []itemRun
+	orders   []engineOrder
 }
 
 // itemRun is a run of an item.
@@ -42,6 +44,9 @@
 	status       int
 }
 
+// loadTime is how long a change of version takes.
+const loadTime = 900 * time.Millisecond
+
 func (e *env) newEngine(zone string, slots int, step time.Duration) (*engineTarget, error) {
 	g := &engineTarget{
 		env: e, id: "i-" + newID()[:8], zone: zone, slots: slots, step: step,
@@ -101,7 +106,7 @@
 	defer g.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{
-		"stage": "hybrid", "models": g.models(), "busy": false, "sequence": g.sequence, "queued-count": 0,
+		"stage": "hybrid", "models": g.models(), "busy": g.loading, "sequence": g.sequence, "queued-count": 0,
 		"running-count": g.running, "kv-used": 0, "kv-total": 43860, "handles": 0,
 	})
 }
@@ -111,24 +116,34 @@
 		Model    string `json:"model"`
 		Version  int64  `json:"version"`
 		Expected *int64 `json:"expected"`
+		Holder   string `json:"holder"`
+		Fence    int64  `json:"fence"`
 	}
 	data, _ := io.ReadAll(r.Body) // what is missing fails below
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if json.Unmarshal(data, &o) != nil || g.version[o.Model] == 0 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
+	g.orders = append(g.orders, engineOrder{g.id, o.Holder, o.Fence, o.Version, time.Now()})
+	status := http.StatusAccepted
 	switch {
-	case o.Expected != nil && *o.Expected != g.sequence:
-		w.WriteHeader(http.StatusConflict)
+	case g.loading, o.Expected != nil && *o.Expected != g.sequence:
+		status = http.StatusConflict
 	case g.version[o.Model] == o.Version:
-		w.WriteHeader(http.StatusOK)
+		status = http.StatusOK
 	default:
 		g.sequence++
-		g.version[o.Model] = o.Version
-		w.WriteHeader(http.StatusAccepted)
+		g.loading = true
+		time.AfterFunc(loadTime, func() {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			g.loading, g.version[o.Model] = false, o.Version
+		})
 	}
+	g.env.rec.printf("%s gets the order of %s with fence %d for version %d and answers %d", g.id, o.Holder, o.Fence, o.Version, status)
+	w.WriteHeader(status)
 }
 
 // run runs an item, from the event after Last-Event-Id on.
--- a/review/stand2/env.go
+++ b/review/stand2/env.go
@@ -19,6 +19,7 @@
 // env holds what a case runs: the platform, the instances and the record.
 type env struct {
 	trouble   bool // the case causes its disruption
+	fenced    bool // require-fence
 	binary    string
 	dir       string
 	keep      bool
@@ -33,7 +34,7 @@
 }
 
 func newEnv(binary, record, keep string, trouble bool) (*env, error) {
-	e := &env{trouble: trouble, binary: binary, store: hostplatform.NewStore(), cloud: hostplatform.NewCloud(), dir: keep, keep: keep != ""}
+	e := &env{trouble: trouble, fenced: true, binary: binary, store: hostplatform.NewStore(), cloud: hostplatform.NewCloud(), dir: keep, keep: keep != ""}
 	if _, err := os.Stat(binary); err != nil {
 		return nil, err
 	}
@@ -179,7 +180,7 @@
 drain-ms = 2000
 grace-s = 8
 config-ms = 2000
-require-fence = true
+require-fence = %t
 lease-ms = 3000
 thaw-ms = 300
 window-s = 5
@@ -221,7 +222,7 @@
 		front: fmt.Sprintf("127.0.0.1:%d", ports[0]), ready: fmt.Sprintf("127.0.0.1:%d", ports[1]),
 	}
 	in.settings = filepath.Join(e.dir, in.name+".toml")
-	text := fmt.Sprintf(settingsFormat, in.name, zone, ports[2], ports[3], in.front, in.ready, memoryMB, storeAt, e.cloudAt)
+	text := fmt.Sprintf(settingsFormat, in.name, zone, ports[2], ports[3], in.front, in.ready, memoryMB, e.fenced, storeAt, e.cloudAt)
 	if err := os.WriteFile(in.settings, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
