A job is used by whom its submission says, whatever the routes are now

Cause: a submission looks up the caller's account only where its route asks for a key, a request about a job always does, and both must be equal. The owner of a job so depends on one configuration and its readers on another. Submit, hasJob and KnowsJob each compared accounts in a way of their own.

Ruled out: a lost submission (a repeat is answered how="known"), and a reader that is behind ("no such job" comes after the log was read to its end).

Change: core/job says who may use a job and whose submission is its repeat. A job without an account belongs to everyone who has its id; without accounts in the configuration callers are not told apart. Requests about jobs are judged by the job first. Requests without a key cause a read of the log only where a route of jobs is public. Two callers without a key who choose one id are answered 202 and 409; the second job was lost.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -158,6 +158,14 @@
 	return false
 }
 
+// HasPublicRoute reports whether requests of the kind may come without a key, at any host.
+func (c *Catalog) HasPublicRoute(kind Kind) bool {
+	return slices.ContainsFunc(c.Routes, func(r Route) bool { return r.Kind == kind && r.Public })
+}
+
+// HasAccounts reports whether there are client accounts. Without them requests carry no keys.
+func (c *Catalog) HasAccounts() bool { return len(c.Accounts) > 0 }
+
 // RouteByName returns the first route with the name. A nil catalog has none.
 func (c *Catalog) RouteByName(name string) (*Route, bool) {
 	if c == nil {
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -54,6 +54,15 @@
 	Tasks        []Task
 }
 
+// TaskIDs returns the ids of the tasks, in order.
+func (s *Submission) TaskIDs() []string {
+	ids := make([]string, len(s.Tasks))
+	for i := range s.Tasks {
+		ids[i] = s.Tasks[i].ID
+	}
+	return ids
+}
+
 // Location is a contiguous range of content records in one partition of the content topic.
 type Location struct {
 	Partition int   `cbor:"1,keyasint"`
--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -43,12 +43,12 @@
 	}
 	ctx, cancel := b.submitContext(c)
 	defer cancel()
-	switch owner, known := b.jobOwner(ctx, c.ID); {
-	case known && owner == c.Account:
-		b.respondAccepted(c, len(sub.Tasks), "known")
-		return
-	case known: // the log keeps one job of an id: this one would be lost
-		b.forwarder.Respond(c, http.StatusConflict, "another job has the request id")
+	if known := b.submission(ctx, c.ID); known != nil {
+		if known.IsRepeatedBy(callerOf(c), sub.TaskIDs()) {
+			b.respondAccepted(c, len(sub.Tasks), "known")
+		} else { // the log keeps one job of an id: this one would be lost
+			b.forwarder.Respond(c, http.StatusConflict, "another job has the request id")
+		}
 		return
 	}
 	readTo, isNew := b.isNewJob(ctx, c.ID)
@@ -171,8 +171,9 @@
 	c.Writer.WriteHeader(http.StatusAccepted)
 }
 
-// ServeJobRequest serves a request about a submitted job.
-func (b *Batch) ServeJobRequest(c *forward.CallerRequest, jobRequest platform.JobRequest) {
+// ServeJobRequest serves a request about a submitted job, with status 400 if it is malformed. It
+// reports false, without a response, if there is no such job that the caller may use.
+func (b *Batch) ServeJobRequest(c *forward.CallerRequest, jobRequest platform.JobRequest, malformed error) (found bool) {
 	ctx, cancel := context.WithTimeout(c.Request.Context(), c.Wait+readTimeout)
 	defer cancel()
 	idle := !b.Busy()
@@ -184,8 +185,10 @@
 	switch {
 	case err != nil:
 		b.forwarder.Refuse(c, "the log is out of reach: "+err.Error())
+		return true
 	case !found:
-		b.forwarder.Respond(c, http.StatusNotFound, "no such job")
+	case malformed != nil:
+		b.forwarder.Respond(c, http.StatusBadRequest, malformed.Error())
 	case jobRequest.ForTask:
 		b.serveTask(ctx, c, jobRequest)
 	case c.Request.Method == http.MethodDelete:
@@ -193,6 +196,7 @@
 	default:
 		b.serveResults(ctx, c, jobRequest)
 	}
+	return found
 }
 
 // readLatestRecords reads the log to its end at an instance that reads it with pauses, so
--- a/internal/batch/known.go
+++ b/internal/batch/known.go
@@ -4,19 +4,31 @@
 	"context"
 	"errors"
 
+	"github.com/amaranthfold/amaranthfold/core/catalog"
 	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/core/record"
 	"github.com/amaranthfold/amaranthfold/internal/forward"
 )
 
-// jobOwner returns the account of the job of the id, as far as the log was read.
-func (b *Batch) jobOwner(ctx context.Context, id string) (account string, known bool) {
+// callerOf returns the sender of a request.
+func callerOf(c *forward.CallerRequest) job.Caller {
+	caller := job.Caller{Open: !c.View.Catalog.HasAccounts()}
+	if account, found := c.View.Catalog.AccountByKey(c.Key); found {
+		caller.Account = account.Name
+	}
+	return caller
+}
+
+// submission returns the submission of the job of the id, nil if there is none as far as the log was
+// read.
+func (b *Batch) submission(ctx context.Context, id string) (s *job.Submitted) {
 	b.StateLoop.Do(ctx, func() {
 		if j := b.StateLoop.State.Jobs[id]; j != nil {
-			account, known = j.Account, true
+			copied := j.Submitted
+			s = &copied
 		}
 	})
-	return account, known
+	return s
 }
 
 // isNewJob reports whether a job that is not known was never submitted, as far as the log was read, and
@@ -26,43 +38,32 @@
 	return readTo, isNew
 }
 
-// hasJob reports whether the account of the request has a job of the id, as far as the
-// log was read.
-func (b *Batch) hasJob(ctx context.Context, c *forward.CallerRequest, id string) (found bool) {
-	b.StateLoop.Do(ctx, func() {
-		j := b.StateLoop.State.Jobs[id]
-		found = j != nil && j.Account == c.Account
-	})
-	return found
-}
-
-// KnowsJob reports whether the account of the request's key has a job of the id. It fails if this
-// instance cannot be sure.
-func (b *Batch) KnowsJob(c *forward.CallerRequest, id string) (bool, error) {
-	account, keyFound := c.View.Catalog.AccountByKey(c.Key)
-	if !keyFound {
-		return false, nil
-	}
-	c.Account = account.Name
-	ctx, cancel := context.WithTimeout(c.Request.Context(), readTimeout)
-	defer cancel()
-	return b.findJob(ctx, c, id)
-}
-
-var errRecordsSkipped = errors.New("the job's submission may be among records that were skipped")
+var (
+	errRecordsSkipped = errors.New("the job's submission may be among records that were skipped")
+	errLogOutdated    = errors.New("the job's submission may be among records that were not read")
+)
 
-// findJob reports whether the account of the request has the job. Before it returns
+// findJob reports whether there is a job of the id that the caller may use. Before it returns
 // false, it waits until the log is applied to its end. It fails if the log no longer held the
 // submission of a job that may still be readable when this instance read it.
+//
+// The wait costs a read of the log. Callers without a key get one only where jobs may have been
+// submitted without a key.
 func (b *Batch) findJob(ctx context.Context, c *forward.CallerRequest, id string) (bool, error) {
-	if b.hasJob(ctx, c, id) {
-		return true, nil
+	caller := callerOf(c)
+	s := b.submission(ctx, id)
+	if s != nil {
+		return s.MayUse(caller), nil
 	}
-	if err := b.CatchUp(ctx); err != nil {
-		return false, err
+	if caller.Identified() || c.View.Catalog.HasPublicRoute(catalog.Batch) {
+		if err := b.CatchUp(ctx); err != nil {
+			return false, err
+		}
+	} else if !b.LogCurrent() {
+		return false, errLogOutdated
 	}
-	if _, known := b.jobOwner(ctx, id); !known && b.SkippedWithin(job.OpenRetentions*b.Settings.JobRetention) {
+	if s = b.submission(ctx, id); s == nil && b.SkippedWithin(job.OpenRetentions*b.Settings.JobRetention) {
 		return false, errRecordsSkipped
 	}
-	return b.hasJob(ctx, c, id), nil
+	return s != nil && s.MayUse(caller), nil
 }
--- a/internal/hosted/dispatch.go
+++ b/internal/hosted/dispatch.go
@@ -4,6 +4,7 @@
 	"net/http"
 
 	"github.com/amaranthfold/amaranthfold/core/catalog"
+	"github.com/amaranthfold/amaranthfold/internal/forward"
 	"github.com/amaranthfold/amaranthfold/platform"
 )
 
@@ -23,22 +24,16 @@
 	jobRequest, isJobRequest, err := platform.DecodeJobRequest(r)
 	c.Job = jobRequest.Job
 	route, found := c.View.Catalog.Match(r.Host, r.URL.Path)
-	isJobRequest = isJobRequest && !found
-	if isJobRequest && !c.View.Catalog.HasRouteKind(r.Host, catalog.Batch) {
-		// The host may have had such a route when the job was submitted.
-		known, err := in.batch.KnowsJob(c, jobRequest.Job)
-		if err != nil {
-			in.forwarder.Refuse(c, "the log is out of reach: "+err.Error())
-			return
-		}
-		isJobRequest = known
+	if isJobRequest && !found {
+		in.serveJobRequest(c, jobRequest, err)
+		return
 	}
-	if !found && !isJobRequest {
+	if !found {
 		in.forwarder.Deny(c, http.StatusNotFound, "no route matches the host and path")
 		return
 	}
 	c.Route = route
-	if isJobRequest || !route.Public {
+	if !route.Public {
 		account, keyFound := c.View.Catalog.AccountByKey(c.Key)
 		if !keyFound {
 			in.forwarder.Deny(c, http.StatusUnauthorized, "the key is not known")
@@ -47,10 +42,6 @@
 		c.Account = account.Name
 	}
 	switch {
-	case isJobRequest && err != nil:
-		in.forwarder.Respond(c, http.StatusBadRequest, err.Error())
-	case isJobRequest:
-		in.batch.ServeJobRequest(c, jobRequest)
 	case !in.forwarder.ReadBody(c):
 	case route.Kind == catalog.Batch:
 		in.batch.Submit(c)
@@ -58,3 +49,23 @@
 		in.forwarder.ForwardRequest(c)
 	}
 }
+
+// serveJobRequest serves a request about a job. Whether the job exists comes first: the routes, and
+// whether they need a key, may have changed since it was submitted.
+func (in *Instance) serveJobRequest(c *forward.CallerRequest, jobRequest platform.JobRequest, malformed error) {
+	account, keyFound := c.View.Catalog.AccountByKey(c.Key)
+	if keyFound {
+		c.Account = account.Name
+	}
+	switch {
+	case in.batch.ServeJobRequest(c, jobRequest, malformed):
+	case !c.View.Catalog.HasRouteKind(c.Request.Host, catalog.Batch):
+		in.forwarder.Deny(c, http.StatusNotFound, "no route matches the host and path")
+	case !keyFound && c.View.Catalog.HasAccounts():
+		in.forwarder.Deny(c, http.StatusUnauthorized, "the key is not known")
+	case malformed != nil:
+		in.forwarder.Respond(c, http.StatusBadRequest, malformed.Error())
+	default:
+		in.forwarder.Respond(c, http.StatusNotFound, "no such job")
+	}
+}
