A job for one weight version lists no result of none or several

What remained open is where results enter the state: it listed any result, so that the promise rested on the writer alone.

Change: the state lists no completed result of such a job that has not exactly one version, whoever wrote it; the task stays open and another runner takes it. A run for such a job that ends without a known version is broken, not complete. During an upgrade from a build before the positions of a job in which that build lists such a result differ between the builds.

Evidence: "list no result of other than one weight version where one is allowed, whoever wrote it" and TestRunOfASingleVersionThatStatesNoneIsNotComplete fail without the two checks and pass with them.

--- a/core/job/output.go
+++ b/core/job/output.go
@@ -74,6 +74,11 @@
 	return len(versions) > 0 && versions[0] >= s.MinVersion && (!s.SingleVersion || len(versions) == 1)
 }
 
+// AllowsResult reports whether a completed result of these weight versions may be listed.
+func (s *Submitted) AllowsResult(versions []int64) bool {
+	return !s.SingleVersion || len(versions) == 1
+}
+
 // EarlierResult returns a completed result of the task from another job of the same account,
 // model and route.
 func (s *State) EarlierResult(j *Job, task int) (Result, bool) {
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -240,7 +240,8 @@
 	}
 }
 
-// applyListed adds the first result of each task. It returns false if it adds none.
+// applyListed adds the first result of each task that the job allows, whoever wrote it. It returns false if it
+// adds none.
 func (s *State) applyListed(now time.Duration, writer string, listed Listed) bool {
 	j := s.Jobs[listed.Job]
 	if j == nil {
@@ -254,11 +255,14 @@
 	return changed
 }
 
-// list adds a result if it is the first of its task.
+// list adds a result if it is the first of its task that the job allows.
 func (j *Job) list(now time.Duration, result Result) bool {
 	if result.Task < 0 || result.Task >= len(j.Status) || j.Status[result.Task].Listed {
 		return false
 	}
+	if result.Completed && !j.AllowsResult(result.Versions) {
+		return false
+	}
 	if len(j.Results)+1 == len(j.Tasks) {
 		j.markClosed(now)
 	}
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -55,6 +55,20 @@
 		Expect(s.Jobs["j"].Runner).To(Equal("n1"))
 	})
 
+	// Guards against a result with several weight versions on a route that allows one, by whatever path or build.
+	It("list no result of other than one weight version where one is allowed, whoever wrote it", func() {
+		single := submitted("j", "n1", "x", "y")
+		single.Submitted.SingleVersion = true
+		mixed, own := job.Result{Task: 0, Completed: true, Versions: []int64{2, 3}}, job.Result{Task: 0, Completed: true, Versions: []int64{3}}
+		s, accepted := replay(single, listed("j", "n1", mixed), listed("j", "n2", mixed), listed("j", "n2", job.Result{Task: 0, Completed: true}),
+			listed("j", "n2", own), listed("j", "n1", job.Result{Task: 1}))
+		Expect(accepted).To(Equal([]bool{true, false, false, false, true, true}))
+		Expect(s.Jobs["j"].Results).To(Equal([]job.Result{own, {Task: 1}}))
+		Expect(s.Jobs["j"].Open()).To(BeFalse())
+		s, _ = replay(submitted("j", "n1", "x"), listed("j", "n1", mixed))
+		Expect(s.Jobs["j"].Results).To(Equal([]job.Result{mixed}), "a route that allows several")
+	})
+
 	It("accepts the first result of a task from any runner and keeps its position", func() {
 		s, accepted := replay(submitted("j", "n1", "x", "y"),
 			listed("j", "n1", job.Result{Task: 1, Completed: true, Versions: []int64{2}}),
--- a/internal/batch/stream.go
+++ b/internal/batch/stream.go
@@ -48,6 +48,7 @@
 
 var (
 	errStale          = errors.New("the engine's weights are older than the job allows")
+	errVersionUnknown = errors.New("the engine states no weight version, of which the job allows one")
 	errVersionChanged = errors.New("the weights changed within an output that allows one version")
 	errEventGap       = errors.New("event is not the next in sequence")
 	errNoEvents       = errors.New("the stream ended before its first event")
@@ -181,6 +182,10 @@
 		if errors.Is(err, io.EOF) && !r.output.startedOver() {
 			return assign.Broken, errNoEvents // the output holds events of another version
 		}
+		if errors.Is(err, io.EOF) && r.singleVersion && !r.output.hasVersion() {
+			r.output.reset()
+			return assign.Broken, errVersionUnknown
+		}
 		if errors.Is(err, io.EOF) {
 			return assign.Completed, nil
 		}
--- a/internal/batch/stream_test.go
+++ b/internal/batch/stream_test.go
@@ -71,6 +71,23 @@
 	}
 }
 
+// Guards against a result without a weight version on a route that allows one.
+func TestRunOfASingleVersionThatStatesNoneIsNotComplete(t *testing.T) {
+	b := &Batch{Node: node.New(node.Config{Settings: platform.Settings{Store: platform.StoreSettings{Partitions: 1, RecordBytes: 1 << 20}}, LogOutput: io.Discard})}
+	for _, c := range []struct {
+		singleVersion bool
+		version       int64
+		want          assign.Outcome
+	}{{true, 0, assign.Broken}, {true, 1, assign.Completed}, {false, 0, assign.Completed}} {
+		output := &taskOutput{}
+		output.startRun(1, "v1")
+		got, err := b.readEvents(strings.NewReader("id: 1\ndata: a\n\n"), taskRun{id: 1, output: output, singleVersion: c.singleVersion}, c.version, nil)
+		if got != c.want {
+			t.Errorf("version %d, one version %v: outcome %v, want %v (%v)", c.version, c.singleVersion, got, c.want, err)
+		}
+	}
+}
+
 // Guards against a record that names this instance as a runner before it has read the
 // configuration: that ended the process.
 func TestTasksWaitForTheConfiguration(t *testing.T) {
--- a/internal/batch/text.go
+++ b/internal/batch/text.go
@@ -193,6 +193,13 @@
 	return !t.startsOver && t.lastEvent > 0 && (len(t.versions) != 1 || t.versions[0] != version)
 }
 
+// hasVersion reports whether the weight version of the events is known. It is true of an empty output.
+func (t *taskOutput) hasVersion() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lastEvent == 0 || len(t.versions) > 0
+}
+
 // reset discards all events, so that the next run starts from the first one.
 func (t *taskOutput) reset() {
 	t.mu.Lock()
