A job for one weight version is taken over from a build that may mix versions

Cause: an earlier build is named as the runner of new jobs and keeps those that it accepts, and nothing tells the others that its runs do not check the version.

Change: announcements say that the build keeps the version. A runner whose own announcement does not is unfit for such jobs: they are claimed like those without a runner, and it is named for no new one. An announcement that an earlier build repeats loses the field, so nothing is concluded from it: two new instances would take jobs from each other.

Evidence: "is taken over although its runner lives" waits for ever without the claim, and passes.

--- a/core/job/instance.go
+++ b/core/job/instance.go
@@ -13,6 +13,9 @@
 	StartedAt   int64  // start of the process, Unix milliseconds
 	// KeyFingerprint is that of its key; empty: its build has none.
 	KeyFingerprint string
+	// MixesVersions is set if its build may mix weight versions in a result of a job that allows
+	// one: its own announcement does not say otherwise.
+	MixesVersions bool
 	// AnnouncedAt is when its latest announcement was read, by the reader's clock, and
 	// AnnouncedOffset is the offset of that record.
 	AnnouncedAt     time.Duration
@@ -37,6 +40,7 @@
 	switch {
 	case previous.Incarnation == writer:
 		previous.AnnouncedAt, previous.AnnouncedOffset, previous.challenger = now, offset, ""
+		previous.MixesVersions = !started.KeepsVersion
 		s.Instances[started.Instance] = previous
 		return false
 	case previous.StartedAt < started.StartedAt || previous.Incarnation == "":
@@ -49,7 +53,7 @@
 	}
 	s.Instances[started.Instance] = Instance{
 		Incarnation: writer, PeerAddress: started.PeerAddress, StartedAt: started.StartedAt,
-		KeyFingerprint: started.KeyFingerprint, AnnouncedAt: now, AnnouncedOffset: offset,
+		KeyFingerprint: started.KeyFingerprint, MixesVersions: !started.KeepsVersion, AnnouncedAt: now, AnnouncedOffset: offset,
 	}
 	if previous.Incarnation == "" {
 		return true
@@ -69,6 +73,13 @@
 	return true
 }
 
+// IsUnfit reports whether a runner, an incarnation of the instance, is known not to keep what a job
+// asks for that may allow one weight version only.
+func (s *State) IsUnfit(singleVersion bool, runner, instance string) bool {
+	i := s.Instances[instance]
+	return singleVersion && i.MixesVersions && i.Incarnation == runner
+}
+
 // removeRunner removes an incarnation from the runners of all models, so that it gets no
 // further jobs. It stays the runner of its current jobs until other instances claim them. It
 // returns false if the incarnation was not the runner of any model.
--- a/core/job/known.go
+++ b/core/job/known.go
@@ -29,15 +29,25 @@
 		}
 		known = append(known, KnownInstance{
 			Writer: i.Incarnation, Offset: i.AnnouncedOffset, SinceAnnounced: age.Milliseconds(),
-			Started: InstanceStarted{Instance: name, PeerAddress: i.PeerAddress, StartedAt: i.StartedAt, KeyFingerprint: i.KeyFingerprint},
+			Started: InstanceStarted{Instance: name, PeerAddress: i.PeerAddress, StartedAt: i.StartedAt, KeyFingerprint: i.KeyFingerprint, KeepsVersion: !i.MixesVersions},
 		})
 	}
 	return known
 }
 
+// mixesVersions reports whether the build of the incarnation may mix weight versions, as far as is known.
+func (s *State) mixesVersions(incarnation string) bool {
+	for _, i := range s.Instances {
+		if i.Incarnation == incarnation {
+			return i.MixesVersions
+		}
+	}
+	return true
+}
+
 // applyKnown applies the announcements that were not read. It changes nothing for a reader of the
 // whole log. It reports whether there were any.
-func (s *State) applyKnown(now time.Duration, k KnownInstances) (changed bool) {
+func (s *State) applyKnown(now time.Duration, writer string, k KnownInstances) (changed bool) {
 	for _, i := range k.Instances {
 		current, found := s.Instances[i.Started.Instance]
 		age := time.Duration(i.SinceAnnounced) * time.Millisecond
@@ -46,6 +56,8 @@
 		case found && current.Incarnation != i.Writer && current.StartedAt >= i.Started.StartedAt:
 		case i.Writer == "" || i.SinceAnnounced < 0 || i.SinceAnnounced > maxSinceAnnounced.Milliseconds():
 		default:
+			// An earlier build repeats announcements without this.
+			i.Started.KeepsVersion = i.Started.KeepsVersion || s.mixesVersions(writer)
 			s.applyStarted(i.Offset, now-age, i.Writer, i.Started)
 			changed = true
 		}
--- a/core/job/record.go
+++ b/core/job/record.go
@@ -249,6 +249,9 @@
 	// ReadTo is the last record that the writer had read, as in lease records; zero: none, or an earlier
 	// build. It has started after an incarnation whose latest announcement it had read.
 	ReadTo record.Offset `cbor:"6,keyasint,omitempty"`
+	// KeepsVersion is set by builds whose runs never mix weight versions in a result of a job that
+	// allows one.
+	KeepsVersion bool `cbor:"7,keyasint,omitempty"`
 }
 
 // StreamStarted records which software version of which service began a caller's stream. The first
--- a/core/job/state.go
+++ b/core/job/state.go
@@ -147,7 +147,7 @@
 	case r.StreamStarted != nil:
 		return s.applyStreamStarted(now, *r.StreamStarted)
 	case r.KnownInstances != nil:
-		return s.applyKnown(now, *r.KnownInstances)
+		return s.applyKnown(now, r.Writer, *r.KnownInstances)
 	case r.InstanceLeaving != nil:
 		return s.removeRunner(r.Writer)
 	case r.JobsRequested != nil:
--- a/core/job/state_test.go
+++ b/core/job/state_test.go
@@ -256,6 +256,28 @@
 		Expect(s.Instances["n1"].Incarnation).To(Equal("n1/b"))
 	})
 
+	// Guards against jobs for one weight version that stay with a build which may mix them, and against two
+	// instances that take them from each other.
+	It("are unfit for a job of one weight version only if their own announcement says so", func() {
+		keeps := started("n2/x", 5)
+		keeps.InstanceStarted.Instance, keeps.InstanceStarted.KeepsVersion = "n2", true
+		all, _ := replay(started("n1/a", 1000), keeps)
+		Expect(all.IsUnfit(true, "n1/a", "n1")).To(BeTrue())
+		Expect(all.IsUnfit(false, "n1/a", "n1")).To(BeFalse())
+		Expect(all.IsUnfit(true, "n1/b", "n1")).To(BeFalse(), "an incarnation that was not announced")
+		Expect(all.IsUnfit(true, "n2/x", "n2")).To(BeFalse())
+		for _, writer := range []string{"n2/x", "n1/a", "n3/unknown"} {
+			young := job.NewState()
+			young.Apply(0, 0, keeps)
+			young.SkipTo(7, 0, 0)
+			young.Apply(7, 90*time.Second, job.Record{Writer: writer, KnownInstances: &job.KnownInstances{
+				Instances: all.KnownInstances(9*time.Second, 5*time.Second, func(name string) bool { return name == "n1" }),
+			}})
+			Expect(young.Instances).To(HaveKey("n1"))
+			Expect(young.IsUnfit(true, "n1/a", "n1")).To(Equal(writer == "n2/x"), writer)
+		}
+	})
+
 	It("are known from a repeated announcement as they were announced, to those only that have not read it", func() {
 		all, _ := replay(started("n1/a", 1000), started("n1/a", 1000), submitted("j", "n1/a", "x"))
 		known := job.Record{Writer: "n2/x", KnownInstances: &job.KnownInstances{Instances: all.KnownInstances(9*time.Second, 5*time.Second, func(string) bool { return true })}}
--- a/core/takeover/takeover.go
+++ b/core/takeover/takeover.go
@@ -44,6 +44,8 @@
 	SinceSeen time.Duration // since its latest record was read, or the log has been read without a gap
 	// Replaced is set if a later process of the same instance has announced itself.
 	Replaced bool
+	// Unfit is set if it does not keep what the job asks for.
+	Unfit bool
 	// Refused is set if its listener has refused a connection SinceRefused ago: no process listens
 	// there.
 	Refused      bool
@@ -57,7 +59,7 @@
 // Claim reports whether the job may be claimed, and the longest random delay of the claim.
 func Claim(r Runner) (due bool, jitter time.Duration) {
 	switch {
-	case !r.Named:
+	case !r.Named, r.Unfit:
 		return true, urgentJitter
 	case r.Refused && r.SinceRefused <= refusalValidity && r.OwnJobs < maxEarlyJobs:
 		return true, urgentJitter
--- a/internal/batch/claims.go
+++ b/internal/batch/claims.go
@@ -120,6 +120,7 @@
 	name := instanceOf(j.Runner)
 	current, known := b.StateLoop.State.Instances[name]
 	r.Replaced = known && current.Incarnation != j.Runner
+	r.Unfit = b.StateLoop.State.IsUnfit(j.SingleVersion, j.Runner, name)
 	if at, refused := b.runner.occupancy.refusedAt(name); refused && !r.Replaced {
 		r.Refused, r.SinceRefused = true, now-at
 	}
--- a/internal/batch/jobs.go
+++ b/internal/batch/jobs.go
@@ -71,7 +71,7 @@
 		return
 	}
 	b.runner.cacheTasks(cacheKey(c.Account, c.ID), sub.Tasks, locations)
-	submitted := b.newSubmitted(c, sub, locations, b.chooseRunner(ctx, sub.Model))
+	submitted := b.newSubmitted(c, sub, locations, b.chooseRunner(ctx, sub.Model, c.Route.SingleVersion))
 	submitted.ReadTo = readTo
 	switch err := b.AppendRecord(ctx, job.Record{Submitted: submitted}); {
 	case err == nil:
@@ -122,14 +122,15 @@
 const runnerMaxAge = 3 * time.Second
 
 // chooseRunner returns the runner for a new job of the model: the runner of the latest
-// job, whose connections to the engines are open, or else this instance. An instance that is
-// stopping or reaches no target returns an empty name instead of its own, so that another
-// instance claims the job.
-func (b *Batch) chooseRunner(ctx context.Context, model string) string {
+// job, whose connections to the engines are open, unless it is unfit for the job, or else this
+// instance. An instance that is stopping or reaches no target returns an empty name instead of its own,
+// so that another instance claims the job.
+func (b *Batch) chooseRunner(ctx context.Context, model string, singleVersion bool) string {
 	runner := ""
 	b.StateLoop.Do(ctx, func() {
 		last := b.StateLoop.State.Runners[model]
-		if last.Name != "" && last.Name != b.Self && b.Clock.Now()-last.LastSeen < runnerMaxAge {
+		if last.Name != "" && last.Name != b.Self && b.Clock.Now()-last.LastSeen < runnerMaxAge &&
+			!b.StateLoop.State.IsUnfit(singleVersion, last.Name, instanceOf(last.Name)) {
 			runner = last.Name
 		}
 	})
--- a/internal/hosted/strangers_test.go
+++ b/internal/hosted/strangers_test.go
@@ -79,14 +79,19 @@
 // announceInstance appends an announcement as an instance with the address and the key does, and
 // waits until the instances of the deployment have read it.
 func (d *deployment) announceInstance(name, address, fingerprint string) {
-	data, err := job.Encode(job.Record{Writer: name + "/" + fingerprint, InstanceStarted: &job.InstanceStarted{
+	d.appendRecord(job.Record{Writer: name + "/" + fingerprint, InstanceStarted: &job.InstanceStarted{
 		Instance: name, PeerAddress: address, StartedAt: time.Now().UnixMilli(), KeyFingerprint: fingerprint,
 	}})
+	d.awaitAnnouncements()
+}
+
+// appendRecord appends a record to the log, as an instance does.
+func (d *deployment) appendRecord(r job.Record) {
+	data, err := job.Encode(r)
 	Expect(err).NotTo(HaveOccurred())
 	w := httptest.NewRecorder()
 	d.store.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/log-append?topic=control&part=0", bytes.NewReader(forgedAppend(string(data)))))
 	Expect(w.Code).To(Equal(http.StatusOK))
-	d.awaitAnnouncements()
 }
 
 var _ = Describe("The port between instances", func() {
--- a/internal/hosted/takeover_test.go
+++ b/internal/hosted/takeover_test.go
@@ -10,7 +10,9 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/amaranthfold/amaranthfold/core/job"
 	"github.com/amaranthfold/amaranthfold/internal/standin/hostplatform"
+	"github.com/amaranthfold/amaranthfold/platform"
 )
 
 var _ = Describe("An instance that takes over a job", func() {
@@ -33,6 +35,42 @@
 	})
 })
 
+// Guards against results with several weight versions on a route that allows one, during an upgrade from a
+// build whose runs may mix them.
+var _ = Describe("A job for one weight version whose runner is of an earlier build", func() {
+	It("is taken over although its runner lives", func() {
+		d := newDeployment(1, 1)
+		config := hostplatform.Config(d.version+3, host, []string{key})
+		for _, route := range config["routes"].([]map[string]any) {
+			route["single-version"] = true
+		}
+		d.store.Put(platform.OperatorTopic, "config", config)
+		d.awaitLogged("config applied", 2)
+		d.announceInstance("n8", "127.0.0.1:1", "earlier")
+		const earlier = "n8/earlier"
+		d.engines[0].SetStalled(true)
+		events := map[string]int{"t1": 3, "t2": 4}
+		Expect(d.instances[0].call(http.MethodPost, "/train/j", "j", key, hostplatform.Submission(1, events)).status).To(Equal(http.StatusAccepted))
+		d.appendRecord(job.Record{Writer: earlier, Claimed: &job.Claimed{Job: "j", Term: 1, Runner: earlier}})
+		ended := make(chan struct{})
+		DeferCleanup(func() { close(ended) })
+		go func() {
+			defer GinkgoRecover()
+			for {
+				select {
+				case <-ended:
+					return
+				case <-time.After(50 * time.Millisecond):
+					d.appendRecord(job.Record{Writer: earlier, At: time.Now().UnixMilli(), Progress: &job.Progress{Job: "j", Term: 1}})
+				}
+			}
+		}()
+		d.awaitLogged("job claimed", 1)
+		d.engines[0].SetStalled(false)
+		checkOutputs(d.instances[0].awaitResults("j", 2), events)
+	})
+})
+
 // longEvents sends events of 200 bytes, so that a stored part of eight is read on its own.
 func longEvents(w http.ResponseWriter, r *http.Request) bool {
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // no header: from the start
--- a/internal/node/announce.go
+++ b/internal/node/announce.go
@@ -39,7 +39,7 @@
 func (n *Node) announce(ctx context.Context) error {
 	started := job.InstanceStarted{
 		Instance: n.Settings.Instance, PeerAddress: n.Settings.Peers, StartedAt: n.Clock.Wall().UnixMilli(),
-		KeyFingerprint: n.Peers.identity.Fingerprint(), Asks: true,
+		KeyFingerprint: n.Peers.identity.Fingerprint(), Asks: true, KeepsVersion: true,
 	}
 	n.AppendRecordAsync(job.Record{InstanceStarted: &started})
 	announced, next := n.Clock.Now(), n.Jitter(peering.AnnounceInterval) // all instances may have started at once
