A connection to a target carries each request once

Cause: which send a response answers was told by the request's id alone. The request is sent again on the connection of the refusal, which net/http has just put back, and the copy has its id. Tasks counted one 500 as two, or a 422 of an earlier job as theirs; score calls and relayed requests share the path; a report took the place of a later one, as neither has an id.

Ruled out: copies that arrive before the next request is sent, which close the connection already.

Change, in internal/httpclient alone: a request goes to the first of four pools in which no open connection to its address has carried its id, after that to a connection of its own. Requests without an id (orders, reports) need a connection on which a response with an id has come since the last one without. No wait, and nothing for the readers of responses to decide.

The spec of connections by cause sends ids now, which its target repeats: it relied on requests without one sharing a connection, which they no longer do. Its checks are the same.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -41,6 +41,7 @@
 	headErr   error // of the latest head; nil: none so far
 	headBytes int   // of the latest response, until its head is whole
 	headHold  *Hold // nil: the latest head is small, or there is no budget
+	carriage  carriage
 }
 
 func newConn(c net.Conn, budget *Budget) *conn {
@@ -58,6 +59,22 @@
 	c.headHold = nil
 }
 
+// carry notes the identity of the request that will be written.
+func (c *conn) carry(s *identities, pool int, key identity) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.closed {
+		c.carriage.carry(s, pool, key)
+	}
+}
+
+// forget lets the connection carry the identity again.
+func (c *conn) forget(key identity) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carriage.forget(key)
+}
+
 // endRequest notes that nothing of the request is left to be written but what the transport has
 // buffered.
 func (c *conn) endRequest() {
@@ -182,6 +199,7 @@
 func (c *conn) Close() error {
 	c.mu.Lock()
 	c.closed = true
+	c.carriage.close()
 	c.headHold.Close()
 	c.changed.Broadcast()
 	c.mu.Unlock()
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -19,9 +19,13 @@
 // response that had arrived before its request was sent. A body without a stated length ends with its
 // connection: that end is reported only after the request has been sent, as it may be a reset before,
 // and the body fails with ErrCut if it is one.
+//
+// One of NewIdentified sends no two requests with the same id on one connection, so that the id of a
+// response tells which send it answers.
 type Transport struct {
-	base   *http.Transport
-	budget *Budget // of the bodies that ReadBody reads; nil: none
+	pools      []*http.Transport
+	budget     *Budget     // of the bodies that ReadBody reads; nil: none
+	identities *identities // nil: requests have no ids
 }
 
 // New returns a transport with the settings of base, which it takes over.
@@ -60,7 +64,15 @@
 		}
 		return newConn(secured, budget), nil
 	}
-	return &Transport{base, budget}
+	return &Transport{pools: []*http.Transport{base}, budget: budget}
+}
+
+// NewIdentified is NewWithin for servers that repeat a request's id in their response, both in the
+// header field. A request without an id gets a response without one.
+func NewIdentified(budget *Budget, header string, base *http.Transport) *Transport {
+	t := NewWithin(budget, base)
+	t.pools, t.identities = pools(base), newIdentities(header)
+	return t
 }
 
 // Default is a transport for calls that need no settings of their own.
@@ -86,10 +98,20 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var used atomic.Pointer[conn] // by the latest attempt: net/http may repeat a request
-	res, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+	pool, id, key := 0, "", identity(0)
+	if t.identities != nil {
+		id = req.Header.Get(t.identities.header)
+		key = t.identities.of(req.URL.Host, id)
+		pool = t.identities.reserve(key)
+		defer t.identities.release(pool, key)
+	}
+	res, err := t.pools[pool].RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
 			if c, ok := info.Conn.(*conn); ok {
 				c.beginRequest()
+				if t.identities != nil {
+					c.carry(t.identities, pool, key)
+				}
 				used.Store(c)
 			}
 		},
@@ -111,6 +133,9 @@
 		_ = c.Close() // what it brings belongs to no request
 		return nil, err
 	}
+	if id != "" && res.Header.Get(t.identities.header) == id {
+		c.forget(t.identities.of(req.URL.Host, "")) // a copy of a response without an id would have come here
+	}
 	if t.budget != nil && res.Body != http.NoBody && res.StatusCode != http.StatusSwitchingProtocols {
 		res.Body = &budgetedBody{res.Body, t.budget}
 	}
@@ -118,7 +143,11 @@
 }
 
 // CloseIdleConnections closes the idle connections, as http.Client asks for.
-func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+func (t *Transport) CloseIdleConnections() {
+	for _, pool := range t.pools {
+		pool.CloseIdleConnections()
+	}
+}
 
 // Unwrap returns the connection c of a Transport as its dial function has returned it, without TLS.
 func Unwrap(c net.Conn) net.Conn {
--- a/internal/node/connections_test.go
+++ b/internal/node/connections_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -26,6 +27,7 @@
 	})
 	block := make(chan struct{})
 	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Request-Id", r.Header.Get("Request-Id"))
 		switch r.URL.Path {
 		case "/close":
 			w.Header().Set("Connection", "close")
@@ -39,6 +41,7 @@
 		}
 	}))
 	defer target.Close()
+	requests := 0
 	get := func(path string) *http.Response {
 		t.Helper()
 		ctx, cancel := context.WithCancel(context.Background())
@@ -47,6 +50,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		requests++
+		req.Header.Set("Request-Id", strconv.Itoa(requests)) // two without one would not share a connection
 		res, err := n.TargetClient.Do(req)
 		if err != nil {
 			t.Fatal(err)
