Specs: load that spills over shows whether a data centre is evacuated

Cause, in the spec: its requests came one a millisecond, and an instance stays with a target that it has an idle connection to.

--- a/internal/hosted/availability_test.go
+++ b/internal/hosted/availability_test.go
@@ -80,12 +80,13 @@
 		for id, res := range d.callAll(60, time.Millisecond) {
 			Expect(res.status).To(Equal(http.StatusOK), id)
 		}
+		d.callAll(30, 0) // more at once than an instance leaves on idle connections to p0
 		Expect(d.plain[1].Arrivals()).To(HaveLen(before), "requests to the evacuated data centre")
 
 		d.evacuate("b", false)
 		d.awaitLogged("data centre readmitted", 3)
 		Eventually(func() int {
-			d.callAll(30, time.Millisecond)
+			d.callAll(30, 0)
 			return len(d.plain[1].Arrivals())
 		}, eventuallyTimeout).Should(BeNumerically(">", before))
 	})
