Orders and reports share the connections of requests to other paths

Callers saw: nothing wrong; the prices of new connections rose with.

Cause: a request without an id went only to a connection on which a response with an id had come since the last one without, so reports and orders to targets that serve few requests opened connections that they had shared before.

Change: the path of a request without an id is its identity, so that an order follows a report on a connection but no order an order. What the transport can't tell, a copy of a report in the place of an answer to an order, is told by content: a report states its models, also none, and an answer to an order does not. What does not fit has an unknown outcome, which both readers ask again for already.

--- a/internal/httpclient/conn.go
+++ b/internal/httpclient/conn.go
@@ -60,19 +60,19 @@
 }
 
 // carry notes the identity of the request that will be written.
-func (c *conn) carry(s *identities, pool int, key identity) {
+func (c *conn) carry(s *identities, pool int, key identity, id string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.closed {
-		c.carriage.carry(s, pool, key)
+		c.carriage.carry(s, pool, key, id)
 	}
 }
 
-// forget lets the connection carry the identity again.
-func (c *conn) forget(key identity) {
+// identified notes that a response with the id of its request has come.
+func (c *conn) identified() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.carriage.forget(key)
+	c.carriage.identified()
 }
 
 // endRequest notes that nothing of the request is left to be written but what the transport has
--- a/internal/httpclient/identity.go
+++ b/internal/httpclient/identity.go
@@ -23,8 +23,9 @@
 // again finds a kept connection in the next pool. Only after poolCount sends is a connection opened for
 // one request.
 //
-// A request without an id, whose response has none either, goes to a connection that has carried none
-// since the last response with an id: a copy would have been found in the place of that response.
+// Of a request without an id, whose response has none either, the path is the identity: the reader of a
+// response has to tell by its content that it is one to the path. A connection may carry it again once a
+// response with an id has come: a copy would have been found in the place of that one.
 type identities struct {
 	header string // with the id, in requests and responses
 	seed   maphash.Seed
@@ -35,15 +36,18 @@
 	carried map[identity]*[poolCount]uint16
 }
 
-// identity is the digest of an address and a request's id.
+// identity is the digest of an address and a request's id, or its path if it has no id.
 type identity uint64
 
 func newIdentities(header string) *identities {
 	return &identities{header: header, seed: maphash.MakeSeed(), carried: map[identity]*[poolCount]uint16{}}
 }
 
-func (s *identities) of(address, id string) identity {
-	return identity(maphash.Comparable(s.seed, [2]string{address, id}))
+func (s *identities) of(req *http.Request) (key identity, id string) {
+	if id = req.Header.Get(s.header); id == "" {
+		return identity(maphash.Comparable(s.seed, [3]string{req.URL.Host, "", req.URL.Path})), ""
+	}
+	return identity(maphash.Comparable(s.seed, [3]string{req.URL.Host, id})), id
 }
 
 // reserve returns the pool for a request, and counts it there until release. It returns poolCount if
@@ -94,12 +98,18 @@
 type carriage struct {
 	identities *identities
 	pool       int
-	latest     []identity // of the latest requests, oldest first
+	latest     []identity // of the latest requests with an id, oldest first
+	anonymous  []identity // of the requests without an id since the last response with one
 }
 
-// carry notes that the connection, which is open, carries a request.
-func (c *carriage) carry(s *identities, pool int, key identity) {
+// carry notes that the connection, which is open, carries a request. id is empty if it has none.
+func (c *carriage) carry(s *identities, pool int, key identity, id string) {
 	c.identities, c.pool = s, pool
+	if id == "" {
+		s.add(key, pool)
+		c.anonymous = append(c.anonymous, key)
+		return
+	}
 	if len(c.latest) == maxCarried {
 		s.release(pool, c.latest[0])
 		c.latest = slices.Delete(c.latest, 0, 1)
@@ -108,16 +118,17 @@
 	c.latest = append(c.latest, key)
 }
 
-// forget lets the connection carry the identity again.
-func (c *carriage) forget(key identity) {
-	for i := slices.Index(c.latest, key); i >= 0; i = slices.Index(c.latest, key) {
-		c.identities.release(c.pool, key)
-		c.latest = slices.Delete(c.latest, i, i+1)
+// identified notes that a response with the id of its request has come.
+func (c *carriage) identified() {
+	if len(c.anonymous) > 0 {
+		c.identities.release(c.pool, c.anonymous...)
+		c.anonymous = nil
 	}
 }
 
 // close forgets everything, as the connection is closed.
 func (c *carriage) close() {
+	c.identified()
 	if len(c.latest) > 0 {
 		c.identities.release(c.pool, c.latest...)
 		c.latest = nil
--- a/internal/httpclient/transport.go
+++ b/internal/httpclient/transport.go
@@ -68,7 +68,8 @@
 }
 
 // NewIdentified is NewWithin for servers that repeat a request's id in their response, both in the
-// header field. A request without an id gets a response without one.
+// header field. A request without an id gets a response without one: its caller has to check that it is
+// one to the request's path.
 func NewIdentified(budget *Budget, header string, base *http.Transport) *Transport {
 	t := NewWithin(budget, base)
 	t.pools, t.identities = pools(base), newIdentities(header)
@@ -100,8 +101,7 @@
 	var used atomic.Pointer[conn] // by the latest attempt: net/http may repeat a request
 	pool, id, key := 0, "", identity(0)
 	if t.identities != nil {
-		id = req.Header.Get(t.identities.header)
-		key = t.identities.of(req.URL.Host, id)
+		key, id = t.identities.of(req)
 		pool = t.identities.reserve(key)
 		defer t.identities.release(pool, key)
 	}
@@ -110,7 +110,7 @@
 			if c, ok := info.Conn.(*conn); ok {
 				c.beginRequest()
 				if t.identities != nil {
-					c.carry(t.identities, pool, key)
+					c.carry(t.identities, pool, key, id)
 				}
 				used.Store(c)
 			}
@@ -134,7 +134,7 @@
 		return nil, err
 	}
 	if id != "" && res.Header.Get(t.identities.header) == id {
-		c.forget(t.identities.of(req.URL.Host, "")) // a copy of a response without an id would have come here
+		c.identified()
 	}
 	if t.budget != nil && res.Body != http.NoBody && res.StatusCode != http.StatusSwitchingProtocols {
 		res.Body = &budgetedBody{res.Body, t.budget}
